--- /dev/null
+++ b/src/brain.rs
@@ -0,0 +1,845 @@
+//! Every decision of the gateway. A host (see `host.rs` for the interface) makes one `Brain` for each life of
+//! a gateway and calls it with what happens: `listed` (servers), `rpc` (one came in), `ended` (a call-out did),
+//! `client_left`, `counted` (the shared counter answered), `told` (another gateway spoke) and `woke` (a timer).
+//! Each call answers through the `Host` it is given. Start reading at `advance`, the path of an RPC.
+
+use crate::host::{Arrival, End, Ended, Host, Listed, Nanos, Settings};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+const MS: Nanos = 1_000_000;
+const SEC: Nanos = 1_000 * MS;
+/// From the design: the reserve line, and when the brake acts.
+const RESERVE: f64 = 0.3;
+const BRAKE_SPAN: Nanos = 10 * SEC;
+const BRAKE_SAMPLES: usize = 20;
+const BRAKE_QUOTA_SHARE: f64 = 0.005;
+/// How many of the last samples are kept, and how long they speak for now.
+const KEPT: usize = 32;
+const FRESH: Nanos = 5 * SEC;
+/// How soon an RPC held for want of a server, or by the brake, is looked at again.
+const RECHECK: Nanos = 25 * MS;
+/// Calls to the counter open at once while it answers well; misses in a row after which it counts as silent.
+const COUNTS_OPEN: usize = 8;
+const SILENT_AFTER: usize = 3;
+
+/// Where an RPC stands. `Held` waits for room, a server or the brake; `Claiming` waits for the counter to
+/// confirm its units.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Arrived,
+    Held,
+    Claiming,
+    Out,
+    Ended,
+}
+
+struct Rpc {
+    state: State,
+    method: u16,
+    customer: u64,
+    units: f64,
+    urgency: f64,
+    patient: bool,
+    soft_deadline: Nanos,
+    deadline: Nanos,
+    /// Its units are taken from the store; a further call-out takes none.
+    drawn: bool,
+    /// The count call that carries its claim.
+    claim: u64,
+    tries: u64,
+    last_server: u32,
+    /// The first call-out that may have run: when it was sent and where to.
+    ran: Option<(Nanos, u16, u16)>,
+}
+
+/// One window of a customer's count: own adds that counted (or may have) and what others had added.
+#[derive(Default)]
+struct Ledger {
+    window: u64,
+    own: f64,
+    others: f64,
+}
+
+struct Customer {
+    plan: u16,
+    width: f64,
+    /// The store as this gateway sees it, and the ceiling's share, both as of `at`.
+    level: f64,
+    ceiling: f64,
+    at: Nanos,
+    known: bool,
+    open: u64,
+    /// Ids of held and claiming RPCs, most urgent first, then as they came.
+    queue: Vec<u32>,
+    wake_at: Nanos,
+    pending: f64,
+    ledgers: VecDeque<Ledger>,
+    /// Count calls without answer: window, amount, serial. Answers for a name come in the order of calls.
+    calls: VecDeque<(u64, f64, u64)>,
+    serial: u64,
+    counted_at: Nanos,
+    /// Urgent outcomes: when, and whether it was pushed back for lack of quota.
+    urgent: VecDeque<(Nanos, bool)>,
+}
+
+struct Server {
+    listed: Listed,
+    /// Call-outs open, oldest first: RPC, number, sent at.
+    open: VecDeque<(u32, u16, Nanos)>,
+    /// Last answers: when, and after how long.
+    answers: VecDeque<(Nanos, Nanos)>,
+    sent: VecDeque<Nanos>,
+    oks: usize,
+    misses: u32,
+    shun_until: Nanos,
+}
+
+enum Wake {
+    Customer(u64),
+    SoftDeadline(u32, u16),
+}
+
+pub struct Brain {
+    settings: Settings,
+    chance: fastrand::Rng,
+    servers: BTreeMap<u32, Server>,
+    customers: HashMap<u64, Customer>,
+    rpcs: HashMap<u32, Rpc>,
+    open: HashMap<(u32, u16), (u32, u64)>,
+    wakes: HashMap<u32, Wake>,
+    next_wake: u32,
+    /// Ok answers of the whole fleet, and urgent call-outs: when, and latency over soft deadline.
+    oks: VecDeque<(Nanos, Nanos)>,
+    urgent: VecDeque<(Nanos, f64)>,
+    /// Last ends of count calls, those open, and the customers waiting for a free one.
+    counter: VecDeque<bool>,
+    counter_open: usize,
+    counter_rest: Nanos,
+    to_count: VecDeque<u64>,
+}
+
+fn keep<T>(samples: &mut VecDeque<T>, sample: T, most: usize) {
+    samples.push_back(sample);
+    while samples.len() > most {
+        samples.pop_front();
+    }
+}
+
+fn secs(span: Nanos) -> f64 {
+    span as f64 / SEC as f64
+}
+
+fn span(secs: f64) -> Nanos {
+    (secs.clamp(0.0, 3600.0) * SEC as f64) as Nanos
+}
+
+impl Brain {
+    pub fn new(seed: u64, settings: Settings) -> Self {
+        Brain {
+            settings,
+            chance: fastrand::Rng::with_seed(seed),
+            servers: BTreeMap::new(),
+            customers: HashMap::new(),
+            rpcs: HashMap::new(),
+            open: HashMap::new(),
+            wakes: HashMap::new(),
+            next_wake: 0,
+            oks: VecDeque::new(),
+            urgent: VecDeque::new(),
+            counter: VecDeque::new(),
+            counter_open: 0,
+            counter_rest: 0,
+            to_count: VecDeque::new(),
+        }
+    }
+
+    // ---- Settings: each is picked where it is needed; what is missing or can't be read takes the default.
+
+    fn setting(&self, name: &str, default: f64) -> f64 {
+        let value = self.settings.get(name).and_then(|text| text.parse().ok());
+        value.filter(|value: &f64| value.is_finite()).unwrap_or(default)
+    }
+
+    fn method(&self, method: u16, name: &str, default: f64) -> f64 {
+        self.setting(&format!("classes.{method}.{name}"), default)
+    }
+
+    fn method_is(&self, method: u16, name: &str, value: &str) -> bool {
+        self.settings.get(&format!("classes.{method}.{name}")).is_some_and(|text| text == value)
+    }
+
+    fn plan(&self, plan: u16, name: &str, default: f64) -> f64 {
+        self.setting(&format!("tariffs.{plan}.{name}"), default)
+    }
+
+    /// Rate and burst of a plan; a rate of 0 is no quota.
+    fn quota(&self, plan: u16) -> (f64, f64) {
+        (self.plan(plan, "perSecond", 0.0), self.plan(plan, "depth", 0.0))
+    }
+
+    fn window(&self, plan: u16) -> Nanos {
+        let (rate, burst) = self.quota(plan);
+        span((burst / rate.max(1e-6)).clamp(1.0, 25.0))
+    }
+
+    /// Utility lost for each second waited: what patience is judged by, from the settings alone.
+    fn urgency(&self, method: u16) -> f64 {
+        self.method(method, "credit", 1.0) / self.method(method, "onTime", 1.0).max(1e-3)
+    }
+
+    // ---- Events.
+
+    /// Discovery's list, whole or only what changed. A server off the whole list is gone.
+    pub fn listed(&mut self, host: &mut dyn Host, now: Nanos, whole: bool, list: &[Listed]) {
+        let _ = (host, now);
+        if whole {
+            self.servers.values_mut().for_each(|server| server.listed.ready = false);
+        }
+        for listed in list {
+            let server = self.servers.entry(listed.server).or_insert_with(|| Server {
+                listed: listed.clone(),
+                open: VecDeque::new(),
+                answers: VecDeque::new(),
+                sent: VecDeque::new(),
+                oks: 0,
+                misses: 0,
+                shun_until: 0,
+            });
+            if server.listed.came_up != listed.came_up {
+                // A new life: what the old one showed says nothing, and it is cold.
+                server.answers.clear();
+                (server.oks, server.misses, server.shun_until) = (0, 0, 0);
+            }
+            server.listed = listed.clone();
+        }
+        self.servers.retain(|_, server| server.listed.ready || !server.open.is_empty());
+    }
+
+    pub fn rpc(&mut self, host: &mut dyn Host, now: Nanos, arrival: &Arrival) {
+        let (rate, burst) = self.quota(arrival.plan);
+        let width = f64::from(arrival.width.max(1));
+        self.customers.entry(arrival.customer).or_insert_with(|| Customer {
+            plan: arrival.plan,
+            width,
+            level: burst / width,
+            ceiling: 0.0, // an earlier life may have spent it
+            at: now,
+            known: rate <= 0.0,
+            open: 0,
+            queue: Vec::new(),
+            wake_at: Nanos::MAX,
+            pending: 0.0,
+            ledgers: VecDeque::new(),
+            calls: VecDeque::new(),
+            serial: 0,
+            counted_at: 0,
+            urgent: VecDeque::new(),
+        });
+        let methods = self.setting("classes.count", 1.0) as u16;
+        let most_urgent = (0..methods).map(|method| self.urgency(method)).fold(0.0, f64::max);
+        let urgency = self.urgency(arrival.method);
+        let soft = now + span(self.method(arrival.method, "onTime", 1.0));
+        let rpc = Rpc {
+            state: State::Arrived,
+            method: arrival.method,
+            customer: arrival.customer,
+            units: arrival.units.max(0.0),
+            urgency,
+            patient: urgency < most_urgent / 2.0,
+            soft_deadline: soft.min(arrival.deadline),
+            deadline: arrival.deadline,
+            drawn: false,
+            claim: 0,
+            tries: 0,
+            last_server: u32::MAX,
+            ran: None,
+        };
+        self.rpcs.insert(arrival.id, rpc);
+        self.shift(arrival.id, State::Held);
+        self.release(host, now, arrival.customer);
+    }
+
+    /// The client has gone, or has its answer already.
+    pub fn client_left(&mut self, now: Nanos, id: u32) {
+        let _ = now;
+        self.shift(id, State::Ended);
+    }
+
+    pub fn woke(&mut self, host: &mut dyn Host, now: Nanos, token: u32) {
+        match self.wakes.remove(&token) {
+            Some(Wake::Customer(key)) => {
+                if let Some(customer) = self.customers.get_mut(&key)
+                    && customer.wake_at <= now
+                {
+                    customer.wake_at = Nanos::MAX;
+                    self.release(host, now, key);
+                    self.share_count(host, now, key);
+                }
+            }
+            // A call-out open past the soft deadline is distress though no latency has come (a hanging server).
+            Some(Wake::SoftDeadline(id, nth)) if self.open.contains_key(&(id, nth)) => {
+                keep(&mut self.urgent, (now, 2.0), 2 * KEPT);
+            }
+            _ => {}
+        }
+    }
+
+    pub fn told(&mut self, _host: &mut dyn Host, _now: Nanos, _from: u32, _body: &[u8]) {}
+
+    /// Every change of state goes through here, and so does what hangs on it.
+    fn shift(&mut self, id: u32, to: State) {
+        let Some(rpc) = self.rpcs.get_mut(&id) else { return };
+        let was = std::mem::replace(&mut rpc.state, to);
+        let queued = |state| matches!(state, State::Held | State::Claiming);
+        let (key, urgency) = (rpc.customer, rpc.urgency);
+        if let Some(customer) = self.customers.get_mut(&key) {
+            if was == State::Claiming && to != State::Out {
+                customer.level += rpc.units;
+                customer.pending -= rpc.units;
+            }
+            if queued(was) && !queued(to) {
+                customer.queue.retain(|other| *other != id);
+            } else if !queued(was) && queued(to) {
+                let rpcs = &self.rpcs;
+                let ahead = |other: &u32| rpcs.get(other).is_some_and(|other| other.urgency >= urgency);
+                let place = customer.queue.partition_point(ahead);
+                customer.queue.insert(place, id);
+            }
+        }
+        if to == State::Ended {
+            self.rpcs.remove(&id);
+        }
+    }
+
+    // ---- The path of an RPC.
+
+    /// Takes a held RPC as far as it can go now: given up on, still held, claiming, or out. `ahead` are the
+    /// units of more urgent RPCs of the same customer that wait too. Returns when to look again.
+    fn advance(&mut self, host: &mut dyn Host, now: Nanos, id: u32, ahead: &mut f64) -> Nanos {
+        let Some(rpc) = self.rpcs.get(&id) else { return Nanos::MAX };
+        let (key, units, patient, drawn) = (rpc.customer, rpc.units, rpc.patient, rpc.drawn);
+        // Too little time left for an answer in time, or no further call-out allowed: it ends here.
+        let latest = rpc.soft_deadline.saturating_sub(self.typical());
+        if now >= latest || !self.may_go_out(now, id) {
+            self.finish(host, now, id, 0);
+            return Nanos::MAX;
+        }
+        // Room: the customer's store, down to the reserve line if the RPC is patient.
+        let mut thin = false;
+        if !drawn {
+            let room_at = self.room_at(now, key, units + *ahead, patient);
+            if room_at > now {
+                *ahead += units;
+                if room_at > latest {
+                    self.finish(host, now, id, room_at - now);
+                    return Nanos::MAX;
+                }
+                return room_at.min(latest);
+            }
+            thin = self.is_thin(now, key, units + *ahead, patient);
+            if patient && self.braked(now, key) {
+                return (now + RECHECK).min(latest);
+            }
+        }
+        // A server that can take it.
+        let Some(server) = self.choose(now, id) else {
+            return (now + RECHECK).min(latest);
+        };
+        // Units are taken; where another gateway could take the same last ones, the counter is asked first.
+        if !drawn {
+            let Some(customer) = self.customers.get_mut(&key) else { return Nanos::MAX };
+            customer.level -= units;
+            customer.pending += units;
+            if thin {
+                let claim = customer.serial + 1;
+                self.shift(id, State::Claiming);
+                self.rpcs.entry(id).and_modify(|rpc| rpc.claim = claim);
+                self.count(host, now, key);
+                return latest;
+            }
+        }
+        self.send(host, now, id, server);
+        Nanos::MAX
+    }
+
+    fn send(&mut self, host: &mut dyn Host, now: Nanos, id: u32, chosen: u32) {
+        self.shift(id, State::Out);
+        let limit = self.patience_with(now, id);
+        let Some(rpc) = self.rpcs.get_mut(&id) else { return };
+        let nth = rpc.tries as u16;
+        rpc.tries += 1;
+        rpc.last_server = chosen;
+        let first = !std::mem::replace(&mut rpc.drawn, true);
+        let (key, urgent, soft, units) = (rpc.customer, !rpc.patient, rpc.soft_deadline, rpc.units);
+        if let Some(customer) = self.customers.get_mut(&key) {
+            customer.open += 1;
+            if first {
+                customer.ceiling -= units;
+            }
+        }
+        if let Some(server) = self.servers.get_mut(&chosen) {
+            server.open.push_back((id, nth, now));
+            keep(&mut server.sent, now, 4 * KEPT);
+        }
+        self.open.insert((id, nth), (chosen, key));
+        host.call_out(id, chosen, limit);
+        if urgent {
+            self.wake(host, now, soft, Wake::SoftDeadline(id, nth));
+        }
+        self.share_count(host, now, key);
+    }
+
+    /// The end of a call-out; a closed RPC has its answer, any other goes on or is answered now.
+    pub fn ended(&mut self, host: &mut dyn Host, now: Nanos, ended: &Ended) {
+        let Some((chosen, key)) = self.open.remove(&(ended.rpc, ended.nth)) else { return };
+        let sent = now.saturating_sub(ended.took);
+        let never_ran = matches!(ended.how, End::Full | End::NoConnection | End::NotSent);
+        let mut place = (u16::MAX, u16::MAX);
+        if let Some(server) = self.servers.get_mut(&chosen) {
+            place = (server.listed.zone, server.listed.cell);
+            server.open.retain(|open| (open.0, open.1) != (ended.rpc, ended.nth));
+            match ended.how {
+                End::Ok => {
+                    server.oks += 1;
+                    server.misses = 0;
+                    keep(&mut server.answers, (now, ended.took), KEPT);
+                }
+                End::TimedOut => keep(&mut server.answers, (now, ended.took), KEPT),
+                End::NoConnection | End::Reset | End::Error | End::Full => {
+                    // Guards against a server that is down, cut off, full or answering errors: it rests, longer
+                    // each time. Harm: a short fault keeps a good server idle for a moment.
+                    server.misses = (server.misses + 1).min(5);
+                    server.shun_until = now + ((50 * MS) << server.misses);
+                }
+                End::Withdrawn | End::NotSent => {}
+            }
+        }
+        if ended.how == End::Ok {
+            keep(&mut self.oks, (now, ended.took), 2 * KEPT);
+        }
+        if let Some(customer) = self.customers.get_mut(&key) {
+            customer.open = customer.open.saturating_sub(1);
+        }
+        if let Some(rpc) = self.rpcs.get_mut(&ended.rpc) {
+            let (method, urgent, units) = (rpc.method, !rpc.patient, rpc.units);
+            if !never_ran && rpc.ran.is_none() {
+                rpc.ran = Some((sent, place.0, place.1));
+            }
+            if urgent && now <= rpc.soft_deadline && ended.how == End::Ok {
+                let ratio = secs(ended.took) / self.method(method, "onTime", 1.0).max(1e-3);
+                keep(&mut self.urgent, (now, ratio), 2 * KEPT);
+            }
+            if let Some(customer) = self.customers.get_mut(&key) {
+                if urgent {
+                    keep(&mut customer.urgent, (now, false), 2 * KEPT);
+                }
+                if ended.settled > 0.0 {
+                    // The guess is put right with what the RPC really counted.
+                    customer.level -= ended.settled - units;
+                    customer.pending += ended.settled - units;
+                }
+            }
+            self.shift(ended.rpc, if ended.closed { State::Ended } else { State::Held });
+        }
+        self.release(host, now, key);
+    }
+
+    /// Looks at all that a customer has waiting, most urgent first, and sets the timer for the next look.
+    fn release(&mut self, host: &mut dyn Host, now: Nanos, key: u64) {
+        let Some(customer) = self.customers.get(&key) else { return };
+        let (mut ahead, mut next) = (0.0, Nanos::MAX);
+        for id in customer.queue.clone() {
+            if self.rpcs.get(&id).is_some_and(|rpc| rpc.state == State::Held) {
+                next = next.min(self.advance(host, now, id, &mut ahead));
+            }
+        }
+        self.wake_customer(host, now, key, next);
+    }
+
+    /// Gives an RPC its final answer at once, with a time to come back where that is known.
+    fn finish(&mut self, host: &mut dyn Host, now: Nanos, id: u32, room_in: Nanos) {
+        let Some(rpc) = self.rpcs.get(&id) else { return };
+        let harmless = match rpc.ran {
+            None => true,
+            Some((sent, ..)) => match self.kind(rpc.method) {
+                Kind::Idempotent => true,
+                Kind::Deduplicated => {
+                    let window = span(self.method(rpc.method, "window", 0.0));
+                    self.method_is(rpc.method, "group", "all") && now < sent + window
+                }
+                Kind::NonIdempotent => false,
+            },
+        };
+        if !rpc.patient
+            && room_in > 0
+            && let Some(customer) = self.customers.get_mut(&rpc.customer)
+        {
+            keep(&mut customer.urgent, (now, true), 2 * KEPT);
+        }
+        self.shift(id, State::Ended);
+        if !harmless {
+            host.abort(id);
+            return;
+        }
+        let advised = self.settings.get("ceilings.retryAfter").is_some_and(|text| text == "true");
+        let most = span(self.setting("ceilings.maxRetryAfter", 0.0));
+        host.push_back(id, if advised { room_in.min(most) } else { 0 });
+    }
+
+    fn kind(&self, method: u16) -> Kind {
+        match self.settings.get(&format!("classes.{method}.idempotency")).map(String::as_str) {
+            Some("free") => Kind::Idempotent,
+            Some("guarded") => Kind::Deduplicated,
+            _ => Kind::NonIdempotent, // the safe reading of what is missing
+        }
+    }
+
+    /// Whether a call-out may go out at all. A first one may; a further one only as the method allows.
+    fn may_go_out(&self, now: Nanos, id: u32) -> bool {
+        let Some(rpc) = self.rpcs.get(&id) else { return false };
+        let left = rpc.tries < self.setting("ceilings.attemptsCap", 1.0) as u64;
+        left && match rpc.ran {
+            None => true,
+            Some((sent, ..)) => match self.kind(rpc.method) {
+                Kind::Idempotent => true,
+                Kind::Deduplicated => now < sent + span(self.method(rpc.method, "window", 0.0)),
+                Kind::NonIdempotent => false,
+            },
+        }
+    }
+
+    /// How long to wait for this call-out. An RPC that may go out again leaves itself time for it, but only
+    /// while that is well over what the fleet takes now: if all are slow, another call-out would only add work.
+    /// Guards against hanging and slow servers. 0 is until the deadline.
+    fn patience_with(&self, now: Nanos, id: u32) -> Nanos {
+        let Some(rpc) = self.rpcs.get(&id) else { return 0 };
+        let again = rpc.tries + 1 < self.setting("ceilings.attemptsCap", 1.0) as u64;
+        let left = rpc.soft_deadline.saturating_sub(now);
+        let limit = left * 3 / 5;
+        if again && self.kind(rpc.method) != Kind::NonIdempotent && limit > 4 * self.typical() {
+            limit
+        } else {
+            0
+        }
+    }
+
+    /// What an ok answer takes now: the median of the last ones.
+    fn typical(&self) -> Nanos {
+        let mut took: Vec<Nanos> = self.oks.iter().map(|ok| ok.1).collect();
+        took.sort_unstable();
+        took.get(took.len() / 2).copied().unwrap_or(0)
+    }
+
+    // ---- Room.
+
+    /// Brings a customer's stores up to now. With the counter silent only the split share fills.
+    fn refill(&mut self, now: Nanos, key: u64) {
+        let silent = self.silent();
+        let Some(customer) = self.customers.get(&key) else { return };
+        let plan = customer.plan;
+        let (rate, burst) = self.quota(plan);
+        let (ceiling_rate, ceiling_burst) =
+            (self.plan(plan, "ceilingRate", 0.0), self.plan(plan, "hardBurst", 0.0));
+        let Some(customer) = self.customers.get_mut(&key) else { return };
+        let width = customer.width;
+        let share = if silent { 1.0 / width } else { 1.0 };
+        let passed = secs(now.saturating_sub(customer.at));
+        customer.at = now;
+        customer.level = (customer.level + passed * rate * share).min(burst * share);
+        customer.ceiling = (customer.ceiling + passed * ceiling_rate / width).min(ceiling_burst / width);
+    }
+
+    /// The reserve line at a time: patient RPCs leave this much of the burst, less as the window ends.
+    fn line(&self, at: Nanos, plan: u16) -> f64 {
+        let window = self.window(plan);
+        RESERVE * self.quota(plan).1 * (1.0 - (at % window) as f64 / window as f64)
+    }
+
+    /// When the store, the ceiling's share and the cap on open call-outs have room for so many units.
+    fn room_at(&mut self, now: Nanos, key: u64, units: f64, patient: bool) -> Nanos {
+        self.refill(now, key);
+        let Some(customer) = self.customers.get(&key) else { return Nanos::MAX };
+        let plan = customer.plan;
+        let mut at = now;
+        let (rate, burst) = self.quota(plan);
+        if rate > 0.0 {
+            // Soft plans, where use beyond the quota earns more than it costs, may borrow a burst while calm.
+            let soft = self.plan(plan, "overWorth", 0.0) > self.plan(plan, "beyondCosts", 1.0);
+            let floor = if soft && !self.braked(now, key) { -burst } else { 0.0 };
+            let rate = if self.silent() { rate / customer.width } else { rate };
+            let line = if patient { self.line(now, plan) } else { 0.0 };
+            let short = floor + line + units - customer.level;
+            if short > 0.0 {
+                // The line falls while the store fills; at the window's end it starts over.
+                let falls = if patient { RESERVE * burst / secs(self.window(plan)) } else { 0.0 };
+                at = now + span(short / (rate + falls)).max(MS);
+            }
+        }
+        let ceiling_rate = self.plan(plan, "ceilingRate", 0.0) / customer.width;
+        if ceiling_rate > 0.0 && customer.ceiling < units {
+            at = at.max(now + span((units - customer.ceiling) / ceiling_rate).max(MS));
+        }
+        let most = self.plan(plan, "maxOut", 0.0);
+        if most > 0.0 && customer.open as f64 >= (most / customer.width).ceil() {
+            at = at.max(now + RECHECK);
+        }
+        at
+    }
+
+    /// Whether other gateways, each sending as much now, could overdraw the store together.
+    fn is_thin(&self, now: Nanos, key: u64, units: f64, patient: bool) -> bool {
+        let Some(customer) = self.customers.get(&key) else { return false };
+        let line = if patient { self.line(now, customer.plan) } else { 0.0 };
+        let spare = customer.level - units - line;
+        let (rate, _) = self.quota(customer.plan);
+        let counter = self.settings.get("extra.hasCounter").is_some_and(|text| text == "true");
+        counter && rate > 0.0 && !self.silent() && customer.known && spare < (customer.width - 1.0) * units
+    }
+
+    /// The brake on patient RPCs: too many urgent ones of this customer pushed back for lack of quota, or the
+    /// urgent p95 over their soft deadline.
+    fn braked(&self, now: Nanos, key: u64) -> bool {
+        let fresh = |at: Nanos| now.saturating_sub(at) < BRAKE_SPAN;
+        if let Some(customer) = self.customers.get(&key) {
+            let outcomes = customer.urgent.iter().filter(|sample| fresh(sample.0)).count();
+            let pushed = customer.urgent.iter().filter(|sample| fresh(sample.0) && sample.1).count();
+            if outcomes >= BRAKE_SAMPLES && pushed as f64 > BRAKE_QUOTA_SHARE * outcomes as f64 {
+                return true;
+            }
+        }
+        let samples = self.urgent.iter().filter(|sample| fresh(sample.0));
+        let mut ratios: Vec<f64> = samples.map(|sample| sample.1).collect();
+        ratios.sort_by(f64::total_cmp);
+        ratios.len() >= BRAKE_SAMPLES && ratios[ratios.len() * 95 / 100] > 1.0
+    }
+
+    // ---- The counter.
+
+    /// The last calls all went without an answer: what the others use is not known.
+    fn silent(&self) -> bool {
+        self.counter.iter().rev().take_while(|answered| !**answered).count() >= SILENT_AFTER
+    }
+
+    /// Adds a customer's units if a few have gathered or a while has passed; the less room, the sooner.
+    fn share_count(&mut self, host: &mut dyn Host, now: Nanos, key: u64) {
+        self.refill(now, key);
+        let Some(customer) = self.customers.get(&key) else { return };
+        let (rate, burst) = self.quota(customer.plan);
+        if rate <= 0.0 || customer.pending == 0.0 {
+            return;
+        }
+        let full = (customer.level / burst.max(1e-6)).clamp(0.02, 1.0);
+        let due = customer.counted_at + span(full);
+        if !customer.known || now >= due || customer.pending.abs() >= burst * full / 8.0 {
+            self.count(host, now, key);
+        } else {
+            self.wake_customer(host, now, key, due);
+        }
+    }
+
+    fn count(&mut self, host: &mut dyn Host, now: Nanos, key: u64) {
+        if self.settings.get("extra.hasCounter").is_none_or(|text| text != "true") {
+            return;
+        }
+        // Fewer calls at once the more of the last ones went wrong: a slow counter is not crowded further.
+        let misses = self.counter.iter().filter(|answered| !**answered).count();
+        if self.counter_open >= (COUNTS_OPEN - misses.min(COUNTS_OPEN - 1)) || now < self.counter_rest {
+            if !self.to_count.contains(&key) {
+                self.to_count.push_back(key);
+            }
+            return;
+        }
+        let Some(customer) = self.customers.get(&key) else { return };
+        let length = self.window(customer.plan);
+        let window = now / length;
+        let Some(customer) = self.customers.get_mut(&key) else { return };
+        if customer.ledgers.back().is_none_or(|ledger| ledger.window != window) {
+            keep(&mut customer.ledgers, Ledger { window, ..Ledger::default() }, 2);
+        }
+        let add = std::mem::take(&mut customer.pending);
+        customer.serial += 1;
+        customer.calls.push_back((window, add, customer.serial));
+        customer.counted_at = now;
+        self.counter_open += 1;
+        host.count(key << 31 | (window & 0x7fff_ffff), add, (2 * length + SEC).min(60 * SEC));
+    }
+
+    pub fn counted(
+        &mut self,
+        host: &mut dyn Host,
+        now: Nanos,
+        name: u64,
+        how: End,
+        total: f64,
+        _took: Nanos,
+    ) {
+        let key = name >> 31;
+        self.counter_open = self.counter_open.saturating_sub(1);
+        keep(&mut self.counter, how == End::Ok, COUNTS_OPEN);
+        if self.silent() {
+            self.counter_rest = now + 100 * MS;
+        }
+        self.refill(now, key);
+        let Some(customer) = self.customers.get(&key) else { return };
+        let burst = self.quota(customer.plan).1;
+        let Some(customer) = self.customers.get_mut(&key) else { return };
+        let same = |call: &(u64, f64, u64)| call.0 & 0x7fff_ffff == name & 0x7fff_ffff;
+        let Some(call) = customer.calls.iter().position(same).and_then(|place| customer.calls.remove(place))
+        else {
+            return;
+        };
+        let (window, add, serial) = call;
+        let ledger = customer.ledgers.iter_mut().find(|ledger| ledger.window == window);
+        match (how, ledger) {
+            (End::Ok, Some(ledger)) if total.is_finite() => {
+                ledger.own += add;
+                let slack = 0.01 + 1e-5 * total.abs();
+                if total + slack < ledger.own {
+                    // Guards against a counter that came back empty, or lost adds: the total is below this
+                    // gateway's own adds, so it starts over from what this call added.
+                    (ledger.own, ledger.others) = (add, 0.0);
+                }
+                let others = total - ledger.own;
+                customer.level -= others - ledger.others;
+                ledger.others = others;
+                if !customer.known {
+                    customer.known = true;
+                    customer.level = burst - total - customer.pending;
+                }
+            }
+            // Nothing was added: the units are still to be told.
+            (End::Full | End::NoConnection | End::NotSent, _) => customer.pending += add,
+            // It may have counted; taken as counted, so that the others' use is never seen too large.
+            (_, Some(ledger)) => ledger.own += add,
+            _ => {}
+        }
+        // Claims that this call carried: the last ones in the queue give their units back first.
+        let queue = customer.queue.clone();
+        for id in queue.iter().rev() {
+            let Some(rpc) = self.rpcs.get(id) else { continue };
+            if rpc.state != State::Claiming || rpc.claim > serial {
+                continue;
+            }
+            let line = if rpc.patient { self.line(now, self.customers[&key].plan) } else { 0.0 };
+            if self.customers[&key].level < line - 0.01 {
+                self.shift(*id, State::Held);
+            }
+        }
+        for id in queue {
+            if self.rpcs.get(&id).is_some_and(|rpc| rpc.state == State::Claiming && rpc.claim <= serial) {
+                match self.choose(now, id) {
+                    Some(server) => self.send(host, now, id, server),
+                    None => self.shift(id, State::Held),
+                }
+            }
+        }
+        self.release(host, now, key);
+        if let Some(next) = self.to_count.pop_front() {
+            self.count(host, now, next);
+        }
+    }
+
+    // ---- Servers.
+
+    /// Two drawn at random, the one that this gateway's own counts favour is taken.
+    fn choose(&mut self, now: Nanos, id: u32) -> Option<u32> {
+        let rpc = self.rpcs.get(&id)?;
+        let group = rpc.ran.filter(|_| self.kind(rpc.method) == Kind::Deduplicated);
+        let in_group = |server: &Server| {
+            group.is_none_or(|(_, zone, cell)| {
+                match self.settings.get(&format!("classes.{}.group", rpc.method)) {
+                    Some(text) if text == "all" => true,
+                    Some(text) if text == "zone" => server.listed.zone == zone,
+                    _ => server.listed.cell == cell,
+                }
+            })
+        };
+        let allowed = |(_, server): &(&u32, &Server)| {
+            server.listed.ready && in_group(server) && self.cold_room(now, server)
+        };
+        let mut able: Vec<u32> = self.servers.iter().filter(allowed).map(|(id, _)| *id).collect();
+        let rested: Vec<u32> = able
+            .iter()
+            .copied()
+            .filter(|id| self.servers[id].shun_until <= now && (rpc.tries == 0 || *id != rpc.last_server))
+            .collect();
+        if !rested.is_empty() {
+            able = rested;
+        }
+        if able.is_empty() {
+            return None;
+        }
+        let one = able[self.chance.usize(..able.len())];
+        let two = able[self.chance.usize(..able.len())];
+        Some(if self.burden(now, two) < self.burden(now, one) { two } else { one })
+    }
+
+    /// How long a further call-out would take there, by this gateway's own counts.
+    fn burden(&self, now: Nanos, id: u32) -> f64 {
+        let Some(server) = self.servers.get(&id) else { return f64::MAX };
+        let typical = self.typical().max(MS) as f64;
+        let fresh: Vec<Nanos> =
+            server.answers.iter().rev().take(8).filter(|a| now - a.0 < FRESH).map(|a| a.1).collect();
+        let mean = (fresh.iter().sum::<Nanos>() as f64 + 4.0 * typical) / (fresh.len() as f64 + 4.0);
+        // A call-out open for long tells of a hanging or paused server before any answer does.
+        let oldest = server.open.front().map_or(0.0, |open| (now - open.2) as f64);
+        let overdue = (oldest / (4.0 * typical)).max(1.0);
+        let own_zone = f64::from(server.listed.zone) == self.setting("zone", -1.0);
+        let far = if own_zone { 1.0 } else { 1.1 };
+        (server.open.len() as f64 + 1.0) * mean * overdue * far / server.listed.weight.max(0.05)
+    }
+
+    /// Guards against pushing over a server that has just started: until it is warm each gateway sends it only
+    /// its part of what the server can surely do, judged by what warm peers carry, and no more at once than its
+    /// own answers justify. Covers restarts, deploys and returns after a crash. Harm: a server that is
+    /// warm sooner is used late.
+    fn cold_room(&self, now: Nanos, server: &Server) -> bool {
+        let within = span(self.setting("rules.warmWithin", 30.0)).max(1);
+        let age = now.saturating_sub(server.listed.came_up);
+        if server.listed.came_up == 0 || age >= within {
+            return true;
+        }
+        let from = self.setting("rules.coldFrom", 0.1);
+        let part = from + (1.0 - from) * age as f64 / within as f64;
+        let peers: Vec<f64> = self
+            .servers
+            .values()
+            .filter(|peer| peer.listed.ready && now.saturating_sub(peer.listed.came_up) >= within)
+            .map(|peer| {
+                let fresh = peer.answers.iter().filter(|answer| now - answer.0 < FRESH);
+                let oldest = fresh.clone().map(|answer| answer.0).min().unwrap_or(now);
+                fresh.count() as f64 / secs((now - oldest).max(SEC)) / peer.listed.weight.max(0.05)
+            })
+            .collect();
+        let carried = peers.iter().sum::<f64>() / peers.len().max(1) as f64 * server.listed.weight;
+        let fall = self.setting("rules.fall", 1.0);
+        let budget = (part * carried * fall).max(1.0) as usize;
+        let lately = server.sent.iter().filter(|sent| now - **sent < span(fall)).count();
+        lately < budget && server.open.len() < 1 + server.oks
+    }
+
+    // ---- Timers.
+
+    fn wake(&mut self, host: &mut dyn Host, now: Nanos, at: Nanos, wake: Wake) {
+        let token = self.next_wake;
+        self.next_wake = self.next_wake.wrapping_add(1);
+        self.wakes.insert(token, wake);
+        host.wake(at.saturating_sub(now).max(MS), token);
+    }
+
+    fn wake_customer(&mut self, host: &mut dyn Host, now: Nanos, key: u64, at: Nanos) {
+        let Some(customer) = self.customers.get_mut(&key) else { return };
+        if at < customer.wake_at {
+            customer.wake_at = at;
+            self.wake(host, now, at, Wake::Customer(key));
+        }
+    }
+}
+
+/// What a method allows once a call-out may have run.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Idempotent,
+    Deduplicated,
+    NonIdempotent,
+}
--- /dev/null
+++ b/src/host.rs
@@ -0,0 +1,83 @@
+//! What the decision module needs from its host, and the plain types between them. No decisions here.
+
+use std::collections::HashMap;
+
+/// A time or a span in whole nanoseconds.
+pub type Nanos = u64;
+
+/// Settings as a plain map of names to values, as the operators hand them over.
+pub type Settings = HashMap<String, String>;
+
+/// What the module can ask of its host. A wish takes effect at the time of the event being answered.
+pub trait Host {
+    /// Sends the RPC to a server; call-outs of an RPC are numbered from 0. A `limit` of 0 means until the deadline.
+    fn call_out(&mut self, rpc: u32, server: u32, limit: Nanos);
+    /// Final answer: trying again does no harm; `come_back` of 0 gives no advice.
+    fn push_back(&mut self, rpc: u32, come_back: Nanos);
+    /// Final answer: nothing is promised.
+    fn abort(&mut self, rpc: u32);
+    /// Asks for `woke` with this token after a while.
+    fn wake(&mut self, after: Nanos, token: u32);
+    /// Adds to a named count that all gateways share; the total comes back through `counted`.
+    fn count(&mut self, name: u64, add: f64, forget: Nanos);
+    /// Sends a short message to another gateway.
+    fn tell(&mut self, peer: u32, body: &[u8]);
+}
+
+/// An RPC as it came in.
+#[derive(Clone, Debug, Default)]
+pub struct Arrival {
+    pub id: u32,
+    pub method: u16,
+    pub plan: u16,
+    pub customer: u64,
+    /// Clock time at which the client gives up.
+    pub deadline: Nanos,
+    pub units: f64,
+    /// How many gateways this customer's RPCs come in through, and the number of the first of them.
+    pub width: u32,
+    pub first: u32,
+}
+
+/// A server as discovery lists it.
+#[derive(Clone, Debug, Default)]
+pub struct Listed {
+    pub server: u32,
+    pub zone: u16,
+    pub kind: u8,
+    pub cell: u16,
+    /// False when it drains or is gone.
+    pub ready: bool,
+    pub weight: f64,
+    /// Clock time of its last start; 0 for long ago.
+    pub came_up: Nanos,
+}
+
+/// How a call-out or a call to the counter ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    Ok,
+    Error,
+    Full,
+    TimedOut,
+    NoConnection,
+    Reset,
+    Withdrawn,
+    NotSent,
+}
+
+/// The end of one call-out.
+#[derive(Clone, Debug)]
+pub struct Ended {
+    pub rpc: u32,
+    pub server: u32,
+    pub nth: u16,
+    pub how: End,
+    pub took: Nanos,
+    /// The RPC has its final answer.
+    pub closed: bool,
+    /// The true units, where they are only known afterwards; 0 if not told.
+    pub settled: f64,
+    /// The server's load report, in the order of `reporting.columns`; empty if none came.
+    pub load: Vec<f64>,
+}
