Claims and timers can no longer leave an RPC unanswered

Two causes of lost RPCs: a claim waiting on a counter call that never got out, and a timer whose nanoseconds were cut to whole microseconds, which rang before its time and was taken for an old one.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -40,8 +40,8 @@
     units: f64,
     urgency: f64,
     patient: bool,
+    /// By when an answer is wanted, and never later than the client's deadline.
     soft_deadline: Nanos,
-    deadline: Nanos,
     /// Its units are taken from the store; a further call-out takes none.
     drawn: bool,
     /// The count call that carries its claim.
@@ -247,7 +247,6 @@
             urgency,
             patient: urgency < most_urgent / 2.0,
             soft_deadline: soft.min(arrival.deadline),
-            deadline: arrival.deadline,
             drawn: false,
             claim: 0,
             tries: 0,
@@ -355,7 +354,7 @@
                 self.shift(id, State::Claiming);
                 self.rpcs.entry(id).and_modify(|rpc| rpc.claim = claim);
                 self.count(host, now, key);
-                return latest;
+                return latest; // `release` ends it there if the counter has not answered
             }
         }
         self.send(host, now, id, server);
@@ -449,8 +448,15 @@
         let Some(customer) = self.customers.get(&key) else { return };
         let (mut ahead, mut next) = (0.0, Nanos::MAX);
         for id in customer.queue.clone() {
-            if self.rpcs.get(&id).is_some_and(|rpc| rpc.state == State::Held) {
+            let Some(rpc) = self.rpcs.get(&id) else { continue };
+            let latest = rpc.soft_deadline.saturating_sub(self.typical());
+            if rpc.state == State::Held {
                 next = next.min(self.advance(host, now, id, &mut ahead));
+            } else if now < latest {
+                next = next.min(latest);
+            } else {
+                // Guards against a count call that never gets out or back: a claim ends like any held RPC.
+                self.finish(host, now, id, 0);
             }
         }
         self.wake_customer(host, now, key, next);
@@ -821,10 +827,12 @@
     // ---- Timers.
 
     fn wake(&mut self, host: &mut dyn Host, now: Nanos, at: Nanos, wake: Wake) {
+        // Rounded up: a host that counts microseconds must not ring before what waits is due.
+        let at = at.max(now + MS).next_multiple_of(1000);
         let token = self.next_wake;
         self.next_wake = self.next_wake.wrapping_add(1);
         self.wakes.insert(token, wake);
-        host.wake(at.saturating_sub(now).max(MS), token);
+        host.wake(at - now, token);
     }
 
     fn wake_customer(&mut self, host: &mut dyn Host, now: Nanos, key: u64, at: Nanos) {
