--- a/src/brain.rs
+++ b/src/brain.rs
@@ -318,7 +318,7 @@
         let Some(rpc) = self.rpcs.get(&id) else { return Nanos::MAX };
         let (key, units, patient, drawn) = (rpc.customer, rpc.units, rpc.patient, rpc.drawn);
         // Too little time left for an answer in time, or no further call-out allowed: it ends here.
-        let latest = rpc.soft_deadline.saturating_sub(self.typical());
+        let latest = rpc.soft_deadline.saturating_sub(self.typical(now));
         if now >= latest || !self.may_go_out(now, id) {
             self.finish(host, now, id, 0);
             return Nanos::MAX;
@@ -449,7 +449,7 @@
         let (mut ahead, mut next) = (0.0, Nanos::MAX);
         for id in customer.queue.clone() {
             let Some(rpc) = self.rpcs.get(&id) else { continue };
-            let latest = rpc.soft_deadline.saturating_sub(self.typical());
+            let latest = rpc.soft_deadline.saturating_sub(self.typical(now));
             if rpc.state == State::Held {
                 next = next.min(self.advance(host, now, id, &mut ahead));
             } else if now < latest {
@@ -522,16 +522,18 @@
         let again = rpc.tries + 1 < self.setting("ceilings.attemptsCap", 1.0) as u64;
         let left = rpc.soft_deadline.saturating_sub(now);
         let limit = left * 3 / 5;
-        if again && self.kind(rpc.method) != Kind::NonIdempotent && limit > 4 * self.typical() {
+        if again && self.kind(rpc.method) != Kind::NonIdempotent && limit > 4 * self.typical(now) {
             limit
         } else {
             0
         }
     }
 
-    /// What an ok answer takes now: the median of the last ones.
-    fn typical(&self) -> Nanos {
-        let mut took: Vec<Nanos> = self.oks.iter().map(|ok| ok.1).collect();
+    /// What an ok answer takes now: the median of the last ones. Old ones say nothing: a gateway that sent
+    /// nothing for a while because answers were slow must try again.
+    fn typical(&self, now: Nanos) -> Nanos {
+        let fresh = self.oks.iter().filter(|ok| now - ok.0 < SEC);
+        let mut took: Vec<Nanos> = fresh.map(|ok| ok.1).collect();
         took.sort_unstable();
         took.get(took.len() / 2).copied().unwrap_or(0)
     }
@@ -783,7 +785,7 @@
     /// How long a further call-out would take there, by this gateway's own counts.
     fn burden(&self, now: Nanos, id: u32) -> f64 {
         let Some(server) = self.servers.get(&id) else { return f64::MAX };
-        let typical = self.typical().max(MS) as f64;
+        let typical = self.typical(now).max(MS) as f64;
         let fresh: Vec<Nanos> =
             server.answers.iter().rev().take(8).filter(|a| now - a.0 < FRESH).map(|a| a.1).collect();
         let mean = (fresh.iter().sum::<Nanos>() as f64 + 4.0 * typical) / (fresh.len() as f64 + 4.0);
