Cap what is open by what is answered a second; rest servers that hang

Two guards: a gateway holds RPCs while open over answered-a-second passes 0.5 (patient) or 0.8 (urgent) of the soft deadline; a server whose oldest call-out is open far longer than answers take now is not drawn, and a missed one gets one call-out at a time until it answers. They also cover a lost hall, a traffic jump and a restarted gateway; they harm for a moment after a lull or a short fault.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -318,7 +318,7 @@
         let Some(rpc) = self.rpcs.get(&id) else { return Nanos::MAX };
         let (key, units, patient, drawn) = (rpc.customer, rpc.units, rpc.patient, rpc.drawn);
         // Too little time left for an answer in time, or no further call-out allowed: it ends here.
-        let latest = rpc.soft_deadline.saturating_sub(self.typical(now));
+        let latest = self.latest(now, rpc);
         if now >= latest || !self.may_go_out(now, id) {
             self.finish(host, now, id, 0);
             return Nanos::MAX;
@@ -340,6 +340,9 @@
                 return (now + RECHECK).min(latest);
             }
         }
+        if self.crowded(now, id) {
+            return (now + RECHECK).min(latest);
+        }
         // A server that can take it.
         let Some(server) = self.choose(now, id) else {
             return (now + RECHECK).min(latest);
@@ -403,10 +406,10 @@
                     server.misses = 0;
                     keep(&mut server.answers, (now, ended.took), KEPT);
                 }
-                End::TimedOut => keep(&mut server.answers, (now, ended.took), KEPT),
-                End::NoConnection | End::Reset | End::Error | End::Full => {
-                    // Guards against a server that is down, cut off, full or answering errors: it rests, longer
-                    // each time. Harm: a short fault keeps a good server idle for a moment.
+                End::TimedOut | End::NoConnection | End::Reset | End::Error | End::Full => {
+                    // Guards against a server that is down, cut off, full, hanging or answering errors: it
+                    // rests, longer each time, and then gets one call-out at a time until an ok. Harm: a short
+                    // fault keeps a good server idle for a moment.
                     server.misses = (server.misses + 1).min(5);
                     server.shun_until = now + ((50 * MS) << server.misses);
                 }
@@ -449,7 +452,7 @@
         let (mut ahead, mut next) = (0.0, Nanos::MAX);
         for id in customer.queue.clone() {
             let Some(rpc) = self.rpcs.get(&id) else { continue };
-            let latest = rpc.soft_deadline.saturating_sub(self.typical(now));
+            let latest = self.latest(now, rpc);
             if rpc.state == State::Held {
                 next = next.min(self.advance(host, now, id, &mut ahead));
             } else if now < latest {
@@ -529,6 +532,37 @@
         }
     }
 
+    /// When an RPC must be out to be answered in time as a rule.
+    fn latest(&self, now: Nanos, rpc: &Rpc) -> Nanos {
+        let most = span(self.method(rpc.method, "onTime", 1.0) / 2.0);
+        rpc.soft_deadline.saturating_sub(self.typical(now).min(most))
+    }
+
+    /// Whether the servers hold so much already that one more would hardly be answered in time: what is open
+    /// over what is answered a second. Guards against overload of any cause (a slow fleet, lost servers, a
+    /// jump in traffic), patient RPCs giving way first. What hangs is left out, or a few stuck servers would
+    /// stop all. Harm: after a lull the rate looks low, so with few answers a plain cap holds instead.
+    fn crowded(&self, now: Nanos, id: u32) -> bool {
+        let Some(rpc) = self.rpcs.get(&id) else { return false };
+        let up: Vec<&Server> =
+            self.servers.values().filter(|server| server.listed.ready && !self.hangs(now, server)).collect();
+        let open: usize = up.iter().map(|server| server.open.len()).sum();
+        let fresh = self.oks.iter().filter(|ok| now - ok.0 < 2 * SEC);
+        let count = fresh.clone().count();
+        if count < 8 {
+            return open >= 2 * up.len().max(1);
+        }
+        let rate = count as f64 / secs(now - fresh.map(|ok| ok.0).min().unwrap_or(now)).max(0.05);
+        let share = if rpc.patient { 0.5 } else { 0.8 };
+        (open + 1) as f64 / rate > share * self.method(rpc.method, "onTime", 1.0)
+    }
+
+    /// A server whose oldest call-out is open for far longer than answers take now. In a slowdown of all
+    /// servers what answers take grows with it, so that not all count as hanging.
+    fn hangs(&self, now: Nanos, server: &Server) -> bool {
+        server.open.front().is_some_and(|open| now - open.2 > (6 * self.typical(now)).max(500 * MS))
+    }
+
     /// What an ok answer takes now: the median of the last ones. Old ones say nothing: a gateway that sent
     /// nothing for a while because answers were slow must try again.
     fn typical(&self, now: Nanos) -> Nanos {
@@ -769,7 +803,11 @@
         let rested: Vec<u32> = able
             .iter()
             .copied()
-            .filter(|id| self.servers[id].shun_until <= now && (rpc.tries == 0 || *id != rpc.last_server))
+            .filter(|id| {
+                let server = &self.servers[id];
+                let rested = server.shun_until <= now && (server.misses == 0 || server.open.is_empty());
+                rested && !self.hangs(now, server) && (rpc.tries == 0 || *id != rpc.last_server)
+            })
             .collect();
         if !rested.is_empty() {
             able = rested;
