A split store of its own for the times when the counter is silent

Now the split store stands beside, drained by this gateway's own use alone. A total below own adds is only where to count on from.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -66,6 +66,8 @@
     /// The store as this gateway sees it, and the ceiling's share, both as of `at`.
     level: f64,
     ceiling: f64,
+    /// What of the quota is surely this gateway's, for when the counter is silent: an even split.
+    split: f64,
     at: Nanos,
     known: bool,
     open: u64,
@@ -222,6 +224,7 @@
             plan: arrival.plan,
             width,
             level: burst / width,
+            split: burst / width,
             ceiling: 0.0, // an earlier life may have spent it
             at: now,
             known: rate <= 0.0,
@@ -351,6 +354,7 @@
         if !drawn {
             let Some(customer) = self.customers.get_mut(&key) else { return Nanos::MAX };
             customer.level -= units;
+            customer.split -= units;
             customer.pending += units;
             if thin {
                 let claim = customer.serial + 1;
@@ -574,21 +578,21 @@
 
     // ---- Room.
 
-    /// Brings a customer's stores up to now. With the counter silent only the split share fills.
+    /// Brings a customer's stores up to now.
     fn refill(&mut self, now: Nanos, key: u64) {
-        let silent = self.silent();
         let Some(customer) = self.customers.get(&key) else { return };
         let plan = customer.plan;
         let (rate, burst) = self.quota(plan);
         let (ceiling_rate, ceiling_burst) =
             (self.plan(plan, "ceilingRate", 0.0), self.plan(plan, "hardBurst", 0.0));
         let Some(customer) = self.customers.get_mut(&key) else { return };
-        let width = customer.width;
-        let share = if silent { 1.0 / width } else { 1.0 };
         let passed = secs(now.saturating_sub(customer.at));
         customer.at = now;
-        customer.level = (customer.level + passed * rate * share).min(burst * share);
-        customer.ceiling = (customer.ceiling + passed * ceiling_rate / width).min(ceiling_burst / width);
+        customer.level = (customer.level + passed * rate).min(burst);
+        customer.split =
+            (customer.split.max(0.0) + passed * rate / customer.width).min(burst / customer.width);
+        customer.ceiling =
+            (customer.ceiling + passed * ceiling_rate / customer.width).min(ceiling_burst / customer.width);
     }
 
     /// The reserve line at a time: patient RPCs leave this much of the burst, less as the window ends.
@@ -610,7 +614,8 @@
             let floor = if soft && !self.braked(now, key) { -burst } else { 0.0 };
             let rate = if self.silent() { rate / customer.width } else { rate };
             let line = if patient { self.line(now, plan) } else { 0.0 };
-            let short = floor + line + units - customer.level;
+            let level = if self.silent() { customer.split } else { customer.level };
+            let short = floor + line + units - level;
             if short > 0.0 {
                 // The line falls while the store fills; at the window's end it starts over.
                 let falls = if patient { RESERVE * burst / secs(self.window(plan)) } else { 0.0 };
@@ -737,9 +742,10 @@
                 ledger.own += add;
                 let slack = 0.01 + 1e-5 * total.abs();
                 if total + slack < ledger.own {
-                    // Guards against a counter that came back empty, or lost adds: the total is below this
-                    // gateway's own adds, so it starts over from what this call added.
-                    (ledger.own, ledger.others) = (add, 0.0);
+                    // Guards against a counter that came back empty, and adds that timed out and did not count:
+                    // the total is below this gateway's own adds, so it says nothing of the others' use and is
+                    // only where to count on from.
+                    (ledger.own, ledger.others) = (add, total - add);
                 }
                 let others = total - ledger.own;
                 customer.level -= others - ledger.others;
