--- a/src/brain.rs
+++ b/src/brain.rs
@@ -557,7 +557,7 @@
             return open >= 2 * up.len().max(1);
         }
         let rate = count as f64 / secs(now - fresh.map(|ok| ok.0).min().unwrap_or(now)).max(0.05);
-        let share = if rpc.patient { 0.5 } else { 0.8 };
+        let share = if rpc.patient { 0.3 } else { 0.45 };
         (open + 1) as f64 / rate > share * self.method(rpc.method, "onTime", 1.0)
     }
 
