--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -93,7 +93,7 @@
                 });
             }
             if kind <= 2 {
-                guarded(brains, reply, instance, |brain, host| brain.listed(host, now, kind != 0, &list));
+                guarded(brains, reply, instance, |brain, _| brain.listed(kind != 0, &list));
             }
         }
         18 => {
@@ -125,7 +125,7 @@
         }
         21 => {
             let rpc = record.u32()?;
-            guarded(brains, reply, instance, |brain, _| brain.client_left(now, rpc));
+            guarded(brains, reply, instance, |brain, _| brain.client_left(rpc));
         }
         22 => {
             let token = record.u32()?;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,8 +24,9 @@
 
 /// Where an RPC stands. `Held` waits for room, a server or the brake; `Claiming` waits for the counter to
 /// confirm its units.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum State {
+    #[default]
     Arrived,
     Held,
     Claiming,
@@ -33,6 +34,7 @@
     Ended,
 }
 
+#[derive(Default)]
 struct Rpc {
     state: State,
     method: u16,
@@ -60,6 +62,7 @@
     others: f64,
 }
 
+#[derive(Default)]
 struct Customer {
     plan: u16,
     width: f64,
@@ -84,6 +87,7 @@
     urgent: VecDeque<(Nanos, bool)>,
 }
 
+#[derive(Default)]
 struct Server {
     listed: Listed,
     /// Call-outs open, oldest first: RPC, number, sent at.
@@ -101,6 +105,7 @@
     SoftDeadline(u32, u16),
 }
 
+#[derive(Default)]
 pub struct Brain {
     settings: Settings,
     chance: fastrand::Rng,
@@ -137,22 +142,7 @@
 
 impl Brain {
     pub fn new(seed: u64, settings: Settings) -> Self {
-        Brain {
-            settings,
-            chance: fastrand::Rng::with_seed(seed),
-            servers: BTreeMap::new(),
-            customers: HashMap::new(),
-            rpcs: HashMap::new(),
-            open: HashMap::new(),
-            wakes: HashMap::new(),
-            next_wake: 0,
-            oks: VecDeque::new(),
-            urgent: VecDeque::new(),
-            counter: VecDeque::new(),
-            counter_open: 0,
-            counter_rest: 0,
-            to_count: VecDeque::new(),
-        }
+        Brain { settings, chance: fastrand::Rng::with_seed(seed), ..Brain::default() }
     }
 
     // ---- Settings: each is picked where it is needed; what is missing or can't be read takes the default.
@@ -166,6 +156,10 @@
         self.setting(&format!("classes.{method}.{name}"), default)
     }
 
+    fn is_true(&self, name: &str) -> bool {
+        self.settings.get(name).is_some_and(|text| text == "true")
+    }
+
     fn method_is(&self, method: u16, name: &str, value: &str) -> bool {
         self.settings.get(&format!("classes.{method}.{name}")).is_some_and(|text| text == value)
     }
@@ -192,25 +186,15 @@
     // ---- Events.
 
     /// Discovery's list, whole or only what changed. A server off the whole list is gone.
-    pub fn listed(&mut self, host: &mut dyn Host, now: Nanos, whole: bool, list: &[Listed]) {
-        let _ = (host, now);
+    pub fn listed(&mut self, whole: bool, list: &[Listed]) {
         if whole {
             self.servers.values_mut().for_each(|server| server.listed.ready = false);
         }
         for listed in list {
-            let server = self.servers.entry(listed.server).or_insert_with(|| Server {
-                listed: listed.clone(),
-                open: VecDeque::new(),
-                answers: VecDeque::new(),
-                sent: VecDeque::new(),
-                oks: 0,
-                misses: 0,
-                shun_until: 0,
-            });
+            let server = self.servers.entry(listed.server).or_default();
             if server.listed.came_up != listed.came_up {
                 // A new life: what the old one showed says nothing, and it is cold.
-                server.answers.clear();
-                (server.oks, server.misses, server.shun_until) = (0, 0, 0);
+                *server = Server { open: std::mem::take(&mut server.open), ..Server::default() };
             }
             server.listed = listed.clone();
         }
@@ -224,37 +208,24 @@
             plan: arrival.plan,
             width,
             level: burst / width,
-            split: burst / width,
-            ceiling: 0.0, // an earlier life may have spent it
+            split: burst / width, // the ceiling's share starts at 0: an earlier life may have spent it
             at: now,
             known: rate <= 0.0,
-            open: 0,
-            queue: Vec::new(),
             wake_at: Nanos::MAX,
-            pending: 0.0,
-            ledgers: VecDeque::new(),
-            calls: VecDeque::new(),
-            serial: 0,
-            counted_at: 0,
-            urgent: VecDeque::new(),
+            ..Customer::default()
         });
         let methods = self.setting("classes.count", 1.0) as u16;
         let most_urgent = (0..methods).map(|method| self.urgency(method)).fold(0.0, f64::max);
         let urgency = self.urgency(arrival.method);
         let soft = now + span(self.method(arrival.method, "onTime", 1.0));
         let rpc = Rpc {
-            state: State::Arrived,
             method: arrival.method,
             customer: arrival.customer,
             units: arrival.units.max(0.0),
             urgency,
             patient: urgency < most_urgent / 2.0,
             soft_deadline: soft.min(arrival.deadline),
-            drawn: false,
-            claim: 0,
-            tries: 0,
-            last_server: u32::MAX,
-            ran: None,
+            ..Rpc::default()
         };
         self.rpcs.insert(arrival.id, rpc);
         self.shift(arrival.id, State::Held);
@@ -262,8 +233,7 @@
     }
 
     /// The client has gone, or has its answer already.
-    pub fn client_left(&mut self, now: Nanos, id: u32) {
-        let _ = now;
+    pub fn client_left(&mut self, id: u32) {
         self.shift(id, State::Ended);
     }
 
@@ -322,7 +292,7 @@
         let (key, units, patient, drawn) = (rpc.customer, rpc.units, rpc.patient, rpc.drawn);
         // Too little time left for an answer in time, or no further call-out allowed: it ends here.
         let latest = self.latest(now, rpc);
-        if now >= latest || !self.may_go_out(now, id) {
+        if now >= latest || self.tries_left(rpc) == 0 || !self.may_repeat(now, rpc) {
             self.finish(host, now, id, 0);
             return Nanos::MAX;
         }
@@ -472,17 +442,9 @@
     /// Gives an RPC its final answer at once, with a time to come back where that is known.
     fn finish(&mut self, host: &mut dyn Host, now: Nanos, id: u32, room_in: Nanos) {
         let Some(rpc) = self.rpcs.get(&id) else { return };
-        let harmless = match rpc.ran {
-            None => true,
-            Some((sent, ..)) => match self.kind(rpc.method) {
-                Kind::Idempotent => true,
-                Kind::Deduplicated => {
-                    let window = span(self.method(rpc.method, "window", 0.0));
-                    self.method_is(rpc.method, "group", "all") && now < sent + window
-                }
-                Kind::NonIdempotent => false,
-            },
-        };
+        let all = self.method_is(rpc.method, "group", "all");
+        let harmless =
+            self.may_repeat(now, rpc) && (all || rpc.ran.is_none() || self.is(rpc, Kind::Idempotent));
         if !rpc.patient
             && room_in > 0
             && let Some(customer) = self.customers.get_mut(&rpc.customer)
@@ -494,9 +456,8 @@
             host.abort(id);
             return;
         }
-        let advised = self.settings.get("ceilings.retryAfter").is_some_and(|text| text == "true");
         let most = span(self.setting("ceilings.maxRetryAfter", 0.0));
-        host.push_back(id, if advised { room_in.min(most) } else { 0 });
+        host.push_back(id, if self.is_true("ceilings.retryAfter") { room_in.min(most) } else { 0 });
     }
 
     fn kind(&self, method: u16) -> Kind {
@@ -507,33 +468,33 @@
         }
     }
 
-    /// Whether a call-out may go out at all. A first one may; a further one only as the method allows.
-    fn may_go_out(&self, now: Nanos, id: u32) -> bool {
-        let Some(rpc) = self.rpcs.get(&id) else { return false };
-        let left = rpc.tries < self.setting("ceilings.attemptsCap", 1.0) as u64;
-        left && match rpc.ran {
-            None => true,
-            Some((sent, ..)) => match self.kind(rpc.method) {
-                Kind::Idempotent => true,
-                Kind::Deduplicated => now < sent + span(self.method(rpc.method, "window", 0.0)),
-                Kind::NonIdempotent => false,
-            },
+    fn is(&self, rpc: &Rpc, kind: Kind) -> bool {
+        self.kind(rpc.method) == kind
+    }
+
+    /// Whether the method lets an RPC run once more: always, while the mark against repeats is remembered, or
+    /// only after proof that nothing ran.
+    fn may_repeat(&self, now: Nanos, rpc: &Rpc) -> bool {
+        let Some((sent, ..)) = rpc.ran else { return true };
+        match self.kind(rpc.method) {
+            Kind::Idempotent => true,
+            Kind::Deduplicated => now < sent + span(self.method(rpc.method, "window", 0.0)),
+            Kind::NonIdempotent => false,
         }
     }
 
+    fn tries_left(&self, rpc: &Rpc) -> u64 {
+        (self.setting("ceilings.attemptsCap", 1.0) as u64).saturating_sub(rpc.tries)
+    }
+
     /// How long to wait for this call-out. An RPC that may go out again leaves itself time for it, but only
     /// while that is well over what the fleet takes now: if all are slow, another call-out would only add work.
     /// Guards against hanging and slow servers. 0 is until the deadline.
     fn patience_with(&self, now: Nanos, id: u32) -> Nanos {
         let Some(rpc) = self.rpcs.get(&id) else { return 0 };
-        let again = rpc.tries + 1 < self.setting("ceilings.attemptsCap", 1.0) as u64;
-        let left = rpc.soft_deadline.saturating_sub(now);
-        let limit = left * 3 / 5;
-        if again && self.kind(rpc.method) != Kind::NonIdempotent && limit > 4 * self.typical(now) {
-            limit
-        } else {
-            0
-        }
+        let again = self.tries_left(rpc) > 1 && !self.is(rpc, Kind::NonIdempotent);
+        let limit = rpc.soft_deadline.saturating_sub(now) * 3 / 5;
+        if again && limit > 4 * self.typical(now) { limit } else { 0 }
     }
 
     /// When an RPC must be out to be answered in time as a rule.
@@ -639,7 +600,7 @@
         let line = if patient { self.line(now, customer.plan) } else { 0.0 };
         let spare = customer.level - units - line;
         let (rate, _) = self.quota(customer.plan);
-        let counter = self.settings.get("extra.hasCounter").is_some_and(|text| text == "true");
+        let counter = self.is_true("extra.hasCounter");
         counter && rate > 0.0 && !self.silent() && customer.known && spare < (customer.width - 1.0) * units
     }
 
@@ -685,7 +646,7 @@
     }
 
     fn count(&mut self, host: &mut dyn Host, now: Nanos, key: u64) {
-        if self.settings.get("extra.hasCounter").is_none_or(|text| text != "true") {
+        if !self.is_true("extra.hasCounter") {
             return;
         }
         // Fewer calls at once the more of the last ones went wrong: a slow counter is not crowded further.
@@ -792,14 +753,11 @@
     /// Two drawn at random, the one that this gateway's own counts favour is taken.
     fn choose(&mut self, now: Nanos, id: u32) -> Option<u32> {
         let rpc = self.rpcs.get(&id)?;
-        let group = rpc.ran.filter(|_| self.kind(rpc.method) == Kind::Deduplicated);
+        let group = rpc.ran.filter(|_| self.is(rpc, Kind::Deduplicated));
         let in_group = |server: &Server| {
             group.is_none_or(|(_, zone, cell)| {
-                match self.settings.get(&format!("classes.{}.group", rpc.method)) {
-                    Some(text) if text == "all" => true,
-                    Some(text) if text == "zone" => server.listed.zone == zone,
-                    _ => server.listed.cell == cell,
-                }
+                let zoned = self.method_is(rpc.method, "group", "zone") && server.listed.zone == zone;
+                self.method_is(rpc.method, "group", "all") || zoned || server.listed.cell == cell
             })
         };
         let allowed = |(_, server): &(&u32, &Server)| {
