While the counter is silent gateways tell each other what they drew

Cause: an even split wastes what customers ask unevenly: with the counter down or slow up to half of the tries were pushed back with half of the quota unused. Told as sums since the silence began, so a lost message is made good by the next; units heard are not taken off again when totals return. Counter calls open at once are shared by all gateways. Harm: use told late can be drawn twice.

--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -135,15 +135,15 @@
             let from = record.u32()?;
             let length = record.u16()? as usize;
             let body = record.bytes(length)?;
-            guarded(brains, reply, instance, |brain, host| brain.told(host, now, from, body));
+            guarded(brains, reply, instance, |brain, _| brain.told(now, from, body));
         }
         25 => drop(brains.remove(&instance)),
         26 => {
             let how = end(record.u8()?);
             let total = f64::from(record.f32()?);
-            let took = nanos(record.f64()?);
+            record.f64()?;
             let name = record.u64()?;
-            guarded(brains, reply, instance, |brain, host| brain.counted(host, now, name, how, total, took));
+            guarded(brains, reply, instance, |brain, host| brain.counted(host, now, name, how, total));
         }
         _ => {} // the start of a stream and the end of a probe: the module asks for neither
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -18,8 +18,10 @@
 const FRESH: Nanos = 5 * SEC;
 /// How soon an RPC held for want of a server, or by the brake, is looked at again.
 const RECHECK: Nanos = 25 * MS;
-/// Calls to the counter open at once while it answers well; misses in a row after which it counts as silent.
-const COUNTS_OPEN: usize = 8;
+/// Calls to the counter that all gateways may have open at once; the last ends kept; misses in a row after which
+/// it counts as silent.
+const COUNTS_OPEN: usize = 16;
+const COUNTS_KEPT: usize = 8;
 const SILENT_AFTER: usize = 3;
 
 /// Where an RPC stands. `Held` waits for room, a server or the brake; `Claiming` waits for the counter to
@@ -66,27 +68,57 @@
 struct Customer {
     plan: u16,
     width: f64,
-    /// The store as this gateway sees it, and the ceiling's share, both as of `at`.
+    /// Units a second, the most the store holds, and how long a window of the count lasts.
+    rate: f64,
+    burst: f64,
+    window: Nanos,
+    /// The store as this gateway sees it; what of it is surely this gateway's (an even split), for when nothing
+    /// is heard of the others; and this gateway's part of the ceiling. All as of `at`.
     level: f64,
-    ceiling: f64,
-    /// What of the quota is surely this gateway's, for when the counter is silent: an even split.
     split: f64,
+    ceiling: f64,
     at: Nanos,
+    /// A total has been read.
     known: bool,
     open: u64,
     /// Ids of held and claiming RPCs, most urgent first, then as they came.
     queue: Vec<u32>,
     wake_at: Nanos,
+    /// Units not yet added to the count.
     pending: f64,
     ledgers: VecDeque<Ledger>,
     /// Count calls without answer: window, amount, serial. Answers for a name come in the order of calls.
     calls: VecDeque<(u64, f64, u64)>,
     serial: u64,
     counted_at: Nanos,
+    /// Others' units heard of from themselves and not yet read in a total.
+    heard: f64,
     /// Urgent outcomes: when, and whether it was pushed back for lack of quota.
     urgent: VecDeque<(Nanos, bool)>,
 }
 
+impl Customer {
+    fn refill(&mut self, now: Nanos, ceiling_rate: f64, ceiling_burst: f64) {
+        let passed = secs(now.saturating_sub(self.at));
+        self.at = now;
+        self.level = (self.level + passed * self.rate).min(self.burst);
+        self.split = (self.split.max(0.0) + passed * self.rate / self.width).min(self.burst / self.width);
+        self.ceiling = (self.ceiling + passed * ceiling_rate / self.width).min(ceiling_burst / self.width);
+    }
+
+    /// The reserve line: patient RPCs leave this much of the burst, less as the window ends.
+    fn line(&self, now: Nanos, patient: bool) -> f64 {
+        let left = 1.0 - (now % self.window) as f64 / self.window as f64;
+        if patient { RESERVE * self.burst * left } else { 0.0 }
+    }
+
+    fn draw(&mut self, units: f64) {
+        self.level -= units;
+        self.split -= units;
+        self.pending += units;
+    }
+}
+
 #[derive(Default)]
 struct Server {
     listed: Listed,
@@ -103,6 +135,7 @@
 enum Wake {
     Customer(u64),
     SoftDeadline(u32, u16),
+    Tell,
 }
 
 #[derive(Default)]
@@ -123,6 +156,13 @@
     counter_open: usize,
     counter_rest: Nanos,
     to_count: VecDeque<u64>,
+    /// Since when the counter is silent, the units drawn of each customer since, and whose are still to be told.
+    silent_since: Nanos,
+    drawn: BTreeMap<u64, f64>,
+    to_tell: Vec<u64>,
+    /// When another gateway was last heard, and what each had drawn of a customer by then.
+    heard_at: Nanos,
+    heard: HashMap<(u32, u64), (Nanos, f64)>,
 }
 
 fn keep<T>(samples: &mut VecDeque<T>, sample: T, most: usize) {
@@ -168,16 +208,6 @@
         self.setting(&format!("tariffs.{plan}.{name}"), default)
     }
 
-    /// Rate and burst of a plan; a rate of 0 is no quota.
-    fn quota(&self, plan: u16) -> (f64, f64) {
-        (self.plan(plan, "perSecond", 0.0), self.plan(plan, "depth", 0.0))
-    }
-
-    fn window(&self, plan: u16) -> Nanos {
-        let (rate, burst) = self.quota(plan);
-        span((burst / rate.max(1e-6)).clamp(1.0, 25.0))
-    }
-
     /// Utility lost for each second waited: what patience is judged by, from the settings alone.
     fn urgency(&self, method: u16) -> f64 {
         self.method(method, "credit", 1.0) / self.method(method, "onTime", 1.0).max(1e-3)
@@ -202,15 +232,18 @@
     }
 
     pub fn rpc(&mut self, host: &mut dyn Host, now: Nanos, arrival: &Arrival) {
-        let (rate, burst) = self.quota(arrival.plan);
         let width = f64::from(arrival.width.max(1));
+        let rate = self.plan(arrival.plan, "perSecond", 0.0);
+        let burst = self.plan(arrival.plan, "depth", 0.0);
         self.customers.entry(arrival.customer).or_insert_with(|| Customer {
             plan: arrival.plan,
             width,
+            rate,
+            burst,
+            window: span((burst / rate.max(1e-6)).clamp(1.0, 25.0)),
             level: burst / width,
-            split: burst / width, // the ceiling's share starts at 0: an earlier life may have spent it
+            split: burst / width, // the ceiling's part starts at 0: an earlier life may have spent it
             at: now,
-            known: rate <= 0.0,
             wake_at: Nanos::MAX,
             ..Customer::default()
         });
@@ -252,12 +285,11 @@
             Some(Wake::SoftDeadline(id, nth)) if self.open.contains_key(&(id, nth)) => {
                 keep(&mut self.urgent, (now, 2.0), 2 * KEPT);
             }
+            Some(Wake::Tell) => self.tell(host, now),
             _ => {}
         }
     }
 
-    pub fn told(&mut self, _host: &mut dyn Host, _now: Nanos, _from: u32, _body: &[u8]) {}
-
     /// Every change of state goes through here, and so does what hangs on it.
     fn shift(&mut self, id: u32, to: State) {
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
@@ -266,8 +298,7 @@
         let (key, urgency) = (rpc.customer, rpc.urgency);
         if let Some(customer) = self.customers.get_mut(&key) {
             if was == State::Claiming && to != State::Out {
-                customer.level += rpc.units;
-                customer.pending -= rpc.units;
+                customer.draw(-rpc.units);
             }
             if queued(was) && !queued(to) {
                 customer.queue.retain(|other| *other != id);
@@ -322,10 +353,8 @@
         };
         // Units are taken; where another gateway could take the same last ones, the counter is asked first.
         if !drawn {
-            let Some(customer) = self.customers.get_mut(&key) else { return Nanos::MAX };
-            customer.level -= units;
-            customer.split -= units;
-            customer.pending += units;
+            let customer = self.customer(now, key);
+            customer.draw(units);
             if thin {
                 let claim = customer.serial + 1;
                 self.shift(id, State::Claiming);
@@ -347,10 +376,13 @@
         rpc.last_server = chosen;
         let first = !std::mem::replace(&mut rpc.drawn, true);
         let (key, urgent, soft, units) = (rpc.customer, !rpc.patient, rpc.soft_deadline, rpc.units);
-        if let Some(customer) = self.customers.get_mut(&key) {
-            customer.open += 1;
-            if first {
-                customer.ceiling -= units;
+        let customer = self.customer(now, key);
+        customer.open += 1;
+        if first {
+            customer.ceiling -= units;
+            if self.silent() {
+                *self.drawn.entry(key).or_default() += units;
+                self.to_tell.push(key);
             }
         }
         if let Some(server) = self.servers.get_mut(&chosen) {
@@ -393,9 +425,8 @@
         if ended.how == End::Ok {
             keep(&mut self.oks, (now, ended.took), 2 * KEPT);
         }
-        if let Some(customer) = self.customers.get_mut(&key) {
-            customer.open = customer.open.saturating_sub(1);
-        }
+        let customer = self.customer(now, key);
+        customer.open = customer.open.saturating_sub(1);
         if let Some(rpc) = self.rpcs.get_mut(&ended.rpc) {
             let (method, urgent, units) = (rpc.method, !rpc.patient, rpc.units);
             if !never_ran && rpc.ran.is_none() {
@@ -405,15 +436,12 @@
                 let ratio = secs(ended.took) / self.method(method, "onTime", 1.0).max(1e-3);
                 keep(&mut self.urgent, (now, ratio), 2 * KEPT);
             }
-            if let Some(customer) = self.customers.get_mut(&key) {
-                if urgent {
-                    keep(&mut customer.urgent, (now, false), 2 * KEPT);
-                }
-                if ended.settled > 0.0 {
-                    // The guess is put right with what the RPC really counted.
-                    customer.level -= ended.settled - units;
-                    customer.pending += ended.settled - units;
-                }
+            let customer = self.customer(now, key);
+            if urgent {
+                keep(&mut customer.urgent, (now, false), 2 * KEPT);
+            }
+            if ended.settled > 0.0 {
+                customer.draw(ended.settled - units); // the guess is put right with what it really counted
             }
             self.shift(ended.rpc, if ended.closed { State::Ended } else { State::Held });
         }
@@ -422,9 +450,8 @@
 
     /// Looks at all that a customer has waiting, most urgent first, and sets the timer for the next look.
     fn release(&mut self, host: &mut dyn Host, now: Nanos, key: u64) {
-        let Some(customer) = self.customers.get(&key) else { return };
         let (mut ahead, mut next) = (0.0, Nanos::MAX);
-        for id in customer.queue.clone() {
+        for id in self.customer(now, key).queue.clone() {
             let Some(rpc) = self.rpcs.get(&id) else { continue };
             let latest = self.latest(now, rpc);
             if rpc.state == State::Held {
@@ -539,55 +566,43 @@
 
     // ---- Room.
 
-    /// Brings a customer's stores up to now.
-    fn refill(&mut self, now: Nanos, key: u64) {
-        let Some(customer) = self.customers.get(&key) else { return };
-        let plan = customer.plan;
-        let (rate, burst) = self.quota(plan);
-        let (ceiling_rate, ceiling_burst) =
-            (self.plan(plan, "ceilingRate", 0.0), self.plan(plan, "hardBurst", 0.0));
-        let Some(customer) = self.customers.get_mut(&key) else { return };
-        let passed = secs(now.saturating_sub(customer.at));
-        customer.at = now;
-        customer.level = (customer.level + passed * rate).min(burst);
-        customer.split =
-            (customer.split.max(0.0) + passed * rate / customer.width).min(burst / customer.width);
-        customer.ceiling =
-            (customer.ceiling + passed * ceiling_rate / customer.width).min(ceiling_burst / customer.width);
-    }
-
-    /// The reserve line at a time: patient RPCs leave this much of the burst, less as the window ends.
-    fn line(&self, at: Nanos, plan: u16) -> f64 {
-        let window = self.window(plan);
-        RESERVE * self.quota(plan).1 * (1.0 - (at % window) as f64 / window as f64)
+    /// The customer with its stores brought up to now; made empty should it be unknown.
+    fn customer(&mut self, now: Nanos, key: u64) -> &mut Customer {
+        let plan = self.customers.get(&key).map_or(0, |customer| customer.plan);
+        let rate = self.plan(plan, "ceilingRate", 0.0);
+        let burst = self.plan(plan, "hardBurst", 0.0);
+        let customer = self.customers.entry(key).or_default();
+        customer.refill(now, rate, burst);
+        customer
     }
 
-    /// When the store, the ceiling's share and the cap on open call-outs have room for so many units.
+    /// When the store, the ceiling's part and the cap on open call-outs have room for so many units.
     fn room_at(&mut self, now: Nanos, key: u64, units: f64, patient: bool) -> Nanos {
-        self.refill(now, key);
-        let Some(customer) = self.customers.get(&key) else { return Nanos::MAX };
-        let plan = customer.plan;
+        let alone = self.alone(now);
+        self.customer(now, key);
+        let customer = &self.customers[&key];
         let mut at = now;
-        let (rate, burst) = self.quota(plan);
-        if rate > 0.0 {
+        if customer.rate > 0.0 {
             // Soft plans, where use beyond the quota earns more than it costs, may borrow a burst while calm.
+            let plan = customer.plan;
             let soft = self.plan(plan, "overWorth", 0.0) > self.plan(plan, "beyondCosts", 1.0);
-            let floor = if soft && !self.braked(now, key) { -burst } else { 0.0 };
-            let rate = if self.silent() { rate / customer.width } else { rate };
-            let line = if patient { self.line(now, plan) } else { 0.0 };
-            let level = if self.silent() { customer.split } else { customer.level };
-            let short = floor + line + units - level;
+            let floor = if soft && !self.braked(now, key) { -customer.burst } else { 0.0 };
+            let (level, rate) = match alone {
+                true => (customer.split, customer.rate / customer.width),
+                false => (customer.level, customer.rate),
+            };
+            let short = floor + customer.line(now, patient) + units - level;
             if short > 0.0 {
                 // The line falls while the store fills; at the window's end it starts over.
-                let falls = if patient { RESERVE * burst / secs(self.window(plan)) } else { 0.0 };
+                let falls = if patient { RESERVE * customer.burst / secs(customer.window) } else { 0.0 };
                 at = now + span(short / (rate + falls)).max(MS);
             }
         }
-        let ceiling_rate = self.plan(plan, "ceilingRate", 0.0) / customer.width;
+        let ceiling_rate = self.plan(customer.plan, "ceilingRate", 0.0) / customer.width;
         if ceiling_rate > 0.0 && customer.ceiling < units {
             at = at.max(now + span((units - customer.ceiling) / ceiling_rate).max(MS));
         }
-        let most = self.plan(plan, "maxOut", 0.0);
+        let most = self.plan(customer.plan, "maxOut", 0.0);
         if most > 0.0 && customer.open as f64 >= (most / customer.width).ceil() {
             at = at.max(now + RECHECK);
         }
@@ -596,12 +611,10 @@
 
     /// Whether other gateways, each sending as much now, could overdraw the store together.
     fn is_thin(&self, now: Nanos, key: u64, units: f64, patient: bool) -> bool {
-        let Some(customer) = self.customers.get(&key) else { return false };
-        let line = if patient { self.line(now, customer.plan) } else { 0.0 };
-        let spare = customer.level - units - line;
-        let (rate, _) = self.quota(customer.plan);
-        let counter = self.is_true("extra.hasCounter");
-        counter && rate > 0.0 && !self.silent() && customer.known && spare < (customer.width - 1.0) * units
+        let customer = &self.customers[&key];
+        let spare = customer.level - units - customer.line(now, patient);
+        let answers = customer.known && self.is_true("extra.hasCounter") && !self.silent();
+        answers && customer.rate > 0.0 && spare < (customer.width - 1.0) * units
     }
 
     /// The brake on patient RPCs: too many urgent ones of this customer pushed back for lack of quota, or the
@@ -609,9 +622,9 @@
     fn braked(&self, now: Nanos, key: u64) -> bool {
         let fresh = |at: Nanos| now.saturating_sub(at) < BRAKE_SPAN;
         if let Some(customer) = self.customers.get(&key) {
-            let outcomes = customer.urgent.iter().filter(|sample| fresh(sample.0)).count();
-            let pushed = customer.urgent.iter().filter(|sample| fresh(sample.0) && sample.1).count();
-            if outcomes >= BRAKE_SAMPLES && pushed as f64 > BRAKE_QUOTA_SHARE * outcomes as f64 {
+            let outcomes = customer.urgent.iter().filter(|sample| fresh(sample.0));
+            let (count, pushed) = (outcomes.clone().count(), outcomes.filter(|sample| sample.1).count());
+            if count >= BRAKE_SAMPLES && pushed as f64 > BRAKE_QUOTA_SHARE * count as f64 {
                 return true;
             }
         }
@@ -623,22 +636,25 @@
 
     // ---- The counter.
 
-    /// The last calls all went without an answer: what the others use is not known.
+    /// The last calls all went without an answer: totals tell nothing of the others.
     fn silent(&self) -> bool {
         self.counter.iter().rev().take_while(|answered| !**answered).count() >= SILENT_AFTER
     }
 
+    /// Nothing is known of the others' use now, neither from the counter nor from themselves.
+    fn alone(&self, now: Nanos) -> bool {
+        self.silent() && now.saturating_sub(self.heard_at) > SEC || !self.is_true("extra.hasCounter")
+    }
+
     /// Adds a customer's units if a few have gathered or a while has passed; the less room, the sooner.
     fn share_count(&mut self, host: &mut dyn Host, now: Nanos, key: u64) {
-        self.refill(now, key);
-        let Some(customer) = self.customers.get(&key) else { return };
-        let (rate, burst) = self.quota(customer.plan);
-        if rate <= 0.0 || customer.pending == 0.0 {
+        let customer = self.customer(now, key);
+        if customer.rate <= 0.0 || customer.pending == 0.0 {
             return;
         }
-        let full = (customer.level / burst.max(1e-6)).clamp(0.02, 1.0);
+        let full = (customer.level / customer.burst.max(1e-6)).clamp(0.02, 1.0);
         let due = customer.counted_at + span(full);
-        if !customer.known || now >= due || customer.pending.abs() >= burst * full / 8.0 {
+        if !customer.known || now >= due || customer.pending.abs() >= customer.burst * full / 8.0 {
             self.count(host, now, key);
         } else {
             self.wake_customer(host, now, key, due);
@@ -649,18 +665,18 @@
         if !self.is_true("extra.hasCounter") {
             return;
         }
-        // Fewer calls at once the more of the last ones went wrong: a slow counter is not crowded further.
+        // Fewer calls at once the more gateways there are and the more of the last calls went wrong, so that a
+        // slow counter is not crowded further; what waits gathers into one call.
+        let most = (COUNTS_OPEN / self.setting("balancers", 1.0).max(1.0) as usize).max(1);
         let misses = self.counter.iter().filter(|answered| !**answered).count();
-        if self.counter_open >= (COUNTS_OPEN - misses.min(COUNTS_OPEN - 1)) || now < self.counter_rest {
+        if self.counter_open >= most.saturating_sub(misses).max(1) || now < self.counter_rest {
             if !self.to_count.contains(&key) {
                 self.to_count.push_back(key);
             }
             return;
         }
-        let Some(customer) = self.customers.get(&key) else { return };
-        let length = self.window(customer.plan);
-        let window = now / length;
-        let Some(customer) = self.customers.get_mut(&key) else { return };
+        let customer = self.customer(now, key);
+        let window = now / customer.window;
         if customer.ledgers.back().is_none_or(|ledger| ledger.window != window) {
             keep(&mut customer.ledgers, Ledger { window, ..Ledger::default() }, 2);
         }
@@ -668,29 +684,30 @@
         customer.serial += 1;
         customer.calls.push_back((window, add, customer.serial));
         customer.counted_at = now;
+        let forget = (2 * customer.window + SEC).min(60 * SEC);
         self.counter_open += 1;
-        host.count(key << 31 | (window & 0x7fff_ffff), add, (2 * length + SEC).min(60 * SEC));
-    }
-
-    pub fn counted(
-        &mut self,
-        host: &mut dyn Host,
-        now: Nanos,
-        name: u64,
-        how: End,
-        total: f64,
-        _took: Nanos,
-    ) {
+        host.count(key << 31 | (window & 0x7fff_ffff), add, forget);
+    }
+
+    /// The counter answered: a name is a customer and a window.
+    pub fn counted(&mut self, host: &mut dyn Host, now: Nanos, name: u64, how: End, total: f64) {
         let key = name >> 31;
         self.counter_open = self.counter_open.saturating_sub(1);
-        keep(&mut self.counter, how == End::Ok, COUNTS_OPEN);
+        let was_silent = self.silent();
+        keep(&mut self.counter, how == End::Ok, COUNTS_KEPT);
         if self.silent() {
             self.counter_rest = now + 100 * MS;
+            if !was_silent && self.is_true("ceilings.peers") {
+                self.silent_since = now;
+                self.drawn.clear();
+                self.to_tell.clear();
+                self.wake(host, now, now, Wake::Tell);
+            }
         }
-        self.refill(now, key);
-        let Some(customer) = self.customers.get(&key) else { return };
-        let burst = self.quota(customer.plan).1;
-        let Some(customer) = self.customers.get_mut(&key) else { return };
+        if !self.customers.contains_key(&key) {
+            return;
+        }
+        let customer = self.customer(now, key);
         let same = |call: &(u64, f64, u64)| call.0 & 0x7fff_ffff == name & 0x7fff_ffff;
         let Some(call) = customer.calls.iter().position(same).and_then(|place| customer.calls.remove(place))
         else {
@@ -701,19 +718,20 @@
         match (how, ledger) {
             (End::Ok, Some(ledger)) if total.is_finite() => {
                 ledger.own += add;
-                let slack = 0.01 + 1e-5 * total.abs();
-                if total + slack < ledger.own {
+                if total + 0.01 + 1e-5 * total.abs() < ledger.own {
                     // Guards against a counter that came back empty, and adds that timed out and did not count:
                     // the total is below this gateway's own adds, so it says nothing of the others' use and is
                     // only where to count on from.
                     (ledger.own, ledger.others) = (add, total - add);
                 }
-                let others = total - ledger.own;
-                customer.level -= others - ledger.others;
-                ledger.others = others;
+                let others = total - ledger.own - ledger.others;
+                ledger.others += others;
+                let heard = others.min(customer.heard).max(0.0); // taken off already, when it was told
+                customer.heard -= heard;
+                customer.level -= others - heard;
                 if !customer.known {
                     customer.known = true;
-                    customer.level = burst - total - customer.pending;
+                    customer.level = customer.burst - total - customer.pending;
                 }
             }
             // Nothing was added: the units are still to be told.
@@ -724,18 +742,17 @@
         }
         // Claims that this call carried: the last ones in the queue give their units back first.
         let queue = customer.queue.clone();
+        let ours = |rpc: &&Rpc| rpc.state == State::Claiming && rpc.claim <= serial;
         for id in queue.iter().rev() {
-            let Some(rpc) = self.rpcs.get(id) else { continue };
-            if rpc.state != State::Claiming || rpc.claim > serial {
-                continue;
-            }
-            let line = if rpc.patient { self.line(now, self.customers[&key].plan) } else { 0.0 };
-            if self.customers[&key].level < line - 0.01 {
-                self.shift(*id, State::Held);
+            if let Some(rpc) = self.rpcs.get(id).filter(ours) {
+                let customer = &self.customers[&key];
+                if customer.level < customer.line(now, rpc.patient) - 0.01 {
+                    self.shift(*id, State::Held);
+                }
             }
         }
         for id in queue {
-            if self.rpcs.get(&id).is_some_and(|rpc| rpc.state == State::Claiming && rpc.claim <= serial) {
+            if self.rpcs.get(&id).as_ref().is_some_and(ours) {
                 match self.choose(now, id) {
                     Some(server) => self.send(host, now, id, server),
                     None => self.shift(id, State::Held),
@@ -748,6 +765,52 @@
         }
     }
 
+    /// While the counter is silent the gateways tell each other what they drew since: per customer, as a sum,
+    /// so that a lost message is made good by the next. Guards against a counter that is down, refuses or is too
+    /// slow; a gateway that hears nobody keeps to its even split. Harm: use told late can be drawn twice.
+    fn tell(&mut self, host: &mut dyn Host, now: Nanos) {
+        if !self.silent() {
+            return;
+        }
+        let mut lines: Vec<u64> = std::mem::take(&mut self.to_tell);
+        lines.sort_unstable();
+        lines.dedup();
+        for part in lines.chunks(20) {
+            let mut body = self.silent_since.to_be_bytes().to_vec();
+            for key in part {
+                body.extend_from_slice(&key.to_be_bytes());
+                body.extend_from_slice(&(self.drawn.get(key).copied().unwrap_or(0.0) as f32).to_be_bytes());
+            }
+            host.tell(u32::MAX, &body);
+        }
+        if lines.is_empty() {
+            host.tell(u32::MAX, &self.silent_since.to_be_bytes());
+        }
+        // Never more than a third of what a gateway takes in, with all of them telling.
+        let peers = (self.setting("balancers", 1.0) - 1.0).max(0.0);
+        let every = span(3.0 * peers / self.setting("extra.mailPerS", 10.0).max(1.0)).max(100 * MS);
+        self.wake(host, now, now + every, Wake::Tell);
+    }
+
+    /// Another gateway told what it drew; what is garbled or of unknown customers is passed over.
+    pub fn told(&mut self, now: Nanos, from: u32, body: &[u8]) {
+        let (Some(since), true) = (body.first_chunk(), body.len() % 12 == 8) else { return };
+        self.heard_at = now;
+        for line in body[8..].chunks_exact(12) {
+            let key = line.first_chunk().map_or(0, |bytes| u64::from_be_bytes(*bytes));
+            let drawn = line.last_chunk().map_or(0.0, |bytes| f64::from(f32::from_be_bytes(*bytes)));
+            if !drawn.is_finite() || !self.customers.contains_key(&key) {
+                continue;
+            }
+            let last = self.heard.insert((from, key), (u64::from_be_bytes(*since), drawn));
+            let before = last.filter(|last| last.0 == u64::from_be_bytes(*since)).map_or(0.0, |last| last.1);
+            let customer = self.customer(now, key);
+            let more = (drawn - before).clamp(0.0, customer.burst);
+            customer.level -= more;
+            customer.heard += more;
+        }
+    }
+
     // ---- Servers.
 
     /// Two drawn at random, the one that this gateway's own counts favour is taken.
