--- a/src/brain.rs
+++ b/src/brain.rs
@@ -589,6 +589,11 @@
             let floor = if soft && !self.braked(now, key) { -customer.burst } else { 0.0 };
             let (level, rate) = match alone {
                 true => (customer.split, customer.rate / customer.width),
+                // Told use is late: the last units, which others could draw at once, come from the split.
+                false if self.silent() => {
+                    let spare = customer.level - (customer.width - 1.0) * units;
+                    (spare.max(customer.split.min(customer.level)), customer.rate)
+                }
                 false => (customer.level, customer.rate),
             };
             let short = floor + customer.line(now, patient) + units - level;
