Units heard but not yet shown by a total are halved each window

Cause: credit for units told by others stayed for good when the adds behind them were lost, and let this gateway overdraw.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -589,11 +589,6 @@
             let floor = if soft && !self.braked(now, key) { -customer.burst } else { 0.0 };
             let (level, rate) = match alone {
                 true => (customer.split, customer.rate / customer.width),
-                // Told use is late: the last units, which others could draw at once, come from the split.
-                false if self.silent() => {
-                    let spare = customer.level - (customer.width - 1.0) * units;
-                    (spare.max(customer.split.min(customer.level)), customer.rate)
-                }
                 false => (customer.level, customer.rate),
             };
             let short = floor + customer.line(now, patient) + units - level;
@@ -680,9 +675,13 @@
             }
             return;
         }
+        let silent = self.silent();
         let customer = self.customer(now, key);
         let window = now / customer.window;
         if customer.ledgers.back().is_none_or(|ledger| ledger.window != window) {
+            if !silent {
+                customer.heard /= 2.0; // what no total shows may never have been added
+            }
             keep(&mut customer.ledgers, Ledger { window, ..Ledger::default() }, 2);
         }
         let add = std::mem::take(&mut customer.pending);
