Units leave the ceiling's part when claimed; give-backs are told at once

Cause: several claims of one moment each saw the same room in the ceiling's part, which was drawn only when they were sent.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -4,7 +4,7 @@
 //! Each call answers through the `Host` it is given. Start reading at `advance`, the path of an RPC.
 
 use crate::host::{Arrival, End, Ended, Host, Listed, Nanos, Settings};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 const MS: Nanos = 1_000_000;
 const SEC: Nanos = 1_000 * MS;
@@ -18,6 +18,8 @@
 const FRESH: Nanos = 5 * SEC;
 /// How soon an RPC held for want of a server, or by the brake, is looked at again.
 const RECHECK: Nanos = 25 * MS;
+/// The timer that is no customer's.
+const TELL: u64 = u64::MAX;
 /// Calls to the counter that all gateways may have open at once; the last ends kept; misses in a row after which
 /// it counts as silent.
 const COUNTS_OPEN: usize = 16;
@@ -112,6 +114,13 @@
         if patient { RESERVE * self.burst * left } else { 0.0 }
     }
 
+    /// Units for a first call-out, or (below 0) given back.
+    fn take(&mut self, units: f64) {
+        self.draw(units);
+        self.ceiling -= units;
+    }
+
+    /// The ceiling goes by the guess, so units settled afterwards leave it alone.
     fn draw(&mut self, units: f64) {
         self.level -= units;
         self.split -= units;
@@ -122,20 +131,23 @@
 #[derive(Default)]
 struct Server {
     listed: Listed,
-    /// Call-outs open, oldest first: RPC, number, sent at.
-    open: VecDeque<(u32, u16, Nanos)>,
-    /// Last answers: when, and after how long.
-    answers: VecDeque<(Nanos, Nanos)>,
+    /// Call-outs open, oldest first: RPC, number, when sent, and the soft deadline of an urgent one.
+    open: VecDeque<(u32, u16, Nanos, Nanos)>,
+    /// Last ends: when, after how long, and whether ok; and when it was last sent to.
+    ends: VecDeque<(Nanos, Nanos, bool)>,
     sent: VecDeque<Nanos>,
-    oks: usize,
-    misses: u32,
-    shun_until: Nanos,
 }
 
-enum Wake {
-    Customer(u64),
-    SoftDeadline(u32, u16),
-    Tell,
+impl Server {
+    /// Misses since the last ok, and until when they make it rest: longer each time.
+    fn misses(&self) -> (usize, Nanos) {
+        let misses = self.ends.iter().rev().take_while(|end| !end.2).count();
+        (misses, self.ends.back().map_or(0, |end| end.0 + ((50 * MS) << misses.min(5))))
+    }
+
+    fn oks(&self) -> impl DoubleEndedIterator<Item = &(Nanos, Nanos, bool)> + Clone {
+        self.ends.iter().filter(|end| end.2)
+    }
 }
 
 #[derive(Default)]
@@ -146,7 +158,8 @@
     customers: HashMap<u64, Customer>,
     rpcs: HashMap<u32, Rpc>,
     open: HashMap<(u32, u16), (u32, u64)>,
-    wakes: HashMap<u32, Wake>,
+    /// What a timer is for: a customer, or `TELL`.
+    wakes: HashMap<u32, u64>,
     next_wake: u32,
     /// Ok answers of the whole fleet, and urgent call-outs: when, and latency over soft deadline.
     oks: VecDeque<(Nanos, Nanos)>,
@@ -159,7 +172,7 @@
     /// Since when the counter is silent, the units drawn of each customer since, and whose are still to be told.
     silent_since: Nanos,
     drawn: BTreeMap<u64, f64>,
-    to_tell: Vec<u64>,
+    to_tell: BTreeSet<u64>,
     /// When another gateway was last heard, and what each had drawn of a customer by then.
     heard_at: Nanos,
     heard: HashMap<(u32, u64), (Nanos, f64)>,
@@ -224,7 +237,7 @@
             let server = self.servers.entry(listed.server).or_default();
             if server.listed.came_up != listed.came_up {
                 // A new life: what the old one showed says nothing, and it is cold.
-                *server = Server { open: std::mem::take(&mut server.open), ..Server::default() };
+                server.ends.clear();
             }
             server.listed = listed.clone();
         }
@@ -272,20 +285,12 @@
 
     pub fn woke(&mut self, host: &mut dyn Host, now: Nanos, token: u32) {
         match self.wakes.remove(&token) {
-            Some(Wake::Customer(key)) => {
-                if let Some(customer) = self.customers.get_mut(&key)
-                    && customer.wake_at <= now
-                {
-                    customer.wake_at = Nanos::MAX;
-                    self.release(host, now, key);
-                    self.share_count(host, now, key);
-                }
+            Some(TELL) => self.tell(host, now),
+            Some(key) if self.customer(now, key).wake_at <= now => {
+                self.customer(now, key).wake_at = Nanos::MAX;
+                self.release(host, now, key);
+                self.share_count(host, now, key);
             }
-            // A call-out open past the soft deadline is distress though no latency has come (a hanging server).
-            Some(Wake::SoftDeadline(id, nth)) if self.open.contains_key(&(id, nth)) => {
-                keep(&mut self.urgent, (now, 2.0), 2 * KEPT);
-            }
-            Some(Wake::Tell) => self.tell(host, now),
             _ => {}
         }
     }
@@ -295,19 +300,17 @@
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
         let was = std::mem::replace(&mut rpc.state, to);
         let queued = |state| matches!(state, State::Held | State::Claiming);
-        let (key, urgency) = (rpc.customer, rpc.urgency);
-        if let Some(customer) = self.customers.get_mut(&key) {
-            if was == State::Claiming && to != State::Out {
-                customer.draw(-rpc.units);
-            }
-            if queued(was) && !queued(to) {
-                customer.queue.retain(|other| *other != id);
-            } else if !queued(was) && queued(to) {
-                let rpcs = &self.rpcs;
-                let ahead = |other: &u32| rpcs.get(other).is_some_and(|other| other.urgency >= urgency);
-                let place = customer.queue.partition_point(ahead);
-                customer.queue.insert(place, id);
-            }
+        let (urgency, units) = (rpc.urgency, rpc.units);
+        let Some(customer) = self.customers.get_mut(&rpc.customer) else { return };
+        if was == State::Claiming && to != State::Out {
+            customer.take(-units);
+        }
+        if queued(was) && !queued(to) {
+            customer.queue.retain(|other| *other != id);
+        } else if !queued(was) && queued(to) {
+            let ahead = |other: &u32| self.rpcs.get(other).is_some_and(|other| other.urgency >= urgency);
+            let place = customer.queue.partition_point(ahead);
+            customer.queue.insert(place, id);
         }
         if to == State::Ended {
             self.rpcs.remove(&id);
@@ -340,23 +343,18 @@
                 return room_at.min(latest);
             }
             thin = self.is_thin(now, key, units + *ahead, patient);
-            if patient && self.braked(now, key) {
-                return (now + RECHECK).min(latest);
-            }
-        }
-        if self.crowded(now, id) {
-            return (now + RECHECK).min(latest);
         }
-        // A server that can take it.
-        let Some(server) = self.choose(now, id) else {
+        // A server that can take it, unless the brake holds or all are crowded.
+        let held = !drawn && patient && self.braked(now, key) || self.crowded(now, id);
+        let Some(server) = (if held { None } else { self.choose(now, id) }) else {
             return (now + RECHECK).min(latest);
         };
         // Units are taken; where another gateway could take the same last ones, the counter is asked first.
         if !drawn {
             let customer = self.customer(now, key);
-            customer.draw(units);
+            customer.take(units);
+            let claim = customer.serial + 1;
             if thin {
-                let claim = customer.serial + 1;
                 self.shift(id, State::Claiming);
                 self.rpcs.entry(id).and_modify(|rpc| rpc.claim = claim);
                 self.count(host, now, key);
@@ -375,25 +373,19 @@
         rpc.tries += 1;
         rpc.last_server = chosen;
         let first = !std::mem::replace(&mut rpc.drawn, true);
-        let (key, urgent, soft, units) = (rpc.customer, !rpc.patient, rpc.soft_deadline, rpc.units);
-        let customer = self.customer(now, key);
-        customer.open += 1;
-        if first {
-            customer.ceiling -= units;
-            if self.silent() {
-                *self.drawn.entry(key).or_default() += units;
-                self.to_tell.push(key);
-            }
+        let soft = if rpc.patient { Nanos::MAX } else { rpc.soft_deadline };
+        let (key, units) = (rpc.customer, rpc.units);
+        self.customer(now, key).open += 1;
+        if first && self.silent() {
+            *self.drawn.entry(key).or_default() += units;
+            self.to_tell.insert(key);
         }
         if let Some(server) = self.servers.get_mut(&chosen) {
-            server.open.push_back((id, nth, now));
+            server.open.push_back((id, nth, now, soft));
             keep(&mut server.sent, now, 4 * KEPT);
         }
         self.open.insert((id, nth), (chosen, key));
         host.call_out(id, chosen, limit);
-        if urgent {
-            self.wake(host, now, soft, Wake::SoftDeadline(id, nth));
-        }
         self.share_count(host, now, key);
     }
 
@@ -406,20 +398,11 @@
         if let Some(server) = self.servers.get_mut(&chosen) {
             place = (server.listed.zone, server.listed.cell);
             server.open.retain(|open| (open.0, open.1) != (ended.rpc, ended.nth));
-            match ended.how {
-                End::Ok => {
-                    server.oks += 1;
-                    server.misses = 0;
-                    keep(&mut server.answers, (now, ended.took), KEPT);
-                }
-                End::TimedOut | End::NoConnection | End::Reset | End::Error | End::Full => {
-                    // Guards against a server that is down, cut off, full, hanging or answering errors: it
-                    // rests, longer each time, and then gets one call-out at a time until an ok. Harm: a short
-                    // fault keeps a good server idle for a moment.
-                    server.misses = (server.misses + 1).min(5);
-                    server.shun_until = now + ((50 * MS) << server.misses);
-                }
-                End::Withdrawn | End::NotSent => {}
+            // Guards against a server that is down, cut off, full, hanging or answering errors: it rests, longer
+            // each time, and then gets one call-out at a time until an ok. Harm: a short fault keeps a good
+            // server idle for a moment.
+            if !matches!(ended.how, End::Withdrawn | End::NotSent) {
+                keep(&mut server.ends, (now, ended.took, ended.how == End::Ok), KEPT);
             }
         }
         if ended.how == End::Ok {
@@ -472,11 +455,9 @@
         let all = self.method_is(rpc.method, "group", "all");
         let harmless =
             self.may_repeat(now, rpc) && (all || rpc.ran.is_none() || self.is(rpc, Kind::Idempotent));
-        if !rpc.patient
-            && room_in > 0
-            && let Some(customer) = self.customers.get_mut(&rpc.customer)
-        {
-            keep(&mut customer.urgent, (now, true), 2 * KEPT);
+        let (key, short_of_quota) = (rpc.customer, !rpc.patient && room_in > 0);
+        if short_of_quota {
+            keep(&mut self.customer(now, key).urgent, (now, true), 2 * KEPT);
         }
         self.shift(id, State::Ended);
         if !harmless {
@@ -621,15 +602,16 @@
     /// urgent p95 over their soft deadline.
     fn braked(&self, now: Nanos, key: u64) -> bool {
         let fresh = |at: Nanos| now.saturating_sub(at) < BRAKE_SPAN;
-        if let Some(customer) = self.customers.get(&key) {
-            let outcomes = customer.urgent.iter().filter(|sample| fresh(sample.0));
-            let (count, pushed) = (outcomes.clone().count(), outcomes.filter(|sample| sample.1).count());
-            if count >= BRAKE_SAMPLES && pushed as f64 > BRAKE_QUOTA_SHARE * count as f64 {
-                return true;
-            }
+        let outcomes = self.customers[&key].urgent.iter().filter(|sample| fresh(sample.0));
+        let (count, pushed) = (outcomes.clone().count(), outcomes.filter(|sample| sample.1).count());
+        if count >= BRAKE_SAMPLES && pushed as f64 > BRAKE_QUOTA_SHARE * count as f64 {
+            return true;
         }
         let samples = self.urgent.iter().filter(|sample| fresh(sample.0));
         let mut ratios: Vec<f64> = samples.map(|sample| sample.1).collect();
+        // A call-out open past its soft deadline is distress though no latency has come (a hanging server).
+        let open = self.servers.values().flat_map(|server| server.open.iter());
+        ratios.extend(open.filter(|open| open.3 < now).map(|_| 2.0));
         ratios.sort_by(f64::total_cmp);
         ratios.len() >= BRAKE_SAMPLES && ratios[ratios.len() * 95 / 100] > 1.0
     }
@@ -705,7 +687,7 @@
                 self.silent_since = now;
                 self.drawn.clear();
                 self.to_tell.clear();
-                self.wake(host, now, now, Wake::Tell);
+                self.wake(host, now, now, TELL);
             }
         }
         if !self.customers.contains_key(&key) {
@@ -764,6 +746,7 @@
             }
         }
         self.release(host, now, key);
+        self.share_count(host, now, key);
         if let Some(next) = self.to_count.pop_front() {
             self.count(host, now, next);
         }
@@ -776,9 +759,7 @@
         if !self.silent() {
             return;
         }
-        let mut lines: Vec<u64> = std::mem::take(&mut self.to_tell);
-        lines.sort_unstable();
-        lines.dedup();
+        let lines: Vec<u64> = std::mem::take(&mut self.to_tell).into_iter().collect();
         for part in lines.chunks(20) {
             let mut body = self.silent_since.to_be_bytes().to_vec();
             for key in part {
@@ -787,31 +768,29 @@
             }
             host.tell(u32::MAX, &body);
         }
-        if lines.is_empty() {
-            host.tell(u32::MAX, &self.silent_since.to_be_bytes());
-        }
         // Never more than a third of what a gateway takes in, with all of them telling.
         let peers = (self.setting("balancers", 1.0) - 1.0).max(0.0);
         let every = span(3.0 * peers / self.setting("extra.mailPerS", 10.0).max(1.0)).max(100 * MS);
-        self.wake(host, now, now + every, Wake::Tell);
+        self.wake(host, now, now + every, TELL);
     }
 
     /// Another gateway told what it drew; what is garbled or of unknown customers is passed over.
     pub fn told(&mut self, now: Nanos, from: u32, body: &[u8]) {
-        let (Some(since), true) = (body.first_chunk(), body.len() % 12 == 8) else { return };
+        let (Some(since), 8) = (body.first_chunk().map(|bytes| u64::from_be_bytes(*bytes)), body.len() % 12)
+        else {
+            return;
+        };
         self.heard_at = now;
         for line in body[8..].chunks_exact(12) {
             let key = line.first_chunk().map_or(0, |bytes| u64::from_be_bytes(*bytes));
             let drawn = line.last_chunk().map_or(0.0, |bytes| f64::from(f32::from_be_bytes(*bytes)));
-            if !drawn.is_finite() || !self.customers.contains_key(&key) {
-                continue;
+            if drawn.is_finite() && self.customers.contains_key(&key) {
+                let last = self.heard.insert((from, key), (since, drawn)).filter(|last| last.0 == since);
+                let customer = self.customer(now, key);
+                let more = (drawn - last.map_or(0.0, |last| last.1)).clamp(0.0, customer.burst);
+                customer.level -= more;
+                customer.heard += more;
             }
-            let last = self.heard.insert((from, key), (u64::from_be_bytes(*since), drawn));
-            let before = last.filter(|last| last.0 == u64::from_be_bytes(*since)).map_or(0.0, |last| last.1);
-            let customer = self.customer(now, key);
-            let more = (drawn - before).clamp(0.0, customer.burst);
-            customer.level -= more;
-            customer.heard += more;
         }
     }
 
@@ -831,22 +810,17 @@
             server.listed.ready && in_group(server) && self.cold_room(now, server)
         };
         let mut able: Vec<u32> = self.servers.iter().filter(allowed).map(|(id, _)| *id).collect();
-        let rested: Vec<u32> = able
-            .iter()
-            .copied()
-            .filter(|id| {
-                let server = &self.servers[id];
-                let rested = server.shun_until <= now && (server.misses == 0 || server.open.is_empty());
-                rested && !self.hangs(now, server) && (rpc.tries == 0 || *id != rpc.last_server)
-            })
-            .collect();
+        let rested = |id: &u32| {
+            let server = &self.servers[id];
+            let (misses, until) = server.misses();
+            let rests = misses > 0 && (until > now || !server.open.is_empty());
+            !rests && !self.hangs(now, server) && (rpc.tries == 0 || *id != rpc.last_server)
+        };
+        let rested: Vec<u32> = able.iter().copied().filter(rested).collect();
         if !rested.is_empty() {
             able = rested;
         }
-        if able.is_empty() {
-            return None;
-        }
-        let one = able[self.chance.usize(..able.len())];
+        let one = *able.get(self.chance.usize(..able.len().max(1)))?;
         let two = able[self.chance.usize(..able.len())];
         Some(if self.burden(now, two) < self.burden(now, one) { two } else { one })
     }
@@ -855,8 +829,8 @@
     fn burden(&self, now: Nanos, id: u32) -> f64 {
         let Some(server) = self.servers.get(&id) else { return f64::MAX };
         let typical = self.typical(now).max(MS) as f64;
-        let fresh: Vec<Nanos> =
-            server.answers.iter().rev().take(8).filter(|a| now - a.0 < FRESH).map(|a| a.1).collect();
+        let fresh = server.oks().rev().take(8).filter(|ok| now - ok.0 < FRESH);
+        let fresh: Vec<Nanos> = fresh.map(|ok| ok.1).collect();
         let mean = (fresh.iter().sum::<Nanos>() as f64 + 4.0 * typical) / (fresh.len() as f64 + 4.0);
         // A call-out open for long tells of a hanging or paused server before any answer does.
         let oldest = server.open.front().map_or(0.0, |open| (now - open.2) as f64);
@@ -883,8 +857,8 @@
             .values()
             .filter(|peer| peer.listed.ready && now.saturating_sub(peer.listed.came_up) >= within)
             .map(|peer| {
-                let fresh = peer.answers.iter().filter(|answer| now - answer.0 < FRESH);
-                let oldest = fresh.clone().map(|answer| answer.0).min().unwrap_or(now);
+                let fresh = peer.oks().filter(|ok| now - ok.0 < FRESH);
+                let oldest = fresh.clone().next().map_or(now, |ok| ok.0);
                 fresh.count() as f64 / secs((now - oldest).max(SEC)) / peer.listed.weight.max(0.05)
             })
             .collect();
@@ -892,12 +866,12 @@
         let fall = self.setting("rules.fall", 1.0);
         let budget = (part * carried * fall).max(1.0) as usize;
         let lately = server.sent.iter().filter(|sent| now - **sent < span(fall)).count();
-        lately < budget && server.open.len() < 1 + server.oks
+        lately < budget && server.open.len() < 1 + server.oks().count()
     }
 
     // ---- Timers.
 
-    fn wake(&mut self, host: &mut dyn Host, now: Nanos, at: Nanos, wake: Wake) {
+    fn wake(&mut self, host: &mut dyn Host, now: Nanos, at: Nanos, wake: u64) {
         // Rounded up: a host that counts microseconds must not ring before what waits is due.
         let at = at.max(now + MS).next_multiple_of(1000);
         let token = self.next_wake;
@@ -907,10 +881,10 @@
     }
 
     fn wake_customer(&mut self, host: &mut dyn Host, now: Nanos, key: u64, at: Nanos) {
-        let Some(customer) = self.customers.get_mut(&key) else { return };
+        let customer = self.customer(now, key);
         if at < customer.wake_at {
             customer.wake_at = at;
-            self.wake(host, now, at, Wake::Customer(key));
+            self.wake(host, now, at, key);
         }
     }
 }
