--- /dev/null
+++ b/tests/stories.rs
@@ -0,0 +1,264 @@
+//! What the module must do when things fail: one short story for each failure met.
+
+mod fake;
+
+use fake::{MS, SEC, Story, server, story};
+use martenramp::host::{End, Listed};
+
+#[test]
+fn an_rpc_that_finds_no_server_is_pushed_back_in_time() {
+    let mut s = story("");
+    let rpc = s.rpc_of(9, 2, 1.0, SEC / 3 + 123);
+    s.pass(2 * SEC);
+    assert_eq!(s.notes.pushed.len(), 1);
+    assert!(s.notes.pushed[0].0 == rpc && s.notes.pushed[0].2 <= fake::START + SEC / 3 + MS);
+}
+
+#[test]
+fn a_store_without_room_holds_then_releases_then_pushes_back_with_a_time() {
+    let mut s = story("").with_servers(3);
+    let ids: Vec<u32> = (0..12).map(|_| s.rpc(2, 1.0)).collect();
+    // The customer is new here: half of the burst of 10 is this gateway's.
+    assert_eq!(s.notes.out.len(), 5);
+    assert!(!s.notes.pushed.is_empty(), "the last can't get room in time and hear so at once");
+    assert!(s.notes.pushed.iter().all(|pushed| pushed.1 > 0 && pushed.2 == fake::START));
+    s.pass(500 * MS);
+    assert!(s.sent(ids[5]) == 1 && s.notes.out.len() <= 8, "half the rate without a counter");
+}
+
+#[test]
+fn patient_rpcs_stop_at_the_reserve_line_and_urgent_ones_may_pass_it() {
+    let mut s = story("").with_servers(3);
+    let patient: Vec<u32> = (0..4).map(|_| s.rpc(0, 1.0)).collect();
+    assert_eq!(s.notes.out.len(), 2, "5 units, 3 of them reserved at the window's start");
+    let urgent: Vec<u32> = (0..3).map(|_| s.rpc(2, 1.0)).collect();
+    assert!(urgent.iter().all(|id| s.sent(*id) == 1) && s.sent(patient[2]) == 0);
+}
+
+#[test]
+fn a_non_idempotent_rpc_that_may_have_run_is_aborted() {
+    let mut s = story("").with_servers(3);
+    let rpc = s.rpc(2, 1.0);
+    s.pass(50 * MS);
+    s.end(rpc, End::Reset);
+    assert_eq!((s.sent(rpc), s.notes.aborted.as_slice(), s.notes.pushed.len()), (1, &[rpc][..], 0));
+}
+
+#[test]
+fn proof_that_nothing_ran_allows_another_server() {
+    let mut s = story("").with_servers(3);
+    let rpc = s.rpc(2, 1.0);
+    s.end(rpc, End::NoConnection);
+    let servers: Vec<u32> = s.notes.out.iter().map(|out| out.1).collect();
+    assert!(servers.len() == 2 && servers[0] != servers[1]);
+}
+
+#[test]
+fn a_deduplicated_rpc_stays_in_its_zone_and_within_its_window() {
+    let mut s = story("").with_servers(6);
+    let rpc = s.rpc(1, 1.0);
+    s.pass(50 * MS);
+    s.end(rpc, End::Reset);
+    let servers: Vec<u32> = s.notes.out.iter().map(|out| out.1).collect();
+    assert!(servers.len() == 2 && servers[0] % 2 == servers[1] % 2);
+    s.pass(870 * MS); // past the 0.9 s for which a repeat is known
+    s.end(rpc, End::Reset);
+    assert_eq!((s.sent(rpc), s.notes.aborted.as_slice()), (2, &[rpc][..]));
+}
+
+#[test]
+fn nothing_new_goes_to_a_server_that_drains_or_is_off_the_list() {
+    let mut s = story("").with_servers(3);
+    s.brain.listed(false, &[Listed { ready: false, ..server(1, 1) }]);
+    s.brain.listed(true, &[Listed { ready: false, ..server(1, 1) }, server(2, 0)]);
+    s.answered(40, 2, MS);
+    assert!(s.notes.out.len() == 40 && s.notes.out.iter().all(|out| out.1 == 2));
+}
+
+#[test]
+fn a_cold_server_gets_little_at_first() {
+    let mut s = story("").with_servers(4);
+    s.answered(40, 2, 20 * MS);
+    s.brain.listed(false, &[Listed { came_up: s.notes.now, ..server(5, 1) }]);
+    let before = s.notes.out.len();
+    s.answered(45, 2, 20 * MS);
+    let cold = s.notes.out[before..].iter().filter(|out| out.1 == 5).count();
+    assert!((1..=4).contains(&cold), "{cold} in 0.9 s, where a warm peer gets about 10");
+}
+
+#[test]
+fn a_new_life_starts_with_an_empty_part_of_the_ceiling() {
+    let mut s = story("tariffs.0.ceilingRate=20 tariffs.0.hardBurst=20").with_servers(3);
+    for _ in 0..5 {
+        s.rpc(2, 1.0);
+    }
+    assert_eq!(s.notes.out.len(), 0, "an earlier life may have spent it");
+    s.pass(250 * MS);
+    assert_eq!(s.notes.out.len(), 2, "its part fills with 10 a second");
+}
+
+#[test]
+fn claims_of_one_moment_cannot_overdraw_the_ceilings_part() {
+    let mut s = story("tariffs.0.ceilingRate=8 tariffs.0.hardBurst=8 extra.hasCounter=true").with_servers(3);
+    let first = s.rpc(2, 0.5);
+    s.pass(300 * MS);
+    s.counted(0, End::Ok, 4.5);
+    s.end(first, End::Ok);
+    s.pass(300 * MS); // 1.9 units in the ceiling's part, a thin store: each must be claimed
+    let calls = s.notes.counts.len();
+    for _ in 0..4 {
+        s.rpc(2, 1.0);
+    }
+    for _ in calls..s.notes.counts.len() {
+        s.counted(0, End::Ok, 5.5);
+    }
+    assert!(s.notes.out.len() <= 2, "{:?}", s.notes.out);
+}
+
+#[test]
+fn call_outs_open_at_once_are_split_too() {
+    let mut s = story("tariffs.0.maxOut=4").with_servers(3);
+    let ids: Vec<u32> = (0..4).map(|_| s.rpc(2, 1.0)).collect();
+    assert_eq!(s.notes.out.len(), 2);
+    s.end(ids[0], End::Ok);
+    assert_eq!(s.notes.out.len(), 3);
+}
+
+/// A customer whose store is nearly drained, by a counter that has answered once.
+fn thin(extra: &str) -> Story {
+    let mut s = story(&format!("extra.hasCounter=true {extra}")).with_servers(3);
+    let first = s.rpc(2, 1.0);
+    s.counted(0, End::Ok, 8.5);
+    s.end(first, End::Ok);
+    s
+}
+
+#[test]
+fn the_last_units_are_claimed_first_and_given_back_when_others_took_them() {
+    let mut s = thin("");
+    let rpc = s.rpc(2, 1.0);
+    assert_eq!(s.sent(rpc), 0, "asked first");
+    s.counted(0, End::Ok, 9.5);
+    assert_eq!(s.sent(rpc), 1);
+    let late = s.rpc(2, 0.4);
+    s.counted(0, End::Ok, 12.4);
+    assert_eq!(s.sent(late), 0, "another gateway was first");
+    assert!(s.notes.counts.last().is_some_and(|count| count.1 < 0.0), "and hears that it was not used");
+}
+
+#[test]
+fn a_claim_that_the_counter_never_answers_still_ends_in_time() {
+    let mut s = thin("");
+    let rpc = s.rpc(2, 1.0);
+    s.pass(3 * SEC);
+    assert!(s.notes.pushed.iter().any(|pushed| pushed.0 == rpc && pushed.2 <= fake::START + SEC + MS));
+}
+
+#[test]
+fn a_counter_back_empty_does_not_drain_or_fill_the_store() {
+    let mut s = story("extra.hasCounter=true").with_servers(3);
+    s.rpc(2, 3.0);
+    s.counted(0, End::Ok, 3.0);
+    s.rpc(2, 4.0);
+    s.counted(0, End::Ok, 4.0); // below the 7 that this gateway added: an empty start
+    let rpc = s.rpc(2, 1.0);
+    assert_eq!(s.sent(rpc), 1, "3 of 10 units were left");
+    let more = s.rpc(2, 3.0);
+    assert_eq!(s.sent(more), 0);
+}
+
+#[test]
+fn a_silent_counter_leaves_the_even_split() {
+    let mut s = story("extra.hasCounter=true").with_servers(20);
+    for customer in 0..4 {
+        s.rpc_of(100 + customer, 2, 1.0, 4 * SEC);
+    }
+    (0..4).for_each(|back| s.counted(back, End::TimedOut, 0.0));
+    s.answered(2, 2, MS);
+    let before = s.notes.out.len();
+    for _ in 0..8 {
+        s.rpc(2, 1.0);
+    }
+    assert_eq!(s.notes.out.len() - before, 5, "half of the burst");
+}
+
+#[test]
+fn in_a_silence_gateways_tell_each_other_what_they_drew() {
+    let silence = |s: &mut Story| {
+        for customer in 0..4 {
+            s.rpc_of(100 + customer, 2, 1.0, 4 * SEC);
+        }
+        (0..4).for_each(|back| s.counted(back, End::NoConnection, 0.0));
+    };
+    let settings = "extra.hasCounter=true ceilings.peers=true extra.mailPerS=40";
+    let (mut one, mut two) = (story(settings).with_servers(20), story(settings).with_servers(20));
+    silence(&mut one);
+    silence(&mut two);
+    two.rpc(2, 1.0);
+    for _ in 0..3 {
+        one.rpc(2, 1.0);
+    }
+    one.pass(120 * MS);
+    two.pass(120 * MS);
+    let body = one.notes.told.last().expect("told").clone();
+    two.brain.told(two.notes.now, 0, &body);
+    two.brain.told(two.notes.now, 0, &body); // heard twice, counted once
+    two.brain.told(two.notes.now, 0, b"garbled");
+    let before = two.notes.out.len();
+    for _ in 0..5 {
+        two.rpc(2, 1.0);
+    }
+    assert_eq!(two.notes.out.len() - before, 2, "5 less 1 of its own and 3 told, and 1.2 that came in since");
+}
+
+#[test]
+fn a_server_that_hangs_is_left_out() {
+    let mut s = story("").with_servers(2);
+    s.answered(20, 2, 20 * MS);
+    let stuck = s.rpc_of(50, 2, 0.1, 9 * SEC);
+    let hanging = s.notes.out.last().expect("sent").1;
+    s.pass(600 * MS);
+    let before = s.notes.out.len();
+    s.answered(20, 2, 20 * MS);
+    assert!(s.sent(stuck) == 1 && s.notes.out[before..].iter().all(|out| out.1 != hanging));
+}
+
+#[test]
+fn when_all_servers_are_slow_no_more_is_open_than_they_answer() {
+    let mut s = story("").with_servers(4);
+    s.answered(20, 2, 50 * MS); // 20 answers a second
+    for customer in 0..40 {
+        s.rpc_of(5000 + customer, 0, 0.1, 4 * SEC);
+    }
+    let patient = s.notes.out.len() - 20;
+    for customer in 0..40 {
+        s.rpc_of(6000 + customer, 2, 0.1, 4 * SEC);
+    }
+    let all = s.notes.out.len() - 20;
+    assert!((4..=8).contains(&patient) && (7..=12).contains(&all), "{patient} {all}");
+}
+
+#[test]
+fn slow_answers_of_long_ago_do_not_stop_a_gateway() {
+    let mut s = story("").with_servers(4);
+    s.answered(10, 2, 1500 * MS);
+    s.pass(3 * SEC);
+    let rpc = s.rpc(2, 1.0);
+    s.pass(700 * MS);
+    assert_eq!(s.sent(rpc), 1);
+}
+
+#[test]
+fn urgent_call_outs_that_hang_brake_patient_rpcs() {
+    let mut s = story("").with_servers(30);
+    s.answered(25, 2, 10 * MS);
+    let calm = s.rpc_of(70, 0, 0.1, 4 * SEC);
+    assert_eq!(s.sent(calm), 1);
+    for customer in 0..8 {
+        s.rpc_of(200 + customer, 2, 0.1, 9 * SEC);
+    }
+    s.pass(1200 * MS);
+    let patient = s.rpc_of(71, 0, 0.1, 4 * SEC);
+    let urgent = s.rpc_of(72, 2, 0.1, 4 * SEC);
+    assert_eq!((s.sent(patient), s.sent(urgent)), (0, 1));
+}
