Late urgent answers count for the brake again

Cause: when the soft deadline's own timer went, late answers were no longer sampled, so the brake let go too soon.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -415,7 +415,7 @@
             if !never_ran && rpc.ran.is_none() {
                 rpc.ran = Some((sent, place.0, place.1));
             }
-            if urgent && now <= rpc.soft_deadline && ended.how == End::Ok {
+            if urgent && matches!(ended.how, End::Ok | End::TimedOut) {
                 let ratio = secs(ended.took) / self.method(method, "onTime", 1.0).max(1e-3);
                 keep(&mut self.urgent, (now, ratio), 2 * KEPT);
             }
