No server holds more of a gateway's call-outs than it answers in time

A server's own answers now bound what is open there (3 at least), as the fleet's bound the whole. Covers any server that slows without a report; harms where a server's traffic jumps.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -16,6 +16,9 @@
 /// How many of the last samples are kept, and how long they speak for now.
 const KEPT: usize = 32;
 const FRESH: Nanos = 5 * SEC;
+/// How much of its soft deadline an RPC may be expected to take in the servers when it is sent.
+const PATIENT_SHARE: f64 = 0.3;
+const URGENT_SHARE: f64 = 0.45;
 /// How soon an RPC held for want of a server, or by the brake, is looked at again.
 const RECHECK: Nanos = 25 * MS;
 /// The timer that is no customer's.
@@ -526,7 +529,7 @@
             return open >= 2 * up.len().max(1);
         }
         let rate = count as f64 / secs(now - fresh.map(|ok| ok.0).min().unwrap_or(now)).max(0.05);
-        let share = if rpc.patient { 0.3 } else { 0.45 };
+        let share = if rpc.patient { PATIENT_SHARE } else { URGENT_SHARE };
         (open + 1) as f64 / rate > share * self.method(rpc.method, "onTime", 1.0)
     }
 
@@ -806,8 +809,11 @@
                 self.method_is(rpc.method, "group", "all") || zoned || server.listed.cell == cell
             })
         };
+        let soft = self.method(rpc.method, "onTime", 1.0);
         let allowed = |(_, server): &(&u32, &Server)| {
-            server.listed.ready && in_group(server) && self.cold_room(now, server)
+            let answered = server.oks().filter(|ok| now - ok.0 < 2 * SEC).count() as f64 / 2.0;
+            let full = server.open.len() as f64 >= (URGENT_SHARE * soft * answered).max(3.0);
+            server.listed.ready && in_group(server) && !full && self.cold_room(now, server)
         };
         let mut able: Vec<u32> = self.servers.iter().filter(allowed).map(|(id, _)| *id).collect();
         let rested = |id: &u32| {
