--- a/src/brain.rs
+++ b/src/brain.rs
@@ -83,8 +83,9 @@
     split: f64,
     ceiling: f64,
     at: Nanos,
-    /// A total has been read.
+    /// A total has been read, and when the last one was.
     known: bool,
+    read_at: Nanos,
     open: u64,
     /// Ids of held and claiming RPCs, most urgent first, then as they came.
     queue: Vec<u32>,
@@ -593,12 +594,14 @@
         at
     }
 
-    /// Whether other gateways, each sending as much now, could overdraw the store together.
+    /// Whether the others could draw the store now, each as much as this, or (asked only while a call is free) have
+    /// drawn it since the last total.
     fn is_thin(&self, now: Nanos, key: u64, units: f64, patient: bool) -> bool {
         let customer = &self.customers[&key];
         let spare = customer.level - units - customer.line(now, patient);
-        let answers = customer.known && self.is_true("extra.hasCounter") && !self.silent();
-        answers && customer.rate > 0.0 && spare < (customer.width - 1.0) * units
+        let age = if self.may_count(now) { secs(now.saturating_sub(customer.read_at)) } else { 0.0 };
+        let answers = self.is_true("extra.hasCounter") && !self.silent();
+        answers && customer.rate > 0.0 && spare < (customer.width - 1.0) * units + customer.rate * age
     }
 
     /// The brake on patient RPCs: too many urgent ones of this customer pushed back for lack of quota, or the
@@ -646,15 +649,19 @@
         }
     }
 
+    /// Fewer calls at once the more gateways there are and the more of the last calls went wrong, so that a slow
+    /// counter is not crowded further; what waits gathers into one call.
+    fn may_count(&self, now: Nanos) -> bool {
+        let most = (COUNTS_OPEN / self.setting("balancers", 1.0).max(1.0) as usize).max(1);
+        let misses = self.counter.iter().filter(|answered| !**answered).count();
+        self.counter_open < most.saturating_sub(misses).max(1) && now >= self.counter_rest
+    }
+
     fn count(&mut self, host: &mut dyn Host, now: Nanos, key: u64) {
         if !self.is_true("extra.hasCounter") {
             return;
         }
-        // Fewer calls at once the more gateways there are and the more of the last calls went wrong, so that a
-        // slow counter is not crowded further; what waits gathers into one call.
-        let most = (COUNTS_OPEN / self.setting("balancers", 1.0).max(1.0) as usize).max(1);
-        let misses = self.counter.iter().filter(|answered| !**answered).count();
-        if self.counter_open >= most.saturating_sub(misses).max(1) || now < self.counter_rest {
+        if !self.may_count(now) {
             if !self.to_count.contains(&key) {
                 self.to_count.push_back(key);
             }
@@ -664,6 +671,8 @@
         let customer = self.customer(now, key);
         let window = now / customer.window;
         if customer.ledgers.back().is_none_or(|ledger| ledger.window != window) {
+            // Others' use in a window without a call here was never seen: as good as an unseen customer.
+            customer.known &= customer.ledgers.back().is_some_and(|ledger| ledger.window + 1 == window);
             if !silent {
                 customer.heard /= 2.0; // what no total shows may never have been added
             }
@@ -719,9 +728,10 @@
                 customer.heard -= heard;
                 customer.level -= others - heard;
                 if !customer.known {
-                    customer.known = true;
-                    customer.level = customer.burst - total - customer.pending;
+                    let room = customer.burst - total - customer.pending;
+                    customer.level = if customer.read_at == 0 { room } else { room.min(customer.level) };
                 }
+                (customer.known, customer.read_at) = (true, now);
             }
             // Nothing was added: the units are still to be told.
             (End::Full | End::NoConnection | End::NotSent, _) => customer.pending += add,
