Read a window's last total when the next one starts with a low store

Cause: what the others added to a window after its last total here was never seen, so each window let heavy customers overdraw, most on large fleets. Also kept now: a claim when the last total is old enough for the others to have drawn the store, while a count call is free.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -667,15 +667,17 @@
             }
             return;
         }
-        let silent = self.silent();
+        let (silent, mut old) = (self.silent(), None);
         let customer = self.customer(now, key);
         let window = now / customer.window;
         if customer.ledgers.back().is_none_or(|ledger| ledger.window != window) {
-            // Others' use in a window without a call here was never seen: as good as an unseen customer.
-            customer.known &= customer.ledgers.back().is_some_and(|ledger| ledger.window + 1 == window);
             if !silent {
                 customer.heard /= 2.0; // what no total shows may never have been added
             }
+            // What the others added to the last window since it was read here would be lost with it.
+            let last = customer.ledgers.back().map(|ledger| ledger.window);
+            old = last.filter(|last| last + 1 == window && customer.level < customer.burst / 2.0);
+            customer.calls.extend(old.map(|old| (old, 0.0, 0)));
             keep(&mut customer.ledgers, Ledger { window, ..Ledger::default() }, 2);
         }
         let add = std::mem::take(&mut customer.pending);
@@ -683,8 +685,13 @@
         customer.calls.push_back((window, add, customer.serial));
         customer.counted_at = now;
         let forget = (2 * customer.window + SEC).min(60 * SEC);
+        let name = |window: u64| key << 31 | (window & 0x7fff_ffff);
+        if let Some(old) = old {
+            self.counter_open += 1;
+            host.count(name(old), 0.0, forget);
+        }
         self.counter_open += 1;
-        host.count(key << 31 | (window & 0x7fff_ffff), add, forget);
+        host.count(name(window), add, forget);
     }
 
     /// The counter answered: a name is a customer and a window.
@@ -716,6 +723,7 @@
         match (how, ledger) {
             (End::Ok, Some(ledger)) if total.is_finite() => {
                 ledger.own += add;
+                customer.read_at = now;
                 if total + 0.01 + 1e-5 * total.abs() < ledger.own {
                     // Guards against a counter that came back empty, and adds that timed out and did not count:
                     // the total is below this gateway's own adds, so it says nothing of the others' use and is
@@ -728,10 +736,9 @@
                 customer.heard -= heard;
                 customer.level -= others - heard;
                 if !customer.known {
-                    let room = customer.burst - total - customer.pending;
-                    customer.level = if customer.read_at == 0 { room } else { room.min(customer.level) };
+                    customer.known = true;
+                    customer.level = customer.burst - total - customer.pending;
                 }
-                (customer.known, customer.read_at) = (true, now);
             }
             // Nothing was added: the units are still to be told.
             (End::Full | End::NoConnection | End::NotSent, _) => customer.pending += add,
