--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,7 +25,7 @@
 const TELL: u64 = u64::MAX;
 /// Calls to the counter that all gateways may have open at once; the last ends kept; misses in a row after which
 /// it counts as silent.
-const COUNTS_OPEN: usize = 16;
+const COUNTS_OPEN: usize = 32;
 const COUNTS_KEPT: usize = 8;
 const SILENT_AFTER: usize = 3;
 
