--- a/src/brain.rs
+++ b/src/brain.rs
@@ -56,19 +56,10 @@
     /// The count call that carries its claim.
     claim: u64,
     tries: u64,
-    last_server: u32,
     /// The first call-out that may have run: when it was sent and where to.
     ran: Option<(Nanos, u16, u16)>,
 }
 
-/// One window of a customer's count: own adds that counted (or may have) and what others had added.
-#[derive(Default)]
-struct Ledger {
-    window: u64,
-    own: f64,
-    others: f64,
-}
-
 #[derive(Default)]
 struct Customer {
     plan: u16,
@@ -92,7 +83,8 @@
     wake_at: Nanos,
     /// Units not yet added to the count.
     pending: f64,
-    ledgers: VecDeque<Ledger>,
+    /// The last two windows of the count: which, own adds that counted (or may have), and others'.
+    ledgers: VecDeque<(u64, f64, f64)>,
     /// Count calls without answer: window, amount, serial. Answers for a name come in the order of calls.
     calls: VecDeque<(u64, f64, u64)>,
     serial: u64,
@@ -104,14 +96,6 @@
 }
 
 impl Customer {
-    fn refill(&mut self, now: Nanos, ceiling_rate: f64, ceiling_burst: f64) {
-        let passed = secs(now.saturating_sub(self.at));
-        self.at = now;
-        self.level = (self.level + passed * self.rate).min(self.burst);
-        self.split = (self.split.max(0.0) + passed * self.rate / self.width).min(self.burst / self.width);
-        self.ceiling = (self.ceiling + passed * ceiling_rate / self.width).min(ceiling_burst / self.width);
-    }
-
     /// The reserve line: patient RPCs leave this much of the burst, less as the window ends.
     fn line(&self, now: Nanos, patient: bool) -> f64 {
         let left = 1.0 - (now % self.window) as f64 / self.window as f64;
@@ -306,8 +290,8 @@
         let queued = |state| matches!(state, State::Held | State::Claiming);
         let (urgency, units) = (rpc.urgency, rpc.units);
         let Some(customer) = self.customers.get_mut(&rpc.customer) else { return };
-        if was == State::Claiming && to != State::Out {
-            customer.take(-units);
+        if to == State::Ended && rpc.drawn && rpc.tries == 0 {
+            customer.take(-units); // never sent, so not counted by anybody
         }
         if queued(was) && !queued(to) {
             customer.queue.retain(|other| *other != id);
@@ -327,7 +311,8 @@
     /// units of more urgent RPCs of the same customer that wait too. Returns when to look again.
     fn advance(&mut self, host: &mut dyn Host, now: Nanos, id: u32, ahead: &mut f64) -> Nanos {
         let Some(rpc) = self.rpcs.get(&id) else { return Nanos::MAX };
-        let (key, units, patient, drawn) = (rpc.customer, rpc.units, rpc.patient, rpc.drawn);
+        let (key, units, method) = (rpc.customer, rpc.units, rpc.method);
+        let (patient, drawn) = (rpc.patient, rpc.drawn);
         // Too little time left for an answer in time, or no further call-out allowed: it ends here.
         let latest = self.latest(now, rpc);
         if now >= latest || self.tries_left(rpc) == 0 || !self.may_repeat(now, rpc) {
@@ -349,7 +334,7 @@
             thin = self.is_thin(now, key, units + *ahead, patient);
         }
         // A server that can take it, unless the brake holds or all are crowded.
-        let held = !drawn && patient && self.braked(now, key) || self.crowded(now, id);
+        let held = !drawn && patient && self.braked(now, key) || self.crowded(now, method, patient);
         let Some(server) = (if held { None } else { self.choose(now, id) }) else {
             return (now + RECHECK).min(latest);
         };
@@ -358,9 +343,9 @@
             let customer = self.customer(now, key);
             customer.take(units);
             let claim = customer.serial + 1;
+            self.rpcs.entry(id).and_modify(|rpc| (rpc.drawn, rpc.claim) = (true, claim));
             if thin {
                 self.shift(id, State::Claiming);
-                self.rpcs.entry(id).and_modify(|rpc| rpc.claim = claim);
                 self.count(host, now, key);
                 return latest; // `release` ends it there if the counter has not answered
             }
@@ -375,8 +360,7 @@
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
         let nth = rpc.tries as u16;
         rpc.tries += 1;
-        rpc.last_server = chosen;
-        let first = !std::mem::replace(&mut rpc.drawn, true);
+        let first = nth == 0;
         let soft = if rpc.patient { Nanos::MAX } else { rpc.soft_deadline };
         let (key, units) = (rpc.customer, rpc.units);
         self.customer(now, key).open += 1;
@@ -412,8 +396,7 @@
         if ended.how == End::Ok {
             keep(&mut self.oks, (now, ended.took), 2 * KEPT);
         }
-        let customer = self.customer(now, key);
-        customer.open = customer.open.saturating_sub(1);
+        self.customer(now, key).open -= 1;
         if let Some(rpc) = self.rpcs.get_mut(&ended.rpc) {
             let (method, urgent, units) = (rpc.method, !rpc.patient, rpc.units);
             if !never_ran && rpc.ran.is_none() {
@@ -457,8 +440,7 @@
     fn finish(&mut self, host: &mut dyn Host, now: Nanos, id: u32, room_in: Nanos) {
         let Some(rpc) = self.rpcs.get(&id) else { return };
         let all = self.method_is(rpc.method, "group", "all");
-        let harmless =
-            self.may_repeat(now, rpc) && (all || rpc.ran.is_none() || self.is(rpc, Kind::Idempotent));
+        let harmless = self.may_repeat(now, rpc) && (all || rpc.ran.is_none() || self.idempotent(rpc));
         let (key, short_of_quota) = (rpc.customer, !rpc.patient && room_in > 0);
         if short_of_quota {
             keep(&mut self.customer(now, key).urgent, (now, true), 2 * KEPT);
@@ -472,27 +454,21 @@
         host.push_back(id, if self.is_true("ceilings.retryAfter") { room_in.min(most) } else { 0 });
     }
 
-    fn kind(&self, method: u16) -> Kind {
-        match self.settings.get(&format!("classes.{method}.idempotency")).map(String::as_str) {
-            Some("free") => Kind::Idempotent,
-            Some("guarded") => Kind::Deduplicated,
-            _ => Kind::NonIdempotent, // the safe reading of what is missing
-        }
+    /// The kinds of method; what is neither idempotent nor deduplicated, or not told, must never run twice.
+    fn idempotent(&self, rpc: &Rpc) -> bool {
+        self.method_is(rpc.method, "idempotency", "free")
     }
 
-    fn is(&self, rpc: &Rpc, kind: Kind) -> bool {
-        self.kind(rpc.method) == kind
+    fn deduplicated(&self, rpc: &Rpc) -> bool {
+        self.method_is(rpc.method, "idempotency", "guarded")
     }
 
     /// Whether the method lets an RPC run once more: always, while the mark against repeats is remembered, or
     /// only after proof that nothing ran.
     fn may_repeat(&self, now: Nanos, rpc: &Rpc) -> bool {
         let Some((sent, ..)) = rpc.ran else { return true };
-        match self.kind(rpc.method) {
-            Kind::Idempotent => true,
-            Kind::Deduplicated => now < sent + span(self.method(rpc.method, "window", 0.0)),
-            Kind::NonIdempotent => false,
-        }
+        let known = sent + span(self.method(rpc.method, "window", 0.0));
+        self.idempotent(rpc) || self.deduplicated(rpc) && now < known
     }
 
     fn tries_left(&self, rpc: &Rpc) -> u64 {
@@ -504,7 +480,7 @@
     /// Guards against hanging and slow servers. 0 is until the deadline.
     fn patience_with(&self, now: Nanos, id: u32) -> Nanos {
         let Some(rpc) = self.rpcs.get(&id) else { return 0 };
-        let again = self.tries_left(rpc) > 1 && !self.is(rpc, Kind::NonIdempotent);
+        let again = self.tries_left(rpc) > 1 && (self.idempotent(rpc) || self.deduplicated(rpc));
         let limit = rpc.soft_deadline.saturating_sub(now) * 3 / 5;
         if again && limit > 4 * self.typical(now) { limit } else { 0 }
     }
@@ -519,19 +495,22 @@
     /// over what is answered a second. Guards against overload of any cause (a slow fleet, lost servers, a
     /// jump in traffic), patient RPCs giving way first. What hangs is left out, or a few stuck servers would
     /// stop all. Harm: after a lull the rate looks low, so with few answers a plain cap holds instead.
-    fn crowded(&self, now: Nanos, id: u32) -> bool {
-        let Some(rpc) = self.rpcs.get(&id) else { return false };
-        let up: Vec<&Server> =
-            self.servers.values().filter(|server| server.listed.ready && !self.hangs(now, server)).collect();
-        let open: usize = up.iter().map(|server| server.open.len()).sum();
-        let fresh = self.oks.iter().filter(|ok| now - ok.0 < 2 * SEC);
-        let count = fresh.clone().count();
+    fn crowded(&self, now: Nanos, method: u16, patient: bool) -> bool {
+        let up = self.servers.values().filter(|server| server.listed.ready && !self.hangs(now, server));
+        let (servers, open) = (up.clone().count(), up.map(|server| server.open.len()).sum::<usize>());
+        let (count, rate) = self.answered(now);
         if count < 8 {
-            return open >= 2 * up.len().max(1);
+            return open >= 2 * servers.max(1);
         }
-        let rate = count as f64 / secs(now - fresh.map(|ok| ok.0).min().unwrap_or(now)).max(0.05);
-        let share = if rpc.patient { PATIENT_SHARE } else { URGENT_SHARE };
-        (open + 1) as f64 / rate > share * self.method(rpc.method, "onTime", 1.0)
+        let share = if patient { PATIENT_SHARE } else { URGENT_SHARE };
+        (open + 1) as f64 / rate > share * self.method(method, "onTime", 1.0)
+    }
+
+    /// Ok answers of the last 2 s: how many, and how many a second.
+    fn answered(&self, now: Nanos) -> (usize, f64) {
+        let mut fresh = self.oks.iter().filter(|ok| now - ok.0 < 2 * SEC);
+        let count = fresh.clone().count();
+        (count, count as f64 / secs(now - fresh.next().map_or(now, |ok| ok.0)).max(0.05))
     }
 
     /// A server whose oldest call-out is open for far longer than answers take now. In a slowdown of all
@@ -557,13 +536,20 @@
         let rate = self.plan(plan, "ceilingRate", 0.0);
         let burst = self.plan(plan, "hardBurst", 0.0);
         let customer = self.customers.entry(key).or_default();
-        customer.refill(now, rate, burst);
+        let (passed, width) = (secs(now.saturating_sub(customer.at)), customer.width);
+        customer.at = now;
+        customer.level = (customer.level + passed * customer.rate).min(customer.burst);
+        customer.split =
+            (customer.split.max(0.0) + passed * customer.rate / width).min(customer.burst / width);
+        customer.ceiling = (customer.ceiling + passed * rate / width).min(burst / width);
         customer
     }
 
     /// When the store, the ceiling's part and the cap on open call-outs have room for so many units.
     fn room_at(&mut self, now: Nanos, key: u64, units: f64, patient: bool) -> Nanos {
-        let alone = self.alone(now);
+        // Nothing is known of the others' use now, neither from the counter nor from themselves.
+        let unheard = now.saturating_sub(self.heard_at) > SEC;
+        let alone = self.silent() && unheard || !self.is_true("extra.hasCounter");
         self.customer(now, key);
         let customer = &self.customers[&key];
         let mut at = now;
@@ -629,11 +615,6 @@
         self.counter.iter().rev().take_while(|answered| !**answered).count() >= SILENT_AFTER
     }
 
-    /// Nothing is known of the others' use now, neither from the counter nor from themselves.
-    fn alone(&self, now: Nanos) -> bool {
-        self.silent() && now.saturating_sub(self.heard_at) > SEC || !self.is_true("extra.hasCounter")
-    }
-
     /// Adds a customer's units if a few have gathered or a while has passed; the less room, the sooner.
     fn share_count(&mut self, host: &mut dyn Host, now: Nanos, key: u64) {
         let customer = self.customer(now, key);
@@ -670,15 +651,15 @@
         let (silent, mut old) = (self.silent(), None);
         let customer = self.customer(now, key);
         let window = now / customer.window;
-        if customer.ledgers.back().is_none_or(|ledger| ledger.window != window) {
+        if customer.ledgers.back().is_none_or(|ledger| ledger.0 != window) {
             if !silent {
                 customer.heard /= 2.0; // what no total shows may never have been added
             }
             // What the others added to the last window since it was read here would be lost with it.
-            let last = customer.ledgers.back().map(|ledger| ledger.window);
+            let last = customer.ledgers.back().map(|ledger| ledger.0);
             old = last.filter(|last| last + 1 == window && customer.level < customer.burst / 2.0);
             customer.calls.extend(old.map(|old| (old, 0.0, 0)));
-            keep(&mut customer.ledgers, Ledger { window, ..Ledger::default() }, 2);
+            keep(&mut customer.ledgers, (window, 0.0, 0.0), 2);
         }
         let add = std::mem::take(&mut customer.pending);
         customer.serial += 1;
@@ -719,50 +700,42 @@
             return;
         };
         let (window, add, serial) = call;
-        let ledger = customer.ledgers.iter_mut().find(|ledger| ledger.window == window);
+        let ledger = customer.ledgers.iter_mut().find(|ledger| ledger.0 == window);
         match (how, ledger) {
-            (End::Ok, Some(ledger)) if total.is_finite() => {
-                ledger.own += add;
+            (End::Ok, Some((_, own, others))) if total.is_finite() => {
+                *own += add;
                 customer.read_at = now;
-                if total + 0.01 + 1e-5 * total.abs() < ledger.own {
+                if total + 0.01 + 1e-5 * total.abs() < *own {
                     // Guards against a counter that came back empty, and adds that timed out and did not count:
                     // the total is below this gateway's own adds, so it says nothing of the others' use and is
                     // only where to count on from.
-                    (ledger.own, ledger.others) = (add, total - add);
+                    (*own, *others) = (add, total - add);
                 }
-                let others = total - ledger.own - ledger.others;
-                ledger.others += others;
-                let heard = others.min(customer.heard).max(0.0); // taken off already, when it was told
+                let more = total - *own - *others;
+                *others += more;
+                let heard = more.min(customer.heard).max(0.0); // taken off already, when it was told
                 customer.heard -= heard;
-                customer.level -= others - heard;
-                if !customer.known {
-                    customer.known = true;
+                customer.level -= more - heard;
+                if !std::mem::replace(&mut customer.known, true) {
                     customer.level = customer.burst - total - customer.pending;
                 }
             }
             // Nothing was added: the units are still to be told.
             (End::Full | End::NoConnection | End::NotSent, _) => customer.pending += add,
             // It may have counted; taken as counted, so that the others' use is never seen too large.
-            (_, Some(ledger)) => ledger.own += add,
+            (_, Some((_, own, _))) => *own += add,
             _ => {}
         }
-        // Claims that this call carried: the last ones in the queue give their units back first.
-        let queue = customer.queue.clone();
-        let ours = |rpc: &&Rpc| rpc.state == State::Claiming && rpc.claim <= serial;
-        for id in queue.iter().rev() {
-            if let Some(rpc) = self.rpcs.get(id).filter(ours) {
-                let customer = &self.customers[&key];
-                if customer.level < customer.line(now, rpc.patient) - 0.01 {
-                    self.shift(*id, State::Held);
-                }
-            }
-        }
-        for id in queue {
-            if self.rpcs.get(&id).as_ref().is_some_and(ours) {
-                match self.choose(now, id) {
-                    Some(server) => self.send(host, now, id, server),
-                    None => self.shift(id, State::Held),
+        // Claims that this call carried: the last ones in the queue give their units back first, the others go.
+        for id in customer.queue.clone().iter().rev() {
+            let Some(rpc) = self.rpcs.get_mut(id) else { continue };
+            if rpc.state == State::Claiming && rpc.claim <= serial {
+                let customer = self.customers.entry(key).or_default();
+                rpc.drawn = customer.level >= customer.line(now, rpc.patient) - 0.01;
+                if !rpc.drawn {
+                    customer.take(-rpc.units);
                 }
+                self.shift(*id, State::Held);
             }
         }
         self.release(host, now, key);
@@ -780,13 +753,11 @@
             return;
         }
         let lines: Vec<u64> = std::mem::take(&mut self.to_tell).into_iter().collect();
-        for part in lines.chunks(20) {
-            let mut body = self.silent_since.to_be_bytes().to_vec();
-            for key in part {
-                body.extend_from_slice(&key.to_be_bytes());
-                body.extend_from_slice(&(self.drawn.get(key).copied().unwrap_or(0.0) as f32).to_be_bytes());
-            }
-            host.tell(u32::MAX, &body);
+        for part in lines.chunks(15) {
+            let drawn =
+                part.iter().flat_map(|key| [*key, self.drawn.get(key).map_or(0, |drawn| drawn.to_bits())]);
+            let words = std::iter::once(self.silent_since).chain(drawn);
+            host.tell(u32::MAX, &words.flat_map(u64::to_be_bytes).collect::<Vec<u8>>());
         }
         // Never more than a third of what a gateway takes in, with all of them telling.
         let peers = (self.setting("balancers", 1.0) - 1.0).max(0.0);
@@ -796,16 +767,17 @@
 
     /// Another gateway told what it drew; what is garbled or of unknown customers is passed over.
     pub fn told(&mut self, now: Nanos, from: u32, body: &[u8]) {
-        let (Some(since), 8) = (body.first_chunk().map(|bytes| u64::from_be_bytes(*bytes)), body.len() % 12)
-        else {
+        let words = body.chunks_exact(8).map(|word| u64::from_be_bytes(word.try_into().unwrap_or_default()));
+        let words: Vec<u64> = words.collect();
+        if body.len() % 16 != 8 {
             return;
-        };
+        }
         self.heard_at = now;
-        for line in body[8..].chunks_exact(12) {
-            let key = line.first_chunk().map_or(0, |bytes| u64::from_be_bytes(*bytes));
-            let drawn = line.last_chunk().map_or(0.0, |bytes| f64::from(f32::from_be_bytes(*bytes)));
+        for line in words[1..].chunks_exact(2) {
+            let (key, drawn) = (line[0], f64::from_bits(line[1]));
             if drawn.is_finite() && self.customers.contains_key(&key) {
-                let last = self.heard.insert((from, key), (since, drawn)).filter(|last| last.0 == since);
+                let last =
+                    self.heard.insert((from, key), (words[0], drawn)).filter(|last| last.0 == words[0]);
                 let customer = self.customer(now, key);
                 let more = (drawn - last.map_or(0.0, |last| last.1)).clamp(0.0, customer.burst);
                 customer.level -= more;
@@ -819,7 +791,7 @@
     /// Two drawn at random, the one that this gateway's own counts favour is taken.
     fn choose(&mut self, now: Nanos, id: u32) -> Option<u32> {
         let rpc = self.rpcs.get(&id)?;
-        let group = rpc.ran.filter(|_| self.is(rpc, Kind::Deduplicated));
+        let group = rpc.ran.filter(|_| self.deduplicated(rpc));
         let in_group = |server: &Server| {
             group.is_none_or(|(_, zone, cell)| {
                 let zoned = self.method_is(rpc.method, "group", "zone") && server.listed.zone == zone;
@@ -832,17 +804,15 @@
             let full = server.open.len() as f64 >= (URGENT_SHARE * soft * answered).max(3.0);
             server.listed.ready && in_group(server) && !full && self.cold_room(now, server)
         };
-        let mut able: Vec<u32> = self.servers.iter().filter(allowed).map(|(id, _)| *id).collect();
+        let able: Vec<u32> = self.servers.iter().filter(allowed).map(|(id, _)| *id).collect();
         let rested = |id: &u32| {
             let server = &self.servers[id];
             let (misses, until) = server.misses();
             let rests = misses > 0 && (until > now || !server.open.is_empty());
-            !rests && !self.hangs(now, server) && (rpc.tries == 0 || *id != rpc.last_server)
+            !rests && !self.hangs(now, server)
         };
         let rested: Vec<u32> = able.iter().copied().filter(rested).collect();
-        if !rested.is_empty() {
-            able = rested;
-        }
+        let able = if rested.is_empty() { able } else { rested };
         let one = *able.get(self.chance.usize(..able.len().max(1)))?;
         let two = able[self.chance.usize(..able.len())];
         Some(if self.burden(now, two) < self.burden(now, one) { two } else { one })
@@ -858,14 +828,13 @@
         // A call-out open for long tells of a hanging or paused server before any answer does.
         let oldest = server.open.front().map_or(0.0, |open| (now - open.2) as f64);
         let overdue = (oldest / (4.0 * typical)).max(1.0);
-        let own_zone = f64::from(server.listed.zone) == self.setting("zone", -1.0);
-        let far = if own_zone { 1.0 } else { 1.1 };
+        let far = if f64::from(server.listed.zone) == self.setting("zone", -1.0) { 1.0 } else { 1.1 };
         (server.open.len() as f64 + 1.0) * mean * overdue * far / server.listed.weight.max(0.05)
     }
 
     /// Guards against pushing over a server that has just started: until it is warm each gateway sends it only
-    /// its part of what the server can surely do, judged by what warm peers carry, and no more at once than its
-    /// own answers justify. Covers restarts, deploys and returns after a crash. Harm: a server that is
+    /// the cold part of what a server carries here (warm peers carry more, as the mean holds the cold ones too),
+    /// and no more at once than its own answers justify. Covers restarts, deploys and returns after a crash. Harm: a server that is
     /// warm sooner is used late.
     fn cold_room(&self, now: Nanos, server: &Server) -> bool {
         let within = span(self.setting("rules.warmWithin", 30.0)).max(1);
@@ -875,17 +844,8 @@
         }
         let from = self.setting("rules.coldFrom", 0.1);
         let part = from + (1.0 - from) * age as f64 / within as f64;
-        let peers: Vec<f64> = self
-            .servers
-            .values()
-            .filter(|peer| peer.listed.ready && now.saturating_sub(peer.listed.came_up) >= within)
-            .map(|peer| {
-                let fresh = peer.oks().filter(|ok| now - ok.0 < FRESH);
-                let oldest = fresh.clone().next().map_or(now, |ok| ok.0);
-                fresh.count() as f64 / secs((now - oldest).max(SEC)) / peer.listed.weight.max(0.05)
-            })
-            .collect();
-        let carried = peers.iter().sum::<f64>() / peers.len().max(1) as f64 * server.listed.weight;
+        let fleet = self.servers.values().filter(|peer| peer.listed.ready).map(|peer| peer.listed.weight);
+        let carried = self.answered(now).1 * server.listed.weight / fleet.sum::<f64>().max(0.05);
         let fall = self.setting("rules.fall", 1.0);
         let budget = (part * carried * fall).max(1.0) as usize;
         let lately = server.sent.iter().filter(|sent| now - **sent < span(fall)).count();
@@ -911,11 +871,3 @@
         }
     }
 }
-
-/// What a method allows once a call-out may have run.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Kind {
-    Idempotent,
-    Deduplicated,
-    NonIdempotent,
-}
