--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,7 +1,6 @@
-//! Every decision of the gateway. A host (see `host.rs` for the interface) makes one `Brain` for each life of
-//! a gateway and calls it with what happens: `listed` (servers), `rpc` (one came in), `ended` (a call-out did),
-//! `client_left`, `counted` (the shared counter answered), `told` (another gateway spoke) and `woke` (a timer).
-//! Each call answers through the `Host` it is given. Start reading at `advance`, the path of an RPC.
+//! Every decision of the gateway. A host (its interface stands in `host.rs`) makes one `Brain` for each life
+//! of a gateway and calls it with what happens: `listed`, `rpc`, `ended`, `client_left`, `counted`, `told`,
+//! `woke`. Each call answers through the `Host` it is given. Start reading at `advance`, the path of an RPC.
 
 use crate::host::{Arrival, End, Ended, Host, Listed, Nanos, Settings};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -21,16 +20,15 @@
 const URGENT_SHARE: f64 = 0.45;
 /// How soon an RPC held for want of a server, or by the brake, is looked at again.
 const RECHECK: Nanos = 25 * MS;
-/// The timer that is no customer's.
 const TELL: u64 = u64::MAX;
-/// Calls to the counter that all gateways may have open at once; the last ends kept; misses in a row after which
-/// it counts as silent.
+/// Count calls all gateways may have open at once; ends kept; misses in a row after which the counter is
+/// silent.
 const COUNTS_OPEN: usize = 32;
 const COUNTS_KEPT: usize = 8;
 const SILENT_AFTER: usize = 3;
 
-/// Where an RPC stands. `Held` waits for room, a server or the brake; `Claiming` waits for the counter to
-/// confirm its units.
+/// Where an RPC stands: `Held` waits for room, a server or the brake, `Claiming` for the counter to confirm
+/// units.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum State {
     #[default]
@@ -68,14 +66,12 @@
     rate: f64,
     burst: f64,
     window: Nanos,
-    /// The store as this gateway sees it; what of it is surely this gateway's (an even split), for when nothing
-    /// is heard of the others; and this gateway's part of the ceiling. All as of `at`.
+    /// As of `at`: the store as seen here, this gateway's even split of it, and its part of the ceiling.
     level: f64,
     split: f64,
     ceiling: f64,
     at: Nanos,
-    /// A total has been read, and when the last one was.
-    known: bool,
+    /// When the last total was read; 0 is never.
     read_at: Nanos,
     open: u64,
     /// Ids of held and claiming RPCs, most urgent first, then as they came.
@@ -127,10 +123,13 @@
 }
 
 impl Server {
-    /// Misses since the last ok, and until when they make it rest: longer each time.
-    fn misses(&self) -> (usize, Nanos) {
+    /// Guards against a server that is down, cut off, full, hanging or answering errors: it rests, longer
+    /// with each miss, then gets one call-out at a time until an ok. Harm: a short fault keeps a good server
+    /// idle for a moment.
+    fn rests(&self, now: Nanos) -> bool {
         let misses = self.ends.iter().rev().take_while(|end| !end.2).count();
-        (misses, self.ends.back().map_or(0, |end| end.0 + ((50 * MS) << misses.min(5))))
+        let until = self.ends.back().map_or(0, |end| end.0 + ((50 * MS) << misses.min(5)));
+        misses > 0 && (now < until || !self.open.is_empty())
     }
 
     fn oks(&self) -> impl DoubleEndedIterator<Item = &(Nanos, Nanos, bool)> + Clone {
@@ -157,7 +156,7 @@
     counter_open: usize,
     counter_rest: Nanos,
     to_count: VecDeque<u64>,
-    /// Since when the counter is silent, the units drawn of each customer since, and whose are still to be told.
+    /// Since when the counter is silent, the units drawn since, by customer, and whose are still to be told.
     silent_since: Nanos,
     drawn: BTreeMap<u64, f64>,
     to_tell: BTreeSet<u64>,
@@ -168,9 +167,7 @@
 
 fn keep<T>(samples: &mut VecDeque<T>, sample: T, most: usize) {
     samples.push_back(sample);
-    while samples.len() > most {
-        samples.pop_front();
-    }
+    samples.drain(..samples.len().saturating_sub(most));
 }
 
 fn secs(span: Nanos) -> f64 {
@@ -214,8 +211,6 @@
         self.method(method, "credit", 1.0) / self.method(method, "onTime", 1.0).max(1e-3)
     }
 
-    // ---- Events.
-
     /// Discovery's list, whole or only what changed. A server off the whole list is gone.
     pub fn listed(&mut self, whole: bool, list: &[Listed]) {
         if whole {
@@ -273,8 +268,8 @@
 
     pub fn woke(&mut self, host: &mut dyn Host, now: Nanos, token: u32) {
         match self.wakes.remove(&token) {
-            Some(TELL) => self.tell(host, now),
-            Some(key) if self.customer(now, key).wake_at <= now => {
+            Some(TELL) if self.silent() => self.tell(host, now),
+            Some(key) if key != TELL && self.customer(now, key).wake_at <= now => {
                 self.customer(now, key).wake_at = Nanos::MAX;
                 self.release(host, now, key);
                 self.share_count(host, now, key);
@@ -305,19 +300,15 @@
         }
     }
 
-    // ---- The path of an RPC.
-
     /// Takes a held RPC as far as it can go now: given up on, still held, claiming, or out. `ahead` are the
     /// units of more urgent RPCs of the same customer that wait too. Returns when to look again.
     fn advance(&mut self, host: &mut dyn Host, now: Nanos, id: u32, ahead: &mut f64) -> Nanos {
         let Some(rpc) = self.rpcs.get(&id) else { return Nanos::MAX };
-        let (key, units, method) = (rpc.customer, rpc.units, rpc.method);
-        let (patient, drawn) = (rpc.patient, rpc.drawn);
+        let Rpc { customer: key, units, method, patient, drawn, .. } = *rpc;
         // Too little time left for an answer in time, or no further call-out allowed: it ends here.
         let latest = self.latest(now, rpc);
         if now >= latest || self.tries_left(rpc) == 0 || !self.may_repeat(now, rpc) {
-            self.finish(host, now, id, 0);
-            return Nanos::MAX;
+            return self.finish(host, now, id, 0);
         }
         // Room: the customer's store, down to the reserve line if the RPC is patient.
         let mut thin = false;
@@ -326,10 +317,9 @@
             if room_at > now {
                 *ahead += units;
                 if room_at > latest {
-                    self.finish(host, now, id, room_at - now);
-                    return Nanos::MAX;
+                    return self.finish(host, now, id, room_at - now);
                 }
-                return room_at.min(latest);
+                return room_at;
             }
             thin = self.is_thin(now, key, units + *ahead, patient);
         }
@@ -358,13 +348,11 @@
         self.shift(id, State::Out);
         let limit = self.patience_with(now, id);
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
-        let nth = rpc.tries as u16;
+        let (nth, key, units) = (rpc.tries as u16, rpc.customer, rpc.units);
         rpc.tries += 1;
-        let first = nth == 0;
         let soft = if rpc.patient { Nanos::MAX } else { rpc.soft_deadline };
-        let (key, units) = (rpc.customer, rpc.units);
         self.customer(now, key).open += 1;
-        if first && self.silent() {
+        if nth == 0 && self.silent() {
             *self.drawn.entry(key).or_default() += units;
             self.to_tell.insert(key);
         }
@@ -386,9 +374,6 @@
         if let Some(server) = self.servers.get_mut(&chosen) {
             place = (server.listed.zone, server.listed.cell);
             server.open.retain(|open| (open.0, open.1) != (ended.rpc, ended.nth));
-            // Guards against a server that is down, cut off, full, hanging or answering errors: it rests, longer
-            // each time, and then gets one call-out at a time until an ok. Harm: a short fault keeps a good
-            // server idle for a moment.
             if !matches!(ended.how, End::Withdrawn | End::NotSent) {
                 keep(&mut server.ends, (now, ended.took, ended.how == End::Ok), KEPT);
             }
@@ -424,43 +409,36 @@
         for id in self.customer(now, key).queue.clone() {
             let Some(rpc) = self.rpcs.get(&id) else { continue };
             let latest = self.latest(now, rpc);
-            if rpc.state == State::Held {
-                next = next.min(self.advance(host, now, id, &mut ahead));
-            } else if now < latest {
-                next = next.min(latest);
-            } else {
-                // Guards against a count call that never gets out or back: a claim ends like any held RPC.
-                self.finish(host, now, id, 0);
-            }
+            // Guards against a count call that never gets out or back: a late claim ends like any held RPC.
+            let due = rpc.state == State::Held || now >= latest;
+            next = next.min(if due { self.advance(host, now, id, &mut ahead) } else { latest });
         }
         self.wake_customer(host, now, key, next);
     }
 
     /// Gives an RPC its final answer at once, with a time to come back where that is known.
-    fn finish(&mut self, host: &mut dyn Host, now: Nanos, id: u32, room_in: Nanos) {
-        let Some(rpc) = self.rpcs.get(&id) else { return };
+    fn finish(&mut self, host: &mut dyn Host, now: Nanos, id: u32, room_in: Nanos) -> Nanos {
+        let Some(rpc) = self.rpcs.get(&id) else { return Nanos::MAX };
         let all = self.method_is(rpc.method, "group", "all");
-        let harmless = self.may_repeat(now, rpc) && (all || rpc.ran.is_none() || self.idempotent(rpc));
-        let (key, short_of_quota) = (rpc.customer, !rpc.patient && room_in > 0);
-        if short_of_quota {
+        let harmless = self.may_repeat(now, rpc) && (all || rpc.ran.is_none() || self.is(rpc, "free"));
+        let key = rpc.customer;
+        if !rpc.patient && room_in > 0 {
             keep(&mut self.customer(now, key).urgent, (now, true), 2 * KEPT);
         }
         self.shift(id, State::Ended);
-        if !harmless {
-            host.abort(id);
-            return;
-        }
         let most = span(self.setting("ceilings.maxRetryAfter", 0.0));
-        host.push_back(id, if self.is_true("ceilings.retryAfter") { room_in.min(most) } else { 0 });
-    }
-
-    /// The kinds of method; what is neither idempotent nor deduplicated, or not told, must never run twice.
-    fn idempotent(&self, rpc: &Rpc) -> bool {
-        self.method_is(rpc.method, "idempotency", "free")
+        let come_back = if self.is_true("ceilings.retryAfter") { room_in.min(most) } else { 0 };
+        if harmless {
+            host.push_back(id, come_back)
+        } else {
+            host.abort(id)
+        }
+        Nanos::MAX
     }
 
-    fn deduplicated(&self, rpc: &Rpc) -> bool {
-        self.method_is(rpc.method, "idempotency", "guarded")
+    /// What is neither idempotent (`free`) nor deduplicated (`guarded`), or not told, must never run twice.
+    fn is(&self, rpc: &Rpc, kind: &str) -> bool {
+        self.method_is(rpc.method, "idempotency", kind)
     }
 
     /// Whether the method lets an RPC run once more: always, while the mark against repeats is remembered, or
@@ -468,19 +446,19 @@
     fn may_repeat(&self, now: Nanos, rpc: &Rpc) -> bool {
         let Some((sent, ..)) = rpc.ran else { return true };
         let known = sent + span(self.method(rpc.method, "window", 0.0));
-        self.idempotent(rpc) || self.deduplicated(rpc) && now < known
+        self.is(rpc, "free") || self.is(rpc, "guarded") && now < known
     }
 
     fn tries_left(&self, rpc: &Rpc) -> u64 {
         (self.setting("ceilings.attemptsCap", 1.0) as u64).saturating_sub(rpc.tries)
     }
 
-    /// How long to wait for this call-out. An RPC that may go out again leaves itself time for it, but only
-    /// while that is well over what the fleet takes now: if all are slow, another call-out would only add work.
-    /// Guards against hanging and slow servers. 0 is until the deadline.
+    /// How long to wait for this call-out; 0 is until the deadline. Guards against hanging and slow servers:
+    /// an RPC that may go out again leaves itself time for it, but not if all are slow, when that would only
+    /// add work.
     fn patience_with(&self, now: Nanos, id: u32) -> Nanos {
         let Some(rpc) = self.rpcs.get(&id) else { return 0 };
-        let again = self.tries_left(rpc) > 1 && (self.idempotent(rpc) || self.deduplicated(rpc));
+        let again = self.tries_left(rpc) > 1 && (self.is(rpc, "free") || self.is(rpc, "guarded"));
         let limit = rpc.soft_deadline.saturating_sub(now) * 3 / 5;
         if again && limit > 4 * self.typical(now) { limit } else { 0 }
     }
@@ -491,10 +469,10 @@
         rpc.soft_deadline.saturating_sub(self.typical(now).min(most))
     }
 
-    /// Whether the servers hold so much already that one more would hardly be answered in time: what is open
-    /// over what is answered a second. Guards against overload of any cause (a slow fleet, lost servers, a
-    /// jump in traffic), patient RPCs giving way first. What hangs is left out, or a few stuck servers would
-    /// stop all. Harm: after a lull the rate looks low, so with few answers a plain cap holds instead.
+    /// Whether one more would hardly be answered in time, by what is open over what is answered a second.
+    /// Guards against overload of any cause (a slow fleet, lost servers, a jump in traffic), patient RPCs
+    /// giving way first. Hanging servers are left out, or they would stop all. Harm: after a lull the rate
+    /// looks low, so with few answers a plain cap holds instead.
     fn crowded(&self, now: Nanos, method: u16, patient: bool) -> bool {
         let up = self.servers.values().filter(|server| server.listed.ready && !self.hangs(now, server));
         let (servers, open) = (up.clone().count(), up.map(|server| server.open.len()).sum::<usize>());
@@ -513,14 +491,14 @@
         (count, count as f64 / secs(now - fresh.next().map_or(now, |ok| ok.0)).max(0.05))
     }
 
-    /// A server whose oldest call-out is open for far longer than answers take now. In a slowdown of all
-    /// servers what answers take grows with it, so that not all count as hanging.
+    /// A server whose oldest call-out is open for far longer than answers take now; if all are slow, none
+    /// hangs.
     fn hangs(&self, now: Nanos, server: &Server) -> bool {
         server.open.front().is_some_and(|open| now - open.2 > (6 * self.typical(now)).max(500 * MS))
     }
 
-    /// What an ok answer takes now: the median of the last ones. Old ones say nothing: a gateway that sent
-    /// nothing for a while because answers were slow must try again.
+    /// What an ok answer takes now: the median. Old ones say nothing, or a gateway they stopped would never
+    /// send again.
     fn typical(&self, now: Nanos) -> Nanos {
         let fresh = self.oks.iter().filter(|ok| now - ok.0 < SEC);
         let mut took: Vec<Nanos> = fresh.map(|ok| ok.1).collect();
@@ -528,8 +506,6 @@
         took.get(took.len() / 2).copied().unwrap_or(0)
     }
 
-    // ---- Room.
-
     /// The customer with its stores brought up to now; made empty should it be unknown.
     fn customer(&mut self, now: Nanos, key: u64) -> &mut Customer {
         let plan = self.customers.get(&key).map_or(0, |customer| customer.plan);
@@ -558,10 +534,8 @@
             let plan = customer.plan;
             let soft = self.plan(plan, "overWorth", 0.0) > self.plan(plan, "beyondCosts", 1.0);
             let floor = if soft && !self.braked(now, key) { -customer.burst } else { 0.0 };
-            let (level, rate) = match alone {
-                true => (customer.split, customer.rate / customer.width),
-                false => (customer.level, customer.rate),
-            };
+            let level = if alone { customer.split } else { customer.level };
+            let rate = if alone { customer.rate / customer.width } else { customer.rate };
             let short = floor + customer.line(now, patient) + units - level;
             if short > 0.0 {
                 // The line falls while the store fills; at the window's end it starts over.
@@ -580,8 +554,9 @@
         at
     }
 
-    /// Whether the others could draw the store now, each as much as this, or (asked only while a call is free) have
-    /// drawn it since the last total.
+    /// Whether others could draw the store now, each as much as this, or (while a call is free) have since
+    /// the last total. Guards against late totals that let every gateway see the same room. Harm: some ms,
+    /// and more calls.
     fn is_thin(&self, now: Nanos, key: u64, units: f64, patient: bool) -> bool {
         let customer = &self.customers[&key];
         let spare = customer.level - units - customer.line(now, patient);
@@ -596,20 +571,16 @@
         let fresh = |at: Nanos| now.saturating_sub(at) < BRAKE_SPAN;
         let outcomes = self.customers[&key].urgent.iter().filter(|sample| fresh(sample.0));
         let (count, pushed) = (outcomes.clone().count(), outcomes.filter(|sample| sample.1).count());
-        if count >= BRAKE_SAMPLES && pushed as f64 > BRAKE_QUOTA_SHARE * count as f64 {
-            return true;
-        }
+        let short = count >= BRAKE_SAMPLES && pushed as f64 > BRAKE_QUOTA_SHARE * count as f64;
         let samples = self.urgent.iter().filter(|sample| fresh(sample.0));
         let mut ratios: Vec<f64> = samples.map(|sample| sample.1).collect();
         // A call-out open past its soft deadline is distress though no latency has come (a hanging server).
         let open = self.servers.values().flat_map(|server| server.open.iter());
         ratios.extend(open.filter(|open| open.3 < now).map(|_| 2.0));
         ratios.sort_by(f64::total_cmp);
-        ratios.len() >= BRAKE_SAMPLES && ratios[ratios.len() * 95 / 100] > 1.0
+        short || ratios.len() >= BRAKE_SAMPLES && ratios[ratios.len() * 95 / 100] > 1.0
     }
 
-    // ---- The counter.
-
     /// The last calls all went without an answer: totals tell nothing of the others.
     fn silent(&self) -> bool {
         self.counter.iter().rev().take_while(|answered| !**answered).count() >= SILENT_AFTER
@@ -617,21 +588,22 @@
 
     /// Adds a customer's units if a few have gathered or a while has passed; the less room, the sooner.
     fn share_count(&mut self, host: &mut dyn Host, now: Nanos, key: u64) {
+        let counter = self.is_true("extra.hasCounter");
         let customer = self.customer(now, key);
-        if customer.rate <= 0.0 || customer.pending == 0.0 {
+        if customer.rate <= 0.0 || customer.pending == 0.0 || !counter {
             return;
         }
         let full = (customer.level / customer.burst.max(1e-6)).clamp(0.02, 1.0);
         let due = customer.counted_at + span(full);
-        if !customer.known || now >= due || customer.pending.abs() >= customer.burst * full / 8.0 {
+        if customer.read_at == 0 || now >= due || customer.pending.abs() >= customer.burst * full / 8.0 {
             self.count(host, now, key);
         } else {
             self.wake_customer(host, now, key, due);
         }
     }
 
-    /// Fewer calls at once the more gateways there are and the more of the last calls went wrong, so that a slow
-    /// counter is not crowded further; what waits gathers into one call.
+    /// Fewer calls at once the more of the last went wrong: a slow counter is not crowded; what waits
+    /// gathers.
     fn may_count(&self, now: Nanos) -> bool {
         let most = (COUNTS_OPEN / self.setting("balancers", 1.0).max(1.0) as usize).max(1);
         let misses = self.counter.iter().filter(|answered| !**answered).count();
@@ -639,40 +611,32 @@
     }
 
     fn count(&mut self, host: &mut dyn Host, now: Nanos, key: u64) {
-        if !self.is_true("extra.hasCounter") {
-            return;
-        }
         if !self.may_count(now) {
             if !self.to_count.contains(&key) {
                 self.to_count.push_back(key);
             }
             return;
         }
-        let (silent, mut old) = (self.silent(), None);
+        let silent = self.silent();
         let customer = self.customer(now, key);
         let window = now / customer.window;
-        if customer.ledgers.back().is_none_or(|ledger| ledger.0 != window) {
-            if !silent {
-                customer.heard /= 2.0; // what no total shows may never have been added
-            }
-            // What the others added to the last window since it was read here would be lost with it.
-            let last = customer.ledgers.back().map(|ledger| ledger.0);
-            old = last.filter(|last| last + 1 == window && customer.level < customer.burst / 2.0);
-            customer.calls.extend(old.map(|old| (old, 0.0, 0)));
+        let mut old = customer.ledgers.back().map(|ledger| ledger.0);
+        if old != Some(window) {
+            customer.heard /= if silent { 1.0 } else { 2.0 }; // what no total shows may never have been added
             keep(&mut customer.ledgers, (window, 0.0, 0.0), 2);
         }
-        let add = std::mem::take(&mut customer.pending);
+        // What the others added to the last window since it was read here would be lost with it.
+        old = old.filter(|old| old + 1 == window && customer.level < customer.burst / 2.0);
+        customer.calls.extend(old.map(|old| (old, 0.0, 0)));
         customer.serial += 1;
+        let add = std::mem::take(&mut customer.pending);
         customer.calls.push_back((window, add, customer.serial));
         customer.counted_at = now;
         let forget = (2 * customer.window + SEC).min(60 * SEC);
-        let name = |window: u64| key << 31 | (window & 0x7fff_ffff);
-        if let Some(old) = old {
+        for (window, add) in old.map(|old| (old, 0.0)).into_iter().chain([(window, add)]) {
             self.counter_open += 1;
-            host.count(name(old), 0.0, forget);
+            host.count(key << 31 | (window & 0x7fff_ffff), add, forget);
         }
-        self.counter_open += 1;
-        host.count(name(window), add, forget);
     }
 
     /// The counter answered: a name is a customer and a window.
@@ -690,25 +654,18 @@
                 self.wake(host, now, now, TELL);
             }
         }
-        if !self.customers.contains_key(&key) {
-            return;
-        }
-        let customer = self.customer(now, key);
         let same = |call: &(u64, f64, u64)| call.0 & 0x7fff_ffff == name & 0x7fff_ffff;
-        let Some(call) = customer.calls.iter().position(same).and_then(|place| customer.calls.remove(place))
-        else {
-            return;
-        };
-        let (window, add, serial) = call;
+        let place = self.customers.get(&key).and_then(|customer| customer.calls.iter().position(same));
+        let Some(place) = place else { return };
+        let customer = self.customer(now, key);
+        let (window, add, serial) = customer.calls.remove(place).unwrap_or_default();
         let ledger = customer.ledgers.iter_mut().find(|ledger| ledger.0 == window);
         match (how, ledger) {
             (End::Ok, Some((_, own, others))) if total.is_finite() => {
                 *own += add;
-                customer.read_at = now;
                 if total + 0.01 + 1e-5 * total.abs() < *own {
-                    // Guards against a counter that came back empty, and adds that timed out and did not count:
-                    // the total is below this gateway's own adds, so it says nothing of the others' use and is
-                    // only where to count on from.
+                    // Guards against a counter that came back empty and timed-out adds that did not count:
+                    // this total says nothing of the others' use and is only where to count on from.
                     (*own, *others) = (add, total - add);
                 }
                 let more = total - *own - *others;
@@ -716,7 +673,7 @@
                 let heard = more.min(customer.heard).max(0.0); // taken off already, when it was told
                 customer.heard -= heard;
                 customer.level -= more - heard;
-                if !std::mem::replace(&mut customer.known, true) {
+                if std::mem::replace(&mut customer.read_at, now) == 0 {
                     customer.level = customer.burst - total - customer.pending;
                 }
             }
@@ -726,7 +683,8 @@
             (_, Some((_, own, _))) => *own += add,
             _ => {}
         }
-        // Claims that this call carried: the last ones in the queue give their units back first, the others go.
+        // Claims that this call carried: the last ones in the queue give their units back first, the others
+        // go.
         for id in customer.queue.clone().iter().rev() {
             let Some(rpc) = self.rpcs.get_mut(id) else { continue };
             if rpc.state == State::Claiming && rpc.claim <= serial {
@@ -745,13 +703,10 @@
         }
     }
 
-    /// While the counter is silent the gateways tell each other what they drew since: per customer, as a sum,
-    /// so that a lost message is made good by the next. Guards against a counter that is down, refuses or is too
-    /// slow; a gateway that hears nobody keeps to its even split. Harm: use told late can be drawn twice.
+    /// While the counter is silent the gateways tell each other what they drew since, as sums, so that a lost
+    /// message is made good by the next. Guards against a counter that is down, refuses or is too slow; who
+    /// hears nobody keeps to the even split. Harm: use told late can be drawn twice.
     fn tell(&mut self, host: &mut dyn Host, now: Nanos) {
-        if !self.silent() {
-            return;
-        }
         let lines: Vec<u64> = std::mem::take(&mut self.to_tell).into_iter().collect();
         for part in lines.chunks(15) {
             let drawn =
@@ -786,31 +741,24 @@
         }
     }
 
-    // ---- Servers.
-
     /// Two drawn at random, the one that this gateway's own counts favour is taken.
     fn choose(&mut self, now: Nanos, id: u32) -> Option<u32> {
         let rpc = self.rpcs.get(&id)?;
-        let group = rpc.ran.filter(|_| self.deduplicated(rpc));
-        let in_group = |server: &Server| {
-            group.is_none_or(|(_, zone, cell)| {
-                let zoned = self.method_is(rpc.method, "group", "zone") && server.listed.zone == zone;
-                self.method_is(rpc.method, "group", "all") || zoned || server.listed.cell == cell
-            })
-        };
+        let group = rpc.ran.filter(|_| self.is(rpc, "guarded"));
+        let everywhere = group.is_none() || self.method_is(rpc.method, "group", "all");
+        let zoned = self.method_is(rpc.method, "group", "zone");
+        let in_group = |at: &Listed| group.is_some_and(|(_, z, c)| at.cell == c || zoned && at.zone == z);
         let soft = self.method(rpc.method, "onTime", 1.0);
         let allowed = |(_, server): &(&u32, &Server)| {
             let answered = server.oks().filter(|ok| now - ok.0 < 2 * SEC).count() as f64 / 2.0;
             let full = server.open.len() as f64 >= (URGENT_SHARE * soft * answered).max(3.0);
-            server.listed.ready && in_group(server) && !full && self.cold_room(now, server)
+            server.listed.ready
+                && (everywhere || in_group(&server.listed))
+                && !full
+                && self.cold_room(now, server)
         };
         let able: Vec<u32> = self.servers.iter().filter(allowed).map(|(id, _)| *id).collect();
-        let rested = |id: &u32| {
-            let server = &self.servers[id];
-            let (misses, until) = server.misses();
-            let rests = misses > 0 && (until > now || !server.open.is_empty());
-            !rests && !self.hangs(now, server)
-        };
+        let rested = |id: &u32| !self.servers[id].rests(now) && !self.hangs(now, &self.servers[id]);
         let rested: Vec<u32> = able.iter().copied().filter(rested).collect();
         let able = if rested.is_empty() { able } else { rested };
         let one = *able.get(self.chance.usize(..able.len().max(1)))?;
@@ -832,10 +780,9 @@
         (server.open.len() as f64 + 1.0) * mean * overdue * far / server.listed.weight.max(0.05)
     }
 
-    /// Guards against pushing over a server that has just started: until it is warm each gateway sends it only
-    /// the cold part of what a server carries here (warm peers carry more, as the mean holds the cold ones too),
-    /// and no more at once than its own answers justify. Covers restarts, deploys and returns after a crash. Harm: a server that is
-    /// warm sooner is used late.
+    /// Guards against pushing over a server that has just started, for any reason: until warm it gets only
+    /// the cold part of what a server carries here on the mean (warm peers carry more), and no more at once
+    /// than its own answers justify. Harm: one warm sooner is used late.
     fn cold_room(&self, now: Nanos, server: &Server) -> bool {
         let within = span(self.setting("rules.warmWithin", 30.0)).max(1);
         let age = now.saturating_sub(server.listed.came_up);
@@ -852,8 +799,6 @@
         lately < budget && server.open.len() < 1 + server.oks().count()
     }
 
-    // ---- Timers.
-
     fn wake(&mut self, host: &mut dyn Host, now: Nanos, at: Nanos, wake: u64) {
         // Rounded up: a host that counts microseconds must not ring before what waits is due.
         let at = at.max(now + MS).next_multiple_of(1000);
