Cold servers get three quarters of the told multiple of their cold part

Cause: judged by the fleet's mean, which holds the cold servers too, servers that came back were left idle while the others were overdriven. Also covers deploys; could harm where gateways' traffic is very uneven.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -794,7 +794,8 @@
         let fleet = self.servers.values().filter(|peer| peer.listed.ready).map(|peer| peer.listed.weight);
         let carried = self.answered(now).1 * server.listed.weight / fleet.sum::<f64>().max(0.05);
         let fall = self.setting("rules.fall", 1.0);
-        let budget = (part * carried * fall).max(1.0) as usize;
+        let safe = 0.75 * self.setting("rules.fallMultiple", 1.0);
+        let budget = (safe * part * carried * fall).max(1.0) as usize;
         let lately = server.sent.iter().filter(|sent| now - **sent < span(fall)).count();
         lately < budget && server.open.len() < 1 + server.oks().count()
     }
@@ -802,10 +803,9 @@
     fn wake(&mut self, host: &mut dyn Host, now: Nanos, at: Nanos, wake: u64) {
         // Rounded up: a host that counts microseconds must not ring before what waits is due.
         let at = at.max(now + MS).next_multiple_of(1000);
-        let token = self.next_wake;
+        self.wakes.insert(self.next_wake, wake);
+        host.wake(at - now, self.next_wake);
         self.next_wake = self.next_wake.wrapping_add(1);
-        self.wakes.insert(token, wake);
-        host.wake(at - now, token);
     }
 
     fn wake_customer(&mut self, host: &mut dyn Host, now: Nanos, key: u64, at: Nanos) {
