The fleet's figures are worked out once an instant

Plan figures are kept with the customer, the wait, the brake and what an answer takes once an instant.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -21,14 +21,12 @@
 /// How soon an RPC held for want of a server, or by the brake, is looked at again.
 const RECHECK: Nanos = 25 * MS;
 const TELL: u64 = u64::MAX;
-/// Count calls all gateways may have open at once; ends kept; misses in a row after which the counter is
-/// silent.
+/// Count calls all gateways may have open at once, ends kept, misses in a row that make the counter silent.
 const COUNTS_OPEN: usize = 32;
 const COUNTS_KEPT: usize = 8;
 const SILENT_AFTER: usize = 3;
 
-/// Where an RPC stands: `Held` waits for room, a server or the brake, `Claiming` for the counter to confirm
-/// units.
+/// Where an RPC stands: `Held` waits for room, a server or the brake, `Claiming` for the counter's word.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum State {
     #[default]
@@ -49,10 +47,10 @@
     patient: bool,
     /// By when an answer is wanted, and never later than the client's deadline.
     soft_deadline: Nanos,
+    soft: Nanos,
     /// Its units are taken from the store; a further call-out takes none.
     drawn: bool,
-    /// The count call that carries its claim.
-    claim: u64,
+    claim: u64, // the count call that carries it
     tries: u64,
     /// The first call-out that may have run: when it was sent and where to.
     ran: Option<(Nanos, u16, u16)>,
@@ -60,11 +58,14 @@
 
 #[derive(Default)]
 struct Customer {
-    plan: u16,
     width: f64,
-    /// Units a second, the most the store holds, and how long a window of the count lasts.
+    /// The plan's quota, this gateway's part of the ceiling and of the call-outs open at once (0 is no cap).
     rate: f64,
     burst: f64,
+    ceiling_rate: f64,
+    ceiling_burst: f64,
+    most_open: u64,
+    soft: bool,
     window: Nanos,
     /// As of `at`: the store as seen here, this gateway's even split of it, and its part of the ceiling.
     level: f64,
@@ -123,9 +124,13 @@
 }
 
 impl Server {
-    /// Guards against a server that is down, cut off, full, hanging or answering errors: it rests, longer
-    /// with each miss, then gets one call-out at a time until an ok. Harm: a short fault keeps a good server
-    /// idle for a moment.
+    /// Its oldest call-out is open for far longer than answers take now; if all are slow, none hangs.
+    fn hangs(&self, now: Nanos, typical: Nanos) -> bool {
+        self.open.front().is_some_and(|open| now - open.2 > (6 * typical).max(500 * MS))
+    }
+
+    /// Guards against a server that is down, cut off, full, hanging or erring: it rests, longer with each
+    /// miss, then is tried singly until an ok. Harm: a short fault keeps a good server idle for a moment.
     fn rests(&self, now: Nanos) -> bool {
         let misses = self.ends.iter().rev().take_while(|end| !end.2).count();
         let until = self.ends.back().map_or(0, |end| end.0 + ((50 * MS) << misses.min(5)));
@@ -145,12 +150,15 @@
     customers: HashMap<u64, Customer>,
     rpcs: HashMap<u32, Rpc>,
     open: HashMap<(u32, u16), (u32, u64)>,
-    /// What a timer is for: a customer, or `TELL`.
-    wakes: HashMap<u32, u64>,
+    wakes: HashMap<u32, u64>, // for which customer, or `TELL`
     next_wake: u32,
     /// Ok answers of the whole fleet, and urgent call-outs: when, and latency over soft deadline.
     oks: VecDeque<(Nanos, Nanos)>,
     urgent: VecDeque<(Nanos, f64)>,
+    /// Worked out once an instant: the wait that one more has, the latency part of the brake, and `typical`.
+    wait: (Nanos, f64),
+    brake: (Nanos, bool),
+    typical: (Nanos, Nanos),
     /// Last ends of count calls, those open, and the customers waiting for a free one.
     counter: VecDeque<bool>,
     counter_open: usize,
@@ -209,10 +217,6 @@
         self.settings.get(&format!("classes.{method}.{name}")).is_some_and(|text| text == value)
     }
 
-    fn plan(&self, plan: u16, name: &str, default: f64) -> f64 {
-        self.setting(&format!("tariffs.{plan}.{name}"), default)
-    }
-
     /// Utility lost for each second waited: what patience is judged by, from the settings alone.
     fn urgency(&self, method: u16) -> f64 {
         self.method(method, "credit", 1.0) / self.method(method, "onTime", 1.0).max(1e-3)
@@ -235,32 +239,38 @@
     }
 
     pub fn rpc(&mut self, host: &mut dyn Host, now: Nanos, arrival: &Arrival) {
+        let plan = |name: &str, default| self.setting(&format!("tariffs.{}.{name}", arrival.plan), default);
         let width = f64::from(arrival.width.max(1));
-        let rate = self.plan(arrival.plan, "perSecond", 0.0);
-        let burst = self.plan(arrival.plan, "depth", 0.0);
-        self.customers.entry(arrival.customer).or_insert_with(|| Customer {
-            plan: arrival.plan,
+        let (rate, burst) = (plan("perSecond", 0.0), plan("depth", 0.0));
+        let made = Customer {
             width,
             rate,
             burst,
+            ceiling_rate: plan("ceilingRate", 0.0) / width,
+            ceiling_burst: plan("hardBurst", 0.0) / width,
+            most_open: (plan("maxOut", 0.0) / width).ceil() as u64,
+            // Soft plans, where use beyond the quota earns more than it costs, may borrow a burst while calm.
+            soft: plan("overWorth", 0.0) > plan("beyondCosts", 1.0),
             window: span((burst / rate.max(1e-6)).clamp(1.0, 25.0)),
             level: burst / width,
             split: burst / width, // the ceiling's part starts at 0: an earlier life may have spent it
             at: now,
             wake_at: Nanos::MAX,
             ..Customer::default()
-        });
+        };
+        self.customers.entry(arrival.customer).or_insert(made);
         let methods = self.setting("classes.count", 1.0) as u16;
         let most_urgent = (0..methods).map(|method| self.urgency(method)).fold(0.0, f64::max);
         let urgency = self.urgency(arrival.method);
-        let soft = now + span(self.method(arrival.method, "onTime", 1.0));
+        let soft = span(self.method(arrival.method, "onTime", 1.0));
         let rpc = Rpc {
             method: arrival.method,
             customer: arrival.customer,
             units: arrival.units.max(0.0),
             urgency,
             patient: urgency < most_urgent / 2.0,
-            soft_deadline: soft.min(arrival.deadline),
+            soft_deadline: (now + soft).min(arrival.deadline),
+            soft,
             ..Rpc::default()
         };
         self.rpcs.insert(arrival.id, rpc);
@@ -306,11 +316,11 @@
         }
     }
 
-    /// Takes a held RPC as far as it can go now: given up on, still held, claiming, or out. `ahead` are the
-    /// units of more urgent RPCs of the same customer that wait too. Returns when to look again.
+    /// Takes a held RPC as far as it can go now and says when to look again; `ahead` are the units of the
+    /// more urgent ones of its customer that wait too.
     fn advance(&mut self, host: &mut dyn Host, now: Nanos, id: u32, ahead: &mut f64) -> Nanos {
         let Some(rpc) = self.rpcs.get(&id) else { return Nanos::MAX };
-        let Rpc { customer: key, units, method, patient, drawn, .. } = *rpc;
+        let Rpc { customer: key, units, soft, patient, drawn, .. } = *rpc;
         // Too little time left for an answer in time, or no further call-out allowed: it ends here.
         let latest = self.latest(now, rpc);
         if now >= latest || self.tries_left(rpc) == 0 || !self.may_repeat(now, rpc) {
@@ -330,7 +340,7 @@
             thin = self.is_thin(now, key, units + *ahead, patient);
         }
         // A server that can take it, unless the brake holds or all are crowded.
-        let held = !drawn && patient && self.braked(now, key) || self.crowded(now, method, patient);
+        let held = !drawn && patient && self.braked(now, key) || self.crowded(now, soft, patient);
         let Some(server) = (if held { None } else { self.choose(now, id) }) else {
             return (now + RECHECK).min(latest);
         };
@@ -368,6 +378,7 @@
         }
         self.open.insert((id, nth), (chosen, key));
         host.call_out(id, chosen, limit);
+        self.wait.0 = 0;
         self.share_count(host, now, key);
     }
 
@@ -388,14 +399,15 @@
             keep(&mut self.oks, (now, ended.took), 2 * KEPT);
         }
         self.customer(now, key).open -= 1;
+        (self.wait.0, self.brake.0, self.typical.0) = (0, 0, 0);
+        self.typical = (now, self.typical(now));
         if let Some(rpc) = self.rpcs.get_mut(&ended.rpc) {
-            let (method, urgent, units) = (rpc.method, !rpc.patient, rpc.units);
+            let (urgent, units, soft) = (!rpc.patient, rpc.units, secs(rpc.soft));
             if !never_ran && rpc.ran.is_none() {
                 rpc.ran = Some((sent, place.0, place.1));
             }
             if urgent && matches!(ended.how, End::Ok | End::TimedOut) {
-                let ratio = secs(ended.took) / self.method(method, "onTime", 1.0).max(1e-3);
-                keep(&mut self.urgent, (now, ratio), 2 * KEPT);
+                keep(&mut self.urgent, (now, secs(ended.took) / soft.max(1e-3)), 2 * KEPT);
             }
             let customer = self.customer(now, key);
             if urgent {
@@ -412,6 +424,7 @@
     /// Looks at all that a customer has waiting, most urgent first, and sets the timer for the next look.
     fn release(&mut self, host: &mut dyn Host, now: Nanos, key: u64) {
         let (mut ahead, mut next) = (0.0, Nanos::MAX);
+        self.typical = (now, self.typical(now));
         for id in self.customer(now, key).queue.clone() {
             let Some(rpc) = self.rpcs.get(&id) else { continue };
             let latest = self.latest(now, rpc);
@@ -447,8 +460,7 @@
         self.method_is(rpc.method, "idempotency", kind)
     }
 
-    /// Whether the method lets an RPC run once more: always, while the mark against repeats is remembered, or
-    /// only after proof that nothing ran.
+    /// Whether an RPC may run once more: only after proof that nothing ran, or as the method allows.
     fn may_repeat(&self, now: Nanos, rpc: &Rpc) -> bool {
         let Some((sent, ..)) = rpc.ran else { return true };
         let known = sent + span(self.method(rpc.method, "window", 0.0));
@@ -471,34 +483,31 @@
 
     /// When an RPC must be out to be answered in time as a rule.
     fn latest(&self, now: Nanos, rpc: &Rpc) -> Nanos {
-        let most = span(self.method(rpc.method, "onTime", 1.0) / 2.0);
-        rpc.soft_deadline.saturating_sub(self.typical(now).min(most))
+        rpc.soft_deadline.saturating_sub(self.typical(now).min(rpc.soft / 2))
     }
 
-    /// Whether one more would hardly be answered in time, by what is open over what is answered a second.
-    /// Guards against overload of any cause (a slow fleet, lost servers, a jump in traffic), patient RPCs
-    /// giving way first. Hanging servers are left out, or they would stop all. Harm: after a lull the rate
-    /// looks low, so with few answers a plain cap holds instead.
-    fn crowded(&self, now: Nanos, method: u16, patient: bool) -> bool {
-        let up = self.servers.values().filter(|server| server.listed.ready && !self.hangs(now, server));
-        let (servers, open) = (up.clone().count(), up.map(|server| server.open.len()).sum::<usize>());
-        let (count, rate) = answered(now, self.oks.iter().map(|ok| ok.0));
-        if count < 8 {
-            return open >= 2 * servers.max(1);
+    /// Whether one more would hardly be answered in time: open over answered a second. Guards against
+    /// overload of any cause, patient RPCs giving way first; hanging servers are left out, or they would stop
+    /// all. Harm: after a lull the rate looks low, so with few answers a plain cap holds instead.
+    fn crowded(&mut self, now: Nanos, soft: Nanos, patient: bool) -> bool {
+        if self.wait.0 != now {
+            let typical = self.typical(now);
+            let up =
+                self.servers.values().filter(|server| server.listed.ready && !server.hangs(now, typical));
+            let (servers, open) = (up.clone().count(), up.map(|server| server.open.len()).sum::<usize>());
+            let (count, rate) = answered(now, self.oks.iter().map(|ok| ok.0));
+            let full = if open >= 2 * servers.max(1) { f64::MAX } else { 0.0 };
+            self.wait = (now, if count < 8 { full } else { (open + 1) as f64 / rate });
         }
-        let share = if patient { PATIENT_SHARE } else { URGENT_SHARE };
-        (open + 1) as f64 / rate > share * self.method(method, "onTime", 1.0)
+        self.wait.1 > if patient { PATIENT_SHARE } else { URGENT_SHARE } * secs(soft)
     }
 
-    /// A server whose oldest call-out is open for far longer than answers take now; if all are slow, none
-    /// hangs.
-    fn hangs(&self, now: Nanos, server: &Server) -> bool {
-        server.open.front().is_some_and(|open| now - open.2 > (6 * self.typical(now)).max(500 * MS))
-    }
-
-    /// What an ok answer takes now: the median. Old ones say nothing, or a gateway they stopped would never
-    /// send again.
+    /// What an ok answer takes now: the median; old ones don't count, or a gateway they stopped would stay
+    /// so.
     fn typical(&self, now: Nanos) -> Nanos {
+        if self.typical.0 == now {
+            return self.typical.1;
+        }
         let fresh = self.oks.iter().filter(|ok| now - ok.0 < SEC);
         let mut took: Vec<Nanos> = fresh.map(|ok| ok.1).collect();
         took.sort_unstable();
@@ -507,32 +516,26 @@
 
     /// The customer with its stores brought up to now; made empty should it be unknown.
     fn customer(&mut self, now: Nanos, key: u64) -> &mut Customer {
-        let plan = self.customers.get(&key).map_or(0, |customer| customer.plan);
-        let rate = self.plan(plan, "ceilingRate", 0.0);
-        let burst = self.plan(plan, "hardBurst", 0.0);
         let customer = self.customers.entry(key).or_default();
         let (passed, width) = (secs(now.saturating_sub(customer.at)), customer.width);
         customer.at = now;
         customer.level = (customer.level + passed * customer.rate).min(customer.burst);
         customer.split =
             (customer.split.max(0.0) + passed * customer.rate / width).min(customer.burst / width);
-        customer.ceiling = (customer.ceiling + passed * rate / width).min(burst / width);
+        customer.ceiling = (customer.ceiling + passed * customer.ceiling_rate).min(customer.ceiling_burst);
         customer
     }
 
     /// When the store, the ceiling's part and the cap on open call-outs have room for so many units.
     fn room_at(&mut self, now: Nanos, key: u64, units: f64, patient: bool) -> Nanos {
-        // Nothing is known of the others' use now, neither from the counter nor from themselves.
+        // Nothing is known of the others' use, neither from the counter nor from themselves.
         let unheard = now.saturating_sub(self.heard_at) > SEC;
         let alone = self.silent() && unheard || !self.is_true("extra.hasCounter");
-        self.customer(now, key);
+        let borrows = self.customer(now, key).soft && !self.braked(now, key);
         let customer = &self.customers[&key];
         let mut at = now;
         if customer.rate > 0.0 {
-            // Soft plans, where use beyond the quota earns more than it costs, may borrow a burst while calm.
-            let plan = customer.plan;
-            let soft = self.plan(plan, "overWorth", 0.0) > self.plan(plan, "beyondCosts", 1.0);
-            let floor = if soft && !self.braked(now, key) { -customer.burst } else { 0.0 };
+            let floor = if borrows { -customer.burst } else { 0.0 };
             let level = if alone { customer.split } else { customer.level };
             let rate = if alone { customer.rate / customer.width } else { customer.rate };
             let short = floor + customer.line(now, patient) + units - level;
@@ -542,20 +545,17 @@
                 at = now + span(short / (rate + falls)).max(MS);
             }
         }
-        let ceiling_rate = self.plan(customer.plan, "ceilingRate", 0.0) / customer.width;
-        if ceiling_rate > 0.0 && customer.ceiling < units {
-            at = at.max(now + span((units - customer.ceiling) / ceiling_rate).max(MS));
+        if customer.ceiling_rate > 0.0 && customer.ceiling < units {
+            at = at.max(now + span((units - customer.ceiling) / customer.ceiling_rate).max(MS));
         }
-        let most = self.plan(customer.plan, "maxOut", 0.0);
-        if most > 0.0 && customer.open as f64 >= (most / customer.width).ceil() {
+        if customer.most_open > 0 && customer.open >= customer.most_open {
             at = at.max(now + RECHECK);
         }
         at
     }
 
-    /// Whether others could draw the store now, each as much as this, or (while a call is free) have since
-    /// the last total. Guards against late totals that let every gateway see the same room. Harm: some ms,
-    /// and more calls.
+    /// Whether others could draw the store now, or (while a call is free) have since the last total. Guards
+    /// against late totals that let every gateway see the same room. Harm: some milliseconds, and more calls.
     fn is_thin(&self, now: Nanos, key: u64, units: f64, patient: bool) -> bool {
         let customer = &self.customers[&key];
         let spare = customer.level - units - customer.line(now, patient);
@@ -564,20 +564,24 @@
         answers && customer.rate > 0.0 && spare < (customer.width - 1.0) * units + customer.rate * age
     }
 
-    /// The brake on patient RPCs: too many urgent ones of this customer pushed back for lack of quota, or the
-    /// urgent p95 over their soft deadline.
-    fn braked(&self, now: Nanos, key: u64) -> bool {
+    /// The brake on patient RPCs: urgent ones pushed back for lack of this customer's quota, or late by their
+    /// p95.
+    fn braked(&mut self, now: Nanos, key: u64) -> bool {
         let fresh = |at: Nanos| now.saturating_sub(at) < BRAKE_SPAN;
         let outcomes = self.customers[&key].urgent.iter().filter(|sample| fresh(sample.0));
         let (count, pushed) = (outcomes.clone().count(), outcomes.filter(|sample| sample.1).count());
         let short = count >= BRAKE_SAMPLES && pushed as f64 > BRAKE_QUOTA_SHARE * count as f64;
-        let samples = self.urgent.iter().filter(|sample| fresh(sample.0));
-        let mut ratios: Vec<f64> = samples.map(|sample| sample.1).collect();
-        // A call-out open past its soft deadline is distress though no latency has come (a hanging server).
-        let open = self.servers.values().flat_map(|server| server.open.iter());
-        ratios.extend(open.filter(|open| open.3 < now).map(|_| 2.0));
-        ratios.sort_by(f64::total_cmp);
-        short || ratios.len() >= BRAKE_SAMPLES && ratios[ratios.len() * 95 / 100] > 1.0
+        if self.brake.0 != now {
+            let samples = self.urgent.iter().filter(|sample| fresh(sample.0));
+            let mut ratios: Vec<f64> = samples.map(|sample| sample.1).collect();
+            // A call-out open past its soft deadline is distress though no latency has come (a hanging
+            // server).
+            let open = self.servers.values().flat_map(|server| &server.open);
+            ratios.extend(open.filter(|open| open.3 < now).map(|_| 2.0));
+            ratios.sort_by(f64::total_cmp);
+            self.brake = (now, ratios.len() >= BRAKE_SAMPLES && ratios[ratios.len() * 95 / 100] > 1.0);
+        }
+        short || self.brake.1
     }
 
     /// The last calls all went without an answer: totals tell nothing of the others.
@@ -648,8 +652,7 @@
             self.counter_rest = now + 100 * MS;
             if !was_silent && self.is_true("ceilings.peers") {
                 self.silent_since = now;
-                self.drawn.clear();
-                self.to_tell.clear();
+                (self.drawn, self.to_tell) = Default::default();
                 self.wake(host, now, now, TELL);
             }
         }
@@ -682,8 +685,7 @@
             (_, Some((_, own, _))) => *own += add,
             _ => {}
         }
-        // Claims that this call carried: the last ones in the queue give their units back first, the others
-        // go.
+        // Claims that this call carried: the last in the queue give their units back first, the others go.
         for id in customer.queue.clone().iter().rev() {
             let Some(rpc) = self.rpcs.get_mut(id) else { continue };
             if rpc.state == State::Claiming && rpc.claim <= serial {
@@ -702,18 +704,16 @@
         }
     }
 
-    /// While the counter is silent the gateways tell each other what they drew since, as sums, so that a lost
-    /// message is made good by the next. Guards against a counter that is down, refuses or is too slow; who
-    /// hears nobody keeps to the even split. Harm: use told late can be drawn twice.
+    /// While the counter is silent (down, refusing, too slow) gateways tell each other what they drew since,
+    /// as sums, so that a lost message is made good. Harm: use told late can be drawn twice.
     fn tell(&mut self, host: &mut dyn Host, now: Nanos) {
         let lines: Vec<u64> = std::mem::take(&mut self.to_tell).into_iter().collect();
         for part in lines.chunks(15) {
             let drawn =
-                part.iter().flat_map(|key| [*key, self.drawn.get(key).map_or(0, |drawn| drawn.to_bits())]);
+                part.iter().flat_map(|key| [*key, self.drawn.get(key).map_or(0, |sum| sum.to_bits())]);
             let words = std::iter::once(self.silent_since).chain(drawn);
             host.tell(u32::MAX, &words.flat_map(u64::to_be_bytes).collect::<Vec<u8>>());
         }
-        // Never more than a third of what a gateway takes in, with all of them telling.
         let peers = (self.setting("balancers", 1.0) - 1.0).max(0.0);
         let every = span(3.0 * peers / self.setting("extra.mailPerS", 10.0).max(1.0)).max(100 * MS);
         self.wake(host, now, now + every, TELL);
@@ -747,7 +747,7 @@
         let everywhere = group.is_none() || self.method_is(rpc.method, "group", "all");
         let zoned = self.method_is(rpc.method, "group", "zone");
         let in_group = |at: &Listed| group.is_some_and(|(_, z, c)| at.cell == c || zoned && at.zone == z);
-        let soft = self.method(rpc.method, "onTime", 1.0);
+        let soft = secs(rpc.soft);
         let allowed = |(_, server): &(&u32, &Server)| {
             let (count, rate) = answered(now, server.oks().map(|ok| ok.0));
             let rate = if count < KEPT { count as f64 / 2.0 } else { rate };
@@ -758,7 +758,8 @@
                 && self.cold_room(now, server)
         };
         let able: Vec<u32> = self.servers.iter().filter(allowed).map(|(id, _)| *id).collect();
-        let rested = |id: &u32| !self.servers[id].rests(now) && !self.hangs(now, &self.servers[id]);
+        let typical = self.typical(now);
+        let rested = |id: &u32| !self.servers[id].rests(now) && !self.servers[id].hangs(now, typical);
         let rested: Vec<u32> = able.iter().copied().filter(rested).collect();
         let able = if rested.is_empty() { able } else { rested };
         let one = *able.get(self.chance.usize(..able.len().max(1)))?;
@@ -768,21 +769,20 @@
 
     /// How long one more would take there, by this gateway's own counts.
     fn burden(&self, now: Nanos, id: u32) -> f64 {
-        let Some(server) = self.servers.get(&id) else { return f64::MAX };
-        let typical = self.typical(now).max(MS) as f64;
-        let fresh = server.oks().rev().take(8).filter(|ok| now - ok.0 < FRESH);
-        let fresh: Vec<Nanos> = fresh.map(|ok| ok.1).collect();
-        let mean = (fresh.iter().sum::<Nanos>() as f64 + 4.0 * typical) / (fresh.len() as f64 + 4.0);
+        let (server, typical) = (&self.servers[&id], self.typical(now).max(MS) as f64);
+        let fresh = server.oks().rev().take(8).filter(|ok| now - ok.0 < FRESH).map(|ok| ok.1);
+        let (count, sum) =
+            fresh.fold((4.0, 4.0 * typical), |(count, sum), took| (count + 1.0, sum + took as f64));
         // A call-out open for long tells of a hanging or paused server before any answer does.
         let oldest = server.open.front().map_or(0.0, |open| (now - open.2) as f64);
         let overdue = (oldest / (4.0 * typical)).max(1.0);
         let far = if f64::from(server.listed.zone) == self.setting("zone", -1.0) { 1.0 } else { 1.1 };
-        (server.open.len() as f64 + 1.0) * mean * overdue * far / server.listed.weight.max(0.05)
+        (server.open.len() as f64 + 1.0) * (sum / count) * overdue * far / server.listed.weight.max(0.05)
     }
 
-    /// Guards against pushing over a server that has just started, for any reason: until warm it gets only
-    /// the cold part of what a server carries here on the mean (warm peers carry more), and no more at once
-    /// than its own answers justify. Harm: one warm sooner is used late.
+    /// Guards against pushing over a server that has just started: until warm it gets three quarters of the
+    /// told multiple of its cold part, and no more at once than its answers justify. Harm: one warm sooner
+    /// idles.
     fn cold_room(&self, now: Nanos, server: &Server) -> bool {
         let within = span(self.setting("rules.warmWithin", 30.0)).max(1);
         let age = now.saturating_sub(server.listed.came_up);
@@ -809,9 +809,8 @@
     }
 
     fn wake_customer(&mut self, host: &mut dyn Host, now: Nanos, key: u64, at: Nanos) {
-        let customer = self.customer(now, key);
-        if at < customer.wake_at {
-            customer.wake_at = at;
+        if at < self.customer(now, key).wake_at {
+            self.customer(now, key).wake_at = at;
             self.wake(host, now, at, key);
         }
     }
