Customers with RPCs waiting are counted first

Cause: on large fleets the counter takes fewer calls than are asked for, and claims stood in line behind adds that nobody waits for. Could harm by letting adds of calm customers wait.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -615,9 +615,9 @@
 
     fn count(&mut self, host: &mut dyn Host, now: Nanos, key: u64) {
         if !self.may_count(now) {
-            if !self.to_count.contains(&key) {
-                self.to_count.push_back(key);
-            }
+            let waits = !self.customers[&key].queue.is_empty(); // RPCs there wait for the answer: it goes first
+            self.to_count.retain(|other| *other != key);
+            self.to_count.insert(if waits { 0 } else { self.to_count.len() }, key);
             return;
         }
         let silent = self.silent();
