--- a/src/brain.rs
+++ b/src/brain.rs
@@ -554,18 +554,18 @@
         at
     }
 
-    /// Whether others could draw the store now, or (while a call is free) have since the last total. Guards
-    /// against late totals that let every gateway see the same room. Harm: some milliseconds, and more calls.
+    /// Whether others could draw the store now, or have since the last total; with no call free only what the
+    /// split does not cover. Guards against late totals that show all the same room. Harm: a little time.
     fn is_thin(&self, now: Nanos, key: u64, units: f64, patient: bool) -> bool {
         let customer = &self.customers[&key];
         let spare = customer.level - units - customer.line(now, patient);
-        let age = if self.may_count(now) { secs(now.saturating_sub(customer.read_at)) } else { 0.0 };
-        let answers = self.is_true("extra.hasCounter") && !self.silent();
+        let free = self.may_count(now);
+        let age = if free { secs(now.saturating_sub(customer.read_at)) } else { 0.0 };
+        let answers = self.is_true("extra.hasCounter") && !self.silent() && (free || customer.split < units);
         answers && customer.rate > 0.0 && spare < (customer.width - 1.0) * units + customer.rate * age
     }
 
-    /// The brake on patient RPCs: urgent ones pushed back for lack of this customer's quota, or late by their
-    /// p95.
+    /// The brake on patient RPCs: urgent ones pushed back for lack of this customer's quota, or late (p95).
     fn braked(&mut self, now: Nanos, key: u64) -> bool {
         let fresh = |at: Nanos| now.saturating_sub(at) < BRAKE_SPAN;
         let outcomes = self.customers[&key].urgent.iter().filter(|sample| fresh(sample.0));
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -323,3 +323,27 @@
     let next = s.rpc(2, 2.0);
     assert_eq!(s.sent(next), 0, "1 of 5 units is left");
 }
+
+#[test]
+fn while_no_count_call_is_free_the_even_split_needs_no_claim() {
+    let mut s = story("extra.hasCounter=true balancers=32").with_servers(20);
+    s.rpc(2, 1.0);
+    s.counted(0, End::Ok, 7.0); // 3 units are left, 4 in the split
+    s.rpc_of(10, 2, 1.0, 4 * SEC); // the one call that is free for this gateway
+    let ids: Vec<u32> = (0..5).map(|_| s.rpc(2, 1.0)).collect();
+    let sent: Vec<usize> = ids.iter().map(|id| s.sent(*id)).collect();
+    assert_eq!(sent, [1, 1, 1, 0, 0], "what is left, but no more");
+}
+
+#[test]
+fn a_customer_with_rpcs_waiting_is_counted_first() {
+    let mut s = story("extra.hasCounter=true balancers=32").with_servers(20);
+    s.rpc(2, 4.0);
+    s.counted(0, End::Ok, 7.0); // 3 units are left, 1 in the split
+    s.rpc_of(10, 2, 1.0, 4 * SEC);
+    s.rpc_of(11, 2, 1.0, 4 * SEC); // its add waits for a free call, and nobody for it
+    let claim = s.rpc(2, 2.0);
+    let before = s.notes.counts.len();
+    s.counted(0, End::Ok, 1.0);
+    assert_eq!((s.sent(claim), s.notes.counts[before].0 >> 31), (0, 9), "not 11");
+}
