An unread customer is claimed at the counter at once

Cause: with wide sets the even split of an unread store is less than one RPC, so first RPCs waited for refill.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -536,7 +536,9 @@
         let borrows = self.customer(now, key).soft && !self.braked(now, key);
         let customer = &self.customers[&key];
         let mut at = now;
-        if customer.rate > 0.0 {
+        // Never read, the counter is asked (a claim): with many gateways the even split is less than an RPC.
+        let unread = customer.read_at == 0 && self.is_true("extra.hasCounter") && !self.silent();
+        if customer.rate > 0.0 && !unread {
             let floor = if borrows { -customer.burst } else { 0.0 };
             let level = if alone { customer.split } else { customer.level };
             let rate = if alone { customer.rate / customer.width } else { customer.rate };
