Count calls keep a gap that late or missed answers widen; without a free call the last total decides

Each gateway now spaces its calls, wider after a miss or an answer that took over half of the time-out. What finds no free call goes by the last total, as the design has it, unless the store was last known to be short.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -21,6 +21,7 @@
 /// How soon an RPC held for want of a server, or by the brake, is looked at again.
 const RECHECK: Nanos = 25 * MS;
 const TELL: u64 = u64::MAX;
+const COUNT: u64 = u64::MAX - 1;
 /// Count calls all gateways may have open at once, ends kept, misses in a row that make the counter silent.
 const COUNTS_OPEN: usize = 32;
 const COUNTS_KEPT: usize = 8;
@@ -72,8 +73,9 @@
     split: f64,
     ceiling: f64,
     at: Nanos,
-    /// When the last total was read; 0 is never.
+    /// When the last total was read, and when the store was last known to be short; 0 is never.
     read_at: Nanos,
+    short_at: Nanos,
     open: u64,
     /// Ids of held and claiming RPCs, most urgent first, then as they came.
     queue: Vec<u32>,
@@ -82,8 +84,8 @@
     pending: f64,
     /// The last two windows of the count: which, own adds that counted (or may have), and others'.
     ledgers: VecDeque<(u64, f64, f64)>,
-    /// Count calls without answer: window, amount, serial. Answers for a name come in the order of calls.
-    calls: VecDeque<(u64, f64, u64)>,
+    /// Count calls without answer: window, amount, serial, when. Answers for a name come in the order of calls.
+    calls: VecDeque<(u64, f64, u64, Nanos)>,
     serial: u64,
     counted_at: Nanos,
     /// Others' units heard of from themselves and not yet read in a total.
@@ -164,6 +166,7 @@
     counter: VecDeque<bool>,
     counter_open: usize,
     counter_rest: Nanos,
+    counter_gap: Nanos,
     to_count: VecDeque<u64>,
     /// Since when the counter is silent, the units drawn since, by customer, and whose are still to be told.
     silent_since: Nanos,
@@ -287,7 +290,8 @@
     pub fn woke(&mut self, host: &mut dyn Host, now: Nanos, token: u32) {
         match self.wakes.remove(&token) {
             Some(TELL) if self.silent() => self.tell(host, now),
-            Some(key) if key != TELL && self.customer(now, key).wake_at <= now => {
+            Some(COUNT) => self.count_next(host, now),
+            Some(key) if key < COUNT && self.customer(now, key).wake_at <= now => {
                 self.customer(now, key).wake_at = Nanos::MAX;
                 self.release(host, now, key);
                 self.share_count(host, now, key);
@@ -565,7 +569,9 @@
         let spare = customer.level - units - customer.line(now, patient);
         let free = self.may_count(now);
         let age = if free { secs(now.saturating_sub(customer.read_at)) } else { 0.0 };
-        let answers = self.is_true("extra.hasCounter") && !self.silent() && (free || customer.split < units);
+        let short = customer.short_at > 0 && now - customer.short_at < customer.window;
+        let asks = free || short && customer.split < units;
+        let answers = self.is_true("extra.hasCounter") && !self.silent() && asks;
         answers && customer.rate > 0.0 && spare < (customer.width - 1.0) * units + customer.rate * age
     }
 
@@ -617,11 +623,35 @@
         self.counter_open < most.saturating_sub(misses).max(1) && now >= self.counter_rest
     }
 
+    /// Guards against a counter whose line is longer than its time-out, so that it works for nobody: calls
+    /// that miss or take over half of the time-out widen the gap between calls, prompt ones narrow it.
+    fn pace_counts(&mut self, now: Nanos, prompt: bool) {
+        let wait = span(self.setting("extra.countWait", 0.05));
+        let most = 4 * MS * self.setting("balancers", 1.0).max(1.0) as u64;
+        let gap = self.counter_gap;
+        self.counter_gap = if prompt { gap * 19 / 20 } else { (gap * 5 / 4 + wait / 4).min(most) };
+        self.counter_rest = self.counter_rest.max(now + self.counter_gap);
+    }
+
+    /// Counts the customers that wait for a free call, now or when the gap is over.
+    fn count_next(&mut self, host: &mut dyn Host, now: Nanos) {
+        while self.may_count(now) {
+            let Some(key) = self.to_count.pop_front() else { return };
+            self.count(host, now, key);
+        }
+        if !self.to_count.is_empty() && self.counter_rest > now {
+            self.wake(host, now, self.counter_rest, COUNT);
+        }
+    }
+
     fn count(&mut self, host: &mut dyn Host, now: Nanos, key: u64) {
         if !self.may_count(now) {
             let waits = !self.customers[&key].queue.is_empty(); // RPCs there wait for the answer: it goes first
             self.to_count.retain(|other| *other != key);
             self.to_count.insert(if waits { 0 } else { self.to_count.len() }, key);
+            if self.to_count.len() == 1 {
+                self.count_next(host, now);
+            }
             return;
         }
         let silent = self.silent();
@@ -634,10 +664,10 @@
         }
         // What the others added to the last window since it was read here would be lost with it.
         old = old.filter(|old| old + 1 == window && customer.level < customer.burst / 2.0);
-        customer.calls.extend(old.map(|old| (old, 0.0, 0)));
+        customer.calls.extend(old.map(|old| (old, 0.0, 0, now)));
         customer.serial += 1;
         let add = std::mem::take(&mut customer.pending);
-        customer.calls.push_back((window, add, customer.serial));
+        customer.calls.push_back((window, add, customer.serial, now));
         customer.counted_at = now;
         let forget = (2 * customer.window + SEC).min(60 * SEC);
         for (window, add) in old.map(|old| (old, 0.0)).into_iter().chain([(window, add)]) {
@@ -660,11 +690,16 @@
                 self.wake(host, now, now, TELL);
             }
         }
-        let same = |call: &(u64, f64, u64)| call.0 & 0x7fff_ffff == name & 0x7fff_ffff;
+        let same = |call: &(u64, f64, u64, Nanos)| call.0 & 0x7fff_ffff == name & 0x7fff_ffff;
         let place = self.customers.get(&key).and_then(|customer| customer.calls.iter().position(same));
         let Some(place) = place else { return };
         let customer = self.customer(now, key);
-        let (window, add, serial) = customer.calls.remove(place).unwrap_or_default();
+        let (window, add, serial, called) = customer.calls.remove(place).unwrap_or_default();
+        self.pace_counts(
+            now,
+            how == End::Ok && now - called < span(self.setting("extra.countWait", 0.05)) / 2,
+        );
+        let customer = self.customer(now, key);
         let ledger = customer.ledgers.iter_mut().find(|ledger| ledger.0 == window);
         match (how, ledger) {
             (End::Ok, Some((_, own, others))) if total.is_finite() => {
@@ -682,6 +717,9 @@
                 if std::mem::replace(&mut customer.read_at, now) == 0 {
                     customer.level = customer.burst - total - customer.pending;
                 }
+                if customer.level < customer.burst / 4.0 {
+                    customer.short_at = now;
+                }
             }
             // Nothing was added: the units are still to be told.
             (End::Full | End::NoConnection | End::NotSent, _) => customer.pending += add,
@@ -703,9 +741,7 @@
         }
         self.release(host, now, key);
         self.share_count(host, now, key);
-        if let Some(next) = self.to_count.pop_front() {
-            self.count(host, now, next);
-        }
+        self.count_next(host, now);
     }
 
     /// While the counter is silent (down, refusing, too slow) gateways tell each other what they drew since,
