Crowded by what the last answers took where answers are few

Cause: with under 8 answers in 2 s a gateway let 2 call-outs a server be open, and 3 at each server; over 28 to 500 gateways that is no limit. Now, under 32 answers in 2 s, the last answers and the ages of open call-outs tell the wait, and the floor of 3 at a server is shared by all gateways.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -15,6 +15,8 @@
 /// How many of the last samples are kept, and how long they speak for now.
 const KEPT: usize = 32;
 const FRESH: Nanos = 5 * SEC;
+/// From so many answers in 2 s on, their rate tells what one more would wait.
+const MANY: usize = 32;
 /// How much of its soft deadline an RPC may be expected to take in the servers when it is sent.
 const PATIENT_SHARE: f64 = 0.3;
 const URGENT_SHARE: f64 = 0.45;
@@ -189,6 +191,11 @@
     (fresh.len(), fresh.len() as f64 / secs(since).max(0.05))
 }
 
+fn median(samples: &mut Vec<Nanos>) -> Nanos {
+    samples.sort_unstable();
+    samples.get(samples.len() / 2).copied().unwrap_or(0)
+}
+
 fn secs(span: Nanos) -> f64 {
     span as f64 / SEC as f64
 }
@@ -492,18 +499,25 @@
         rpc.soft_deadline.saturating_sub(self.typical(now).min(rpc.soft / 2))
     }
 
-    /// Whether one more would hardly be answered in time: open over answered a second. Guards against
-    /// overload of any cause, patient RPCs giving way first; hanging servers are left out, or they would stop
-    /// all. Harm: after a lull the rate looks low, so with few answers a plain cap holds instead.
+    /// Whether one more would hardly be answered in time: open over answered a second or, where answers are too
+    /// few for that, what the last took and the open ones have taken so far. Guards against overload of any
+    /// cause, patient RPCs giving way first; hanging servers are left out, or they would stop all. Harm: after
+    /// a lull the rate looks low.
     fn crowded(&mut self, now: Nanos, soft: Nanos, patient: bool) -> bool {
         if self.wait.0 != now {
             let typical = self.typical(now);
             let up =
                 self.servers.values().filter(|server| server.listed.ready && !server.hangs(now, typical));
-            let (servers, open) = (up.clone().count(), up.map(|server| server.open.len()).sum::<usize>());
+            let open: Vec<Nanos> =
+                up.flat_map(|server| server.open.iter().map(|open| now - open.2)).collect();
             let (count, rate) = answered(now, self.oks.iter().map(|ok| ok.0));
-            let full = if open >= 2 * servers.max(1) { f64::MAX } else { 0.0 };
-            self.wait = (now, if count < 8 { full } else { (open + 1) as f64 / rate });
+            let by_rate = (open.len() + 1) as f64 / rate;
+            let fresh = self.oks.iter().rev().take(MANY / 2).filter(|ok| now - ok.0 < FRESH).map(|ok| ok.1);
+            let mut took: Vec<Nanos> = fresh.collect();
+            let usual = median(&mut took);
+            took.extend(open.iter().filter(|age| **age > usual));
+            let by_last = if open.is_empty() { 0.0 } else { secs(median(&mut took)) };
+            self.wait = (now, if count >= MANY { by_rate } else { by_last.max(by_rate - 3.0 / rate) });
         }
         self.wait.1 > if patient { PATIENT_SHARE } else { URGENT_SHARE } * secs(soft)
     }
@@ -514,10 +528,7 @@
         if self.typical.0 == now {
             return self.typical.1;
         }
-        let fresh = self.oks.iter().filter(|ok| now - ok.0 < SEC);
-        let mut took: Vec<Nanos> = fresh.map(|ok| ok.1).collect();
-        took.sort_unstable();
-        took.get(took.len() / 2).copied().unwrap_or(0)
+        median(&mut self.oks.iter().filter(|ok| now - ok.0 < SEC).map(|ok| ok.1).collect())
     }
 
     /// The customer with its stores brought up to now; made empty should it be unknown.
@@ -788,10 +799,11 @@
         let zoned = self.method_is(rpc.method, "group", "zone");
         let in_group = |at: &Listed| group.is_some_and(|(_, z, c)| at.cell == c || zoned && at.zone == z);
         let soft = secs(rpc.soft);
+        let least = (9.0 / self.setting("balancers", 1.0).max(1.0)).clamp(1.0, 3.0);
         let allowed = |(_, server): &(&u32, &Server)| {
             let (count, rate) = answered(now, server.oks().map(|ok| ok.0));
             let rate = if count < KEPT { count as f64 / 2.0 } else { rate };
-            let full = server.open.len() as f64 >= (URGENT_SHARE * soft * rate).max(3.0);
+            let full = server.open.len() as f64 >= (URGENT_SHARE * soft * rate).max(least);
             server.listed.ready
                 && (everywhere || in_group(&server.listed))
                 && !full
