Servers are judged by their last 8 ends of 20 s, long misses included

Cause: a gateway among 100 meets a server once in 5 s, so ends were forgotten before the next, and an ageing server that let call-outs time out had no slow ok.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -822,7 +822,8 @@
     /// How long one more would take there, by this gateway's own counts.
     fn burden(&self, now: Nanos, id: u32) -> f64 {
         let (server, typical) = (&self.servers[&id], self.typical(now).max(MS) as f64);
-        let fresh = server.oks().rev().take(8).filter(|ok| now - ok.0 < FRESH).map(|ok| ok.1);
+        let ran = server.ends.iter().rev().filter(|end| end.2 || end.1 as f64 > typical);
+        let fresh = ran.take(8).filter(|end| now - end.0 < 4 * FRESH).map(|end| end.1);
         let (count, sum) =
             fresh.fold((4.0, 4.0 * typical), |(count, sum), took| (count + 1.0, sum + took as f64));
         // A call-out open for long tells of a hanging or paused server before any answer does.
