--- a/src/brain.rs
+++ b/src/brain.rs
@@ -824,8 +824,7 @@
         let (server, typical) = (&self.servers[&id], self.typical(now).max(MS) as f64);
         let ran = server.ends.iter().rev().filter(|end| end.2 || end.1 as f64 > typical);
         let fresh = ran.take(8).filter(|end| now - end.0 < 4 * FRESH).map(|end| end.1);
-        let (count, sum) =
-            fresh.fold((1.0, typical), |(count, sum), took| (count + 1.0, sum + took as f64));
+        let (count, sum) = fresh.fold((1.0, typical), |(count, sum), took| (count + 1.0, sum + took as f64));
         // A call-out open for long tells of a hanging or paused server before any answer does.
         let oldest = server.open.front().map_or(0.0, |open| (now - open.2) as f64);
         let overdue = (oldest / (4.0 * typical)).max(1.0);
