--- a/src/brain.rs
+++ b/src/brain.rs
@@ -86,8 +86,8 @@
     pending: f64,
     /// The last two windows of the count: which, own adds that counted (or may have), and others'.
     ledgers: VecDeque<(u64, f64, f64)>,
-    /// Count calls without answer: window, amount, serial, when. Answers for a name come in the order of calls.
-    calls: VecDeque<(u64, f64, u64, Nanos)>,
+    /// Count calls without answer: window, amount, serial. Answers for a name come in the order of calls.
+    calls: VecDeque<(u64, f64, u64)>,
     serial: u64,
     counted_at: Nanos,
     /// Others' units heard of from themselves and not yet read in a total.
@@ -634,13 +634,13 @@
         self.counter_open < most.saturating_sub(misses).max(1) && now >= self.counter_rest
     }
 
-    /// Guards against a counter whose line is longer than its time-out, so that it works for nobody: calls
-    /// that miss or take over half of the time-out widen the gap between calls, prompt ones narrow it.
-    fn pace_counts(&mut self, now: Nanos, prompt: bool) {
+    /// Guards against a counter whose line is longer than its time-out, so that it works for nobody: a call that
+    /// misses widens the gap between calls, answers narrow it.
+    fn pace_counts(&mut self, now: Nanos, answered: bool) {
         let wait = span(self.setting("extra.countWait", 0.05));
         let most = 4 * MS * self.setting("balancers", 1.0).max(1.0) as u64;
         let gap = self.counter_gap;
-        self.counter_gap = if prompt { gap * 19 / 20 } else { (gap * 5 / 4 + wait / 4).min(most) };
+        self.counter_gap = if answered { gap * 19 / 20 } else { (gap * 5 / 4 + wait / 4).min(most) };
         self.counter_rest = self.counter_rest.max(now + self.counter_gap);
     }
 
@@ -675,10 +675,10 @@
         }
         // What the others added to the last window since it was read here would be lost with it.
         old = old.filter(|old| old + 1 == window && customer.level < customer.burst / 2.0);
-        customer.calls.extend(old.map(|old| (old, 0.0, 0, now)));
+        customer.calls.extend(old.map(|old| (old, 0.0, 0)));
         customer.serial += 1;
         let add = std::mem::take(&mut customer.pending);
-        customer.calls.push_back((window, add, customer.serial, now));
+        customer.calls.push_back((window, add, customer.serial));
         customer.counted_at = now;
         let forget = (2 * customer.window + SEC).min(60 * SEC);
         for (window, add) in old.map(|old| (old, 0.0)).into_iter().chain([(window, add)]) {
@@ -701,15 +701,12 @@
                 self.wake(host, now, now, TELL);
             }
         }
-        let same = |call: &(u64, f64, u64, Nanos)| call.0 & 0x7fff_ffff == name & 0x7fff_ffff;
+        let same = |call: &(u64, f64, u64)| call.0 & 0x7fff_ffff == name & 0x7fff_ffff;
         let place = self.customers.get(&key).and_then(|customer| customer.calls.iter().position(same));
         let Some(place) = place else { return };
         let customer = self.customer(now, key);
-        let (window, add, serial, called) = customer.calls.remove(place).unwrap_or_default();
-        self.pace_counts(
-            now,
-            how == End::Ok && now - called < span(self.setting("extra.countWait", 0.05)) / 2,
-        );
+        let (window, add, serial) = customer.calls.remove(place).unwrap_or_default();
+        self.pace_counts(now, how == End::Ok);
         let customer = self.customer(now, key);
         let ledger = customer.ledgers.iter_mut().find(|ledger| ledger.0 == window);
         match (how, ledger) {
