--- a/src/brain.rs
+++ b/src/brain.rs
@@ -578,7 +578,7 @@
     fn is_thin(&self, now: Nanos, key: u64, units: f64, patient: bool) -> bool {
         let customer = &self.customers[&key];
         let spare = customer.level - units - customer.line(now, patient);
-        let free = self.may_count(now);
+        let free = self.counter_rest <= now + RECHECK && self.to_count.len() < COUNTS_KEPT;
         let age = if free { secs(now.saturating_sub(customer.read_at)) } else { 0.0 };
         let short = customer.short_at > 0 && now - customer.short_at < customer.window;
         let asks = free || short && customer.split < units;
@@ -619,7 +619,10 @@
         }
         let full = (customer.level / customer.burst.max(1e-6)).clamp(0.02, 1.0);
         let due = customer.counted_at + span(full);
-        if customer.read_at == 0 || now >= due || customer.pending.abs() >= customer.burst * full / 8.0 {
+        if customer.read_at == 0
+            || now >= due
+            || customer.pending.abs() >= customer.burst * full / (2.0 * customer.width).max(8.0)
+        {
             self.count(host, now, key);
         } else {
             self.wake_customer(host, now, key, due);
@@ -629,19 +632,18 @@
     /// Fewer calls at once the more of the last went wrong: a slow counter is not crowded; what waits
     /// gathers.
     fn may_count(&self, now: Nanos) -> bool {
-        let most = (COUNTS_OPEN / self.setting("balancers", 1.0).max(1.0) as usize).max(1);
+        let most = (COUNTS_OPEN / self.setting("balancers", 1.0).max(1.0) as usize).max(4);
         let misses = self.counter.iter().filter(|answered| !**answered).count();
         self.counter_open < most.saturating_sub(misses).max(1) && now >= self.counter_rest
     }
 
     /// Guards against a counter whose line is longer than its time-out, so that it works for nobody: a call that
     /// misses widens the gap between calls, answers narrow it.
-    fn pace_counts(&mut self, now: Nanos, answered: bool) {
+    fn pace_counts(&mut self, answered: bool) {
         let wait = span(self.setting("extra.countWait", 0.05));
         let most = 4 * MS * self.setting("balancers", 1.0).max(1.0) as u64;
         let gap = self.counter_gap;
         self.counter_gap = if answered { gap * 19 / 20 } else { (gap * 5 / 4 + wait / 4).min(most) };
-        self.counter_rest = self.counter_rest.max(now + self.counter_gap);
     }
 
     /// Counts the customers that wait for a free call, now or when the gap is over.
@@ -683,6 +685,7 @@
         let forget = (2 * customer.window + SEC).min(60 * SEC);
         for (window, add) in old.map(|old| (old, 0.0)).into_iter().chain([(window, add)]) {
             self.counter_open += 1;
+            self.counter_rest = self.counter_rest.max(now + self.counter_gap);
             host.count(key << 31 | (window & 0x7fff_ffff), add, forget);
         }
     }
@@ -706,7 +709,7 @@
         let Some(place) = place else { return };
         let customer = self.customer(now, key);
         let (window, add, serial) = customer.calls.remove(place).unwrap_or_default();
-        self.pace_counts(now, how == End::Ok);
+        self.pace_counts(how == End::Ok);
         let customer = self.customer(now, key);
         let ledger = customer.ledgers.iter_mut().find(|ledger| ledger.0 == window);
         match (how, ledger) {
