Without a free count call others are taken to have drawn as this gateway did

Now others' use since the last call is taken as this gateway's own times their number, less the refill; what then finds no room asks first. Of the customers to count, one of a few drawn that has most to tell goes next.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -267,6 +267,7 @@
             level: burst / width,
             split: burst / width, // the ceiling's part starts at 0: an earlier life may have spent it
             at: now,
+            counted_at: now,
             wake_at: Nanos::MAX,
             ..Customer::default()
         };
@@ -580,7 +581,11 @@
         let spare = customer.level - units - customer.line(now, patient);
         let free = self.counter_rest <= now + RECHECK && self.to_count.len() < COUNTS_KEPT;
         let age = if free { secs(now.saturating_sub(customer.read_at)) } else { 0.0 };
-        let short = customer.short_at > 0 && now - customer.short_at < customer.window;
+        // Since the last call the others are taken to have drawn as this gateway did.
+        let refill = customer.rate * secs(now.saturating_sub(customer.counted_at));
+        let others = ((customer.width - 1.0) * customer.pending - refill).max(0.0);
+        let known = if customer.read_at == 0 { customer.burst - customer.pending - units } else { spare };
+        let short = customer.short_at > 0 && now - customer.short_at < customer.window || known < others;
         let asks = free || short && customer.split < units;
         let answers = self.is_true("extra.hasCounter") && !self.silent() && asks;
         answers && customer.rate > 0.0 && spare < (customer.width - 1.0) * units + customer.rate * age
@@ -649,7 +654,22 @@
     /// Counts the customers that wait for a free call, now or when the gap is over.
     fn count_next(&mut self, host: &mut dyn Host, now: Nanos) {
         while self.may_count(now) {
-            let Some(key) = self.to_count.pop_front() else { return };
+            // Those with RPCs waiting stand in front; of the others the one of a few with most left to tell.
+            let (mut best, mut most) = (0, 0.0);
+            for place in
+                [0].into_iter().chain((0..8).map(|_| self.chance.usize(..self.to_count.len().max(1))))
+            {
+                let Some(customer) = self.to_count.get(place).and_then(|key| self.customers.get(key)) else {
+                    break;
+                };
+                if place == 0 && !customer.queue.is_empty() {
+                    best = 0;
+                    break;
+                }
+                let left = customer.pending.abs() / customer.burst.max(1e-6);
+                (best, most) = if left > most { (place, left) } else { (best, most) };
+            }
+            let Some(key) = self.to_count.remove(best) else { return };
             self.count(host, now, key);
         }
         if !self.to_count.is_empty() && self.counter_rest > now {
