--- a/src/brain.rs
+++ b/src/brain.rs
@@ -770,6 +770,12 @@
                 self.shift(*id, State::Held);
             }
         }
+        // Guards against claims and late give-backs of others that a total shows as use: no store is below 0
+        // but by what this gateway claims. Harm: after settled units went below 0 a little is let in early.
+        let claiming = self.customers[&key].queue.iter().filter_map(|id| self.rpcs.get(id));
+        let claimed: f64 = claiming.filter(|rpc| rpc.state == State::Claiming).map(|rpc| rpc.units).sum();
+        let customer = self.customer(now, key);
+        customer.level = customer.level.max(-claimed);
         self.release(host, now, key);
         self.share_count(host, now, key);
         self.count_next(host, now);
