--- a/src/brain.rs
+++ b/src/brain.rs
@@ -75,9 +75,9 @@
     split: f64,
     ceiling: f64,
     at: Nanos,
-    /// When the last total was read, and when the store was last known to be short; 0 is never.
+    /// When the last total was read (0 is never), and whether it showed the store short.
     read_at: Nanos,
-    short_at: Nanos,
+    short: bool,
     open: u64,
     /// Ids of held and claiming RPCs, most urgent first, then as they came.
     queue: Vec<u32>,
@@ -585,7 +585,7 @@
         let refill = customer.rate * secs(now.saturating_sub(customer.counted_at));
         let others = ((customer.width - 1.0) * customer.pending - refill).max(0.0);
         let known = if customer.read_at == 0 { customer.burst - customer.pending - units } else { spare };
-        let short = customer.short_at > 0 && now - customer.short_at < customer.window || known < others;
+        let short = customer.short || known < others;
         let asks = free || short && customer.split < units;
         let answers = self.is_true("extra.hasCounter") && !self.silent() && asks;
         answers && customer.rate > 0.0 && spare < (customer.width - 1.0) * units + customer.rate * age
@@ -748,9 +748,8 @@
                 if std::mem::replace(&mut customer.read_at, now) == 0 {
                     customer.level = customer.burst - total - customer.pending;
                 }
-                if customer.level < customer.burst / 4.0 {
-                    customer.short_at = now;
-                }
+                let full = if customer.short { 0.5 } else { 0.25 };
+                customer.short = customer.level < full * customer.burst;
             }
             // Nothing was added: the units are still to be told.
             (End::Full | End::NoConnection | End::NotSent, _) => customer.pending += add,
