--- a/src/brain.rs
+++ b/src/brain.rs
@@ -22,6 +22,7 @@
 const URGENT_SHARE: f64 = 0.45;
 /// How soon an RPC held for want of a server, or by the brake, is looked at again.
 const RECHECK: Nanos = 25 * MS;
+const EPOCH: f64 = 8.0;
 const TELL: u64 = u64::MAX;
 const COUNT: u64 = u64::MAX - 1;
 /// Count calls all gateways may have open at once, ends kept, misses in a row that make the counter silent.
@@ -70,6 +71,8 @@
     most_open: u64,
     soft: bool,
     window: Nanos,
+    /// How long a name of the count lasts: some windows, since with many gateways few are met in each.
+    epoch: Nanos,
     /// As of `at`: the store as seen here, this gateway's even split of it, and its part of the ceiling.
     level: f64,
     split: f64,
@@ -264,6 +267,7 @@
             // Soft plans, where use beyond the quota earns more than it costs, may borrow a burst while calm.
             soft: plan("overWorth", 0.0) > plan("beyondCosts", 1.0),
             window: span((burst / rate.max(1e-6)).clamp(1.0, 25.0)),
+            epoch: span((EPOCH * burst / rate.max(1e-6)).clamp(1.0, 25.0)),
             level: burst / width,
             split: burst / width, // the ceiling's part starts at 0: an earlier life may have spent it
             at: now,
@@ -689,7 +693,7 @@
         }
         let silent = self.silent();
         let customer = self.customer(now, key);
-        let window = now / customer.window;
+        let window = now / customer.epoch;
         let mut old = customer.ledgers.back().map(|ledger| ledger.0);
         if old != Some(window) {
             customer.heard /= if silent { 1.0 } else { 2.0 }; // what no total shows may never have been added
@@ -702,7 +706,7 @@
         let add = std::mem::take(&mut customer.pending);
         customer.calls.push_back((window, add, customer.serial));
         customer.counted_at = now;
-        let forget = (2 * customer.window + SEC).min(60 * SEC);
+        let forget = (2 * customer.epoch + SEC).min(60 * SEC);
         for (window, add) in old.map(|old| (old, 0.0)).into_iter().chain([(window, add)]) {
             self.counter_open += 1;
             self.counter_rest = self.counter_rest.max(now + self.counter_gap);
@@ -746,7 +750,8 @@
                 customer.heard -= heard;
                 customer.level -= more - heard;
                 if std::mem::replace(&mut customer.read_at, now) == 0 {
-                    customer.level = customer.burst - total - customer.pending;
+                    let refill = customer.rate * secs(now % customer.epoch);
+                    customer.level = customer.burst.min(customer.burst + refill - total) - customer.pending;
                 }
                 let full = if customer.short { 0.5 } else { 0.25 };
                 customer.short = customer.level < full * customer.burst;
@@ -769,12 +774,6 @@
                 self.shift(*id, State::Held);
             }
         }
-        // Guards against claims and late give-backs of others that a total shows as use: no store is below 0
-        // but by what this gateway claims. Harm: after settled units went below 0 a little is let in early.
-        let claiming = self.customers[&key].queue.iter().filter_map(|id| self.rpcs.get(id));
-        let claimed: f64 = claiming.filter(|rpc| rpc.state == State::Claiming).map(|rpc| rpc.units).sum();
-        let customer = self.customer(now, key);
-        customer.level = customer.level.max(-claimed);
         self.release(host, now, key);
         self.share_count(host, now, key);
         self.count_next(host, now);
