--- a/src/brain.rs
+++ b/src/brain.rs
@@ -774,6 +774,11 @@
                 self.shift(*id, State::Held);
             }
         }
+        // Guards against a debt: what went beyond the quota, and claims of others, took nothing from the store.
+        let claiming = self.customers[&key].queue.iter().filter_map(|id| self.rpcs.get(id));
+        let claimed: f64 = claiming.filter(|rpc| rpc.state == State::Claiming).map(|rpc| rpc.units).sum();
+        let customer = self.customer(now, key);
+        customer.level = customer.level.max(-claimed);
         self.release(host, now, key);
         self.share_count(host, now, key);
         self.count_next(host, now);
