The ceiling's part fills from a gateway's start, not from a customer's first RPC

Cause: with wide sets a part holds one or two units, and each customer's began empty at its first RPC, which then was refused; nothing of it can have been spent in this life before.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -22,7 +22,6 @@
 const URGENT_SHARE: f64 = 0.45;
 /// How soon an RPC held for want of a server, or by the brake, is looked at again.
 const RECHECK: Nanos = 25 * MS;
-const EPOCH: f64 = 8.0;
 const TELL: u64 = u64::MAX;
 const COUNT: u64 = u64::MAX - 1;
 /// Count calls all gateways may have open at once, ends kept, misses in a row that make the counter silent.
@@ -71,16 +70,14 @@
     most_open: u64,
     soft: bool,
     window: Nanos,
-    /// How long a name of the count lasts: some windows, since with many gateways few are met in each.
-    epoch: Nanos,
     /// As of `at`: the store as seen here, this gateway's even split of it, and its part of the ceiling.
     level: f64,
     split: f64,
     ceiling: f64,
     at: Nanos,
-    /// When the last total was read (0 is never), and whether it showed the store short.
+    /// When the last total was read, and when the store was last known to be short; 0 is never.
     read_at: Nanos,
-    short: bool,
+    short_at: Nanos,
     open: u64,
     /// Ids of held and claiming RPCs, most urgent first, then as they came.
     queue: Vec<u32>,
@@ -154,6 +151,8 @@
 pub struct Brain {
     settings: Settings,
     chance: fastrand::Rng,
+    /// When this life began: its part of a ceiling is empty then (an earlier life may have spent it) and fills.
+    born: Option<Nanos>,
     servers: BTreeMap<u32, Server>,
     customers: HashMap<u64, Customer>,
     rpcs: HashMap<u32, Rpc>,
@@ -238,6 +237,7 @@
 
     /// Discovery's list, whole or only what changed. A server off the whole list is gone.
     pub fn listed(&mut self, now: Nanos, whole: bool, list: &[Listed]) {
+        self.born.get_or_insert(now);
         if whole {
             self.servers.values_mut().for_each(|server| server.listed.ready = false);
         }
@@ -267,10 +267,9 @@
             // Soft plans, where use beyond the quota earns more than it costs, may borrow a burst while calm.
             soft: plan("overWorth", 0.0) > plan("beyondCosts", 1.0),
             window: span((burst / rate.max(1e-6)).clamp(1.0, 25.0)),
-            epoch: span((EPOCH * burst / rate.max(1e-6)).clamp(1.0, 25.0)),
             level: burst / width,
-            split: burst / width, // the ceiling's part starts at 0: an earlier life may have spent it
-            at: now,
+            split: burst / width,
+            at: self.born.unwrap_or(now),
             counted_at: now,
             wake_at: Nanos::MAX,
             ..Customer::default()
@@ -589,7 +588,7 @@
         let refill = customer.rate * secs(now.saturating_sub(customer.counted_at));
         let others = ((customer.width - 1.0) * customer.pending - refill).max(0.0);
         let known = if customer.read_at == 0 { customer.burst - customer.pending - units } else { spare };
-        let short = customer.short || known < others;
+        let short = customer.short_at > 0 && now - customer.short_at < customer.window || known < others;
         let asks = free || short && customer.split < units;
         let answers = self.is_true("extra.hasCounter") && !self.silent() && asks;
         answers && customer.rate > 0.0 && spare < (customer.width - 1.0) * units + customer.rate * age
@@ -693,7 +692,7 @@
         }
         let silent = self.silent();
         let customer = self.customer(now, key);
-        let window = now / customer.epoch;
+        let window = now / customer.window;
         let mut old = customer.ledgers.back().map(|ledger| ledger.0);
         if old != Some(window) {
             customer.heard /= if silent { 1.0 } else { 2.0 }; // what no total shows may never have been added
@@ -706,7 +705,7 @@
         let add = std::mem::take(&mut customer.pending);
         customer.calls.push_back((window, add, customer.serial));
         customer.counted_at = now;
-        let forget = (2 * customer.epoch + SEC).min(60 * SEC);
+        let forget = (2 * customer.window + SEC).min(60 * SEC);
         for (window, add) in old.map(|old| (old, 0.0)).into_iter().chain([(window, add)]) {
             self.counter_open += 1;
             self.counter_rest = self.counter_rest.max(now + self.counter_gap);
@@ -750,11 +749,11 @@
                 customer.heard -= heard;
                 customer.level -= more - heard;
                 if std::mem::replace(&mut customer.read_at, now) == 0 {
-                    let refill = customer.rate * secs(now % customer.epoch);
-                    customer.level = customer.burst.min(customer.burst + refill - total) - customer.pending;
+                    customer.level = customer.burst - total - customer.pending;
+                }
+                if customer.level < customer.burst / 4.0 {
+                    customer.short_at = now;
                 }
-                let full = if customer.short { 0.5 } else { 0.25 };
-                customer.short = customer.level < full * customer.burst;
             }
             // Nothing was added: the units are still to be told.
             (End::Full | End::NoConnection | End::NotSent, _) => customer.pending += add,
@@ -774,11 +773,6 @@
                 self.shift(*id, State::Held);
             }
         }
-        // Guards against a debt: what went beyond the quota, and claims of others, took nothing from the store.
-        let claiming = self.customers[&key].queue.iter().filter_map(|id| self.rpcs.get(id));
-        let claimed: f64 = claiming.filter(|rpc| rpc.state == State::Claiming).map(|rpc| rpc.units).sum();
-        let customer = self.customer(now, key);
-        customer.level = customer.level.max(-claimed);
         self.release(host, now, key);
         self.share_count(host, now, key);
         self.count_next(host, now);
