--- a/src/brain.rs
+++ b/src/brain.rs
@@ -159,9 +159,9 @@
     open: HashMap<(u32, u16), (u32, u64)>,
     wakes: HashMap<u32, u64>, // for which customer, or `TELL`
     next_wake: u32,
-    /// Ok answers of the whole fleet, and urgent call-outs: when, latency over soft deadline, and where.
+    /// Ok answers of the whole fleet, and urgent call-outs: when, and latency over soft deadline.
     oks: VecDeque<(Nanos, Nanos)>,
-    urgent: VecDeque<(Nanos, f64, u32)>,
+    urgent: VecDeque<(Nanos, f64)>,
     /// Worked out once an instant: the wait that one more has, the latency part of the brake, and `typical`.
     wait: (Nanos, f64),
     brake: (Nanos, bool),
@@ -424,7 +424,7 @@
                 rpc.ran = Some((sent, place.0, place.1));
             }
             if urgent && matches!(ended.how, End::Ok | End::TimedOut) {
-                keep(&mut self.urgent, (now, secs(ended.took) / soft.max(1e-3), chosen), 2 * KEPT);
+                keep(&mut self.urgent, (now, secs(ended.took) / soft.max(1e-3)), 2 * KEPT);
             }
             let customer = self.customer(now, key);
             if urgent {
@@ -601,16 +601,12 @@
         let (count, pushed) = (outcomes.clone().count(), outcomes.filter(|sample| sample.1).count());
         let short = count >= BRAKE_SAMPLES && pushed as f64 > BRAKE_QUOTA_SHARE * count as f64;
         if self.brake.0 != now {
-            // A call-out open past its soft deadline is distress though no latency has come (a hanging server).
-            let out =
-                self.servers.iter().flat_map(|(id, server)| server.open.iter().map(move |open| (open, id)));
-            let late = out.filter(|(open, _)| open.3 < now).map(|(_, id)| (now, 2.0, *id));
-            let samples = self.urgent.iter().filter(|sample| fresh(sample.0)).copied().chain(late);
-            // What only a few servers keep waiting is left to the choice of server: holding work is no help.
-            let (bad, good): (Vec<_>, Vec<_>) = samples.partition(|sample| self.lags(now, sample.2));
-            let few = good.len() > bad.len();
-            let used = good.iter().chain(bad.iter().filter(|_| !few));
-            let mut ratios: Vec<f64> = used.map(|sample| sample.1).collect();
+            let samples = self.urgent.iter().filter(|sample| fresh(sample.0));
+            let mut ratios: Vec<f64> = samples.map(|sample| sample.1).collect();
+            // A call-out open past its soft deadline is distress though no latency has come (a hanging
+            // server).
+            let open = self.servers.values().flat_map(|server| &server.open);
+            ratios.extend(open.filter(|open| open.3 < now).map(|_| 2.0));
             ratios.sort_by(f64::total_cmp);
             self.brake = (now, ratios.len() >= BRAKE_SAMPLES && ratios[ratios.len() * 95 / 100] > 1.0);
         }
@@ -848,25 +844,15 @@
 
     /// How long one more would take there, by this gateway's own counts.
     fn burden(&self, now: Nanos, id: u32) -> f64 {
-        let server = &self.servers[&id];
-        let far = if f64::from(server.listed.zone) == self.setting("zone", -1.0) { 1.0 } else { 1.1 };
-        (server.open.len() as f64 + 1.0) * self.took(now, server) * far / server.listed.weight.max(0.05)
-    }
-
-    /// What a call-out takes there, by the last ends and by what is open, in the answers of all now.
-    fn took(&self, now: Nanos, server: &Server) -> f64 {
-        let typical = self.typical(now).max(MS) as f64;
+        let (server, typical) = (&self.servers[&id], self.typical(now).max(MS) as f64);
         let ran = server.ends.iter().rev().filter(|end| end.2 || end.1 as f64 > typical);
-        let fresh = ran.take(8).filter(|end| now - end.0 < 4 * FRESH).map(|end| end.1 as f64 / typical);
-        let (count, sum) = fresh.fold((1.0, 1.0), |(count, sum), took| (count + 1.0, sum + took));
+        let fresh = ran.take(8).filter(|end| now - end.0 < 4 * FRESH).map(|end| end.1);
+        let (count, sum) = fresh.fold((1.0, typical), |(count, sum), took| (count + 1.0, sum + took as f64));
         // A call-out open for long tells of a hanging or paused server before any answer does.
         let oldest = server.open.front().map_or(0.0, |open| (now - open.2) as f64);
-        sum / count * (oldest / (4.0 * typical)).max(1.0)
-    }
-
-    /// A server that takes several times what the others do: slow, paused or hanging by itself.
-    fn lags(&self, now: Nanos, id: u32) -> bool {
-        self.servers.get(&id).is_some_and(|server| self.took(now, server) > 3.0)
+        let overdue = (oldest / (4.0 * typical)).max(1.0);
+        let far = if f64::from(server.listed.zone) == self.setting("zone", -1.0) { 1.0 } else { 1.1 };
+        (server.open.len() as f64 + 1.0) * (sum / count) * overdue * far / server.listed.weight.max(0.05)
     }
 
     /// Guards against pushing over a server that has just started: until warm it gets three quarters of the
