--- a/src/brain.rs
+++ b/src/brain.rs
@@ -22,8 +22,11 @@
 const URGENT_SHARE: f64 = 0.45;
 /// How soon an RPC held for want of a server, or by the brake, is looked at again.
 const RECHECK: Nanos = 25 * MS;
+/// Ends told in one message, of 6 bytes each.
+const TOLD: usize = 42;
 const TELL: u64 = u64::MAX;
 const COUNT: u64 = u64::MAX - 1;
+const SERVERS: u64 = u64::MAX - 2;
 /// Count calls all gateways may have open at once, ends kept, misses in a row that make the counter silent.
 const COUNTS_OPEN: usize = 32;
 const COUNTS_KEPT: usize = 8;
@@ -124,6 +127,8 @@
     open: VecDeque<(u32, u16, Nanos, Nanos)>,
     /// Last ends: when, after how long, and whether ok; and when it was last sent to.
     ends: VecDeque<(Nanos, Nanos, bool)>,
+    /// Ends told by other gateways: when heard, and how long they took.
+    told: VecDeque<(Nanos, Nanos)>,
     /// While cold: since when the next call-out waits, and for what part of `cold_gap`.
     cold: (Nanos, f64),
 }
@@ -154,6 +159,8 @@
     /// When this life began: its part of a ceiling is empty then (an earlier life may have spent it) and fills.
     born: Option<Nanos>,
     servers: BTreeMap<u32, Server>,
+    /// Ids of servers that new work may go to, in any order.
+    ready: Vec<u32>,
     customers: HashMap<u64, Customer>,
     rpcs: HashMap<u32, Rpc>,
     open: HashMap<(u32, u16), (u32, u64)>,
@@ -176,6 +183,9 @@
     silent_since: Nanos,
     drawn: BTreeMap<u64, f64>,
     to_tell: BTreeSet<u64>,
+    /// Ends of call-outs not yet told to other gateways: where, and how long they took.
+    ends: VecDeque<(u32, Nanos)>,
+    tells: bool,
     /// When another gateway was last heard, and what each had drawn of a customer by then.
     heard_at: Nanos,
     heard: HashMap<(u32, u64), (Nanos, f64)>,
@@ -246,11 +256,14 @@
             if server.listed.came_up != listed.came_up {
                 // A new life: what the old one showed says nothing, and it is cold.
                 server.ends.clear();
+                server.told.clear();
                 server.cold = (now, self.chance.f64());
             }
             server.listed = listed.clone();
         }
         self.servers.retain(|_, server| server.listed.ready || !server.open.is_empty());
+        self.ready =
+            self.servers.iter().filter(|(_, server)| server.listed.ready).map(|(id, _)| *id).collect();
     }
 
     pub fn rpc(&mut self, host: &mut dyn Host, now: Nanos, arrival: &Arrival) {
@@ -263,8 +276,7 @@
             burst,
             ceiling_rate: plan("ceilingRate", 0.0) / width,
             ceiling_burst: plan("hardBurst", 0.0) / width,
-            // Rounded up, and two if the plan allows: with wide sets one slow call-out would stop the customer.
-            most_open: (plan("maxOut", 0.0) / width).ceil().max(plan("maxOut", 0.0).min(2.0)) as u64,
+            most_open: (plan("maxOut", 0.0) / width).ceil() as u64,
             // Soft plans, where use beyond the quota earns more than it costs, may borrow a burst while calm.
             soft: plan("overWorth", 0.0) > plan("beyondCosts", 1.0),
             window: span((burst / rate.max(1e-6)).clamp(1.0, 25.0)),
@@ -291,6 +303,9 @@
             ..Rpc::default()
         };
         self.rpcs.insert(arrival.id, rpc);
+        if !std::mem::replace(&mut self.tells, true) && self.is_true("ceilings.peers") {
+            self.wake(host, now, now + SEC, SERVERS);
+        }
         self.shift(arrival.id, State::Held);
         self.release(host, now, arrival.customer);
     }
@@ -303,7 +318,8 @@
         match self.wakes.remove(&token) {
             Some(TELL) if self.silent() => self.tell(host, now),
             Some(COUNT) => self.count_next(host, now),
-            Some(key) if key < COUNT && self.customer(now, key).wake_at <= now => {
+            Some(SERVERS) => self.tell_servers(host, now),
+            Some(key) if key < SERVERS && self.customer(now, key).wake_at <= now => {
                 self.customer(now, key).wake_at = Nanos::MAX;
                 self.release(host, now, key);
                 self.share_count(host, now, key);
@@ -413,6 +429,9 @@
                 keep(&mut server.ends, (now, ended.took, ended.how == End::Ok), KEPT);
             }
         }
+        if ended.how == End::Ok || !never_ran && ended.took > self.typical(now) {
+            keep(&mut self.ends, (chosen, ended.took), TOLD);
+        }
         if ended.how == End::Ok {
             keep(&mut self.oks, (now, ended.took), 2 * KEPT);
         }
@@ -794,8 +813,44 @@
         self.wake(host, now, now + every, TELL);
     }
 
+    /// Guards against servers that are slow, paused or hang while no gateway alone meets them often enough to
+    /// know: once a second the ends met here, and the ages of call-outs open for long, go to some others, drawn
+    /// at random so that a quarter of the messages that one takes is used. Harm: a second late.
+    fn tell_servers(&mut self, host: &mut dyn Host, now: Nanos) {
+        let long = 4 * self.typical(now).max(50 * MS);
+        for (id, server) in &self.servers {
+            let age = server.open.front().map_or(0, |open| now - open.2);
+            if age > long {
+                keep(&mut self.ends, (*id, age), TOLD);
+            }
+        }
+        let line = |(id, took): (u32, Nanos)| {
+            let ms = u16::try_from(took / MS).unwrap_or(u16::MAX);
+            id.to_be_bytes().into_iter().chain(ms.to_be_bytes())
+        };
+        let body: Vec<u8> = std::iter::once(b's').chain(self.ends.drain(..).flat_map(line)).collect();
+        let peers = self.setting("balancers", 1.0).max(1.0) as u32;
+        let some = (self.setting("extra.mailPerS", 10.0) / 4.0) as u32;
+        if body.len() > 1 && some + 1 >= peers {
+            host.tell(u32::MAX, &body);
+        } else if body.len() > 1 {
+            (0..some).for_each(|_| host.tell(self.chance.u32(..peers), &body));
+        }
+        self.wake(host, now, now + SEC, SERVERS);
+    }
+
     /// Another gateway told what it drew; what is garbled or of unknown customers is passed over.
     pub fn told(&mut self, now: Nanos, from: u32, body: &[u8]) {
+        if body.first() == Some(&b's') {
+            for line in body[1..].chunks_exact(6) {
+                let id = u32::from_be_bytes([line[0], line[1], line[2], line[3]]);
+                let took = u64::from(u16::from_be_bytes([line[4], line[5]])) * MS;
+                if let Some(server) = self.servers.get_mut(&id) {
+                    keep(&mut server.told, (now, took), 8);
+                }
+            }
+            return;
+        }
         let words = body.chunks_exact(8).map(|word| u64::from_be_bytes(word.try_into().unwrap_or_default()));
         let words: Vec<u64> = words.collect();
         if body.len() % 16 != 8 {
@@ -815,39 +870,46 @@
         }
     }
 
-    /// Two drawn at random, the one that this gateway's own counts favour is taken.
+    /// Two drawn at random, the one that this gateway's own counts favour is taken. Those that can't take it are
+    /// passed over in the draw, so that a fleet in health costs two looks, whatever its size.
     fn choose(&mut self, now: Nanos, id: u32) -> Option<u32> {
+        let (mut chance, mut ready) = (self.chance.fork(), std::mem::take(&mut self.ready));
         let rpc = self.rpcs.get(&id)?;
-        let group = rpc.ran.filter(|_| self.is(rpc, "guarded"));
-        let everywhere = group.is_none() || self.method_is(rpc.method, "group", "all");
+        let group =
+            rpc.ran.filter(|_| self.is(rpc, "guarded") && !self.method_is(rpc.method, "group", "all"));
         let zoned = self.method_is(rpc.method, "group", "zone");
-        let in_group = |at: &Listed| group.is_some_and(|(_, z, c)| at.cell == c || zoned && at.zone == z);
-        let soft = secs(rpc.soft);
+        let in_group = |at: &Listed| group.is_none_or(|(_, z, c)| at.cell == c || zoned && at.zone == z);
+        let (soft, typical) = (secs(rpc.soft), self.typical(now));
         let least = (9.0 / self.setting("balancers", 1.0).max(1.0)).clamp(1.0, 3.0);
-        let allowed = |(_, server): &(&u32, &Server)| {
+        let (mut drawn, mut last_resort) = (Vec::new(), Vec::new());
+        for place in 0..ready.len() {
+            ready.swap(place, chance.usize(place..ready.len()));
+            let server = &self.servers[&ready[place]];
             let (count, rate) = answered(now, server.oks().map(|ok| ok.0));
             let rate = if count < KEPT { count as f64 / 2.0 } else { rate };
             let full = server.open.len() as f64 >= (URGENT_SHARE * soft * rate).max(least);
-            server.listed.ready
-                && (everywhere || in_group(&server.listed))
-                && !full
-                && self.cold_room(now, server)
-        };
-        let able: Vec<u32> = self.servers.iter().filter(allowed).map(|(id, _)| *id).collect();
-        let typical = self.typical(now);
-        let rested = |id: &u32| !self.servers[id].rests(now) && !self.servers[id].hangs(now, typical);
-        let rested: Vec<u32> = able.iter().copied().filter(rested).collect();
-        let able = if rested.is_empty() { able } else { rested };
-        let one = *able.get(self.chance.usize(..able.len().max(1)))?;
-        let two = able[self.chance.usize(..able.len())];
-        Some(if self.burden(now, two) < self.burden(now, one) { two } else { one })
+            if full || !in_group(&server.listed) || !self.cold_room(now, server) {
+                continue;
+            }
+            let unwell = server.rests(now) || server.hangs(now, typical);
+            if unwell { &mut last_resort } else { &mut drawn }.push(ready[place]);
+            if drawn.len() == 2 {
+                break;
+            }
+        }
+        let drawn = if drawn.is_empty() { last_resort } else { drawn };
+        self.ready = ready;
+        let burden = |id: &&u32| self.burden(now, **id);
+        drawn.iter().take(2).min_by(|one, two| burden(one).total_cmp(&burden(two))).copied()
     }
 
     /// How long one more would take there, by this gateway's own counts.
     fn burden(&self, now: Nanos, id: u32) -> f64 {
         let (server, typical) = (&self.servers[&id], self.typical(now).max(MS) as f64);
         let ran = server.ends.iter().rev().filter(|end| end.2 || end.1 as f64 > typical);
-        let fresh = ran.take(8).filter(|end| now - end.0 < 4 * FRESH).map(|end| end.1);
+        let own = ran.take(8).filter(|end| now - end.0 < 4 * FRESH).map(|end| end.1);
+        let told = server.told.iter().filter(|end| now - end.0 < FRESH).map(|end| end.1);
+        let fresh = own.chain(told);
         let (count, sum) = fresh.fold((1.0, typical), |(count, sum), took| (count + 1.0, sum + took as f64));
         // A call-out open for long tells of a hanging or paused server before any answer does.
         let oldest = server.open.front().map_or(0.0, |open| (now - open.2) as f64);
