--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -131,12 +131,6 @@
             let token = record.u32()?;
             guarded(brains, reply, instance, |brain, host| brain.woke(host, now, token));
         }
-        24 => {
-            let from = record.u32()?;
-            let length = record.u16()? as usize;
-            let body = record.bytes(length)?;
-            guarded(brains, reply, instance, |brain, _| brain.told(now, from, body));
-        }
         25 => drop(brains.remove(&instance)),
         26 => {
             let how = end(record.u8()?);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,9 +1,9 @@
-//! Every decision of the gateway. A host (its interface stands in `host.rs`) makes one `Brain` for each life
-//! of a gateway and calls it with what happens: `listed`, `rpc`, `ended`, `client_left`, `counted`, `told`,
-//! `woke`. Each call answers through the `Host` it is given. Start reading at `advance`, the path of an RPC.
+//! Every decision of the gateway. A host (its interface stands in `host.rs`) makes one `Brain` for each life of
+//! a gateway and calls it with what happens: `listed`, `rpc`, `ended`, `client_left`, `counted`, `woke`. Each
+//! call answers through the `Host` it is given. Start reading at `advance`, the path of an RPC.
 
 use crate::host::{Arrival, End, Ended, Host, Listed, Nanos, Settings};
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 const MS: Nanos = 1_000_000;
 const SEC: Nanos = 1_000 * MS;
@@ -22,10 +22,9 @@
 const URGENT_SHARE: f64 = 0.45;
 /// How soon an RPC held for want of a server, or by the brake, is looked at again.
 const RECHECK: Nanos = 25 * MS;
-const TELL: u64 = u64::MAX;
-const COUNT: u64 = u64::MAX - 1;
-/// Count calls all gateways may have open at once, ends kept, misses in a row that make the counter silent.
-const COUNTS_OPEN: usize = 32;
+const COUNT: u64 = u64::MAX;
+/// Count calls open at once, ends kept, misses in a row that make the counter silent.
+const COUNTS_OPEN: usize = 8;
 const COUNTS_KEPT: usize = 8;
 const SILENT_AFTER: usize = 3;
 
@@ -90,8 +89,6 @@
     calls: VecDeque<(u64, f64, u64)>,
     serial: u64,
     counted_at: Nanos,
-    /// Others' units heard of from themselves and not yet read in a total.
-    heard: f64,
     /// Urgent outcomes: when, and whether it was pushed back for lack of quota.
     urgent: VecDeque<(Nanos, bool)>,
 }
@@ -120,11 +117,11 @@
 #[derive(Default)]
 struct Server {
     listed: Listed,
-    /// Call-outs open, oldest first: RPC, number, when sent, and the soft deadline of an urgent one.
-    open: VecDeque<(u32, u16, Nanos, Nanos)>,
-    /// Last ends: when, after how long, and whether ok; and when it was last sent to.
+    /// Call-outs open, oldest first: RPC, number, and when sent.
+    open: VecDeque<(u32, u16, Nanos)>,
+    /// Last ends: when, after how long, and whether ok.
     ends: VecDeque<(Nanos, Nanos, bool)>,
-    /// While cold: since when the next call-out waits, and for what part of `cold_gap`.
+    /// While cold: since when the next call-out waits, and for what part of the gap.
     cold: (Nanos, f64),
 }
 
@@ -158,11 +155,14 @@
     ready: Vec<u32>,
     customers: HashMap<u64, Customer>,
     rpcs: HashMap<u32, Rpc>,
-    open: HashMap<(u32, u16), (u32, u64)>,
-    wakes: HashMap<u32, u64>, // for which customer, or `TELL`
+    /// Call-outs open: server, customer, when sent, and the soft deadline of an urgent one.
+    open: BTreeMap<(u32, u16), (u32, u64, Nanos, Nanos)>,
+    wakes: HashMap<u32, u64>, // for which customer, or what else
     next_wake: u32,
     /// Ok answers of the whole fleet, and urgent call-outs: when, and latency over soft deadline.
-    oks: VecDeque<(Nanos, Nanos)>,
+    oks: VecDeque<Nanos>,
+    /// Ends of all that may have run, cut off ones included: when, and after how long.
+    ends: VecDeque<(Nanos, Nanos)>,
     urgent: VecDeque<(Nanos, f64)>,
     /// Worked out once an instant: the wait that one more has, the latency part of the brake, and `typical`.
     wait: (Nanos, f64),
@@ -173,14 +173,8 @@
     counter_open: usize,
     counter_rest: Nanos,
     counter_gap: Nanos,
+    count_wake_at: Nanos,
     to_count: VecDeque<u64>,
-    /// Since when the counter is silent, the units drawn since, by customer, and whose are still to be told.
-    silent_since: Nanos,
-    drawn: BTreeMap<u64, f64>,
-    to_tell: BTreeSet<u64>,
-    /// When another gateway was last heard, and what each had drawn of a customer by then.
-    heard_at: Nanos,
-    heard: HashMap<(u32, u64), (Nanos, f64)>,
 }
 
 fn keep<T>(samples: &mut VecDeque<T>, sample: T, most: usize) {
@@ -195,7 +189,7 @@
     (fresh.len(), fresh.len() as f64 / secs(since).max(0.05))
 }
 
-fn median(samples: &mut Vec<Nanos>) -> Nanos {
+fn median(mut samples: Vec<Nanos>) -> Nanos {
     samples.sort_unstable();
     samples.get(samples.len() / 2).copied().unwrap_or(0)
 }
@@ -224,6 +218,10 @@
         self.setting(&format!("classes.{method}.{name}"), default)
     }
 
+    fn gateways(&self) -> f64 {
+        self.setting("balancers", 1.0).max(1.0)
+    }
+
     fn is_true(&self, name: &str) -> bool {
         self.settings.get(name).is_some_and(|text| text == "true")
     }
@@ -253,8 +251,8 @@
             server.listed = listed.clone();
         }
         self.servers.retain(|_, server| server.listed.ready || !server.open.is_empty());
-        self.ready =
-            self.servers.iter().filter(|(_, server)| server.listed.ready).map(|(id, _)| *id).collect();
+        let ready = self.servers.iter().filter(|(_, server)| server.listed.ready);
+        self.ready = ready.map(|(id, _)| *id).collect();
     }
 
     pub fn rpc(&mut self, host: &mut dyn Host, now: Nanos, arrival: &Arrival) {
@@ -304,9 +302,8 @@
 
     pub fn woke(&mut self, host: &mut dyn Host, now: Nanos, token: u32) {
         match self.wakes.remove(&token) {
-            Some(TELL) if self.silent() => self.tell(host, now),
             Some(COUNT) => self.count_next(host, now),
-            Some(key) if key < COUNT && self.customer(now, key).wake_at <= now => {
+            Some(key) if key != COUNT && self.customer(now, key).wake_at <= now => {
                 self.customer(now, key).wake_at = Nanos::MAX;
                 self.release(host, now, key);
                 self.share_count(host, now, key);
@@ -350,7 +347,7 @@
         // Room: the customer's store, down to the reserve line if the RPC is patient.
         let mut thin = false;
         if !drawn {
-            let room_at = self.room_at(now, key, units + *ahead, patient);
+            let room_at = self.room_at(now, key, units, *ahead, patient);
             if room_at > now {
                 *ahead += units;
                 if room_at > latest {
@@ -385,19 +382,15 @@
         self.shift(id, State::Out);
         let limit = self.patience_with(now, id);
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
-        let (nth, key, units) = (rpc.tries as u16, rpc.customer, rpc.units);
+        let (nth, key) = (rpc.tries as u16, rpc.customer);
         rpc.tries += 1;
         let soft = if rpc.patient { Nanos::MAX } else { rpc.soft_deadline };
         self.customer(now, key).open += 1;
-        if nth == 0 && self.silent() {
-            *self.drawn.entry(key).or_default() += units;
-            self.to_tell.insert(key);
-        }
         if let Some(server) = self.servers.get_mut(&chosen) {
-            server.open.push_back((id, nth, now, soft));
+            server.open.push_back((id, nth, now));
             server.cold = (now, 1.0);
         }
-        self.open.insert((id, nth), (chosen, key));
+        self.open.insert((id, nth), (chosen, key, now, soft));
         host.call_out(id, chosen, limit);
         self.wait.0 = 0;
         self.share_count(host, now, key);
@@ -405,23 +398,24 @@
 
     /// The end of a call-out; a closed RPC has its answer, any other goes on or is answered now.
     pub fn ended(&mut self, host: &mut dyn Host, now: Nanos, ended: &Ended) {
-        let Some((chosen, key)) = self.open.remove(&(ended.rpc, ended.nth)) else { return };
-        let sent = now.saturating_sub(ended.took);
+        let Some((chosen, key, sent, _)) = self.open.remove(&(ended.rpc, ended.nth)) else { return };
         let never_ran = matches!(ended.how, End::Full | End::NoConnection | End::NotSent);
         let mut place = (u16::MAX, u16::MAX);
         if let Some(server) = self.servers.get_mut(&chosen) {
             place = (server.listed.zone, server.listed.cell);
             server.open.retain(|open| (open.0, open.1) != (ended.rpc, ended.nth));
-            if !matches!(ended.how, End::Withdrawn | End::NotSent) {
+            if ended.how != End::NotSent {
                 keep(&mut server.ends, (now, ended.took, ended.how == End::Ok), KEPT);
             }
         }
+        if !never_ran {
+            keep(&mut self.ends, (now, ended.took), 2 * KEPT);
+        }
         if ended.how == End::Ok {
-            keep(&mut self.oks, (now, ended.took), 2 * KEPT);
+            keep(&mut self.oks, now, 2 * KEPT);
         }
         self.customer(now, key).open -= 1;
         (self.wait.0, self.brake.0, self.typical.0) = (0, 0, 0);
-        self.typical = (now, self.typical(now));
         if let Some(rpc) = self.rpcs.get_mut(&ended.rpc) {
             let (urgent, units, soft) = (!rpc.patient, rpc.units, secs(rpc.soft));
             if !never_ran && rpc.ran.is_none() {
@@ -484,17 +478,16 @@
     /// Whether an RPC may run once more: only after proof that nothing ran, or as the method allows.
     fn may_repeat(&self, now: Nanos, rpc: &Rpc) -> bool {
         let Some((sent, ..)) = rpc.ran else { return true };
-        let known = sent + span(self.method(rpc.method, "window", 0.0));
-        self.is(rpc, "free") || self.is(rpc, "guarded") && now < known
+        let known = now < sent + span(self.method(rpc.method, "window", 0.0));
+        self.is(rpc, "free") || self.is(rpc, "guarded") && known
     }
 
     fn tries_left(&self, rpc: &Rpc) -> u64 {
         (self.setting("ceilings.attemptsCap", 1.0) as u64).saturating_sub(rpc.tries)
     }
 
-    /// How long to wait for this call-out; 0 is until the deadline. Guards against hanging and slow servers:
-    /// an RPC that may go out again leaves itself time for it, but not if all are slow, when that would only
-    /// add work.
+    /// How long to wait for this call-out; 0 is until the deadline. Guards against hanging and slow servers: an
+    /// RPC that may go out again leaves itself time for it, unless all are slow, when that would only add work.
     fn patience_with(&self, now: Nanos, id: u32) -> Nanos {
         let Some(rpc) = self.rpcs.get(&id) else { return 0 };
         let again = self.tries_left(rpc) > 1 && (self.is(rpc, "free") || self.is(rpc, "guarded"));
@@ -507,73 +500,73 @@
         rpc.soft_deadline.saturating_sub(self.typical(now).min(rpc.soft / 2))
     }
 
-    /// Whether one more would hardly be answered in time: open over answered a second or, where answers are too
-    /// few for that, what the last took and the open ones have taken so far. Guards against overload of any
-    /// cause, patient RPCs giving way first; hanging servers are left out, or they would stop all. Harm: after
-    /// a lull the rate looks low.
+    /// Whether one more would hardly be answered in time: open over answered a second; where answers are few the
+    /// last ones tell more. Guards against overload of any cause, patient RPCs giving way first; hanging servers
+    /// are left out, or they would stop all. Harm: after a lull the rate looks low.
     fn crowded(&mut self, now: Nanos, soft: Nanos, patient: bool) -> bool {
         if self.wait.0 != now {
             let typical = self.typical(now);
-            let up =
-                self.servers.values().filter(|server| server.listed.ready && !server.hangs(now, typical));
-            let open: Vec<Nanos> =
-                up.flat_map(|server| server.open.iter().map(|open| now - open.2)).collect();
-            let (count, rate) = answered(now, self.oks.iter().map(|ok| ok.0));
-            let by_rate = (open.len() + 1) as f64 / rate;
-            let fresh = self.oks.iter().rev().take(MANY / 2).filter(|ok| now - ok.0 < FRESH).map(|ok| ok.1);
-            let mut took: Vec<Nanos> = fresh.collect();
-            let usual = median(&mut took);
-            took.extend(open.iter().filter(|age| **age > usual));
-            let by_last = if open.is_empty() { 0.0 } else { secs(median(&mut took)) };
-            self.wait = (now, if count >= MANY { by_rate } else { by_last.max(by_rate - 3.0 / rate) });
+            let hangs = |id| self.servers.get(id).is_some_and(|server| server.hangs(now, typical));
+            let up = self.open.values().filter(|out| !hangs(&out.0)).map(|out| now - out.2);
+            let open: Vec<Nanos> = up.collect();
+            let (count, rate) = answered(now, self.oks.iter().copied());
+            let last = self.ends.iter().rev().take(MANY / 2).filter(|end| now - end.0 < FRESH);
+            let mut took: Vec<Nanos> = last.map(|end| end.1).collect();
+            took.extend(open.iter().filter(|age| **age > typical));
+            let by_last = if open.is_empty() { 0.0 } else { secs(median(took)) };
+            // Of few answers the rate says little: a call-out or three more may be open.
+            let spare = if count < MANY { 3.0 } else { 0.0 };
+            let by_rate = if count > 0 { (open.len() as f64 + 1.0 - spare) / rate } else { 0.0 };
+            self.wait = (now, if count < MANY { by_last.max(by_rate) } else { by_rate });
         }
         self.wait.1 > if patient { PATIENT_SHARE } else { URGENT_SHARE } * secs(soft)
     }
 
-    /// What an ok answer takes now: the median; old ones don't count, or a gateway they stopped would stay
-    /// so.
+    /// What a call-out takes now: the median, cut off ones included, or a fleet too slow to answer any in time
+    /// would look quick; old ones don't count, or a gateway they stopped would stay so.
     fn typical(&self, now: Nanos) -> Nanos {
         if self.typical.0 == now {
             return self.typical.1;
         }
-        median(&mut self.oks.iter().filter(|ok| now - ok.0 < SEC).map(|ok| ok.1).collect())
+        median(self.ends.iter().filter(|end| now - end.0 < SEC).map(|end| end.1).collect())
     }
 
     /// The customer with its stores brought up to now; made empty should it be unknown.
     fn customer(&mut self, now: Nanos, key: u64) -> &mut Customer {
+        let owed = self.setting("extra.largest", 1.0);
         let customer = self.customers.entry(key).or_default();
         let (passed, width) = (secs(now.saturating_sub(customer.at)), customer.width);
         customer.at = now;
         customer.level = (customer.level + passed * customer.rate).min(customer.burst);
-        customer.split =
-            (customer.split.max(0.0) + passed * customer.rate / width).min(customer.burst / width);
+        let split = customer.split.max(-owed) + passed * customer.rate / width;
+        customer.split = split.min(customer.burst / width);
         customer.ceiling = (customer.ceiling + passed * customer.ceiling_rate).min(customer.ceiling_burst);
         customer
     }
 
     /// When the store, the ceiling's part and the cap on open call-outs have room for so many units.
-    fn room_at(&mut self, now: Nanos, key: u64, units: f64, patient: bool) -> Nanos {
-        // Nothing is known of the others' use, neither from the counter nor from themselves.
-        let unheard = now.saturating_sub(self.heard_at) > SEC;
-        let alone = self.silent() && unheard || !self.is_true("extra.hasCounter");
+    fn room_at(&mut self, now: Nanos, key: u64, units: f64, ahead: f64, patient: bool) -> Nanos {
+        // Nothing is known of the others' use: the even split decides.
+        let alone = self.silent() || !self.is_true("extra.hasCounter");
         let borrows = self.customer(now, key).soft && !self.braked(now, key);
         let customer = &self.customers[&key];
         let mut at = now;
         // Never read, the counter is asked (a claim): with many gateways the even split is less than an RPC.
-        let unread = customer.read_at == 0 && self.is_true("extra.hasCounter") && !self.silent();
-        if customer.rate > 0.0 && !unread {
-            let floor = if borrows { -customer.burst } else { 0.0 };
+        if customer.rate > 0.0 && (alone || customer.read_at > 0) {
+            let part = if alone { 1.0 / customer.width } else { 1.0 };
             let level = if alone { customer.split } else { customer.level };
-            let rate = if alone { customer.rate / customer.width } else { customer.rate };
-            let short = floor + customer.line(now, patient) + units - level;
+            let line = customer.line(now, patient) * part;
+            // An RPC larger than the part passes when that is full.
+            let floor = if borrows { -customer.burst * part } else { 0.0 };
+            let short = floor + line + ahead + units.min(customer.burst * part - line) - level;
             if short > 0.0 {
                 // The line falls while the store fills; at the window's end it starts over.
                 let falls = if patient { RESERVE * customer.burst / secs(customer.window) } else { 0.0 };
-                at = now + span(short / (rate + falls)).max(MS);
+                at = now + span(short / (customer.rate + falls) / part).max(MS);
             }
         }
-        if customer.ceiling_rate > 0.0 && customer.ceiling < units {
-            at = at.max(now + span((units - customer.ceiling) / customer.ceiling_rate).max(MS));
+        if customer.ceiling_rate > 0.0 && customer.ceiling < units + ahead {
+            at = at.max(now + span((units + ahead - customer.ceiling) / customer.ceiling_rate).max(MS));
         }
         if customer.most_open > 0 && customer.open >= customer.most_open {
             at = at.max(now + RECHECK);
@@ -593,7 +586,7 @@
         let others = ((customer.width - 1.0) * customer.pending - refill).max(0.0);
         let known = if customer.read_at == 0 { customer.burst - customer.pending - units } else { spare };
         let short = customer.short_at > 0 && now - customer.short_at < customer.window || known < others;
-        let asks = free || short && customer.split < units;
+        let asks = free || short && customer.split < units.min(customer.burst / customer.width);
         let answers = self.is_true("extra.hasCounter") && !self.silent() && asks;
         answers && customer.rate > 0.0 && spare < (customer.width - 1.0) * units + customer.rate * age
     }
@@ -607,10 +600,8 @@
         if self.brake.0 != now {
             let samples = self.urgent.iter().filter(|sample| fresh(sample.0));
             let mut ratios: Vec<f64> = samples.map(|sample| sample.1).collect();
-            // A call-out open past its soft deadline is distress though no latency has come (a hanging
-            // server).
-            let open = self.servers.values().flat_map(|server| &server.open);
-            ratios.extend(open.filter(|open| open.3 < now).map(|_| 2.0));
+            // A call-out open past its soft deadline is distress though no latency has come (a hanging server).
+            ratios.extend(self.open.values().filter(|out| out.3 < now).map(|_| 2.0));
             ratios.sort_by(f64::total_cmp);
             self.brake = (now, ratios.len() >= BRAKE_SAMPLES && ratios[ratios.len() * 95 / 100] > 1.0);
         }
@@ -626,80 +617,52 @@
     fn share_count(&mut self, host: &mut dyn Host, now: Nanos, key: u64) {
         let counter = self.is_true("extra.hasCounter");
         let customer = self.customer(now, key);
-        if customer.rate <= 0.0 || customer.pending == 0.0 || !counter {
-            return;
-        }
         let full = (customer.level / customer.burst.max(1e-6)).clamp(0.02, 1.0);
         let due = customer.counted_at + span(full);
-        if customer.read_at == 0
-            || now >= due
-            || customer.pending.abs() >= customer.burst * full / (2.0 * customer.width).max(8.0)
-        {
+        let few = customer.burst * full / (2.0 * customer.width).max(8.0);
+        if customer.rate <= 0.0 || customer.pending == 0.0 || !counter {
+        } else if customer.read_at == 0 || now >= due || customer.pending.abs() >= few {
             self.count(host, now, key);
         } else {
             self.wake_customer(host, now, key, due);
         }
     }
 
-    /// Fewer calls at once the more of the last went wrong: a slow counter is not crowded; what waits
-    /// gathers.
     fn may_count(&self, now: Nanos) -> bool {
-        let most = (COUNTS_OPEN / self.setting("balancers", 1.0).max(1.0) as usize).max(4);
-        let misses = self.counter.iter().filter(|answered| !**answered).count();
-        self.counter_open < most.saturating_sub(misses).max(1) && now >= self.counter_rest
+        self.counter_open < COUNTS_OPEN && now >= self.counter_rest
     }
 
-    /// Guards against a counter whose line is longer than its time-out, so that it works for nobody: a call that
-    /// misses widens the gap between calls, answers narrow it.
-    fn pace_counts(&mut self, answered: bool) {
-        let wait = span(self.setting("extra.countWait", 0.05));
-        let most = 4 * MS * self.setting("balancers", 1.0).max(1.0) as u64;
-        let gap = self.counter_gap;
-        self.counter_gap = if answered { gap * 19 / 20 } else { (gap * 5 / 4 + wait / 4).min(most) };
-    }
-
-    /// Counts the customers that wait for a free call, now or when the gap is over.
+    /// Counts the customers that wait for a free call, now or when the gap is over: first those with RPCs
+    /// waiting, which stand in front, then the one of a few that has most to tell.
     fn count_next(&mut self, host: &mut dyn Host, now: Nanos) {
-        while self.may_count(now) {
-            // Those with RPCs waiting stand in front; of the others the one of a few with most left to tell.
-            let (mut best, mut most) = (0, 0.0);
-            for place in
-                [0].into_iter().chain((0..8).map(|_| self.chance.usize(..self.to_count.len().max(1))))
-            {
-                let Some(customer) = self.to_count.get(place).and_then(|key| self.customers.get(key)) else {
-                    break;
-                };
-                if place == 0 && !customer.queue.is_empty() {
-                    best = 0;
-                    break;
-                }
-                let left = customer.pending.abs() / customer.burst.max(1e-6);
-                (best, most) = if left > most { (place, left) } else { (best, most) };
-            }
-            let Some(key) = self.to_count.remove(best) else { return };
-            self.count(host, now, key);
+        while self.may_count(now) && !self.to_count.is_empty() {
+            let drawn = (0..8).map(|_| self.chance.usize(..self.to_count.len()));
+            let drawn: Vec<usize> = drawn.chain([0]).collect();
+            let most = |place: &usize| match &self.customers[&self.to_count[*place]] {
+                customer if *place == 0 && !customer.queue.is_empty() => f64::MAX,
+                customer => customer.pending.abs() / customer.burst.max(1e-6),
+            };
+            let best = drawn.into_iter().max_by(|one, two| most(one).total_cmp(&most(two)));
+            let next = self.to_count.remove(best.unwrap_or(0)).unwrap_or_default();
+            self.count(host, now, next);
         }
-        if !self.to_count.is_empty() && self.counter_rest > now {
-            self.wake(host, now, self.counter_rest, COUNT);
+        if !self.to_count.is_empty() && self.count_wake_at <= now {
+            self.count_wake_at = self.counter_rest.max(now + MS);
+            self.wake(host, now, self.count_wake_at, COUNT);
         }
     }
 
     fn count(&mut self, host: &mut dyn Host, now: Nanos, key: u64) {
+        self.to_count.retain(|other| *other != key);
         if !self.may_count(now) {
             let waits = !self.customers[&key].queue.is_empty(); // RPCs there wait for the answer: it goes first
-            self.to_count.retain(|other| *other != key);
             self.to_count.insert(if waits { 0 } else { self.to_count.len() }, key);
-            if self.to_count.len() == 1 {
-                self.count_next(host, now);
-            }
-            return;
+            return self.count_next(host, now);
         }
-        let silent = self.silent();
         let customer = self.customer(now, key);
         let window = now / customer.window;
         let mut old = customer.ledgers.back().map(|ledger| ledger.0);
         if old != Some(window) {
-            customer.heard /= if silent { 1.0 } else { 2.0 }; // what no total shows may never have been added
             keep(&mut customer.ledgers, (window, 0.0, 0.0), 2);
         }
         // What the others added to the last window since it was read here would be lost with it.
@@ -721,23 +684,20 @@
     pub fn counted(&mut self, host: &mut dyn Host, now: Nanos, name: u64, how: End, total: f64) {
         let key = name >> 31;
         self.counter_open = self.counter_open.saturating_sub(1);
-        let was_silent = self.silent();
         keep(&mut self.counter, how == End::Ok, COUNTS_KEPT);
         if self.silent() {
             self.counter_rest = now + 100 * MS;
-            if !was_silent && self.is_true("ceilings.peers") {
-                self.silent_since = now;
-                (self.drawn, self.to_tell) = Default::default();
-                self.wake(host, now, now, TELL);
-            }
         }
+        // Guards against a counter whose line is longer than its time-out, so that it works for nobody: a call
+        // that misses widens the gap between calls, answers narrow it. Harm: adds come later.
+        let (gap, wait) = (self.counter_gap, span(self.setting("extra.countWait", 0.05)));
+        let wider = (gap * 5 / 4 + wait / 4).min(4 * MS * self.gateways() as u64);
+        self.counter_gap = if how == End::Ok { gap * 19 / 20 } else { wider };
         let same = |call: &(u64, f64, u64)| call.0 & 0x7fff_ffff == name & 0x7fff_ffff;
         let place = self.customers.get(&key).and_then(|customer| customer.calls.iter().position(same));
         let Some(place) = place else { return };
         let customer = self.customer(now, key);
         let (window, add, serial) = customer.calls.remove(place).unwrap_or_default();
-        self.pace_counts(how == End::Ok);
-        let customer = self.customer(now, key);
         let ledger = customer.ledgers.iter_mut().find(|ledger| ledger.0 == window);
         match (how, ledger) {
             (End::Ok, Some((_, own, others))) if total.is_finite() => {
@@ -749,9 +709,7 @@
                 }
                 let more = total - *own - *others;
                 *others += more;
-                let heard = more.min(customer.heard).max(0.0); // taken off already, when it was told
-                customer.heard -= heard;
-                customer.level -= more - heard;
+                customer.level -= more;
                 if std::mem::replace(&mut customer.read_at, now) == 0 {
                     customer.level = customer.burst - total - customer.pending;
                 }
@@ -767,68 +725,31 @@
         }
         // Claims that this call carried: the last in the queue give their units back first, the others go.
         for id in customer.queue.clone().iter().rev() {
-            let Some(rpc) = self.rpcs.get_mut(id) else { continue };
-            if rpc.state == State::Claiming && rpc.claim <= serial {
-                let customer = self.customers.entry(key).or_default();
-                rpc.drawn = customer.level >= customer.line(now, rpc.patient) - 0.01;
-                if !rpc.drawn {
-                    customer.take(-rpc.units);
-                }
-                self.shift(*id, State::Held);
+            let claims = |rpc: &&mut Rpc| rpc.state == State::Claiming && rpc.claim <= serial;
+            let Some(rpc) = self.rpcs.get_mut(id).filter(claims) else { continue };
+            let customer = self.customers.entry(key).or_default();
+            rpc.drawn = customer.level >= customer.line(now, rpc.patient) - 0.01;
+            if !rpc.drawn {
+                customer.take(-rpc.units);
             }
+            self.shift(*id, State::Held);
         }
         self.release(host, now, key);
         self.share_count(host, now, key);
         self.count_next(host, now);
     }
 
-    /// While the counter is silent (down, refusing, too slow) gateways tell each other what they drew since,
-    /// as sums, so that a lost message is made good. Harm: use told late can be drawn twice.
-    fn tell(&mut self, host: &mut dyn Host, now: Nanos) {
-        let lines: Vec<u64> = std::mem::take(&mut self.to_tell).into_iter().collect();
-        for part in lines.chunks(15) {
-            let drawn =
-                part.iter().flat_map(|key| [*key, self.drawn.get(key).map_or(0, |sum| sum.to_bits())]);
-            let words = std::iter::once(self.silent_since).chain(drawn);
-            host.tell(u32::MAX, &words.flat_map(u64::to_be_bytes).collect::<Vec<u8>>());
-        }
-        let peers = (self.setting("balancers", 1.0) - 1.0).max(0.0);
-        let every = span(3.0 * peers / self.setting("extra.mailPerS", 10.0).max(1.0)).max(100 * MS);
-        self.wake(host, now, now + every, TELL);
-    }
-
-    /// Another gateway told what it drew; what is garbled or of unknown customers is passed over.
-    pub fn told(&mut self, now: Nanos, from: u32, body: &[u8]) {
-        let words = body.chunks_exact(8).map(|word| u64::from_be_bytes(word.try_into().unwrap_or_default()));
-        let words: Vec<u64> = words.collect();
-        if body.len() % 16 != 8 {
-            return;
-        }
-        self.heard_at = now;
-        for line in words[1..].chunks_exact(2) {
-            let (key, drawn) = (line[0], f64::from_bits(line[1]));
-            if drawn.is_finite() && self.customers.contains_key(&key) {
-                let last =
-                    self.heard.insert((from, key), (words[0], drawn)).filter(|last| last.0 == words[0]);
-                let customer = self.customer(now, key);
-                let more = (drawn - last.map_or(0.0, |last| last.1)).clamp(0.0, customer.burst);
-                customer.level -= more;
-                customer.heard += more;
-            }
-        }
-    }
-
     /// Two drawn at random, the one that this gateway's own counts favour is taken. Those that can't take it are
     /// passed over in the draw, so that a fleet in health costs two looks, whatever its size.
     fn choose(&mut self, now: Nanos, id: u32) -> Option<u32> {
         let (mut chance, mut ready) = (self.chance.fork(), std::mem::take(&mut self.ready));
-        let rpc = self.rpcs.get(&id)?;
-        let group =
-            rpc.ran.filter(|_| self.is(rpc, "guarded") && !self.method_is(rpc.method, "group", "all"));
+        let rpc = &self.rpcs[&id];
+        let narrow = self.is(rpc, "guarded") && !self.method_is(rpc.method, "group", "all");
+        let group = rpc.ran.filter(|_| narrow);
         let zoned = self.method_is(rpc.method, "group", "zone");
         let in_group = |at: &Listed| group.is_none_or(|(_, z, c)| at.cell == c || zoned && at.zone == z);
         let (soft, typical) = (secs(rpc.soft), self.typical(now));
-        let least = (9.0 / self.setting("balancers", 1.0).max(1.0)).clamp(1.0, 3.0);
+        let least = (9.0 / self.gateways()).clamp(1.0, 3.0);
         let (mut drawn, mut last_resort) = (Vec::new(), Vec::new());
         for place in 0..ready.len() {
             let other = chance.usize(place..ready.len());
@@ -865,41 +786,33 @@
         (server.open.len() as f64 + 1.0) * (sum / count) * overdue * far / server.listed.weight.max(0.05)
     }
 
-    /// Guards against pushing over a server that has just started: until warm it gets three quarters of the
-    /// told multiple of its cold part, less what chance adds when gateways send apart, over all gateways; each
-    /// keeps its own gap, the first at random, so that the sum holds for any number and for a fleet that
-    /// restarts. No more is open than its answers justify. Harm: one warm sooner idles.
+    /// Guards against pushing over a server that has just started: until warm all gateways together send three
+    /// quarters of the told multiple of its cold part, less what chance adds when they send apart. Each keeps
+    /// a gap of its own, the first at random, so that the sum holds for any number and for a fleet that restarts;
+    /// no more is open than its answers justify. Harm: one warm sooner idles.
     fn cold_room(&self, now: Nanos, server: &Server) -> bool {
-        let Some(gap) = self.cold_gap(now, server) else { return true };
-        let waited = secs(now.saturating_sub(server.cold.0));
-        waited >= server.cold.1 * gap && server.open.len() < 1 + server.oks().count()
-    }
-
-    /// Seconds between this gateway's call-outs to a server while that is cold.
-    fn cold_gap(&self, now: Nanos, server: &Server) -> Option<f64> {
-        let within = span(self.setting("rules.warmWithin", 30.0)).max(1);
-        let from = self.setting("rules.coldFrom", 0.1);
-        let part = |peer: &Listed| {
-            let age = now.saturating_sub(peer.came_up);
-            let warm = peer.came_up == 0 || age >= within;
-            if warm { 1.0 } else { from + (1.0 - from) * age as f64 / within as f64 }
-        };
-        let own = part(&server.listed);
+        let own = self.warmth(now, &server.listed);
         if own >= 1.0 {
-            return None;
+            return true;
         }
         let up = self.servers.values().map(|peer| &peer.listed).filter(|peer| peer.ready);
-        let fleet: f64 = up.map(|peer| peer.weight * part(peer)).sum();
-        let gateways = self.setting("balancers", 1.0).max(1.0);
-        let (count, rate) = answered(now, self.oks.iter().map(|ok| ok.0));
+        let fleet: f64 = up.map(|peer| peer.weight * self.warmth(now, peer)).sum();
+        let (count, rate) = answered(now, self.oks.iter().copied());
         let rate = if count < 2 * KEPT { count as f64 / 2.0 } else { rate };
+        let carries = rate * self.gateways() * server.listed.weight / fleet.max(0.05);
         let fall = self.setting("rules.fall", 1.0);
-        let most =
-            0.75 * self.setting("rules.fallMultiple", 1.0) * own * server.listed.weight * rate * gateways
-                / fleet.max(0.05)
-                * fall;
-        let budget = (most - 2.0 * most.min(gateways / 4.0).sqrt()).max(3.0);
-        Some(gateways * fall / budget)
+        let most = 0.75 * self.setting("rules.fallMultiple", 1.0) * own * carries * fall;
+        let budget = (most - 2.0 * most.min(self.gateways() / 4.0).sqrt()).max(3.0);
+        let gap = server.cold.1 * self.gateways() * fall / budget;
+        secs(now.saturating_sub(server.cold.0)) >= gap && server.open.len() < 1 + server.oks().count()
+    }
+
+    /// The part of its capacity that a server surely has by now.
+    fn warmth(&self, now: Nanos, server: &Listed) -> f64 {
+        let within = self.setting("rules.warmWithin", 30.0).max(1e-3);
+        let age = secs(now.saturating_sub(server.came_up));
+        let from = self.setting("rules.coldFrom", 0.1);
+        if server.came_up == 0 { 1.0 } else { (from + (1.0 - from) * age / within).min(1.0) }
     }
 
     fn wake(&mut self, host: &mut dyn Host, now: Nanos, at: Nanos, wake: u64) {
