--- a/src/brain.rs
+++ b/src/brain.rs
@@ -513,7 +513,7 @@
             let last = self.ends.iter().rev().take(MANY / 2).filter(|end| now - end.0 < FRESH);
             let mut took: Vec<Nanos> = last.map(|end| end.1).collect();
             took.extend(open.iter().filter(|age| **age > typical));
-            let by_last = if open.is_empty() { 0.0 } else { secs(median(took)) };
+            let by_last = if open.is_empty() { 0.0 } else { 1.5 * secs(median(took)) };
             // Of few answers the rate says little: a call-out or three more may be open.
             let spare = if count < MANY { 3.0 } else { 0.0 };
             let by_rate = if count > 0 { (open.len() as f64 + 1.0 - spare) / rate } else { 0.0 };
