--- a/src/brain.rs
+++ b/src/brain.rs
@@ -132,10 +132,12 @@
     }
 
     /// Guards against a server that is down, cut off, full, hanging or erring: it rests, longer with each
-    /// miss, then is tried singly until an ok. Harm: a short fault keeps a good server idle for a moment.
-    fn rests(&self, now: Nanos) -> bool {
+    /// miss and with more gateways, so that all of them together try it no more often; then it is tried singly
+    /// until an ok. Harm: a short fault keeps a good server idle here for a moment.
+    fn rests(&self, now: Nanos, gateways: f64) -> bool {
         let misses = self.ends.iter().rev().take_while(|end| !end.2).count();
-        let until = self.ends.back().map_or(0, |end| end.0 + ((50 * MS) << misses.min(5)));
+        let rest = (((50 * MS) << misses.min(5)) as f64 * (gateways / 3.0).max(1.0)) as Nanos;
+        let until = self.ends.back().map_or(0, |end| end.0 + rest.min(2 * FRESH));
         misses > 0 && (now < until || !self.open.is_empty())
     }
 
@@ -513,7 +515,7 @@
             let last = self.ends.iter().rev().take(MANY / 2).filter(|end| now - end.0 < FRESH);
             let mut took: Vec<Nanos> = last.map(|end| end.1).collect();
             took.extend(open.iter().filter(|age| **age > typical));
-            let by_last = if open.is_empty() { 0.0 } else { 1.5 * secs(median(took)) };
+            let by_last = if open.is_empty() { 0.0 } else { secs(median(took)) };
             // Of few answers the rate says little: a call-out or three more may be open.
             let spare = if count < MANY { 3.0 } else { 0.0 };
             let by_rate = if count > 0 { (open.len() as f64 + 1.0 - spare) / rate } else { 0.0 };
@@ -761,7 +763,7 @@
             if full || !in_group(&server.listed) || !self.cold_room(now, server) {
                 continue;
             }
-            let unwell = server.rests(now) || server.hangs(now, typical);
+            let unwell = server.rests(now, self.gateways()) || server.hangs(now, typical);
             if unwell { &mut last_resort } else { &mut drawn }.push(ready[place]);
             if drawn.len() == 2 {
                 break;
