--- a/src/brain.rs
+++ b/src/brain.rs
@@ -353,7 +353,11 @@
             if room_at > now {
                 *ahead += units;
                 if room_at > latest {
-                    return self.finish(host, now, id, room_at - now);
+                    // Where only this gateway's part of a ceiling is spent, another of the set may have room now.
+                    let customer = &self.customers[&key];
+                    let part =
+                        customer.ceiling_rate > 0.0 && customer.ceiling < units && customer.width > 1.0;
+                    return self.finish(host, now, id, if part { RECHECK } else { room_at - now });
                 }
                 return room_at;
             }
