--- a/src/brain.rs
+++ b/src/brain.rs
@@ -740,6 +740,10 @@
             }
             self.shift(*id, State::Held);
         }
+        let claiming = self.customers[&key].queue.iter().filter_map(|id| self.rpcs.get(id));
+        let claimed: f64 = claiming.filter(|rpc| rpc.state == State::Claiming).map(|rpc| rpc.units).sum();
+        let customer = self.customer(now, key);
+        customer.level = customer.level.max(-claimed - customer.burst / 2.0);
         self.release(host, now, key);
         self.share_count(host, now, key);
         self.count_next(host, now);
