--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,6 +20,7 @@
 /// How much of its soft deadline an RPC may be expected to take in the servers when it is sent.
 const PATIENT_SHARE: f64 = 0.3;
 const URGENT_SHARE: f64 = 0.45;
+const BRAKED_SHARE: f64 = 0.15;
 /// How soon an RPC held for want of a server, or by the brake, is looked at again.
 const RECHECK: Nanos = 25 * MS;
 const COUNT: u64 = u64::MAX;
@@ -364,7 +365,9 @@
             thin = self.is_thin(now, key, units + *ahead, patient);
         }
         // A server that can take it, unless the brake holds or all are crowded.
-        let held = !drawn && patient && self.braked(now, key) || self.crowded(now, soft, patient);
+        let share = if patient { PATIENT_SHARE } else { URGENT_SHARE };
+        let share = if patient && !drawn && self.braked(now, key) { BRAKED_SHARE } else { share };
+        let held = self.crowded(now) > share * secs(soft);
         let Some(server) = (if held { None } else { self.choose(now, id) }) else {
             return (now + RECHECK).min(latest);
         };
@@ -509,7 +512,7 @@
     /// Whether one more would hardly be answered in time: open over answered a second; where answers are few the
     /// last ones tell more. Guards against overload of any cause, patient RPCs giving way first; hanging servers
     /// are left out, or they would stop all. Harm: after a lull the rate looks low.
-    fn crowded(&mut self, now: Nanos, soft: Nanos, patient: bool) -> bool {
+    fn crowded(&mut self, now: Nanos) -> f64 {
         if self.wait.0 != now {
             let typical = self.typical(now);
             let hangs = |id| self.servers.get(id).is_some_and(|server| server.hangs(now, typical));
@@ -525,7 +528,7 @@
             let by_rate = if count > 0 { (open.len() as f64 + 1.0 - spare) / rate } else { 0.0 };
             self.wait = (now, if count < MANY { by_last.max(by_rate) } else { by_rate });
         }
-        self.wait.1 > if patient { PATIENT_SHARE } else { URGENT_SHARE } * secs(soft)
+        self.wait.1
     }
 
     /// What a call-out takes now: the median, cut off ones included, or a fleet too slow to answer any in time
@@ -740,10 +743,6 @@
             }
             self.shift(*id, State::Held);
         }
-        let claiming = self.customers[&key].queue.iter().filter_map(|id| self.rpcs.get(id));
-        let claimed: f64 = claiming.filter(|rpc| rpc.state == State::Claiming).map(|rpc| rpc.units).sum();
-        let customer = self.customer(now, key);
-        customer.level = customer.level.max(-claimed - customer.burst / 2.0);
         self.release(host, now, key);
         self.share_count(host, now, key);
         self.count_next(host, now);
