The gap between count calls may reach the time-out in small fleets too

Cause: with 2 gateways the gap was capped at 8 ms, so a counter 8 times slower was overrun all the time.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,7 +20,6 @@
 /// How much of its soft deadline an RPC may be expected to take in the servers when it is sent.
 const PATIENT_SHARE: f64 = 0.3;
 const URGENT_SHARE: f64 = 0.45;
-const BRAKED_SHARE: f64 = 0.15;
 /// How soon an RPC held for want of a server, or by the brake, is looked at again.
 const RECHECK: Nanos = 25 * MS;
 const COUNT: u64 = u64::MAX;
@@ -365,9 +364,7 @@
             thin = self.is_thin(now, key, units + *ahead, patient);
         }
         // A server that can take it, unless the brake holds or all are crowded.
-        let share = if patient { PATIENT_SHARE } else { URGENT_SHARE };
-        let share = if patient && !drawn && self.braked(now, key) { BRAKED_SHARE } else { share };
-        let held = self.crowded(now) > share * secs(soft);
+        let held = !drawn && patient && self.braked(now, key) || self.crowded(now, soft, patient);
         let Some(server) = (if held { None } else { self.choose(now, id) }) else {
             return (now + RECHECK).min(latest);
         };
@@ -512,7 +509,7 @@
     /// Whether one more would hardly be answered in time: open over answered a second; where answers are few the
     /// last ones tell more. Guards against overload of any cause, patient RPCs giving way first; hanging servers
     /// are left out, or they would stop all. Harm: after a lull the rate looks low.
-    fn crowded(&mut self, now: Nanos) -> f64 {
+    fn crowded(&mut self, now: Nanos, soft: Nanos, patient: bool) -> bool {
         if self.wait.0 != now {
             let typical = self.typical(now);
             let hangs = |id| self.servers.get(id).is_some_and(|server| server.hangs(now, typical));
@@ -528,7 +525,7 @@
             let by_rate = if count > 0 { (open.len() as f64 + 1.0 - spare) / rate } else { 0.0 };
             self.wait = (now, if count < MANY { by_last.max(by_rate) } else { by_rate });
         }
-        self.wait.1
+        self.wait.1 > if patient { PATIENT_SHARE } else { URGENT_SHARE } * secs(soft)
     }
 
     /// What a call-out takes now: the median, cut off ones included, or a fleet too slow to answer any in time
@@ -700,7 +697,7 @@
         // Guards against a counter whose line is longer than its time-out, so that it works for nobody: a call
         // that misses widens the gap between calls, answers narrow it. Harm: adds come later.
         let (gap, wait) = (self.counter_gap, span(self.setting("extra.countWait", 0.05)));
-        let wider = (gap * 5 / 4 + wait / 4).min(4 * MS * self.gateways() as u64);
+        let wider = (gap * 5 / 4 + wait / 4).min(wait + 4 * MS * self.gateways() as u64);
         self.counter_gap = if how == End::Ok { gap * 19 / 20 } else { wider };
         let same = |call: &(u64, f64, u64)| call.0 & 0x7fff_ffff == name & 0x7fff_ffff;
         let place = self.customers.get(&key).and_then(|customer| customer.calls.iter().position(same));
@@ -743,6 +740,10 @@
             }
             self.shift(*id, State::Held);
         }
+        let claiming = self.customers[&key].queue.iter().filter_map(|id| self.rpcs.get(id));
+        let claimed: f64 = claiming.filter(|rpc| rpc.state == State::Claiming).map(|rpc| rpc.units).sum();
+        let customer = self.customer(now, key);
+        customer.level = customer.level.max(-claimed - customer.burst / 2.0);
         self.release(host, now, key);
         self.share_count(host, now, key);
         self.count_next(host, now);
