--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -190,8 +190,4 @@
         let add = (add as f32).to_be_bytes();
         self.record(16, &[&name.to_be_bytes(), &add, &seconds(forget).to_be_bytes()]);
     }
-
-    fn tell(&mut self, peer: u32, body: &[u8]) {
-        self.record(18, &[&peer.to_be_bytes(), &(body.len() as u16).to_be_bytes(), body]);
-    }
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,6 +1,6 @@
-//! Every decision of the gateway. A host (its interface stands in `host.rs`) makes one `Brain` for each life of
-//! a gateway and calls it with what happens: `listed`, `rpc`, `ended`, `client_left`, `counted`, `woke`. Each
-//! call answers through the `Host` it is given. Start reading at `advance`, the path of an RPC.
+//! Every decision of the gateway. A host (its interface stands in `host.rs`) makes one `Brain` for each life
+//! of a gateway and calls it with what happens: `listed`, `rpc`, `ended`, `client_left`, `counted`, `woke`.
+//! Each call answers through the `Host` it is given. Start reading at `advance`, the path of an RPC.
 
 use crate::host::{Arrival, End, Ended, Host, Listed, Nanos, Settings};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -23,8 +23,7 @@
 /// How soon an RPC held for want of a server, or by the brake, is looked at again.
 const RECHECK: Nanos = 25 * MS;
 const COUNT: u64 = u64::MAX;
-/// Count calls open at once, ends kept, misses in a row that make the counter silent.
-const COUNTS_OPEN: usize = 8;
+/// Ends of count calls kept, and misses in a row that make the counter silent.
 const COUNTS_KEPT: usize = 8;
 const SILENT_AFTER: usize = 3;
 
@@ -74,9 +73,8 @@
     split: f64,
     ceiling: f64,
     at: Nanos,
-    /// When the last total was read, and when the store was last known to be short; 0 is never.
+    /// When the last total was read; 0 is never.
     read_at: Nanos,
-    short_at: Nanos,
     open: u64,
     /// Ids of held and claiming RPCs, most urgent first, then as they came.
     queue: Vec<u32>,
@@ -131,26 +129,22 @@
         self.open.front().is_some_and(|open| now - open.2 > (6 * typical).max(500 * MS))
     }
 
-    /// Guards against a server that is down, cut off, full, hanging or erring: it rests, longer with each
-    /// miss and with more gateways, so that all of them together try it no more often; then it is tried singly
-    /// until an ok. Harm: a short fault keeps a good server idle here for a moment.
+    /// Guards against a server that is down, cut off, full or erring: it rests, longer with each miss and
+    /// with more gateways, which try it together, then is tried singly until an ok. Harm: a short fault idles
+    /// it.
     fn rests(&self, now: Nanos, gateways: f64) -> bool {
         let misses = self.ends.iter().rev().take_while(|end| !end.2).count();
         let rest = (((50 * MS) << misses.min(5)) as f64 * (gateways / 3.0).max(1.0)) as Nanos;
         let until = self.ends.back().map_or(0, |end| end.0 + rest.min(2 * FRESH));
         misses > 0 && (now < until || !self.open.is_empty())
     }
-
-    fn oks(&self) -> impl DoubleEndedIterator<Item = &(Nanos, Nanos, bool)> + Clone {
-        self.ends.iter().filter(|end| end.2)
-    }
 }
 
 #[derive(Default)]
 pub struct Brain {
     settings: Settings,
     chance: fastrand::Rng,
-    /// When this life began: its part of a ceiling is empty then (an earlier life may have spent it) and fills.
+    /// When this life began: its part of a ceiling is empty then, since an earlier life may have spent it.
     born: Option<Nanos>,
     servers: BTreeMap<u32, Server>,
     /// Ids of servers that new work may go to, in any order.
@@ -161,18 +155,16 @@
     open: BTreeMap<(u32, u16), (u32, u64, Nanos, Nanos)>,
     wakes: HashMap<u32, u64>, // for which customer, or what else
     next_wake: u32,
-    /// Ok answers of the whole fleet, and urgent call-outs: when, and latency over soft deadline.
-    oks: VecDeque<Nanos>,
-    /// Ends of all that may have run, cut off ones included: when, and after how long.
-    ends: VecDeque<(Nanos, Nanos)>,
+    /// Ends of all that may have run, cut off ones too: when, after how long, and whether ok; and urgent
+    /// ones: when, and latency over soft deadline.
+    ends: VecDeque<(Nanos, Nanos, bool)>,
     urgent: VecDeque<(Nanos, f64)>,
     /// Worked out once an instant: the wait that one more has, the latency part of the brake, and `typical`.
     wait: (Nanos, f64),
     brake: (Nanos, bool),
     typical: (Nanos, Nanos),
-    /// Last ends of count calls, those open, and the customers waiting for a free one.
+    /// Last ends of count calls, when the next is free, after what gap, and the customers waiting for one.
     counter: VecDeque<bool>,
-    counter_open: usize,
     counter_rest: Nanos,
     counter_gap: Nanos,
     count_wake_at: Nanos,
@@ -184,10 +176,10 @@
     samples.drain(..samples.len().saturating_sub(most));
 }
 
-/// Of times of ok answers, those of the last 2 s: how many, and how many a second.
-fn answered(now: Nanos, oks: impl Iterator<Item = Nanos>) -> (usize, f64) {
-    let fresh: Vec<Nanos> = oks.filter(|ok| now - ok < 2 * SEC).collect();
-    let since = fresh.first().map_or(0, |first| now - first);
+/// Of ends (when, after how long, whether ok) the oks of the last 2 s: how many, and how many a second.
+fn answered(now: Nanos, ends: &VecDeque<(Nanos, Nanos, bool)>) -> (usize, f64) {
+    let fresh: Vec<_> = ends.iter().filter(|end| end.2 && now - end.0 < 2 * SEC).collect();
+    let since = fresh.first().map_or(0, |first| now - first.0);
     (fresh.len(), fresh.len() as f64 / secs(since).max(0.05))
 }
 
@@ -353,7 +345,7 @@
             if room_at > now {
                 *ahead += units;
                 if room_at > latest {
-                    // Where only this gateway's part of a ceiling is spent, another of the set may have room now.
+                    // With this gateway's part of a ceiling spent, another of the set may have room now.
                     let customer = &self.customers[&key];
                     let part =
                         customer.ceiling_rate > 0.0 && customer.ceiling < units && customer.width > 1.0;
@@ -415,10 +407,7 @@
             }
         }
         if !never_ran {
-            keep(&mut self.ends, (now, ended.took), 2 * KEPT);
-        }
-        if ended.how == End::Ok {
-            keep(&mut self.oks, now, 2 * KEPT);
+            keep(&mut self.ends, (now, ended.took, ended.how == End::Ok), 2 * KEPT);
         }
         self.customer(now, key).open -= 1;
         (self.wait.0, self.brake.0, self.typical.0) = (0, 0, 0);
@@ -492,8 +481,8 @@
         (self.setting("ceilings.attemptsCap", 1.0) as u64).saturating_sub(rpc.tries)
     }
 
-    /// How long to wait for this call-out; 0 is until the deadline. Guards against hanging and slow servers: an
-    /// RPC that may go out again leaves itself time for it, unless all are slow, when that would only add work.
+    /// How long to wait for this call-out; 0 is until the deadline. Guards against hanging and slow servers:
+    /// an RPC that may go out again leaves itself time, unless all are slow, when that would only add work.
     fn patience_with(&self, now: Nanos, id: u32) -> Nanos {
         let Some(rpc) = self.rpcs.get(&id) else { return 0 };
         let again = self.tries_left(rpc) > 1 && (self.is(rpc, "free") || self.is(rpc, "guarded"));
@@ -506,16 +495,16 @@
         rpc.soft_deadline.saturating_sub(self.typical(now).min(rpc.soft / 2))
     }
 
-    /// Whether one more would hardly be answered in time: open over answered a second; where answers are few the
-    /// last ones tell more. Guards against overload of any cause, patient RPCs giving way first; hanging servers
-    /// are left out, or they would stop all. Harm: after a lull the rate looks low.
+    /// Whether one more would be late: open over answered a second; of few answers the last ones tell more.
+    /// Guards against overload of any cause, patient RPCs giving way first; hanging servers are left out, or
+    /// they would stop all. Harm: after a lull the rate looks low.
     fn crowded(&mut self, now: Nanos, soft: Nanos, patient: bool) -> bool {
         if self.wait.0 != now {
             let typical = self.typical(now);
             let hangs = |id| self.servers.get(id).is_some_and(|server| server.hangs(now, typical));
             let up = self.open.values().filter(|out| !hangs(&out.0)).map(|out| now - out.2);
             let open: Vec<Nanos> = up.collect();
-            let (count, rate) = answered(now, self.oks.iter().copied());
+            let (count, rate) = answered(now, &self.ends);
             let last = self.ends.iter().rev().take(MANY / 2).filter(|end| now - end.0 < FRESH);
             let mut took: Vec<Nanos> = last.map(|end| end.1).collect();
             took.extend(open.iter().filter(|age| **age > typical));
@@ -528,7 +517,7 @@
         self.wait.1 > if patient { PATIENT_SHARE } else { URGENT_SHARE } * secs(soft)
     }
 
-    /// What a call-out takes now: the median, cut off ones included, or a fleet too slow to answer any in time
+    /// What a call-out takes now: the median, cut off ones too, or a fleet too slow to answer any in time
     /// would look quick; old ones don't count, or a gateway they stopped would stay so.
     fn typical(&self, now: Nanos) -> Nanos {
         if self.typical.0 == now {
@@ -591,10 +580,9 @@
         let refill = customer.rate * secs(now.saturating_sub(customer.counted_at));
         let others = ((customer.width - 1.0) * customer.pending - refill).max(0.0);
         let known = if customer.read_at == 0 { customer.burst - customer.pending - units } else { spare };
-        let short = customer.short_at > 0 && now - customer.short_at < customer.window || known < others;
-        let asks = free || short && customer.split < units.min(customer.burst / customer.width);
-        let answers = self.is_true("extra.hasCounter") && !self.silent() && asks;
-        answers && customer.rate > 0.0 && spare < (customer.width - 1.0) * units + customer.rate * age
+        let asks = free || known <= others && customer.split < units.min(customer.burst / customer.width);
+        let answers = self.is_true("extra.hasCounter") && !self.silent() && customer.rate > 0.0;
+        answers && asks && spare < (customer.width - 1.0) * units + customer.rate * age
     }
 
     /// The brake on patient RPCs: urgent ones pushed back for lack of this customer's quota, or late (p95).
@@ -606,7 +594,7 @@
         if self.brake.0 != now {
             let samples = self.urgent.iter().filter(|sample| fresh(sample.0));
             let mut ratios: Vec<f64> = samples.map(|sample| sample.1).collect();
-            // A call-out open past its soft deadline is distress though no latency has come (a hanging server).
+            // A call-out open past its soft deadline is distress though no latency has come.
             ratios.extend(self.open.values().filter(|out| out.3 < now).map(|_| 2.0));
             ratios.sort_by(f64::total_cmp);
             self.brake = (now, ratios.len() >= BRAKE_SAMPLES && ratios[ratios.len() * 95 / 100] > 1.0);
@@ -634,22 +622,18 @@
         }
     }
 
-    fn may_count(&self, now: Nanos) -> bool {
-        self.counter_open < COUNTS_OPEN && now >= self.counter_rest
-    }
-
     /// Counts the customers that wait for a free call, now or when the gap is over: first those with RPCs
     /// waiting, which stand in front, then the one of a few that has most to tell.
     fn count_next(&mut self, host: &mut dyn Host, now: Nanos) {
-        while self.may_count(now) && !self.to_count.is_empty() {
-            let drawn = (0..8).map(|_| self.chance.usize(..self.to_count.len()));
-            let drawn: Vec<usize> = drawn.chain([0]).collect();
+        while now >= self.counter_rest && !self.to_count.is_empty() {
+            let all = self.to_count.len();
+            let drawn: Vec<usize> = (0..8).map(|_| self.chance.usize(..all)).chain([0]).collect();
             let most = |place: &usize| match &self.customers[&self.to_count[*place]] {
                 customer if *place == 0 && !customer.queue.is_empty() => f64::MAX,
                 customer => customer.pending.abs() / customer.burst.max(1e-6),
             };
             let best = drawn.into_iter().max_by(|one, two| most(one).total_cmp(&most(two)));
-            let next = self.to_count.remove(best.unwrap_or(0)).unwrap_or_default();
+            let Some(next) = best.and_then(|best| self.to_count.remove(best)) else { return };
             self.count(host, now, next);
         }
         if !self.to_count.is_empty() && self.count_wake_at <= now {
@@ -660,50 +644,43 @@
 
     fn count(&mut self, host: &mut dyn Host, now: Nanos, key: u64) {
         self.to_count.retain(|other| *other != key);
-        if !self.may_count(now) {
-            let waits = !self.customers[&key].queue.is_empty(); // RPCs there wait for the answer: it goes first
+        if now < self.counter_rest {
+            let waits = !self.customers[&key].queue.is_empty(); // for the answer: it goes first
             self.to_count.insert(if waits { 0 } else { self.to_count.len() }, key);
             return self.count_next(host, now);
         }
         let customer = self.customer(now, key);
         let window = now / customer.window;
-        let mut old = customer.ledgers.back().map(|ledger| ledger.0);
+        let old = customer.ledgers.back().map(|ledger| ledger.0);
         if old != Some(window) {
             keep(&mut customer.ledgers, (window, 0.0, 0.0), 2);
         }
         // What the others added to the last window since it was read here would be lost with it.
-        old = old.filter(|old| old + 1 == window && customer.level < customer.burst / 2.0);
-        customer.calls.extend(old.map(|old| (old, 0.0, 0)));
+        let old = old.filter(|old| old + 1 == window && customer.level < customer.burst / 2.0);
         customer.serial += 1;
-        let add = std::mem::take(&mut customer.pending);
-        customer.calls.push_back((window, add, customer.serial));
         customer.counted_at = now;
+        let call = (window, std::mem::take(&mut customer.pending), customer.serial);
         let forget = (2 * customer.window + SEC).min(60 * SEC);
-        for (window, add) in old.map(|old| (old, 0.0)).into_iter().chain([(window, add)]) {
-            self.counter_open += 1;
-            self.counter_rest = self.counter_rest.max(now + self.counter_gap);
-            host.count(key << 31 | (window & 0x7fff_ffff), add, forget);
+        for call in old.map(|old| (old, 0.0, 0)).into_iter().chain([call]) {
+            customer.calls.push_back(call);
+            host.count(key << 31 | (call.0 & 0x7fff_ffff), call.1, forget);
         }
+        self.counter_rest = now + self.counter_gap;
     }
 
     /// The counter answered: a name is a customer and a window.
     pub fn counted(&mut self, host: &mut dyn Host, now: Nanos, name: u64, how: End, total: f64) {
         let key = name >> 31;
-        self.counter_open = self.counter_open.saturating_sub(1);
         keep(&mut self.counter, how == End::Ok, COUNTS_KEPT);
-        if self.silent() {
-            self.counter_rest = now + 100 * MS;
-        }
-        // Guards against a counter whose line is longer than its time-out, so that it works for nobody: a call
-        // that misses widens the gap between calls, answers narrow it. Harm: adds come later.
+        // Guards against a counter whose line is longer than its time-out, so that it works for nobody: a
+        // miss widens the gap between calls, answers narrow it. Harm: adds come later.
         let (gap, wait) = (self.counter_gap, span(self.setting("extra.countWait", 0.05)));
         let wider = (gap * 5 / 4 + wait / 4).min(wait + 4 * MS * self.gateways() as u64);
         self.counter_gap = if how == End::Ok { gap * 19 / 20 } else { wider };
         let same = |call: &(u64, f64, u64)| call.0 & 0x7fff_ffff == name & 0x7fff_ffff;
         let place = self.customers.get(&key).and_then(|customer| customer.calls.iter().position(same));
-        let Some(place) = place else { return };
         let customer = self.customer(now, key);
-        let (window, add, serial) = customer.calls.remove(place).unwrap_or_default();
+        let Some((window, add, serial)) = place.and_then(|at| customer.calls.remove(at)) else { return };
         let ledger = customer.ledgers.iter_mut().find(|ledger| ledger.0 == window);
         match (how, ledger) {
             (End::Ok, Some((_, own, others))) if total.is_finite() => {
@@ -719,9 +696,6 @@
                 if std::mem::replace(&mut customer.read_at, now) == 0 {
                     customer.level = customer.burst - total - customer.pending;
                 }
-                if customer.level < customer.burst / 4.0 {
-                    customer.short_at = now;
-                }
             }
             // Nothing was added: the units are still to be told.
             (End::Full | End::NoConnection | End::NotSent, _) => customer.pending += add,
@@ -749,7 +723,7 @@
         self.count_next(host, now);
     }
 
-    /// Two drawn at random, the one that this gateway's own counts favour is taken. Those that can't take it are
+    /// Two drawn at random, the one that this gateway's own counts favour is taken. What can't take it is
     /// passed over in the draw, so that a fleet in health costs two looks, whatever its size.
     fn choose(&mut self, now: Nanos, id: u32) -> Option<u32> {
         let (mut chance, mut ready) = (self.chance.fork(), std::mem::take(&mut self.ready));
@@ -765,7 +739,7 @@
             let other = chance.usize(place..ready.len());
             ready.swap(place, other);
             let server = &self.servers[&ready[place]];
-            let (count, rate) = answered(now, server.oks().map(|ok| ok.0));
+            let (count, rate) = answered(now, &server.ends);
             let rate = if count < KEPT { count as f64 / 2.0 } else { rate };
             let full = server.open.len() as f64 >= (URGENT_SHARE * soft * rate).max(least);
             if full || !in_group(&server.listed) || !self.cold_room(now, server) {
@@ -788,18 +762,18 @@
         let (server, typical) = (&self.servers[&id], self.typical(now).max(MS) as f64);
         let ran = server.ends.iter().rev().filter(|end| end.2 || end.1 as f64 > typical);
         let fresh = ran.take(8).filter(|end| now - end.0 < 4 * FRESH).map(|end| end.1);
-        let (count, sum) = fresh.fold((1.0, typical), |(count, sum), took| (count + 1.0, sum + took as f64));
         // A call-out open for long tells of a hanging or paused server before any answer does.
-        let oldest = server.open.front().map_or(0.0, |open| (now - open.2) as f64);
-        let overdue = (oldest / (4.0 * typical)).max(1.0);
+        let oldest = server.open.front().map(|open| now - open.2).filter(|age| *age as f64 > 4.0 * typical);
+        let took = fresh.chain(oldest).map(|took| took as f64);
+        let (count, sum) = took.fold((1.0, typical), |(count, sum), took| (count + 1.0, sum + took));
         let far = if f64::from(server.listed.zone) == self.setting("zone", -1.0) { 1.0 } else { 1.1 };
-        (server.open.len() as f64 + 1.0) * (sum / count) * overdue * far / server.listed.weight.max(0.05)
+        (server.open.len() as f64 + 1.0) * (sum / count) * far / server.listed.weight.max(0.05)
     }
 
-    /// Guards against pushing over a server that has just started: until warm all gateways together send three
-    /// quarters of the told multiple of its cold part, less what chance adds when they send apart. Each keeps
-    /// a gap of its own, the first at random, so that the sum holds for any number and for a fleet that restarts;
-    /// no more is open than its answers justify. Harm: one warm sooner idles.
+    /// Guards against pushing over a server that has just started: until warm all gateways together send
+    /// three quarters of the told multiple of its cold part, less what chance adds. Each keeps a gap of its
+    /// own, the first at random, so that any number may restart, and has no more open there than the server's
+    /// answers allow. Harm: one that is warm sooner idles.
     fn cold_room(&self, now: Nanos, server: &Server) -> bool {
         let own = self.warmth(now, &server.listed);
         if own >= 1.0 {
@@ -807,14 +781,15 @@
         }
         let up = self.servers.values().map(|peer| &peer.listed).filter(|peer| peer.ready);
         let fleet: f64 = up.map(|peer| peer.weight * self.warmth(now, peer)).sum();
-        let (count, rate) = answered(now, self.oks.iter().copied());
+        let (count, rate) = answered(now, &self.ends);
         let rate = if count < 2 * KEPT { count as f64 / 2.0 } else { rate };
         let carries = rate * self.gateways() * server.listed.weight / fleet.max(0.05);
         let fall = self.setting("rules.fall", 1.0);
         let most = 0.75 * self.setting("rules.fallMultiple", 1.0) * own * carries * fall;
         let budget = (most - 2.0 * most.min(self.gateways() / 4.0).sqrt()).max(3.0);
+        let oks = server.ends.iter().filter(|end| end.2).count();
         let gap = server.cold.1 * self.gateways() * fall / budget;
-        secs(now.saturating_sub(server.cold.0)) >= gap && server.open.len() < 1 + server.oks().count()
+        secs(now.saturating_sub(server.cold.0)) >= gap && server.open.len() < 1 + oks
     }
 
     /// The part of its capacity that a server surely has by now.
--- a/src/host.rs
+++ b/src/host.rs
@@ -20,8 +20,6 @@
     fn wake(&mut self, after: Nanos, token: u32);
     /// Adds to a named count that all gateways share; the total comes back through `counted`.
     fn count(&mut self, name: u64, add: f64, forget: Nanos);
-    /// Sends a short message to another gateway.
-    fn tell(&mut self, peer: u32, body: &[u8]);
 }
 
 /// An RPC as it came in.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,7 +15,6 @@
 //!     fn abort(&mut self, rpc: u32) { self.0.push(format!("{rpc} aborted")); }
 //!     fn wake(&mut self, _after: Nanos, _token: u32) {}
 //!     fn count(&mut self, _name: u64, _add: f64, _forget: Nanos) {}
-//!     fn tell(&mut self, _peer: u32, _body: &[u8]) {}
 //! }
 //!
 //! let mut host = Printer::default();
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -15,7 +15,6 @@
     pub pushed: Vec<(u32, Nanos, Nanos)>,
     pub aborted: Vec<u32>,
     pub counts: Vec<(u64, f64)>,
-    pub told: Vec<Vec<u8>>,
     timers: Vec<(Nanos, u32)>,
 }
 
@@ -36,9 +35,6 @@
     fn count(&mut self, name: u64, add: f64, _forget: Nanos) {
         self.counts.push((name, add));
     }
-    fn tell(&mut self, _peer: u32, body: &[u8]) {
-        self.told.push(body.to_vec());
-    }
 }
 
 pub struct Story {
