--- a/src/brain.rs
+++ b/src/brain.rs
@@ -73,8 +73,9 @@
     split: f64,
     ceiling: f64,
     at: Nanos,
-    /// When the last total was read; 0 is never.
+    /// When the last total was read, and when one last showed the store short; 0 is never.
     read_at: Nanos,
+    short_at: Nanos,
     open: u64,
     /// Ids of held and claiming RPCs, most urgent first, then as they came.
     queue: Vec<u32>,
@@ -580,7 +581,8 @@
         let refill = customer.rate * secs(now.saturating_sub(customer.counted_at));
         let others = ((customer.width - 1.0) * customer.pending - refill).max(0.0);
         let known = if customer.read_at == 0 { customer.burst - customer.pending - units } else { spare };
-        let asks = free || known <= others && customer.split < units.min(customer.burst / customer.width);
+        let short = customer.short_at > 0 && now - customer.short_at < customer.window || known <= others;
+        let asks = free || short && customer.split < units.min(customer.burst / customer.width);
         let answers = self.is_true("extra.hasCounter") && !self.silent() && customer.rate > 0.0;
         answers && asks && spare < (customer.width - 1.0) * units + customer.rate * age
     }
@@ -651,20 +653,15 @@
         }
         let customer = self.customer(now, key);
         let window = now / customer.window;
-        let old = customer.ledgers.back().map(|ledger| ledger.0);
-        if old != Some(window) {
+        if customer.ledgers.back().is_none_or(|ledger| ledger.0 != window) {
             keep(&mut customer.ledgers, (window, 0.0, 0.0), 2);
         }
-        // What the others added to the last window since it was read here would be lost with it.
-        let old = old.filter(|old| old + 1 == window && customer.level < customer.burst / 2.0);
         customer.serial += 1;
         customer.counted_at = now;
-        let call = (window, std::mem::take(&mut customer.pending), customer.serial);
+        let add = std::mem::take(&mut customer.pending);
+        customer.calls.push_back((window, add, customer.serial));
         let forget = (2 * customer.window + SEC).min(60 * SEC);
-        for call in old.map(|old| (old, 0.0, 0)).into_iter().chain([call]) {
-            customer.calls.push_back(call);
-            host.count(key << 31 | (call.0 & 0x7fff_ffff), call.1, forget);
-        }
+        host.count(key << 31 | (window & 0x7fff_ffff), add, forget);
         self.counter_rest = now + self.counter_gap;
     }
 
@@ -696,6 +693,9 @@
                 if std::mem::replace(&mut customer.read_at, now) == 0 {
                     customer.level = customer.burst - total - customer.pending;
                 }
+                if customer.level < customer.burst / 4.0 {
+                    customer.short_at = now;
+                }
             }
             // Nothing was added: the units are still to be told.
             (End::Full | End::NoConnection | End::NotSent, _) => customer.pending += add,
