--- a/src/brain.rs
+++ b/src/brain.rs
@@ -15,15 +15,13 @@
 /// How many of the last samples are kept, and how long they speak for now.
 const KEPT: usize = 32;
 const FRESH: Nanos = 5 * SEC;
-/// From so many answers in 2 s on, their rate tells what one more would wait.
-const MANY: usize = 32;
 /// How much of its soft deadline an RPC may be expected to take in the servers when it is sent.
 const PATIENT_SHARE: f64 = 0.3;
 const URGENT_SHARE: f64 = 0.45;
 /// How soon an RPC held for want of a server, or by the brake, is looked at again.
 const RECHECK: Nanos = 25 * MS;
 const COUNT: u64 = u64::MAX;
-/// Ends of count calls kept, and misses in a row that make the counter silent.
+/// Ends of count calls kept; misses in a row that make the counter silent.
 const COUNTS_KEPT: usize = 8;
 const SILENT_AFTER: usize = 3;
 
@@ -177,10 +175,10 @@
     samples.drain(..samples.len().saturating_sub(most));
 }
 
-/// Of ends (when, after how long, whether ok) the oks of the last 2 s: how many, and how many a second.
-fn answered(now: Nanos, ends: &VecDeque<(Nanos, Nanos, bool)>) -> (usize, f64) {
+/// Oks of the last 2 s: how many, and how many a second (since the first of them, if there are enough).
+fn answered(now: Nanos, ends: &VecDeque<(Nanos, Nanos, bool)>, enough: usize) -> (usize, f64) {
     let fresh: Vec<_> = ends.iter().filter(|end| end.2 && now - end.0 < 2 * SEC).collect();
-    let since = fresh.first().map_or(0, |first| now - first.0);
+    let since = fresh.first().filter(|_| fresh.len() >= enough).map_or(2 * SEC, |first| now - first.0);
     (fresh.len(), fresh.len() as f64 / secs(since).max(0.05))
 }
 
@@ -505,15 +503,15 @@
             let hangs = |id| self.servers.get(id).is_some_and(|server| server.hangs(now, typical));
             let up = self.open.values().filter(|out| !hangs(&out.0)).map(|out| now - out.2);
             let open: Vec<Nanos> = up.collect();
-            let (count, rate) = answered(now, &self.ends);
-            let last = self.ends.iter().rev().take(MANY / 2).filter(|end| now - end.0 < FRESH);
+            let (count, rate) = answered(now, &self.ends, 1);
+            let last = self.ends.iter().rev().take(KEPT / 2).filter(|end| now - end.0 < FRESH);
             let mut took: Vec<Nanos> = last.map(|end| end.1).collect();
             took.extend(open.iter().filter(|age| **age > typical));
             let by_last = if open.is_empty() { 0.0 } else { secs(median(took)) };
             // Of few answers the rate says little: a call-out or three more may be open.
-            let spare = if count < MANY { 3.0 } else { 0.0 };
+            let spare = if count < KEPT { 3.0 } else { 0.0 };
             let by_rate = if count > 0 { (open.len() as f64 + 1.0 - spare) / rate } else { 0.0 };
-            self.wait = (now, if count < MANY { by_last.max(by_rate) } else { by_rate });
+            self.wait = (now, if count < KEPT { by_last.max(by_rate) } else { by_rate });
         }
         self.wait.1 > if patient { PATIENT_SHARE } else { URGENT_SHARE } * secs(soft)
     }
@@ -628,13 +626,12 @@
     /// waiting, which stand in front, then the one of a few that has most to tell.
     fn count_next(&mut self, host: &mut dyn Host, now: Nanos) {
         while now >= self.counter_rest && !self.to_count.is_empty() {
-            let all = self.to_count.len();
-            let drawn: Vec<usize> = (0..8).map(|_| self.chance.usize(..all)).chain([0]).collect();
+            let some: Vec<_> = (0..8).map(|_| self.chance.usize(..self.to_count.len())).chain([0]).collect();
             let most = |place: &usize| match &self.customers[&self.to_count[*place]] {
                 customer if *place == 0 && !customer.queue.is_empty() => f64::MAX,
                 customer => customer.pending.abs() / customer.burst.max(1e-6),
             };
-            let best = drawn.into_iter().max_by(|one, two| most(one).total_cmp(&most(two)));
+            let best = some.into_iter().max_by(|one, two| most(one).total_cmp(&most(two)));
             let Some(next) = best.and_then(|best| self.to_count.remove(best)) else { return };
             self.count(host, now, next);
         }
@@ -653,15 +650,20 @@
         }
         let customer = self.customer(now, key);
         let window = now / customer.window;
-        if customer.ledgers.back().is_none_or(|ledger| ledger.0 != window) {
+        let old = customer.ledgers.back().map(|ledger| ledger.0);
+        if old != Some(window) {
             keep(&mut customer.ledgers, (window, 0.0, 0.0), 2);
         }
+        // What the others added to the last window since it was read here would be lost with it.
+        let old = old.filter(|old| old + 1 == window && customer.level < customer.burst / 2.0);
         customer.serial += 1;
         customer.counted_at = now;
-        let add = std::mem::take(&mut customer.pending);
-        customer.calls.push_back((window, add, customer.serial));
+        let call = (window, std::mem::take(&mut customer.pending), customer.serial);
         let forget = (2 * customer.window + SEC).min(60 * SEC);
-        host.count(key << 31 | (window & 0x7fff_ffff), add, forget);
+        for call in old.map(|old| (old, 0.0, 0)).into_iter().chain([call]) {
+            customer.calls.push_back(call);
+            host.count(key << 31 | (call.0 & 0x7fff_ffff), call.1, forget);
+        }
         self.counter_rest = now + self.counter_gap;
     }
 
@@ -739,8 +741,7 @@
             let other = chance.usize(place..ready.len());
             ready.swap(place, other);
             let server = &self.servers[&ready[place]];
-            let (count, rate) = answered(now, &server.ends);
-            let rate = if count < KEPT { count as f64 / 2.0 } else { rate };
+            let (_, rate) = answered(now, &server.ends, KEPT);
             let full = server.open.len() as f64 >= (URGENT_SHARE * soft * rate).max(least);
             if full || !in_group(&server.listed) || !self.cold_room(now, server) {
                 continue;
@@ -781,8 +782,7 @@
         }
         let up = self.servers.values().map(|peer| &peer.listed).filter(|peer| peer.ready);
         let fleet: f64 = up.map(|peer| peer.weight * self.warmth(now, peer)).sum();
-        let (count, rate) = answered(now, &self.ends);
-        let rate = if count < 2 * KEPT { count as f64 / 2.0 } else { rate };
+        let (_, rate) = answered(now, &self.ends, 2 * KEPT);
         let carries = rate * self.gateways() * server.listed.weight / fleet.max(0.05);
         let fall = self.setting("rules.fall", 1.0);
         let most = 0.75 * self.setting("rules.fallMultiple", 1.0) * own * carries * fall;
