--- a/src/brain.rs
+++ b/src/brain.rs
@@ -577,8 +577,8 @@
         let age = if free { secs(now.saturating_sub(customer.read_at)) } else { 0.0 };
         // Since the last call the others are taken to have drawn as this gateway did.
         let refill = customer.rate * secs(now.saturating_sub(customer.counted_at));
-        let late = 3.0 * secs(self.counter_gap) * self.to_count.len() as f64 / secs(customer.window);
-        let late = late * customer.ledgers.back().map_or(0.0, |ledger| ledger.2);
+        let seen = customer.ledgers.back().map_or(0.0, |ledger| ledger.2) / secs(customer.window);
+        let late = seen * secs(self.counter_gap) * self.to_count.len() as f64; // not counted yet, as here
         let others = ((customer.width - 1.0) * customer.pending + late - refill).max(0.0);
         let known = if customer.read_at == 0 { customer.burst - customer.pending - units } else { spare };
         let short = customer.short_at > 0 && now - customer.short_at < customer.window || known <= others;
