--- a/src/brain.rs
+++ b/src/brain.rs
@@ -577,9 +577,7 @@
         let age = if free { secs(now.saturating_sub(customer.read_at)) } else { 0.0 };
         // Since the last call the others are taken to have drawn as this gateway did.
         let refill = customer.rate * secs(now.saturating_sub(customer.counted_at));
-        let seen = customer.ledgers.back().map_or(0.0, |ledger| ledger.2) / secs(customer.window);
-        let late = seen * secs(self.counter_gap) * self.to_count.len() as f64; // not counted yet, as here
-        let others = ((customer.width - 1.0) * customer.pending + late - refill).max(0.0);
+        let others = ((customer.width - 1.0) * customer.pending - refill).max(0.0);
         let known = if customer.read_at == 0 { customer.burst - customer.pending - units } else { spare };
         let short = customer.short_at > 0 && now - customer.short_at < customer.window || known <= others;
         let asks = free || short && customer.split < units.min(customer.burst / customer.width);
@@ -773,18 +771,19 @@
         (server.open.len() as f64 + 1.0) * (sum / count) * far / server.listed.weight.max(0.05)
     }
 
-    /// Guards against pushing over a server that has just started: until warm all gateways together send
-    /// three quarters of the told multiple of its cold part, less what chance adds. Each keeps a gap of its
-    /// own, the first at random, so that any number may restart, and has no more open there than the server's
-    /// answers allow. Harm: one that is warm sooner idles.
+    /// Guards against pushing over a server that has just started: until warm all gateways together send 3/4
+    /// of the told multiple of its cold part, less what chance adds. Each keeps a gap, at first a random part
+    /// of it, so that any number may restart, and opens no more than its answers allow. Harm: one warm soon
+    /// idles.
     fn cold_room(&self, now: Nanos, server: &Server) -> bool {
         let own = self.warmth(now, &server.listed);
         if own >= 1.0 {
             return true;
         }
-        let up = self.servers.values().map(|peer| &peer.listed).filter(|peer| peer.ready);
-        let fleet: f64 = up.map(|peer| peer.weight * self.warmth(now, peer)).sum();
-        let (_, rate) = answered(now, &self.ends, 2 * KEPT);
+        let warm = |peer: &&Server| peer.listed.ready && self.warmth(now, &peer.listed) >= 1.0;
+        let each = |peer: &Server| (answered(now, &peer.ends, KEPT).1, peer.listed.weight);
+        let sum = |one: (f64, f64), two: (f64, f64)| (one.0 + two.0, one.1 + two.1);
+        let (rate, fleet) = self.servers.values().filter(warm).map(each).fold((0.0, 0.0), sum);
         let carries = rate * self.gateways() * server.listed.weight / fleet.max(0.05);
         let fall = self.setting("rules.fall", 1.0);
         let most = 0.75 * self.setting("rules.fallMultiple", 1.0) * own * carries * fall;
