--- a/src/brain.rs
+++ b/src/brain.rs
@@ -91,7 +91,7 @@
 }
 
 impl Customer {
-    /// The reserve line: patient RPCs leave this much of the burst, less as the window ends.
+    /// The reserve line: patient RPCs leave this much of the burst.
     fn line(&self, now: Nanos, patient: bool) -> f64 {
         let left = 1.0 - (now % self.window) as f64 / self.window as f64;
         if patient { RESERVE * self.burst * left } else { 0.0 }
@@ -430,7 +430,7 @@
         self.release(host, now, key);
     }
 
-    /// Looks at all that a customer has waiting, most urgent first, and sets the timer for the next look.
+    /// Looks at all that waits of a customer, most urgent first, and sets the timer for the next look.
     fn release(&mut self, host: &mut dyn Host, now: Nanos, key: u64) {
         let (mut ahead, mut next) = (0.0, Nanos::MAX);
         self.typical = (now, self.typical(now));
@@ -788,9 +788,8 @@
         let fall = self.setting("rules.fall", 1.0);
         let most = 0.75 * self.setting("rules.fallMultiple", 1.0) * own * carries * fall;
         let budget = (most - 2.0 * most.min(self.gateways() / 4.0).sqrt()).max(3.0);
-        let oks = server.ends.iter().filter(|end| end.2).count();
-        let gap = server.cold.1 * self.gateways() * fall / budget;
-        secs(now.saturating_sub(server.cold.0)) >= gap && server.open.len() < 1 + oks
+        let waits = secs(now.saturating_sub(server.cold.0)) < server.cold.1 * self.gateways() * fall / budget;
+        !waits && server.open.len() <= server.ends.iter().filter(|end| end.2).count()
     }
 
     /// The part of its capacity that a server surely has by now.
