--- a/src/brain.rs
+++ b/src/brain.rs
@@ -12,8 +12,6 @@
 const BRAKE_SPAN: Nanos = 10 * SEC;
 const BRAKE_SAMPLES: usize = 20;
 const BRAKE_QUOTA_SHARE: f64 = 0.005;
-/// In a silence a gateway takes so many even splits of a quota, since few customers use all of theirs.
-const SPLIT: f64 = 1.5;
 /// How many of the last samples are kept, and how long they speak for now.
 const KEPT: usize = 32;
 const FRESH: Nanos = 5 * SEC;
@@ -59,9 +57,7 @@
 
 #[derive(Default)]
 struct Customer {
-    /// How many gateways its RPCs come in through, and the part of the quota that is this one's in a silence.
     width: f64,
-    part: f64,
     /// The plan's quota, this gateway's part of the ceiling and of the call-outs open at once (0 is no cap).
     rate: f64,
     burst: f64,
@@ -258,7 +254,6 @@
         let (rate, burst) = (plan("perSecond", 0.0), plan("depth", 0.0));
         let made = Customer {
             width,
-            part: (SPLIT / width).min(1.0),
             rate,
             burst,
             ceiling_rate: plan("ceilingRate", 0.0) / width,
@@ -268,7 +263,7 @@
             soft: plan("overWorth", 0.0) > plan("beyondCosts", 1.0),
             window: span((burst / rate.max(1e-6)).clamp(1.0, 25.0)),
             level: burst / width,
-            split: burst * (SPLIT / width).min(1.0),
+            split: burst / width,
             at: self.born.unwrap_or(now),
             counted_at: now,
             wake_at: Nanos::MAX,
@@ -532,13 +527,14 @@
 
     /// The customer with its stores brought up to now; made empty should it be unknown.
     fn customer(&mut self, now: Nanos, key: u64) -> &mut Customer {
-        let owed = self.setting("extra.largest", 1.0);
+        let largest = self.setting("extra.largest", 1.0); // more than the part may be owed
         let customer = self.customers.entry(key).or_default();
-        let (passed, part) = (secs(now.saturating_sub(customer.at)), customer.part);
+        let (passed, width) = (secs(now.saturating_sub(customer.at)), customer.width);
         customer.at = now;
         customer.level = (customer.level + passed * customer.rate).min(customer.burst);
-        let split = customer.split.max(-owed) + passed * customer.rate * part;
-        customer.split = split.min(customer.burst * part);
+        let least = (customer.burst / width - largest).min(0.0);
+        let split = customer.split.max(least) + passed * customer.rate / width;
+        customer.split = split.min(customer.burst / width);
         customer.ceiling = (customer.ceiling + passed * customer.ceiling_rate).min(customer.ceiling_burst);
         customer
     }
@@ -552,7 +548,7 @@
         let mut at = now;
         // Never read, the counter is asked (a claim): with many gateways the even split is less than an RPC.
         if customer.rate > 0.0 && (alone || customer.read_at > 0) {
-            let part = if alone { customer.part } else { 1.0 };
+            let part = if alone { 1.0 / customer.width } else { 1.0 };
             let level = if alone { customer.split } else { customer.level };
             let line = customer.line(now, patient) * part;
             // An RPC larger than the part passes when that is full.
@@ -585,7 +581,7 @@
         let others = ((customer.width - 1.0) * customer.pending - refill).max(0.0);
         let known = if customer.read_at == 0 { customer.burst - customer.pending - units } else { spare };
         let short = customer.short_at > 0 && now - customer.short_at < customer.window || known <= others;
-        let asks = free || short && customer.split < units.min(customer.burst * customer.part);
+        let asks = free || short && customer.split < units.min(customer.burst / customer.width);
         let answers = self.is_true("extra.hasCounter") && !self.silent() && customer.rate > 0.0;
         answers && asks && spare < (customer.width - 1.0) * units + customer.rate * age
     }
