--- a/src/brain.rs
+++ b/src/brain.rs
@@ -21,7 +21,7 @@
 /// How soon an RPC held for want of a server, or by the brake, is looked at again.
 const RECHECK: Nanos = 25 * MS;
 const COUNT: u64 = u64::MAX;
-/// Ends of count calls kept; misses in a row that make the counter silent.
+/// Ends of count calls kept; misses that make it silent.
 const COUNTS_KEPT: usize = 8;
 const SILENT_AFTER: usize = 3;
 
@@ -501,15 +501,14 @@
         if self.wait.0 != now {
             let typical = self.typical(now);
             let hangs = |id| self.servers.get(id).is_some_and(|server| server.hangs(now, typical));
-            let up = self.open.values().filter(|out| !hangs(&out.0)).map(|out| now - out.2);
-            let open: Vec<Nanos> = up.collect();
+            let up = self.open.values().filter(|out| !hangs(&out.0));
+            let open: Vec<_> = up.map(|out| now - out.2).collect();
             let (count, rate) = answered(now, &self.ends, 1);
             let last = self.ends.iter().rev().take(KEPT / 2).filter(|end| now - end.0 < FRESH);
             let mut took: Vec<Nanos> = last.map(|end| end.1).collect();
             took.extend(open.iter().filter(|age| **age > typical));
             let by_last = if open.is_empty() { 0.0 } else { secs(median(took)) };
-            // Of few answers the rate says little: a call-out or three more may be open.
-            let spare = if count < KEPT { 3.0 } else { 0.0 };
+            let spare = if count < KEPT { 3.0 } else { 0.0 }; // of few answers the rate says little
             let by_rate = if count > 0 { (open.len() as f64 + 1.0 - spare) / rate } else { 0.0 };
             self.wait = (now, if count < KEPT { by_last.max(by_rate) } else { by_rate });
         }
@@ -525,14 +524,14 @@
         median(self.ends.iter().filter(|end| now - end.0 < SEC).map(|end| end.1).collect())
     }
 
-    /// The customer with its stores brought up to now; made empty should it be unknown.
+    /// The customer with its stores brought up to now; a part that holds no whole RPC may owe one.
     fn customer(&mut self, now: Nanos, key: u64) -> &mut Customer {
-        let largest = self.setting("extra.largest", 1.0); // more than the part may be owed
+        let largest = self.setting("extra.largest", 1.0);
         let customer = self.customers.entry(key).or_default();
         let (passed, width) = (secs(now.saturating_sub(customer.at)), customer.width);
         customer.at = now;
         customer.level = (customer.level + passed * customer.rate).min(customer.burst);
-        let least = (customer.burst / width - largest).min(0.0);
+        let least = if customer.burst / width < largest { -largest } else { 0.0 };
         let split = customer.split.max(least) + passed * customer.rate / width;
         customer.split = split.min(customer.burst / width);
         customer.ceiling = (customer.ceiling + passed * customer.ceiling_rate).min(customer.ceiling_burst);
