--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -120,6 +120,47 @@
     assert_eq!(s.notes.out.len(), 2, "its part fills with 10 a second");
 }
 
+#[test]
+fn a_customer_met_late_finds_the_part_that_filled_since_the_start() {
+    let mut s = story("tariffs.0.ceilingRate=8 tariffs.0.hardBurst=8").with_servers(3);
+    s.pass(SEC);
+    let ids: Vec<u32> = (0..5).map(|_| s.rpc(2, 1.0)).collect();
+    assert_eq!(s.notes.out.len(), 4, "a part of 4 a second, 4 at most");
+    s.pass(10 * MS);
+    assert!(s.sent(ids[4]) == 0);
+}
+
+#[test]
+fn refused_for_this_gateways_part_of_a_ceiling_a_client_may_try_another() {
+    let mut s = story("tariffs.0.ceilingRate=1 tariffs.0.hardBurst=8").with_servers(3);
+    s.rpc(2, 1.0);
+    assert!(s.notes.pushed.len() == 1 && s.notes.pushed[0].1 <= 50 * MS, "{:?}", s.notes.pushed);
+}
+
+#[test]
+fn after_a_stall_what_is_too_late_is_answered_once_and_nothing_breaks() {
+    let mut s = story("extra.hasCounter=true balancers=400").with_servers(1);
+    let ids: Vec<u32> = (0..6).map(|_| s.rpc(2, 2.0)).collect();
+    s.notes.now += 3 * SEC; // no turn for three seconds, then all at once
+    for _ in 0..s.notes.counts.len() {
+        s.counted(0, End::TimedOut, 0.0);
+    }
+    s.pass(0);
+    let late = s.rpc_of(9, 2, 1.0, 0);
+    let answered = |id: &u32| s.notes.pushed.iter().filter(|pushed| pushed.0 == *id).count();
+    assert!(ids.iter().chain([&late]).all(|id| answered(id) + s.sent(*id) == 1), "{:?}", s.notes.pushed);
+}
+
+#[test]
+fn a_set_wider_than_the_fleet_an_empty_list_and_missing_settings_are_decided() {
+    let mut s = story("balancers=1 tariffs.0.depth=x classes.count=0");
+    s.list(true, &[]);
+    let rpc = s.rpc_of(7, 40, 3.0, SEC);
+    s.list(true, &[server(1, 9)]);
+    s.pass(2 * SEC);
+    assert_eq!(s.sent(rpc) + s.notes.pushed.len(), 1);
+}
+
 #[test]
 fn claims_of_one_moment_cannot_overdraw_the_ceilings_part() {
     let mut s = story("tariffs.0.ceilingRate=8 tariffs.0.hardBurst=8 extra.hasCounter=true").with_servers(3);
