--- a/src/brain.rs
+++ b/src/brain.rs
@@ -671,10 +671,11 @@
     pub fn counted(&mut self, host: &mut dyn Host, now: Nanos, name: u64, how: End, total: f64) {
         let key = name >> 31;
         keep(&mut self.counter, how == End::Ok, COUNTS_KEPT);
+        self.counter_rest = if self.silent() { now + 100 * MS } else { self.counter_rest };
         // Guards against a counter whose line is longer than its time-out, so that it works for nobody: a
         // miss widens the gap between calls, answers narrow it. Harm: adds come later.
         let (gap, wait) = (self.counter_gap, span(self.setting("extra.countWait", 0.05)));
-        let wider = (gap * 3 / 2 + wait / 4).min(wait + 4 * MS * self.gateways() as u64);
+        let wider = (gap * 5 / 4 + wait / 4).min(wait + 4 * MS * self.gateways() as u64);
         self.counter_gap = if how == End::Ok { gap * 19 / 20 } else { wider };
         let same = |call: &(u64, f64, u64)| call.0 & 0x7fff_ffff == name & 0x7fff_ffff;
         let place = self.customers.get(&key).and_then(|customer| customer.calls.iter().position(same));
