--- a/src/brain.rs
+++ b/src/brain.rs
@@ -671,7 +671,6 @@
     pub fn counted(&mut self, host: &mut dyn Host, now: Nanos, name: u64, how: End, total: f64) {
         let key = name >> 31;
         keep(&mut self.counter, how == End::Ok, COUNTS_KEPT);
-        self.counter_rest = if self.silent() { now + 100 * MS } else { self.counter_rest };
         // Guards against a counter whose line is longer than its time-out, so that it works for nobody: a
         // miss widens the gap between calls, answers narrow it. Harm: adds come later.
         let (gap, wait) = (self.counter_gap, span(self.setting("extra.countWait", 0.05)));
