--- a/src/brain.rs
+++ b/src/brain.rs
@@ -346,10 +346,8 @@
                 if room_at > latest {
                     // With this gateway's part of a ceiling spent, another of the set may have room now.
                     let customer = &self.customers[&key];
-                    let stale =
-                        now - customer.read_at > customer.window / 2 && self.is_true("extra.hasCounter");
-                    let part = customer.ceiling_rate > 0.0 && customer.ceiling < units;
-                    let part = (part || stale) && customer.width > 1.0;
+                    let part =
+                        customer.ceiling_rate > 0.0 && customer.ceiling < units && customer.width > 1.0;
                     return self.finish(host, now, id, if part { RECHECK } else { room_at - now });
                 }
                 return room_at;
