--- /dev/null
+++ b/crates/gateway/src/clients.rs
@@ -0,0 +1,202 @@
+//! Clients: a state machine for one connection, fed bytes, that finds RPCs in them; and the answers written back.
+
+use crate::config::Config;
+use crate::http::{self, BODY_MOST, Bad, HEAD_MOST, HEADERS_MOST, Length};
+use martenramp::host::Nanos;
+use std::io::Write;
+use std::ops::Range;
+
+/// What an RPC may say it waits at most; longer is taken as a mistake.
+const REMAINING_MOST: u64 = 3_600_000;
+/// A message that takes longer than this to come in whole is not waited for.
+pub const SLOW_MESSAGE: Nanos = 10_000_000_000;
+/// A connection without an RPC for this long is closed; clients open another when they need it.
+pub const IDLE: Nanos = 120_000_000_000;
+
+/// An RPC as it lies in the read buffer of its connection, which keeps it until it is answered.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Rpc {
+    pub get: bool,
+    pub target: Range<usize>,
+    pub txn: Range<usize>,
+    pub mark: Option<Range<usize>>,
+    pub content_type: Option<Range<usize>>,
+    pub body: Range<usize>,
+    pub method: u16,
+    pub plan: u16,
+    pub customer: u64,
+    pub remaining_ms: u64,
+    pub units: f64,
+    pub width: u32,
+    pub first: u32,
+    /// The client wants the connection closed after the answer.
+    pub close: bool,
+}
+
+/// What the bytes so far amount to.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Got {
+    /// Nothing whole yet.
+    Part,
+    /// The client asks before it sends a body whether it may.
+    Continue,
+    Rpc(Rpc),
+    /// A question about the gateway itself: whether it is ready, and its length in the buffer.
+    Ready(usize),
+    Healthy(usize),
+}
+
+/// One client's connection.
+#[derive(Debug, Default)]
+pub struct Client {
+    /// The id of the RPC at hand, and how many bytes of the buffer it takes.
+    pub rpc: Option<(u32, usize)>,
+    /// When the first byte of the message that is coming in was read, or (between RPCs) the last answer went.
+    pub since: Nanos,
+    /// Part of a message is in the buffer.
+    pub partial: bool,
+    /// To be closed once what is written is out, for this reason.
+    pub closing: Option<&'static str>,
+    /// This side's sending is ended; what still comes is passed over until the client closes too.
+    pub finished: bool,
+    pub continued: bool,
+    pub served: u64,
+}
+
+impl Client {
+    /// Looks at all that the buffer holds; called while no RPC is at hand.
+    pub fn look(&mut self, config: &Config, now: Nanos, input: &[u8]) -> Result<Got, Bad> {
+        if !self.partial && !input.is_empty() {
+            (self.partial, self.since) = (true, now);
+        }
+        let got = parse(config, input)?;
+        if got == Got::Continue && std::mem::replace(&mut self.continued, true) {
+            return Ok(Got::Part);
+        }
+        if !matches!(got, Got::Part | Got::Continue) {
+            (self.partial, self.continued) = (false, false);
+        }
+        Ok(got)
+    }
+}
+
+fn parse(config: &Config, input: &[u8]) -> Result<Got, Bad> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
+    let mut head = httparse::Request::new(&mut headers);
+    let start = match head.parse(&input[..input.len().min(HEAD_MOST)]) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) if input.len() >= HEAD_MOST => return Err(Bad(431, "head-too-large")),
+        Ok(httparse::Status::Partial) => return Ok(Got::Part),
+        Err(httparse::Error::TooManyHeaders) => return Err(Bad(431, "too-many-headers")),
+        Err(_) => return Err(Bad(400, "bad-head")),
+    };
+    let Length::Fixed(size) = http::length(head.headers, Length::Fixed(0))? else {
+        return Err(Bad(411, "length-required"));
+    };
+    if size > BODY_MOST {
+        return Err(Bad(413, "body-too-large"));
+    }
+    let end = start + size;
+    let (method, target) = (head.method.unwrap_or_default(), head.path.unwrap_or_default());
+    let path = target.split('?').next().unwrap_or_default();
+    if path.starts_with("/-/") {
+        return match path {
+            _ if method != "GET" && method != "HEAD" => Err(Bad(405, "bad-method")),
+            _ if input.len() < end => Ok(Got::Part),
+            "/-/ready" => Ok(Got::Ready(end)),
+            "/-/healthy" => Ok(Got::Healthy(end)),
+            _ => Err(Bad(404, "unknown-path")),
+        };
+    }
+    let (headers, version) = (&*head.headers, head.version.unwrap_or(0));
+    let get = match method {
+        "GET" => true,
+        "POST" => false,
+        _ => return Err(Bad(405, "bad-method")),
+    };
+    let hex =
+        path.rsplit('/').next().filter(|hex| hex.len() == 16 && hex.bytes().all(|b| b.is_ascii_hexdigit()));
+    let customer =
+        hex.and_then(|hex| u64::from_str_radix(hex, 16).ok()).filter(|customer| *customer < 1 << 33);
+    let customer = customer.ok_or(Bad(404, "unknown-path"))?;
+    let lane = http::text(headers, "x-lane").ok_or(Bad(400, "no-method"))?;
+    let number =
+        config.methods.iter().position(|known| known.name == lane).ok_or(Bad(400, "unknown-method"))?;
+    let contract = http::text(headers, "x-contract").ok_or(Bad(400, "no-plan"))?;
+    let plan = config.plans.iter().position(|known| known == contract).ok_or(Bad(400, "unknown-plan"))?;
+    let mark = http::header(headers, "idempotency-key").filter(|mark| !mark.is_empty());
+    if config.methods[number].marked && mark.is_none() {
+        return Err(Bad(400, "no-idempotency-key")); // without it a repeat could not be known as one
+    }
+    let txn = http::header(headers, "x-txn").filter(|txn| !txn.is_empty()).ok_or(Bad(400, "no-txn"))?;
+    let remaining = http::text(headers, "x-remaining-ms").and_then(|ms| ms.parse().ok());
+    let remaining_ms = remaining.filter(|ms| *ms <= REMAINING_MOST).ok_or(Bad(400, "bad-remaining"))?;
+    let metering = http::text(headers, "x-metering").ok_or(Bad(400, "no-metering"))?;
+    let (units, width, first) = parse_metering(metering).ok_or(Bad(400, "bad-metering"))?;
+    if input.len() < end {
+        let asks = http::lists(headers, "expect", "100-continue");
+        return Ok(if asks { Got::Continue } else { Got::Part });
+    }
+    Ok(Got::Rpc(Rpc {
+        get,
+        target: http::place(input, target.as_bytes()),
+        txn: http::place(input, txn),
+        mark: mark.map(|mark| http::place(input, mark)),
+        content_type: http::header(headers, "content-type").map(|kind| http::place(input, kind)),
+        body: start..end,
+        method: number as u16,
+        plan: plan as u16,
+        customer,
+        remaining_ms,
+        units,
+        width,
+        first,
+        close: version == 0 || http::lists(headers, "connection", "close"),
+    }))
+}
+
+/// `units=2,spread=3,first=1`; what is not known is passed over.
+fn parse_metering(text: &str) -> Option<(f64, u32, u32)> {
+    let (mut units, mut width, mut first) = (None, None, Some(0));
+    for part in text.split(',') {
+        let (name, value) = part.split_once('=')?;
+        match name.trim() {
+            "units" => {
+                units = value.trim().parse().ok().filter(|units: &f64| units.is_finite() && *units >= 0.0)
+            }
+            "spread" => width = value.trim().parse().ok().filter(|width| *width > 0),
+            "first" => first = value.trim().parse().ok(),
+            _ => {}
+        }
+    }
+    Some((units?, width?, first?))
+}
+
+/// The head of an answer with a body of this length.
+pub fn write_head(
+    out: &mut Vec<u8>,
+    status: u16,
+    length: usize,
+    kind: Option<&[u8]>,
+    come_back: Nanos,
+    close: bool,
+) {
+    let _ = write!(out, "HTTP/1.1 {status} {}\r\nContent-Length: {length}\r\n", http::reason(status));
+    if let Some(kind) = kind {
+        out.extend_from_slice(b"Content-Type: ");
+        out.extend_from_slice(kind);
+        out.extend_from_slice(b"\r\n");
+    }
+    if come_back > 0 {
+        let _ = write!(out, "Retry-After: {:.3}\r\n", come_back as f64 / 1e9);
+    }
+    out.extend_from_slice(if close { b"Connection: close\r\n\r\n" } else { b"\r\n" });
+}
+
+/// An answer of the gateway's own.
+pub fn write_own(out: &mut Vec<u8>, status: u16, come_back: Nanos, close: bool) {
+    let body = http::reason(status);
+    write_head(out, status, body.len() + 1, Some(b"text/plain"), come_back, close);
+    out.extend_from_slice(body.as_bytes());
+    out.push(b'\n');
+}
--- /dev/null
+++ b/crates/gateway/src/config.rs
@@ -0,0 +1,130 @@
+//! What a gateway is told at its start: the configuration file, and the environment for what it leaves out.
+
+use martenramp::host::Settings;
+use serde_json::{Map, Value};
+use std::net::SocketAddr;
+
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub counter: Option<SocketAddr>,
+    pub seed: u64,
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+    /// The list of servers as this gateway last had it, in discovery's form.
+    pub known: Option<Value>,
+    /// As the module gets them: path=value, names and units untouched.
+    pub settings: Settings,
+    pub methods: Vec<Method>,
+    pub plans: Vec<String>,
+}
+
+/// A method by its name; `marked` ones carry a mark by which a repeat is known.
+pub struct Method {
+    pub name: String,
+    pub marked: bool,
+}
+
+/// Where no limit is told: the usual one of a process.
+const SOCKETS: usize = 1024;
+
+impl Config {
+    /// Reads the configuration's text; `env` looks up what it leaves out.
+    pub fn read(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        let all: Value = serde_json::from_str(text).map_err(|e| format!("not JSON: {e}"))?;
+        let told = |name: &str, variable: &str| {
+            let value = all[name].as_str().map(str::to_string).or_else(|| env(variable));
+            value.ok_or_else(|| format!("'{name}' is missing"))
+        };
+        let address = |name: &str, text: &str| {
+            text.parse::<SocketAddr>().map_err(|_| format!("'{name}' is no address: {text:?}"))
+        };
+        let listen = address("listen", &told("listen", "LB_LISTEN")?)?;
+        let discovery = address("discovery", &told("discovery", "LB_DISCOVERY")?)?;
+        let counter = all["counter"].as_str().map(|text| address("counter", text)).transpose()?;
+        let seed = match &all["seed"] {
+            Value::String(hex) => {
+                u64::from_str_radix(hex, 16).map_err(|_| format!("'seed' is no hex: {hex:?}"))?
+            }
+            Value::Number(number) => number.as_u64().ok_or("'seed' is no whole number")?,
+            _ => return Err("'seed' is missing".to_string()),
+        };
+        let Some(nested) = all["settings"].as_object() else {
+            return Err("'settings' is missing".to_string());
+        };
+        let settings = flatten(nested);
+        let names = |list: &str| -> Vec<String> {
+            let entries = nested.get(list).and_then(Value::as_array).map_or(&[][..], Vec::as_slice);
+            entries.iter().map(|entry| entry["name"].as_str().unwrap_or_default().to_string()).collect()
+        };
+        let methods: Vec<Method> = names("classes")
+            .into_iter()
+            .enumerate()
+            .map(|(number, name)| Method {
+                name,
+                marked: settings
+                    .get(&format!("classes.{number}.idempotency"))
+                    .is_some_and(|how| how == "guarded"),
+            })
+            .collect();
+        let plans = names("tariffs");
+        if methods.is_empty() || plans.is_empty() {
+            return Err("'settings' names no classes or no tariffs".to_string());
+        }
+        let sockets = all["limits"]["sockets"].as_u64().map_or(SOCKETS, |most| most as usize);
+        let known = Some(all["known"].clone()).filter(Value::is_object);
+        let name = told("name", "LB_NAME").unwrap_or_else(|_| listen.to_string());
+        Ok(Config { name, listen, discovery, counter, seed, sockets, known, settings, methods, plans })
+    }
+
+    pub fn setting(&self, name: &str) -> Option<f64> {
+        self.settings.get(name)?.parse().ok().filter(|value: &f64| value.is_finite() && *value > 0.0)
+    }
+
+    /// The entries of a list of plain names, such as the zones.
+    pub fn list(&self, name: &str) -> Vec<String> {
+        let joined = self.settings.get(name).map_or("", String::as_str);
+        joined.split(',').filter(|entry| !entry.is_empty()).map(str::to_string).collect()
+    }
+}
+
+/// Nested settings as the module gets them: a list of plain values joined with commas, a list of objects as
+/// its length under `.count` and its items under their numbers; spaces and commas within values become `_`.
+///
+/// ```
+/// let nested = serde_json::json!({"zone": 1, "a": {"hasCounter": true}, "zones": ["x y", "z"],
+///     "classes": [{"onTime": 1.5}, {"onTime": 0.8}]});
+/// let flat = gateway::config::flatten(nested.as_object().unwrap());
+/// let get = |name: &str| flat[name].as_str();
+/// assert_eq!((get("zone"), get("a.hasCounter"), get("zones")), ("1", "true", "x_y,z"));
+/// assert_eq!((get("classes.count"), get("classes.1.onTime")), ("2", "0.8"));
+/// ```
+pub fn flatten(nested: &Map<String, Value>) -> Settings {
+    let mut flat = Settings::new();
+    nested.iter().for_each(|(name, value)| put(&mut flat, name, value));
+    flat
+}
+
+fn put(flat: &mut Settings, path: &str, value: &Value) {
+    match value {
+        Value::Null => {}
+        Value::Object(entries) => {
+            entries.iter().for_each(|(name, value)| put(flat, &format!("{path}.{name}"), value));
+        }
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            flat.insert(format!("{path}.count"), items.len().to_string());
+            items.iter().enumerate().for_each(|(at, item)| put(flat, &format!("{path}.{at}"), item));
+        }
+        Value::Array(items) => {
+            let plain: Vec<String> = items.iter().map(plain).collect();
+            flat.insert(path.to_string(), plain.join(","));
+        }
+        value => drop(flat.insert(path.to_string(), plain(value))),
+    }
+}
+
+fn plain(value: &Value) -> String {
+    let text = value.as_str().map_or_else(|| value.to_string(), str::to_string);
+    text.replace([' ', ','], "_")
+}
--- /dev/null
+++ b/crates/gateway/src/counter.rs
@@ -0,0 +1,167 @@
+//! The shared counter: RESP2 on a few connections, a state machine for each, fed bytes. Calls are written one
+//! after another and answered in that order; calls for one name share a connection, so that its answers keep
+//! their order.
+
+use martenramp::host::{End, Nanos};
+use std::collections::VecDeque;
+use std::io::Write;
+
+/// Connections kept; the counter holds 32 from one gateway, an earlier life's among them for a while.
+pub const LINES: usize = 4;
+/// A connection is asked for a sign of life so often while nothing else is written: the counter closes idle
+/// ones after 10 s or less.
+pub const PING_EVERY: Nanos = 2_000_000_000;
+/// With no answer at all for so long while calls are out, a connection is given up.
+pub const DEAD_AFTER: Nanos = 1_000_000_000;
+/// How long until a connection that failed is opened again.
+pub const AGAIN: Nanos = 100_000_000;
+/// What a call may take where no time is told.
+pub const WAIT: Nanos = 50_000_000;
+/// An answer without an end in so many bytes is none.
+const ANSWER_MOST: usize = 512;
+
+/// A call to the counter.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Call {
+    pub serial: u64,
+    pub name: u64,
+    pub add: f64,
+    pub forget: Nanos,
+}
+
+/// One connection.
+#[derive(Debug, Default)]
+pub struct Line {
+    pub up: bool,
+    /// Calls that wait for the connection to come up.
+    pub waiting: VecDeque<Call>,
+    /// Calls written, oldest first; nothing is a PING, and a call of serial 0 has timed out.
+    pub written: VecDeque<Option<Call>>,
+    /// When something was last written with nothing else out, or last answered.
+    pub heard: Nanos,
+    pub wrote: Nanos,
+}
+
+impl Line {
+    /// Writes the call, or keeps it until the connection is up.
+    pub fn call(&mut self, out: &mut Vec<u8>, now: Nanos, call: Call) {
+        if !self.up {
+            return self.waiting.push_back(call);
+        }
+        self.mark(now);
+        self.written.push_back(Some(call));
+        let (name, add) = (call.name.to_string(), call.add.to_string());
+        let forget = call.forget.div_ceil(1_000_000).max(1).to_string();
+        let _ = write!(out, "*4\r\n$7\r\nINCRTTL\r\n");
+        for word in [name, add, forget] {
+            let _ = write!(out, "${}\r\n{word}\r\n", word.len());
+        }
+    }
+
+    pub fn ping(&mut self, out: &mut Vec<u8>, now: Nanos) {
+        self.mark(now);
+        self.written.push_back(None);
+        out.extend_from_slice(b"*1\r\n$4\r\nPING\r\n");
+    }
+
+    fn mark(&mut self, now: Nanos) {
+        if self.written.is_empty() {
+            self.heard = now;
+        }
+        self.wrote = now;
+    }
+
+    /// The connection is up: what waited is written.
+    pub fn opened(&mut self, out: &mut Vec<u8>, now: Nanos) {
+        (self.up, self.heard, self.wrote) = (true, now, now);
+        for call in std::mem::take(&mut self.waiting) {
+            self.call(out, now, call);
+        }
+    }
+
+    pub fn is_dead(&self, now: Nanos) -> bool {
+        !self.written.is_empty() && now > self.heard + DEAD_AFTER
+    }
+
+    /// Whether a call for this name is out here.
+    pub fn carries(&self, name: u64) -> bool {
+        let written = self.written.iter().flatten().chain(&self.waiting);
+        written.into_iter().any(|call| call.name == name && call.serial != 0)
+    }
+
+    /// The time of a call is over: how it ended, if it was still out. One not written was never added.
+    pub fn time_out(&mut self, serial: u64) -> Option<(Call, End)> {
+        if let Some(at) = self.waiting.iter().position(|call| call.serial == serial) {
+            return self.waiting.remove(at).map(|call| (call, End::NoConnection));
+        }
+        let call = self.written.iter_mut().flatten().find(|call| call.serial == serial)?;
+        let ended = *call;
+        call.serial = 0; // its answer is still to come, and is passed over then
+        Some((ended, End::TimedOut))
+    }
+
+    /// The connection is gone: all that was out on it, and how it ended.
+    pub fn broke(&mut self) -> Vec<(Call, End)> {
+        self.up = false;
+        let waiting = std::mem::take(&mut self.waiting).into_iter().map(|call| (call, End::NoConnection));
+        let written = std::mem::take(&mut self.written).into_iter().flatten().map(|call| (call, End::Reset));
+        written.chain(waiting).filter(|ended| ended.0.serial != 0).collect()
+    }
+
+    /// Takes answers: how many bytes were used up, and the calls that ended with how and the total.
+    pub fn feed(
+        &mut self,
+        now: Nanos,
+        input: &[u8],
+        ended: &mut Vec<(Call, End, f64)>,
+    ) -> Result<usize, &'static str> {
+        let mut at = 0;
+        while let Some((used, how, total)) = answer(&input[at..])? {
+            at += used;
+            self.heard = now;
+            match self.written.pop_front() {
+                Some(Some(call)) if call.serial != 0 => ended.push((call, how, total)),
+                Some(_) => {}
+                None => return Err("answer-without-call"),
+            }
+        }
+        Ok(at)
+    }
+}
+
+/// The first whole answer: its length, and how the call ended. Whatever is no number is no total.
+fn answer(input: &[u8]) -> Result<Option<(usize, End, f64)>, &'static str> {
+    let Some(end) = input.windows(2).position(|pair| pair == b"\r\n") else {
+        return if input.len() > ANSWER_MOST { Err("answer-too-long") } else { Ok(None) };
+    };
+    let line = std::str::from_utf8(&input[..end]).map_err(|_| "bad-answer")?;
+    let number = |text: &str| text.trim().parse::<f64>().ok().filter(|total| total.is_finite());
+    let done = |total: Option<f64>| match total {
+        Some(total) => (End::Ok, total),
+        None => (End::Error, 0.0),
+    };
+    let (used, (how, total)) = match line.as_bytes().first() {
+        Some(b'-') if line.starts_with("-BUSY") => (end + 2, (End::Full, 0.0)),
+        Some(b'-') => (end + 2, (End::NotSent, 0.0)), // there is no such call: nothing was added
+        Some(b'+') => (end + 2, (End::Error, 0.0)),
+        Some(b':') => (end + 2, done(number(&line[1..]))),
+        Some(b'$') if line == "$-1" => (end + 2, (End::Error, 0.0)),
+        Some(b'$') => {
+            let size: usize = line[1..].parse().map_err(|_| "bad-answer")?;
+            if size > ANSWER_MOST {
+                return Err("answer-too-long");
+            }
+            let (from, to) = (end + 2, end + 2 + size);
+            if input.len() < to + 2 {
+                return Ok(None);
+            }
+            if &input[to..to + 2] != b"\r\n" {
+                return Err("bad-answer");
+            }
+            let text = std::str::from_utf8(&input[from..to]).map_err(|_| "bad-answer")?;
+            (to + 2, done(number(text)))
+        }
+        _ => return Err("bad-answer"),
+    };
+    Ok(Some((used, how, total)))
+}
--- /dev/null
+++ b/crates/gateway/src/driver.rs
@@ -0,0 +1,403 @@
+//! Sockets only: one mio poll that reads into each connection's buffer and writes what waits for it.
+//! It knows who a connection belongs to, and nothing of what is said on it.
+
+use crate::gateway::Gateway;
+use crate::logs::Logs;
+use martenramp::host::Nanos;
+use mio::net::{TcpListener, TcpStream, UnixStream};
+use mio::{Events, Interest, Poll, Registry, Token};
+use slab::Slab;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const LISTENER: Token = Token(usize::MAX - 1);
+const SIGNALS: Token = Token(usize::MAX - 2);
+/// An id is a place in the slab and a count of births, so that an event for a closed connection finds nobody.
+const PLACE_BITS: u32 = 20;
+/// How much is read at once; a buffer that grew beyond `KEPT` is given back once it is empty.
+const READ: usize = 4 << 10;
+const KEPT: usize = 16 << 10;
+/// How long until accepting is tried again when no descriptor was left for it.
+pub const ACCEPT_AGAIN: Nanos = 10_000_000;
+/// Log lines that standard error did not take are offered again so often.
+const LOGS_AGAIN: Duration = Duration::from_millis(50);
+
+/// The module's clock: Unix time at the start plus monotonic time since, so that it never jumps.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    unix: Nanos,
+    start: Instant,
+}
+
+impl Clock {
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_nanos() as Nanos);
+        Clock { unix, start: Instant::now() }
+    }
+
+    pub fn now(&self) -> Nanos {
+        self.unix + self.start.elapsed().as_nanos() as Nanos
+    }
+}
+
+/// Who is at the other end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Peer {
+    Client,
+    Server,
+    List,
+    Counter(usize),
+}
+
+struct Conn {
+    id: usize,
+    peer: Peer,
+    stream: TcpStream,
+    address: SocketAddr,
+    since: Nanos,
+    up: bool,
+    input: Vec<u8>,
+    input_most: usize,
+    /// Reading stopped at `input_most` though there may be more.
+    paused: bool,
+    /// The other side has ended its sending, or the connection broke, for this reason.
+    ended: Option<&'static str>,
+    out: Vec<u8>,
+    written: usize,
+    dirty: bool,
+}
+
+/// All connections.
+pub struct Net {
+    registry: Registry,
+    conns: Slab<Conn>,
+    births: usize,
+    dirty: Vec<usize>,
+    resumed: Vec<usize>,
+    pub now: Nanos,
+}
+
+impl Net {
+    fn get(&self, id: usize) -> Option<&Conn> {
+        self.conns.get(id & ((1 << PLACE_BITS) - 1)).filter(|conn| conn.id == id)
+    }
+
+    fn get_mut(&mut self, id: usize) -> Option<&mut Conn> {
+        self.conns.get_mut(id & ((1 << PLACE_BITS) - 1)).filter(|conn| conn.id == id)
+    }
+
+    fn add(
+        &mut self,
+        mut stream: TcpStream,
+        peer: Peer,
+        address: SocketAddr,
+        most: usize,
+    ) -> io::Result<usize> {
+        let entry = self.conns.vacant_entry();
+        self.births += 1;
+        let id = entry.key() | self.births << PLACE_BITS;
+        self.registry.register(&mut stream, Token(id), Interest::READABLE | Interest::WRITABLE)?;
+        entry.insert(Conn {
+            id,
+            peer,
+            stream,
+            address,
+            since: self.now,
+            up: false,
+            input: Vec::new(),
+            input_most: most,
+            paused: false,
+            ended: None,
+            out: Vec::new(),
+            written: 0,
+            dirty: false,
+        });
+        Ok(id)
+    }
+
+    /// Begins a connection; `Gateway::up` tells when it stands. At most `most` bytes wait in its buffer.
+    pub fn connect(&mut self, address: SocketAddr, peer: Peer, most: usize) -> io::Result<usize> {
+        let stream = TcpStream::connect(address)?;
+        let _ = stream.set_nodelay(true);
+        self.add(stream, peer, address, most)
+    }
+
+    pub fn peer(&self, id: usize) -> Option<Peer> {
+        self.get(id).map(|conn| conn.peer)
+    }
+
+    pub fn address(&self, id: usize) -> Option<SocketAddr> {
+        self.get(id).map(|conn| conn.address)
+    }
+
+    pub fn since(&self, id: usize) -> Nanos {
+        self.get(id).map_or(self.now, |conn| conn.since)
+    }
+
+    /// What is to be written; it goes out at the end of the round.
+    pub fn out(&mut self, id: usize) -> Option<&mut Vec<u8>> {
+        let conn = self.conns.get_mut(id & ((1 << PLACE_BITS) - 1)).filter(|conn| conn.id == id)?;
+        if !std::mem::replace(&mut conn.dirty, true) {
+            self.dirty.push(id);
+        }
+        Some(&mut conn.out)
+    }
+
+    /// What has been read and not yet been used.
+    pub fn input(&self, id: usize) -> &[u8] {
+        self.get(id).map_or(&[], |conn| &conn.input)
+    }
+
+    /// The buffer of one connection beside what is to be written to another.
+    pub fn input_and_out(&mut self, from: usize, to: usize) -> Option<(&[u8], &mut Vec<u8>)> {
+        self.out(to)?;
+        self.get(from)?;
+        let mask = (1 << PLACE_BITS) - 1;
+        let (from, to) = self.conns.get2_mut(from & mask, to & mask)?;
+        Some((&from.input, &mut to.out))
+    }
+
+    pub fn used(&mut self, id: usize, bytes: usize) {
+        let Some(conn) = self.get_mut(id) else { return };
+        conn.input.drain(..bytes.min(conn.input.len()));
+        if conn.input.is_empty() && conn.input.capacity() > KEPT {
+            conn.input = Vec::new();
+        }
+        if std::mem::take(&mut conn.paused) {
+            self.resumed.push(id);
+        }
+    }
+
+    /// Whether the other side can have got the last byte written to it.
+    pub fn is_sent(&self, id: usize) -> bool {
+        self.get(id).is_some_and(|conn| conn.up && conn.written == conn.out.len())
+    }
+
+    pub fn ended(&self, id: usize) -> Option<&'static str> {
+        self.get(id).and_then(|conn| conn.ended)
+    }
+
+    /// Ends this side's sending.
+    pub fn finish(&mut self, id: usize) {
+        if let Some(conn) = self.get(id) {
+            let _ = conn.stream.shutdown(std::net::Shutdown::Write);
+        }
+    }
+
+    pub fn close(&mut self, id: usize) {
+        if self.get(id).is_some() {
+            let mut conn = self.conns.remove(id & ((1 << PLACE_BITS) - 1));
+            let _ = self.registry.deregister(&mut conn.stream);
+        }
+    }
+
+    fn read(&mut self, id: usize, closes: bool) {
+        let Some(conn) = self.get_mut(id) else { return };
+        while conn.ended.is_none() {
+            let have = conn.input.len();
+            if have >= conn.input_most {
+                conn.paused = true;
+                return;
+            }
+            let room = if have < 4 * READ { READ } else { 4 * READ }.min(conn.input_most - have);
+            conn.input.resize(have + room, 0);
+            let got = conn.stream.read(&mut conn.input[have..]);
+            conn.input.truncate(have + got.as_ref().map_or(0, |got| *got));
+            match got {
+                Ok(0) => conn.ended = Some("closed"),
+                // A short read has emptied the socket; what comes later makes a new event.
+                Ok(got) if got < room && !closes => return,
+                Ok(_) => {}
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) => conn.ended = Some(reason(&e)),
+            }
+        }
+    }
+
+    fn write(&mut self, id: usize) {
+        let Some(conn) = self.get_mut(id).filter(|conn| conn.up && conn.ended.is_none()) else { return };
+        while conn.written < conn.out.len() {
+            match conn.stream.write(&conn.out[conn.written..]) {
+                Ok(written) => conn.written += written,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) => return conn.ended = Some(reason(&e)),
+            }
+        }
+        (conn.written, conn.out) = (0, std::mem::take(&mut conn.out));
+        conn.out.clear();
+        if conn.out.capacity() > KEPT {
+            conn.out = Vec::new();
+        }
+    }
+}
+
+fn reason(e: &io::Error) -> &'static str {
+    match e.kind() {
+        ErrorKind::ConnectionRefused => "refused",
+        ErrorKind::ConnectionReset => "reset",
+        ErrorKind::BrokenPipe => "broken-pipe",
+        ErrorKind::TimedOut => "network-time-out",
+        ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable => "unreachable",
+        _ => "network-error",
+    }
+}
+
+fn out_of_descriptors(e: &io::Error) -> bool {
+    use rustix::io::Errno;
+    let codes = [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM];
+    e.raw_os_error().is_some_and(|code| codes.iter().any(|known| known.raw_os_error() == code))
+}
+
+/// The poll, and the sockets that are no connections.
+pub struct Driver {
+    poll: Poll,
+    listener: Option<TcpListener>,
+    signals: UnixStream,
+    pub clock: Clock,
+}
+
+impl Driver {
+    pub fn new(listen: SocketAddr) -> io::Result<(Driver, Net)> {
+        let poll = Poll::new()?;
+        let mut listener = TcpListener::bind(listen)?;
+        poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
+        let (mut signals, end) = UnixStream::pair()?;
+        poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
+        for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+            signal_hook::low_level::pipe::register(signal, end_of(&end)?)?;
+        }
+        let clock = Clock::start();
+        let registry = poll.registry().try_clone()?;
+        let (conns, dirty, resumed) = (Slab::new(), Vec::new(), Vec::new());
+        let net = Net { registry, conns, births: 0, dirty, resumed, now: clock.now() };
+        Ok((Driver { poll, listener: Some(listener), signals, clock }, net))
+    }
+
+    /// Turns until the gateway is over.
+    pub fn run(mut self, gateway: &mut Gateway, logs: &Logs) -> io::Result<()> {
+        let mut events = Events::with_capacity(256);
+        gateway.start(self.clock.now());
+        self.flush(gateway);
+        while !gateway.is_over() {
+            let now = self.clock.now();
+            let next = gateway.next().map(|at| Duration::from_nanos(at.saturating_sub(now)));
+            let wait = next.into_iter().chain((!logs.is_empty()).then_some(LOGS_AGAIN)).min();
+            match self.poll.poll(&mut events, wait) {
+                Err(e) if e.kind() != ErrorKind::Interrupted => return Err(e),
+                _ => {}
+            }
+            gateway.net().now = self.clock.now();
+            for event in &events {
+                match event.token() {
+                    LISTENER => self.accept(gateway),
+                    SIGNALS => {
+                        let mut some = [0; 64];
+                        while self.signals.read(&mut some).is_ok_and(|got| got > 0) {}
+                        gateway.stop();
+                    }
+                    Token(id) => {
+                        if event.is_writable() || event.is_error() {
+                            self.writable(gateway, id);
+                        }
+                        if event.is_readable() || event.is_read_closed() || event.is_error() {
+                            gateway.net().read(id, event.is_read_closed() || event.is_error());
+                            gateway.came(id);
+                        }
+                    }
+                }
+            }
+            if gateway.due() {
+                self.accept(gateway);
+            }
+            self.flush(gateway);
+            if gateway.listens() {
+                // Still open.
+            } else if self.listener.is_some() {
+                self.accept(gateway); // what had come up by now is served too
+                self.listener = None;
+                self.flush(gateway);
+            }
+            logs.drain();
+        }
+        Ok(())
+    }
+
+    fn writable(&mut self, gateway: &mut Gateway, id: usize) {
+        let Some(conn) = gateway.net().get_mut(id) else { return };
+        if !conn.up {
+            match conn.stream.take_error() {
+                Ok(None) if conn.stream.peer_addr().is_ok() => conn.up = true,
+                Ok(None) => return, // not yet
+                Ok(Some(e)) | Err(e) => conn.ended = Some(reason(&e)),
+            }
+            if conn.ended.is_none() {
+                gateway.up(id);
+            } else {
+                return gateway.came(id);
+            }
+        }
+        gateway.net().write(id);
+        gateway.wrote(id);
+    }
+
+    /// Writes all that waits, and whatever comes of that, until nothing is left to do now.
+    fn flush(&mut self, gateway: &mut Gateway) {
+        loop {
+            gateway.settle();
+            let dirty = std::mem::take(&mut gateway.net().dirty);
+            let resumed = std::mem::take(&mut gateway.net().resumed);
+            if dirty.is_empty() && resumed.is_empty() {
+                return;
+            }
+            for id in dirty {
+                if let Some(conn) = gateway.net().get_mut(id) {
+                    conn.dirty = false;
+                }
+                gateway.net().write(id);
+                gateway.wrote(id);
+                if gateway.net().ended(id).is_some() {
+                    gateway.came(id);
+                }
+            }
+            for id in resumed {
+                gateway.net().read(id, false);
+                gateway.came(id);
+            }
+        }
+    }
+
+    fn accept(&mut self, gateway: &mut Gateway) {
+        let Some(listener) = &self.listener else { return };
+        while gateway.has_room() {
+            match listener.accept() {
+                Ok((stream, address)) => {
+                    let _ = stream.set_nodelay(true);
+                    let most = gateway.client_input_most();
+                    if let Ok(id) = gateway.net().add(stream, Peer::Client, address, most) {
+                        if let Some(conn) = gateway.net().get_mut(id) {
+                            conn.up = true;
+                        }
+                        gateway.accepted(id);
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                // Guards against running out of descriptors: an idle connection gives way, or accepting waits.
+                Err(e) if out_of_descriptors(&e) => {
+                    if !gateway.shed() {
+                        return gateway.accept_later();
+                    }
+                }
+                Err(_) => {} // the connection was gone before it was taken
+            }
+        }
+        gateway.accept_later();
+    }
+}
+
+fn end_of(stream: &UnixStream) -> io::Result<std::os::fd::OwnedFd> {
+    use std::os::fd::AsFd;
+    stream.as_fd().try_clone_to_owned()
+}
--- /dev/null
+++ b/crates/gateway/src/http.rs
@@ -0,0 +1,156 @@
+//! HTTP/1.1 framing over httparse: how long a message is, where its body lies, how heads are written.
+//! Knows neither sockets nor peers; everything works on slices of the buffer that holds the message.
+
+use httparse::Header;
+use std::ops::Range;
+
+/// The largest head and body taken from anyone.
+pub const HEAD_MOST: usize = 16 << 10;
+pub const BODY_MOST: usize = 64 << 10;
+/// More header lines than this in one head are refused.
+pub const HEADERS_MOST: usize = 64;
+
+/// How the end of a body is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Length {
+    Fixed(usize),
+    Chunked,
+    UntilClose,
+}
+
+/// Why a message can't be taken: the status to answer a request with, and a reason code for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bad(pub u16, pub &'static str);
+
+pub fn header<'a>(headers: &[Header<'a>], name: &str) -> Option<&'a [u8]> {
+    headers.iter().find(|header| header.name.eq_ignore_ascii_case(name)).map(|header| header.value)
+}
+
+pub fn text<'a>(headers: &[Header<'a>], name: &str) -> Option<&'a str> {
+    header(headers, name).and_then(|value| std::str::from_utf8(value).ok()).map(str::trim)
+}
+
+/// Whether a header that lists words holds this one.
+pub fn lists(headers: &[Header], name: &str, word: &str) -> bool {
+    let named = headers.iter().filter(|header| header.name.eq_ignore_ascii_case(name));
+    let mut words = named.flat_map(|header| header.value.split(|byte| *byte == b','));
+    words.any(|part| part.trim_ascii().eq_ignore_ascii_case(word.as_bytes()))
+}
+
+/// The length that the headers tell; `without` is what applies if they tell none. Guards against messages
+/// that two readers would end at different bytes (two lengths, or a length beside chunks).
+pub fn length(headers: &[Header], without: Length) -> Result<Length, Bad> {
+    let mut told = None;
+    for header in headers.iter().filter(|header| header.name.eq_ignore_ascii_case("content-length")) {
+        let value = header.value.trim_ascii();
+        let plain = !value.is_empty() && value.iter().all(u8::is_ascii_digit);
+        let digits = std::str::from_utf8(value).ok().filter(|_| plain);
+        let number = digits.and_then(|digits| digits.parse().ok()).ok_or(Bad(400, "bad-length"))?;
+        if told.replace(number).is_some_and(|before| before != number) {
+            return Err(Bad(400, "two-lengths"));
+        }
+    }
+    if header(headers, "transfer-encoding").is_some() {
+        let chunked =
+            text(headers, "transfer-encoding").is_some_and(|how| how.eq_ignore_ascii_case("chunked"));
+        return match told {
+            None if chunked => Ok(Length::Chunked),
+            _ => Err(Bad(400, "bad-encoding")),
+        };
+    }
+    Ok(told.map_or(without, Length::Fixed))
+}
+
+/// Where a slice lies in the buffer that it is part of.
+pub fn place(buffer: &[u8], part: &[u8]) -> Range<usize> {
+    let start = part.as_ptr() as usize - buffer.as_ptr() as usize;
+    start..start + part.len()
+}
+
+/// Takes chunked bodies apart, fed bytes as they come; the data is handed on in pieces.
+#[derive(Debug, Default)]
+pub struct Chunks {
+    /// Data bytes left of the chunk at hand.
+    left: usize,
+    step: Step,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Step {
+    #[default]
+    Size,
+    Data,
+    DataEnd,
+    Trailer,
+    Over,
+}
+
+impl Chunks {
+    pub fn is_over(&self) -> bool {
+        self.step == Step::Over
+    }
+
+    /// How many bytes of the input were used up; `data` gets what they held.
+    pub fn feed(&mut self, input: &[u8], mut data: impl FnMut(&[u8])) -> Result<usize, Bad> {
+        let mut at = 0;
+        while self.step != Step::Over {
+            let rest = &input[at..];
+            match self.step {
+                Step::Data => {
+                    let now = rest.len().min(self.left);
+                    data(&rest[..now]);
+                    self.left -= now;
+                    at += now;
+                    if self.left > 0 {
+                        break;
+                    }
+                    self.step = Step::DataEnd;
+                }
+                _ => {
+                    let Some(end) = rest.iter().position(|byte| *byte == b'\n') else {
+                        if rest.len() > 256 {
+                            return Err(Bad(400, "bad-chunk"));
+                        }
+                        break;
+                    };
+                    let line = rest[..end].strip_suffix(b"\r").unwrap_or(&rest[..end]);
+                    at += end + 1;
+                    self.step = match self.step {
+                        Step::Size => self.size(line)?,
+                        Step::DataEnd if line.is_empty() => Step::Size,
+                        Step::Trailer if line.is_empty() => Step::Over,
+                        Step::Trailer => Step::Trailer,
+                        _ => return Err(Bad(400, "bad-chunk")),
+                    };
+                }
+            }
+        }
+        Ok(at)
+    }
+
+    fn size(&mut self, line: &[u8]) -> Result<Step, Bad> {
+        let digits = line.split(|byte| *byte == b';').next().unwrap_or_default().trim_ascii();
+        let digits = std::str::from_utf8(digits).ok().filter(|digits| !digits.starts_with('+'));
+        let size = digits.and_then(|digits| u32::from_str_radix(digits, 16).ok());
+        self.left = size.ok_or(Bad(400, "bad-chunk"))? as usize;
+        Ok(if self.left == 0 { Step::Trailer } else { Step::Data })
+    }
+}
+
+pub fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        411 => "Length Required",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Unknown",
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,13 @@
+//! martenramp on sockets: HTTP/1.1 between clients and servers, discovery's watch and the shared counter,
+//! around the decision module. Files go by peer; `driver` alone knows sockets, `gateway` ties all together.
+
+pub mod clients;
+pub mod config;
+pub mod counter;
+pub mod driver;
+pub mod gateway;
+pub mod http;
+pub mod list;
+pub mod logs;
+pub mod servers;
+pub mod timers;
--- /dev/null
+++ b/crates/gateway/src/main.rs
@@ -0,0 +1,83 @@
+//! The command line: `martenramp serve`, `check-config`, `version`.
+
+use gateway::config::Config;
+use gateway::driver::Driver;
+use gateway::gateway::Gateway;
+use gateway::logs::Logs;
+use lexopt::prelude::*;
+use std::process::ExitCode;
+
+const HELP: &str = "\
+martenramp: an admission gateway for a service sold by plan
+
+usage: martenramp serve [--config FILE]          run the gateway until SIGTERM
+       martenramp check-config [--config FILE]   read the configuration and say what it holds
+       martenramp version
+
+FILE is $LB_CONFIG unless given; $LB_NAME, $LB_LISTEN and $LB_DISCOVERY tell what it leaves out.
+";
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("martenramp: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<(), String> {
+    let (mut command, mut file) = (None, None);
+    let mut args = lexopt::Parser::from_env();
+    while let Some(arg) = args.next().map_err(|e| e.to_string())? {
+        match arg {
+            Short('h') | Long("help") => command = Some("help".to_string()),
+            Short('V') | Long("version") => command = Some("version".to_string()),
+            Long("config") => file = Some(args.value().map_err(|e| e.to_string())?),
+            Value(word) if command.is_none() => command = Some(word.to_string_lossy().into_owned()),
+            arg => return Err(arg.unexpected().to_string()),
+        }
+    }
+    let config = || {
+        let path = file.or_else(|| std::env::var_os("LB_CONFIG")).ok_or("no configuration: set LB_CONFIG")?;
+        let shown = path.to_string_lossy().into_owned();
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("{shown}: {e}"))?;
+        Config::read(&text, |name| std::env::var(name).ok()).map_err(|e| format!("{shown}: {e}"))
+    };
+    match command.as_deref() {
+        Some("serve") => serve(config()?),
+        Some("check-config") => {
+            let config = config()?;
+            println!("{}: listens at {}, discovery at {}", config.name, config.listen, config.discovery);
+            println!(
+                "{} methods, {} plans, {} settings",
+                config.methods.len(),
+                config.plans.len(),
+                config.settings.len()
+            );
+            Ok(())
+        }
+        Some("version") => {
+            println!("martenramp {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        Some("help") => {
+            print!("{HELP}");
+            Ok(())
+        }
+        Some(other) => Err(format!("no command '{other}'; try --help")),
+        None => Err("no command; try --help".to_string()),
+    }
+}
+
+fn serve(config: Config) -> Result<(), String> {
+    let logs = Logs::default();
+    let log = logs.logger(&config.name);
+    let listen = config.listen;
+    let (driver, net) = Driver::new(listen).map_err(|e| format!("can't listen at {listen}: {e}"))?;
+    let mut gateway = Gateway::new(config, net, log);
+    let ended = driver.run(&mut gateway, &logs).map_err(|e| e.to_string());
+    logs.drain();
+    ended
+}
--- /dev/null
+++ b/crates/gateway/src/servers.rs
@@ -0,0 +1,220 @@
+//! Servers: who they are by name, the connections to each, and the state machine of one connection, which
+//! writes a call-out and reads its answer.
+
+use crate::clients::Rpc;
+use crate::http::{self, BODY_MOST, Chunks, HEAD_MOST, HEADERS_MOST, Length};
+use martenramp::host::{End, Nanos};
+use std::collections::{BTreeMap, HashMap};
+use std::io::Write;
+use std::net::SocketAddr;
+
+/// Of the told time after which a machine closes an idle connection, the part that one is used for.
+pub const IDLE_SHARE: f64 = 0.6;
+/// What applies where no times are told.
+pub const IDLE: Nanos = 5_000_000_000;
+pub const DIAL: Nanos = 250_000_000;
+
+/// A server under the number that the module knows it by.
+#[derive(Debug)]
+pub struct Server {
+    pub address: SocketAddr,
+    pub came_up: Nanos,
+    /// Idle connections, the one used last at the end, and since when.
+    pub idle: Vec<(usize, Nanos)>,
+    pub open: usize,
+    pub listed: bool,
+}
+
+/// All servers, by name and by number.
+#[derive(Debug, Default)]
+pub struct Servers {
+    numbers: HashMap<String, u32>,
+    pub by_number: BTreeMap<u32, Server>,
+    last: u32,
+}
+
+impl Servers {
+    /// The number of a listed server and the idle connections to what it was before: those to another address
+    /// or an earlier life are of no more use.
+    pub fn list(&mut self, name: &str, address: SocketAddr, came_up: Nanos) -> (u32, Vec<usize>) {
+        let last = &mut self.last;
+        let number = *self.numbers.entry(name.to_string()).or_insert_with(|| {
+            *last += 1;
+            *last
+        });
+        let fresh = || Server { address, came_up, idle: Vec::new(), open: 0, listed: true };
+        let server = self.by_number.entry(number).or_insert_with(fresh);
+        let moved = server.address != address || server.came_up != came_up;
+        (server.address, server.came_up, server.listed) = (address, came_up, true);
+        let stale = if moved { std::mem::take(&mut server.idle) } else { Vec::new() };
+        (number, stale.into_iter().map(|idle| idle.0).collect())
+    }
+
+    pub fn known(&self, name: &str) -> Option<u32> {
+        self.numbers.get(name).copied()
+    }
+
+    /// Takes servers off that are no longer listed and have no connection left.
+    pub fn forget(&mut self) {
+        self.by_number.retain(|_, server| server.listed || server.open > 0);
+        let left = &self.by_number;
+        self.numbers.retain(|_, number| left.contains_key(number));
+    }
+}
+
+/// The call-out that a connection carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallOut {
+    pub rpc: u32,
+    pub nth: u16,
+    pub sent: Nanos,
+}
+
+/// Where a connection to a server stands.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Stage {
+    Idle,
+    Out(CallOut),
+}
+
+/// One connection to a server.
+#[derive(Debug)]
+pub struct Link {
+    pub server: u32,
+    pub stage: Stage,
+    pub up: bool,
+    pub used: u64,
+    chunks: Option<(Chunks, Vec<u8>, usize)>,
+}
+
+/// A whole answer: what it means, and the length of its message in the buffer.
+#[derive(Debug, PartialEq)]
+pub struct Answer {
+    pub how: End,
+    pub status: u16,
+    pub body: Body,
+    pub content_type: Option<std::ops::Range<usize>>,
+    pub length: usize,
+    pub reusable: bool,
+    pub settled: f64,
+    /// The load report's text in the buffer.
+    pub load: Option<std::ops::Range<usize>>,
+}
+
+/// Where the body is: in the read buffer, or taken out of its chunks.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Body {
+    Read(std::ops::Range<usize>),
+    Joined(Vec<u8>),
+}
+
+impl Link {
+    pub fn new(server: u32) -> Self {
+        Link { server, stage: Stage::Idle, up: false, used: 0, chunks: None }
+    }
+
+    /// Takes up a call-out: writes its message, with how long this gateway will wait.
+    pub fn call_out(&mut self, out: &mut Vec<u8>, call: CallOut, rpc: &Rpc, message: &[u8], wait: Nanos) {
+        self.stage = Stage::Out(call);
+        self.used += 1;
+        self.chunks = None;
+        out.extend_from_slice(if rpc.get { b"GET " } else { b"POST " });
+        out.extend_from_slice(&message[rpc.target.clone()]);
+        out.extend_from_slice(b" HTTP/1.1\r\nHost: service.internal\r\nX-Txn: ");
+        out.extend_from_slice(&message[rpc.txn.clone()]);
+        for (name, value) in [("Idempotency-Key", &rpc.mark), ("Content-Type", &rpc.content_type)] {
+            if let Some(value) = value {
+                let _ = write!(out, "\r\n{name}: ");
+                out.extend_from_slice(&message[value.clone()]);
+            }
+        }
+        let _ = write!(out, "\r\nX-Remaining-Ms: {}", wait / 1_000_000);
+        let body = &message[rpc.body.clone()];
+        if !rpc.get || !body.is_empty() {
+            let _ = write!(out, "\r\nContent-Length: {}", body.len());
+        }
+        out.extend_from_slice(b"\r\n\r\n");
+        out.extend_from_slice(body);
+    }
+
+    /// Looks at all that the buffer holds; `ended` tells that no more will come. An error is an answer that
+    /// can't be read, with a reason code.
+    pub fn look(&mut self, input: &[u8], ended: bool) -> Result<Option<Answer>, &'static str> {
+        let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
+        let mut head = httparse::Response::new(&mut headers);
+        let start = match head.parse(&input[..input.len().min(HEAD_MOST)]) {
+            Ok(httparse::Status::Complete(length)) => length,
+            Ok(httparse::Status::Partial) if input.len() >= HEAD_MOST => return Err("head-too-large"),
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(_) => return Err("bad-head"),
+        };
+        let status = head.code.unwrap_or(0);
+        if (100..200).contains(&status) {
+            // An interim answer says nothing; what it announces follows.
+            let rest = self.look(&input[start..], ended)?;
+            return Ok(rest.map(|answer| answer.moved(start)));
+        }
+        let bare = status == 204 || status == 304;
+        let length = if bare { Ok(Length::Fixed(0)) } else { http::length(head.headers, Length::UntilClose) };
+        let (body, end) = match length.map_err(|bad| bad.1)? {
+            Length::Fixed(size) if size > BODY_MOST => return Err("body-too-large"),
+            Length::Fixed(size) if input.len() < start + size => return Ok(None),
+            Length::Fixed(size) => (Body::Read(start..start + size), start + size),
+            Length::UntilClose if input.len() > start + BODY_MOST => return Err("body-too-large"),
+            Length::UntilClose if !ended => return Ok(None),
+            Length::UntilClose => (Body::Read(start..input.len()), input.len()),
+            Length::Chunked => {
+                let (chunks, joined, at) =
+                    self.chunks.get_or_insert_with(|| (Chunks::default(), Vec::new(), start));
+                *at +=
+                    chunks.feed(&input[*at..], |data| joined.extend_from_slice(data)).map_err(|bad| bad.1)?;
+                if joined.len() > BODY_MOST {
+                    return Err("body-too-large");
+                } else if !chunks.is_over() {
+                    return Ok(None);
+                }
+                (Body::Joined(std::mem::take(joined)), *at)
+            }
+        };
+        let turned_away = http::text(head.headers, "x-turned-away") == Some("1");
+        let how = match status {
+            200 => End::Ok,
+            503 | 504 if turned_away => End::Full,
+            _ => End::Error,
+        };
+        let settled = http::text(head.headers, "x-settled").and_then(|units| units.parse().ok());
+        let closes = head.version == Some(0) || http::lists(head.headers, "connection", "close");
+        Ok(Some(Answer {
+            how,
+            status,
+            body,
+            content_type: http::header(head.headers, "content-type").map(|kind| http::place(input, kind)),
+            length: end,
+            reusable: !closes && length != Ok(Length::UntilClose) && !ended,
+            settled: settled.filter(|units: &f64| units.is_finite() && *units >= 0.0).unwrap_or(0.0),
+            load: http::header(head.headers, "x-pressure").map(|load| http::place(input, load)),
+        }))
+    }
+}
+
+impl Answer {
+    /// The same answer as seen from `by` bytes earlier in the buffer.
+    fn moved(mut self, by: usize) -> Answer {
+        let move_on = |range: &mut std::ops::Range<usize>| *range = range.start + by..range.end + by;
+        if let Body::Read(range) = &mut self.body {
+            move_on(range);
+        }
+        self.content_type.iter_mut().chain(self.load.iter_mut()).for_each(move_on);
+        self.length += by;
+        self
+    }
+}
+
+/// The values of a load report in the order of `columns`; a value that is missing counts as 0.
+pub fn load(text: &[u8], columns: &[String]) -> Vec<f64> {
+    let report: serde_json::Value = serde_json::from_slice(text).unwrap_or_default();
+    if !report.is_object() {
+        return Vec::new();
+    }
+    columns.iter().map(|column| report[column.as_str()].as_f64().unwrap_or(0.0)).collect()
+}
