--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 use martenramp::host::{Arrival, End, Ended, Host, Listed, Nanos};
 use slog::{Logger, info, warn};
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
 
 const MS: Nanos = 1_000_000;
 /// An RPC's deadline is taken as so much sooner than its client tells, for the way here and a turn of the loop.
@@ -233,14 +234,11 @@
 
     /// All or some of what waited for a connection is written.
     pub fn wrote(&mut self, id: usize) {
-        let closing =
-            self.desk.clients.get_mut(&id).filter(|client| client.closing.is_some() && !client.finished);
-        if let Some(client) = closing {
-            if self.desk.net.is_sent(id) {
-                client.finished = true;
-                client.since = self.desk.net.now;
-                self.desk.net.finish(id);
-            }
+        let Desk { net, clients, .. } = &mut self.desk;
+        let closing = clients.get_mut(&id).filter(|client| client.closing.is_some() && !client.finished);
+        if let Some(client) = closing.filter(|_| net.is_sent(id)) {
+            (client.finished, client.since) = (true, net.now);
+            net.finish(id);
         }
     }
 
@@ -431,6 +429,10 @@
     }
 }
 
+fn shown(address: Option<SocketAddr>) -> String {
+    address.map_or_else(String::new, |address| address.to_string())
+}
+
 impl Host for Desk {
     fn call_out(&mut self, id: u32, server: u32, limit: Nanos) {
         let now = self.net.now;
@@ -563,7 +565,7 @@
     fn end_client(&mut self, id: usize, why: &'static str) {
         let Some(client) = self.clients.remove(&id) else { return };
         let why = client.closing.unwrap_or(why);
-        info!(self.log, "client"; "why" => why, "from" => ?self.net.address(id), "answers" => client.served,
+        info!(self.log, "client"; "why" => why, "from" => shown(self.net.address(id)), "answers" => client.served,
             "ms" => (self.net.now - self.net.since(id)) / MS);
         self.net.close(id);
     }
@@ -722,7 +724,7 @@
             server.idle.retain(|idle| idle.0 != id);
             server.open -= 1;
         }
-        info!(self.log, "server"; "why" => why, "to" => ?self.net.address(id), "call_outs" => link.used,
+        info!(self.log, "server"; "why" => why, "to" => shown(self.net.address(id)), "call_outs" => link.used,
             "ms" => (self.net.now - self.net.since(id)) / MS);
         self.net.close(id);
     }
