Timers whose cause is over no longer wake the loop; glue split by peer

Ruled out: double reads (one recvfrom an event) and log writes (2). Each RPC left its call-out's time limit, its overdue guard, its dial and count time-outs in the heap, and each woke the loop for nothing (Gateway::next). Now such timers are dropped when they come first.

--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -83,10 +83,17 @@
         !self.written.is_empty() && now > self.heard + DEAD_AFTER
     }
 
+    fn out(&self) -> impl Iterator<Item = &Call> {
+        self.written.iter().flatten().chain(&self.waiting).filter(|call| call.serial != 0)
+    }
+
     /// Whether a call for this name is out here.
     pub fn carries(&self, name: u64) -> bool {
-        let written = self.written.iter().flatten().chain(&self.waiting);
-        written.into_iter().any(|call| call.name == name && call.serial != 0)
+        self.out().any(|call| call.name == name)
+    }
+
+    pub fn holds(&self, serial: u64) -> bool {
+        self.out().any(|call| call.serial == serial)
     }
 
     /// The time of a call is over: how it ended, if it was still out. One not written was never added.
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -283,7 +283,7 @@
         self.flush(gateway);
         while !gateway.is_over() {
             let now = self.clock.now();
-            let next = gateway.next().map(|at| Duration::from_nanos(at.saturating_sub(now)));
+            let next = gateway.next_turn().map(|at| Duration::from_nanos(at.saturating_sub(now)));
             let wait = next.into_iter().chain((!logs.is_empty()).then_some(LOGS_AGAIN)).min();
             match self.poll.poll(&mut events, wait) {
                 Err(e) if e.kind() != ErrorKind::Interrupted => return Err(e),
--- /dev/null
+++ b/crates/gateway/src/gateway/to_clients.rs
@@ -0,0 +1,163 @@
+//! The gateway's side of clients: RPCs handed to the module, and the one answer each gets.
+
+use super::*;
+
+impl Gateway {
+    pub(super) fn client_came(&mut self, id: usize) {
+        let now = self.desk.net.now;
+        let Some(client) = self.desk.clients.get_mut(&id) else { return };
+        if client.closing.is_some() {
+            let length = self.desk.net.input(id).len();
+            self.desk.net.used(id, length);
+        } else if client.rpc.is_none() && !self.desk.net.input(id).is_empty() {
+            match client.look(&self.desk.config, now, self.desk.net.input(id)) {
+                Ok(Got::Part) => {}
+                Ok(Got::Continue) => {
+                    if let Some(out) = self.desk.net.out(id) {
+                        out.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+                    }
+                }
+                Ok(Got::Rpc(message)) => self.arrive(id, message),
+                Ok(Got::Ready(length)) => {
+                    let ready = self.desk.has_list && !self.desk.stopping;
+                    self.desk.answer_own(id, if ready { 200 } else { 503 }, length);
+                }
+                Ok(Got::Healthy(length)) => self.desk.answer_own(id, 200, length),
+                Err(Bad(status, why)) => self.desk.refuse(id, status, why),
+            }
+        }
+        if let Some(why) = self.desk.net.ended(id) {
+            self.client_left(id, why);
+        }
+    }
+
+    pub(super) fn arrive(&mut self, client: usize, message: clients::Rpc) {
+        let (now, end) = (self.desk.net.now, message.body.end);
+        if self.desk.open_rpcs >= self.desk.rpcs_most || self.desk.clients.len() > self.desk.clients_most {
+            // No room for more: what is pushed back here never reached the module.
+            self.desk.answer_own(client, 503, end);
+            return;
+        }
+        let id = self.desk.fresh_rpc();
+        let Some(at) = self.desk.clients.get_mut(&client) else { return };
+        at.rpc = Some((id, end));
+        let deadline = (at.since + message.remaining_ms * MS).saturating_sub(MARGIN).max(now);
+        let arrival = Arrival {
+            id,
+            method: message.method,
+            plan: message.plan,
+            customer: message.customer,
+            deadline,
+            units: message.units,
+            width: message.width,
+            first: message.first,
+        };
+        let rpc = Rpc { stand: Stand::Held, client, message, deadline, call_outs: 0, open: false };
+        self.desk.rpcs.insert(id, rpc);
+        self.desk.open_rpcs += 1;
+        self.desk.timers.set(deadline + OVERDUE, What::Overdue(id));
+        self.brain.rpc(&mut self.desk, now, &arrival);
+    }
+
+    /// Guards against an RPC that neither the module nor a time-out has ended; nothing else should come here.
+    pub(super) fn overdue(&mut self, id: u32) {
+        if self.desk.rpcs.get(&id).is_some_and(|rpc| rpc.stand != Stand::Answered) {
+            warn!(self.desk.log, "overdue"; "rpc" => id);
+            self.desk.answer(id, 504, 0);
+            self.brain.client_left(id);
+        }
+    }
+
+    pub(super) fn client_left(&mut self, id: usize, why: &'static str) {
+        let rpc = self.desk.clients.get(&id).and_then(|client| client.rpc).map(|rpc| rpc.0);
+        self.desk.end_client(id, if rpc.is_some() { "left-before-answer" } else { why });
+        if let Some(rpc) = rpc {
+            self.desk.shift(rpc, Stand::Answered);
+            self.brain.client_left(rpc);
+        }
+    }
+}
+
+impl Desk {
+    /// The one final answer of an RPC, when it is the gateway's own.
+    pub(super) fn answer(&mut self, id: u32, status: u16, come_back: Nanos) {
+        let Some(rpc) = self.rpcs.get(&id).filter(|rpc| rpc.stand != Stand::Answered) else { return };
+        let (client, close) = (rpc.client, rpc.message.close || self.stopping);
+        if let Some(out) = self.net.out(client) {
+            clients::write_own(out, status, come_back, close);
+        }
+        self.answered(id, client, close);
+    }
+
+    pub(super) fn answered(&mut self, id: u32, client: usize, close: bool) {
+        self.shift(id, Stand::Answered);
+        let Some(at) = self.clients.get_mut(&client) else { return };
+        let length = at.rpc.take().map_or(0, |rpc| rpc.1);
+        at.served += 1;
+        at.since = self.net.now;
+        self.net.used(client, length);
+        if close {
+            at.closing = Some(if self.stopping { "stopping" } else { "client-asked" });
+        } else if !self.net.input(client).is_empty() {
+            self.again.push_back(client);
+        }
+    }
+
+    /// An answer of the gateway's own to a message that is no RPC of the module's.
+    pub(super) fn answer_own(&mut self, client: usize, status: u16, length: usize) {
+        let close = self.stopping || self.clients.len() > self.clients_most;
+        if let Some(out) = self.net.out(client) {
+            clients::write_own(out, status, 0, close);
+        }
+        self.net.used(client, length);
+        if let Some(at) = self.clients.get_mut(&client) {
+            (at.partial, at.since) = (false, self.net.now);
+            at.served += 1;
+            at.closing = close.then_some(if self.stopping { "stopping" } else { "too-many-clients" });
+        }
+        if !close && !self.net.input(client).is_empty() {
+            self.again.push_back(client);
+        }
+    }
+
+    /// Answers what can't be taken and closes.
+    pub(super) fn refuse(&mut self, client: usize, status: u16, why: &'static str) {
+        if let Some(out) = self.net.out(client) {
+            clients::write_own(out, status, 0, true);
+        }
+        let length = self.net.input(client).len();
+        self.net.used(client, length);
+        if let Some(at) = self.clients.get_mut(&client) {
+            at.closing = Some(why);
+        }
+    }
+
+    pub(super) fn end_client(&mut self, id: usize, why: &'static str) {
+        let Some(client) = self.clients.remove(&id) else { return };
+        let why = client.closing.unwrap_or(why);
+        info!(self.log, "client"; "why" => why, "from" => shown(self.net.address(id)), "answers" => client.served,
+            "ms" => (self.net.now - self.net.since(id)) / MS);
+        self.net.close(id);
+    }
+
+    /// Ends this side's sending on idle clients; with `partial` also on those whose message is not whole.
+    pub(super) fn close_clients(&mut self, partial: bool) {
+        let now = self.net.now;
+        for (id, client) in &mut self.clients {
+            if client.rpc.is_none() && client.closing.is_none() && (partial || !client.partial) {
+                (client.closing, client.finished, client.since) = (Some("stopping"), true, now);
+                self.net.finish(*id);
+            }
+        }
+    }
+
+    /// Closes the client that has been idle for longest.
+    pub(super) fn shed_client(&mut self) -> bool {
+        let idle = self.clients.iter().filter(|(_, client)| client.rpc.is_none() && !client.partial);
+        let idle = idle.filter(|(_, client)| client.served > 0 && client.closing.is_none());
+        let Some((id, _)) = idle.min_by_key(|(_, client)| client.since) else { return false };
+        let id = *id;
+        self.end_client(id, "made-room");
+        true
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway/to_counter.rs
@@ -0,0 +1,46 @@
+//! The gateway's side of the counter: a connection for each call.
+
+use super::*;
+
+impl Desk {
+    pub(super) fn counter_came(&mut self, line: usize, id: usize) {
+        let mut ended = Vec::new();
+        let fed = self.lines[line].feed(self.net.now, self.net.input(id), &mut ended);
+        self.net.used(id, fed.unwrap_or(0));
+        self.counted.extend(ended);
+        if let Some(why) = fed.err().or(self.net.ended(id)) {
+            self.line_broke(line, why);
+        }
+    }
+
+    /// The connection for a call: where its name is out, else the one with the least out.
+    pub(super) fn line_for(&mut self, name: u64) -> Option<usize> {
+        let carries = self.lines.iter().position(|line| line.carries(name));
+        let now = self.net.now;
+        let usable = |line: &usize| self.lines_on[*line].is_some() || now >= self.lines_again[*line];
+        let least = |line: &usize| self.lines[*line].written.len() + self.lines[*line].waiting.len();
+        let line = carries.or_else(|| (0..counter::LINES).filter(usable).min_by_key(least))?;
+        if self.lines_on[line].is_none() {
+            let address = self.config.counter?;
+            self.lines[line].heard = now;
+            match self.net.connect(address, Peer::Counter(line), OTHER_INPUT) {
+                Ok(id) => self.lines_on[line] = Some(id),
+                Err(e) => {
+                    warn!(self.log, "can't connect"; "to" => %address, "error" => %e);
+                    self.lines_again[line] = now + counter::AGAIN;
+                    return None;
+                }
+            }
+        }
+        Some(line)
+    }
+
+    pub(super) fn line_broke(&mut self, line: usize, why: &'static str) {
+        let Some(id) = self.lines_on[line].take() else { return };
+        info!(self.log, "counter"; "why" => why, "line" => line, "ms" => (self.net.now - self.net.since(id)) / MS);
+        self.lines_again[line] = self.net.now + counter::AGAIN;
+        let ended = self.lines[line].broke();
+        self.counted.extend(ended.into_iter().map(|(call, how)| (call, how, 0.0)));
+        self.net.close(id);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway/to_list.rs
@@ -0,0 +1,84 @@
+//! The gateway's side of discovery: the watch is kept up, and the module and the pools hear what it tells.
+
+use super::*;
+
+impl Gateway {
+    pub(super) fn list_came(&mut self, id: usize) {
+        let mut told = Vec::new();
+        let Desk { net, watch, .. } = &mut self.desk;
+        let fed = watch.feed(net.now, net.input(id), &mut told);
+        net.used(id, fed.unwrap_or(0));
+        if !told.is_empty() {
+            watch.fails = 0;
+        }
+        told.into_iter().for_each(|told| self.told(told));
+        if let Some(why) = fed.err().or(self.desk.net.ended(id)) {
+            self.desk.watch_broke(id, why);
+        }
+    }
+
+    pub(super) fn told(&mut self, told: Told) {
+        let desk = &mut self.desk;
+        desk.watch.index = told.index;
+        let place = |names: &[String], name: &str| names.iter().position(|known| known == name);
+        if told.whole {
+            desk.servers.by_number.values_mut().for_each(|server| server.listed = false);
+        }
+        let mut list = Vec::new();
+        for entry in &told.entries {
+            let came_up = entry.since_ms * MS;
+            let number = if entry.gone {
+                let Some(number) = desk.servers.known(&entry.name) else { continue };
+                desk.servers.by_number.entry(number).and_modify(|server| server.listed = false);
+                number
+            } else {
+                let (number, stale) = desk.servers.list(&entry.name, entry.address, came_up);
+                stale.into_iter().for_each(|id| desk.end_link(id, "server-moved"));
+                number
+            };
+            list.push(Listed {
+                server: number,
+                zone: place(&desk.zones, &entry.zone).map_or(u16::MAX, |at| at as u16),
+                kind: place(&desk.kinds, &entry.kind).map_or(u8::MAX, |at| at as u8),
+                cell: entry.cell,
+                ready: entry.ready,
+                weight: entry.weight,
+                came_up,
+            });
+        }
+        self.brain.listed(desk.net.now, told.whole, &list);
+        desk.has_list = true;
+        let gone = desk.servers.by_number.values_mut().filter(|server| !server.listed);
+        let idle: Vec<usize> =
+            gone.flat_map(|server| std::mem::take(&mut server.idle)).map(|idle| idle.0).collect();
+        idle.into_iter().for_each(|id| desk.end_link(id, "server-gone"));
+        desk.servers.forget();
+    }
+}
+
+impl Desk {
+    pub(super) fn dial_watch(&mut self) {
+        if self.watch_on.is_some() {
+            return;
+        }
+        self.watch.heard = self.net.now;
+        match self.net.connect(self.config.discovery, Peer::List, OTHER_INPUT) {
+            Ok(id) => self.watch_on = Some(id),
+            Err(e) => {
+                warn!(self.log, "can't connect"; "to" => %self.config.discovery, "error" => %e);
+                let again = self.net.now + self.watch.again();
+                self.timers.set(again, What::Watch);
+            }
+        }
+    }
+
+    /// The list held stays; the watch is asked for again after a while.
+    pub(super) fn watch_broke(&mut self, id: usize, why: &'static str) {
+        info!(self.log, "list"; "why" => why, "index" => self.watch.index,
+            "ms" => (self.net.now - self.net.since(id)) / MS);
+        self.net.close(id);
+        self.watch_on = None;
+        let again = self.net.now + self.watch.again();
+        self.timers.set(again, What::Watch);
+    }
+}
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -113,6 +113,10 @@
         Link { server, stage: Stage::Idle, up: false, used: 0, chunks: None }
     }
 
+    pub fn carries(&self, rpc: u32, nth: u16) -> bool {
+        matches!(self.stage, Stage::Out(call) if (call.rpc, call.nth) == (rpc, nth))
+    }
+
     /// Takes up a call-out: writes its message, with how long this gateway will wait.
     pub fn call_out(&mut self, out: &mut Vec<u8>, call: CallOut, rpc: &Rpc, message: &[u8], wait: Nanos) {
         self.stage = Stage::Out(call);
--- a/crates/gateway/src/timers.rs
+++ b/crates/gateway/src/timers.rs
@@ -1,5 +1,5 @@
-//! What is to happen when: a heap of times. Nothing is ever taken out early; whoever gets a timer that no
-//! longer means anything passes it over.
+//! What is to happen when: a heap of times. Nothing is looked for in the middle of it: a timer that no longer
+//! means anything is dropped when it comes first, and whoever gets one all the same passes it over.
 
 use martenramp::host::Nanos;
 use std::cmp::Reverse;
@@ -28,6 +28,13 @@
         self.heap.peek().map(|Reverse((at, ..))| *at)
     }
 
+    /// Takes out the first timers for as long as they are stale.
+    pub fn skip(&mut self, stale: impl Fn(&T) -> bool) {
+        while self.heap.peek().is_some_and(|Reverse((.., what))| stale(what)) {
+            self.heap.pop();
+        }
+    }
+
     /// The first timer that is due.
     ///
     /// ```
