Stories that start the program and speak to it over loopback; headers pass through

End-to-end header lines now pass both ways (hop-by-hop ones, lengths and the operators' own load and settling headers stay); an answer must be out before the next message of its connection is looked at, so that a client that reads nothing can't fill the buffer.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -18,9 +18,8 @@
 pub struct Rpc {
     pub get: bool,
     pub target: Range<usize>,
-    pub txn: Range<usize>,
-    pub mark: Option<Range<usize>>,
-    pub content_type: Option<Range<usize>>,
+    /// The header lines.
+    pub head: Range<usize>,
     pub body: Range<usize>,
     pub method: u16,
     pub plan: u16,
@@ -101,7 +100,7 @@
     let path = target.split('?').next().unwrap_or_default();
     if path.starts_with("/-/") {
         return match path {
-            _ if method != "GET" && method != "HEAD" => Err(Bad(405, "bad-method")),
+            _ if method != "GET" => Err(Bad(405, "bad-method")),
             _ if input.len() < end => Ok(Got::Part),
             "/-/ready" => Ok(Got::Ready(end)),
             "/-/healthy" => Ok(Got::Healthy(end)),
@@ -128,7 +127,7 @@
     if config.methods[number].marked && mark.is_none() {
         return Err(Bad(400, "no-idempotency-key")); // without it a repeat could not be known as one
     }
-    let txn = http::header(headers, "x-txn").filter(|txn| !txn.is_empty()).ok_or(Bad(400, "no-txn"))?;
+    http::header(headers, "x-txn").filter(|txn| !txn.is_empty()).ok_or(Bad(400, "no-txn"))?;
     let remaining = http::text(headers, "x-remaining-ms").and_then(|ms| ms.parse().ok());
     let remaining_ms = remaining.filter(|ms| *ms <= REMAINING_MOST).ok_or(Bad(400, "bad-remaining"))?;
     let metering = http::text(headers, "x-metering").ok_or(Bad(400, "no-metering"))?;
@@ -140,9 +139,7 @@
     Ok(Got::Rpc(Rpc {
         get,
         target: http::place(input, target.as_bytes()),
-        txn: http::place(input, txn),
-        mark: mark.map(|mark| http::place(input, mark)),
-        content_type: http::header(headers, "content-type").map(|kind| http::place(input, kind)),
+        head: headers_at(&input[..start])..start,
         body: start..end,
         method: number as u16,
         plan: plan as u16,
@@ -155,6 +152,13 @@
     }))
 }
 
+/// Where the header lines begin: after the first line that is not empty.
+fn headers_at(head: &[u8]) -> usize {
+    let blank = head.iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count();
+    let line = head[blank..].iter().position(|byte| *byte == b'\n');
+    line.map_or(head.len(), |end| blank + end + 1)
+}
+
 /// `units=2,spread=3,first=1`; what is not known is passed over.
 fn parse_metering(text: &str) -> Option<(f64, u32, u32)> {
     let (mut units, mut width, mut first) = (None, None, Some(0));
@@ -172,21 +176,17 @@
     Some((units?, width?, first?))
 }
 
-/// The head of an answer with a body of this length.
+/// The head of an answer with a body of this length; `lines` are header lines to pass on.
 pub fn write_head(
     out: &mut Vec<u8>,
     status: u16,
     length: usize,
-    kind: Option<&[u8]>,
+    lines: &[u8],
     come_back: Nanos,
     close: bool,
 ) {
     let _ = write!(out, "HTTP/1.1 {status} {}\r\nContent-Length: {length}\r\n", http::reason(status));
-    if let Some(kind) = kind {
-        out.extend_from_slice(b"Content-Type: ");
-        out.extend_from_slice(kind);
-        out.extend_from_slice(b"\r\n");
-    }
+    http::pass_headers(out, lines, &["x-pressure", "x-settled", "x-turned-away"]);
     if come_back > 0 {
         let _ = write!(out, "Retry-After: {:.3}\r\n", come_back as f64 / 1e9);
     }
@@ -196,7 +196,7 @@
 /// An answer of the gateway's own.
 pub fn write_own(out: &mut Vec<u8>, status: u16, come_back: Nanos, close: bool) {
     let body = http::reason(status);
-    write_head(out, status, body.len() + 1, Some(b"text/plain"), come_back, close);
+    write_head(out, status, body.len() + 1, b"Content-Type: text/plain\n", come_back, close);
     out.extend_from_slice(body.as_bytes());
     out.push(b'\n');
 }
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -260,9 +260,11 @@
 }
 
 impl Driver {
-    pub fn new(listen: SocketAddr) -> io::Result<(Driver, Net)> {
+    /// Listens; the address is told back, since the system picks the port where it is given as 0.
+    pub fn new(listen: SocketAddr) -> io::Result<(Driver, Net, SocketAddr)> {
         let poll = Poll::new()?;
         let mut listener = TcpListener::bind(listen)?;
+        let listen = listener.local_addr()?;
         poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
         let (mut signals, end) = UnixStream::pair()?;
         poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
@@ -273,7 +275,7 @@
         let registry = poll.registry().try_clone()?;
         let (conns, dirty, resumed) = (Slab::new(), Vec::new(), Vec::new());
         let net = Net { registry, conns, births: 0, dirty, resumed, now: clock.now() };
-        Ok((Driver { poll, listener: Some(listener), signals, clock }, net))
+        Ok((Driver { poll, listener: Some(listener), signals, clock }, net, listen))
     }
 
     /// Turns until the gateway is over.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,7 +7,7 @@
 use crate::driver::{ACCEPT_AGAIN, Net, Peer};
 use crate::http::{BODY_MOST, Bad, HEAD_MOST};
 use crate::list::{self, Told, Watch};
-use crate::servers::{self, Body, CallOut, Link, Servers, Stage};
+use crate::servers::{self, Answer, Body, CallOut, Link, Servers, Stage};
 use crate::timers::Timers;
 use martenramp::brain::Brain;
 use martenramp::host::{Arrival, End, Ended, Host, Listed, Nanos};
@@ -176,7 +176,7 @@
         }
         self.desk.dial_watch();
         self.desk.timers.set(now + SWEEP, What::Sweep);
-        info!(self.desk.log, "started"; "listen" => %self.desk.config.listen, "servers" => self.desk.servers.by_number.len(),
+        info!(self.desk.log, "started"; "listen" => %self.desk.config.listen, "version" => env!("CARGO_PKG_VERSION"), "servers" => self.desk.servers.by_number.len(),
             "clients_most" => self.desk.clients_most, "links_most" => self.desk.links_most);
     }
 
@@ -254,6 +254,9 @@
             (client.finished, client.since) = (true, net.now);
             net.finish(id);
         }
+        if clients.get(&id).is_some_and(|client| client.rpc.is_none()) && !net.input(id).is_empty() {
+            self.desk.again.push_back(id);
+        }
     }
 
     /// Bytes came in, or the connection ended.
@@ -351,7 +354,7 @@
     }
 
     fn wake(&mut self, after: Nanos, token: u32) {
-        self.timers.set(self.net.now + after, What::Wake(token));
+        self.timers.set(self.net.now.saturating_add(after), What::Wake(token));
     }
 
     fn count(&mut self, name: u64, add: f64, forget: Nanos) {
--- a/crates/gateway/src/gateway/to_clients.rs
+++ b/crates/gateway/src/gateway/to_clients.rs
@@ -9,7 +9,8 @@
         if client.closing.is_some() {
             let length = self.desk.net.input(id).len();
             self.desk.net.used(id, length);
-        } else if client.rpc.is_none() && !self.desk.net.input(id).is_empty() {
+        } else if client.rpc.is_none() && !self.desk.net.input(id).is_empty() && self.desk.net.is_sent(id) {
+            // The answer before this message is out: one that reads none can't fill the buffer with them.
             match client.look(&self.desk.config, now, self.desk.net.input(id)) {
                 Ok(Got::Part) => {}
                 Ok(Got::Continue) => {
@@ -98,8 +99,6 @@
         self.net.used(client, length);
         if close {
             at.closing = Some(if self.stopping { "stopping" } else { "client-asked" });
-        } else if !self.net.input(client).is_empty() {
-            self.again.push_back(client);
         }
     }
 
@@ -115,9 +114,6 @@
             at.served += 1;
             at.closing = close.then_some(if self.stopping { "stopping" } else { "too-many-clients" });
         }
-        if !close && !self.net.input(client).is_empty() {
-            self.again.push_back(client);
-        }
     }
 
     /// Answers what can't be taken and closes.
--- a/crates/gateway/src/gateway/to_list.rs
+++ b/crates/gateway/src/gateway/to_list.rs
@@ -26,7 +26,7 @@
         }
         let mut list = Vec::new();
         for entry in &told.entries {
-            let came_up = entry.since_ms * MS;
+            let came_up = entry.since_ms.saturating_mul(MS);
             let number = if entry.gone {
                 let Some(number) = desk.servers.known(&entry.name) else { continue };
                 desk.servers.by_number.entry(number).and_modify(|server| server.listed = false);
--- a/crates/gateway/src/gateway/to_servers.rs
+++ b/crates/gateway/src/gateway/to_servers.rs
@@ -43,7 +43,7 @@
                 let load = answer.load.clone().map_or(&[][..], |load| &net.input(id)[load]);
                 let load = if load.is_empty() { Vec::new() } else { servers::load(load, &self.columns) };
                 if answer.how == End::Ok {
-                    self.pass_on(id, call.rpc, &answer.body, answer.content_type.clone());
+                    self.pass_on(id, call.rpc, &answer);
                 }
                 let unasked = self.net.input(id).len() > answer.length;
                 self.net.used(id, answer.length);
@@ -60,21 +60,15 @@
     }
 
     /// A server's 200 answer goes to the client, its body unchanged.
-    pub(super) fn pass_on(
-        &mut self,
-        link: usize,
-        id: u32,
-        body: &Body,
-        content_type: Option<std::ops::Range<usize>>,
-    ) {
+    pub(super) fn pass_on(&mut self, link: usize, id: u32, answer: &Answer) {
         let Some(rpc) = self.rpcs.get(&id).filter(|rpc| rpc.stand != Stand::Answered) else { return };
         let (client, close) = (rpc.client, rpc.message.close || self.stopping);
         if let Some((input, out)) = self.net.input_and_out(link, client) {
-            let body = match body {
+            let body = match &answer.body {
                 Body::Read(range) => &input[range.clone()],
                 Body::Joined(bytes) => bytes,
             };
-            clients::write_head(out, 200, body.len(), content_type.map(|kind| &input[kind]), 0, close);
+            clients::write_head(out, 200, body.len(), &input[answer.head.clone()], 0, close);
             out.extend_from_slice(body);
         }
         self.answered(id, client, close);
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -61,6 +61,43 @@
     Ok(told.map_or(without, Length::Fixed))
 }
 
+/// Headers that speak of one connection only, or that whoever passes a message on writes itself.
+const OWN: [&str; 10] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+    "content-length",
+    "x-remaining-ms",
+];
+
+/// Passes on the header lines of a head (without its first line), except those of one connection and `but`.
+pub fn pass_headers(out: &mut Vec<u8>, lines: &[u8], but: &[&str]) {
+    let lines = || lines.split(|byte| *byte == b'\n').map(|line| line.strip_suffix(b"\r").unwrap_or(line));
+    let named = |line: &[u8], name: &str| {
+        line.get(name.len()) == Some(&b':') && line[..name.len()].eq_ignore_ascii_case(name.as_bytes())
+    };
+    // A connection's own header may name further ones that end here.
+    let dropped: Vec<&[u8]> = lines()
+        .filter(|line| named(line, "connection"))
+        .flat_map(|line| line["connection:".len()..].split(|byte| *byte == b','))
+        .map(<[u8]>::trim_ascii)
+        .collect();
+    for line in lines().filter(|line| !line.is_empty()) {
+        let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+        if !OWN.iter().chain(but).any(|own| named(line, own))
+            && !dropped.iter().any(|word| word.eq_ignore_ascii_case(name))
+        {
+            out.extend_from_slice(line);
+            out.extend_from_slice(b"\r\n");
+        }
+    }
+}
+
 /// Where a slice lies in the buffer that it is part of.
 pub fn place(buffer: &[u8], part: &[u8]) -> Range<usize> {
     let start = part.as_ptr() as usize - buffer.as_ptr() as usize;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -71,11 +71,12 @@
     }
 }
 
-fn serve(config: Config) -> Result<(), String> {
+fn serve(mut config: Config) -> Result<(), String> {
     let logs = Logs::default();
     let log = logs.logger(&config.name);
     let listen = config.listen;
-    let (driver, net) = Driver::new(listen).map_err(|e| format!("can't listen at {listen}: {e}"))?;
+    let (driver, net, listen) = Driver::new(listen).map_err(|e| format!("can't listen at {listen}: {e}"))?;
+    config.listen = listen;
     let mut gateway = Gateway::new(config, net, log);
     let ended = driver.run(&mut gateway, &logs).map_err(|e| e.to_string());
     logs.drain();
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -93,7 +93,8 @@
     pub how: End,
     pub status: u16,
     pub body: Body,
-    pub content_type: Option<std::ops::Range<usize>>,
+    /// The header lines in the buffer.
+    pub head: std::ops::Range<usize>,
     pub length: usize,
     pub reusable: bool,
     pub settled: f64,
@@ -124,20 +125,13 @@
         self.chunks = None;
         out.extend_from_slice(if rpc.get { b"GET " } else { b"POST " });
         out.extend_from_slice(&message[rpc.target.clone()]);
-        out.extend_from_slice(b" HTTP/1.1\r\nHost: service.internal\r\nX-Txn: ");
-        out.extend_from_slice(&message[rpc.txn.clone()]);
-        for (name, value) in [("Idempotency-Key", &rpc.mark), ("Content-Type", &rpc.content_type)] {
-            if let Some(value) = value {
-                let _ = write!(out, "\r\n{name}: ");
-                out.extend_from_slice(&message[value.clone()]);
-            }
-        }
-        let _ = write!(out, "\r\nX-Remaining-Ms: {}", wait / 1_000_000);
+        out.extend_from_slice(b" HTTP/1.1\r\n");
+        http::pass_headers(out, &message[rpc.head.clone()], &[]);
         let body = &message[rpc.body.clone()];
         if !rpc.get || !body.is_empty() {
-            let _ = write!(out, "\r\nContent-Length: {}", body.len());
+            let _ = write!(out, "Content-Length: {}\r\n", body.len());
         }
-        out.extend_from_slice(b"\r\n\r\n");
+        let _ = write!(out, "X-Remaining-Ms: {}\r\n\r\n", wait / 1_000_000);
         out.extend_from_slice(body);
     }
 
@@ -153,6 +147,7 @@
             Err(_) => return Err("bad-head"),
         };
         let status = head.code.unwrap_or(0);
+        let head_at = input[..start].iter().position(|byte| *byte == b'\n').map_or(start, |end| end + 1);
         if (100..200).contains(&status) {
             // An interim answer says nothing; what it announces follows.
             let rest = self.look(&input[start..], ended)?;
@@ -192,7 +187,7 @@
             how,
             status,
             body,
-            content_type: http::header(head.headers, "content-type").map(|kind| http::place(input, kind)),
+            head: head_at..start,
             length: end,
             reusable: !closes && length != Ok(Length::UntilClose) && !ended,
             settled: settled.filter(|units: &f64| units.is_finite() && *units >= 0.0).unwrap_or(0.0),
@@ -208,7 +203,8 @@
         if let Body::Read(range) = &mut self.body {
             move_on(range);
         }
-        self.content_type.iter_mut().chain(self.load.iter_mut()).for_each(move_on);
+        move_on(&mut self.head);
+        self.load.iter_mut().for_each(move_on);
         self.length += by;
         self
     }
--- /dev/null
+++ b/crates/gateway/tests/sockets.rs
@@ -0,0 +1,279 @@
+//! The program itself, started and spoken to over loopback: one short story for each failure met.
+
+#[path = "../../../tests/fake/mod.rs"]
+mod fake;
+
+use fake::{Peer, Program, WATCH, answer, chunk, entry, list, nowhere, rpc, say, settings};
+use std::process::Command;
+
+const BIN: &str = env!("CARGO_BIN_EXE_martenramp");
+
+/// A gateway that knows these servers from before, with discovery and the counter down.
+fn knowing(servers: &[&Peer]) -> Program {
+    let entries: Vec<String> = servers
+        .iter()
+        .enumerate()
+        .map(|(at, server)| entry(&format!("s{at}"), server.address, "ready"))
+        .collect();
+    let more = format!("\"counter\":\"{}\",\"known\":{},", nowhere(), list(3, true, &entries));
+    Program::start(BIN, nowhere(), &more, &settings(""))
+}
+
+fn status(answer: &str) -> u16 {
+    answer.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap()
+}
+
+#[test]
+fn an_rpc_passes_unchanged_and_its_answer_too_with_discovery_and_the_counter_down() {
+    let server =
+        Peer::new(|_, _| answer(200, "Content-Type: text/html\r\nX-Settled: 3\r\n", "<b>\r\n\r\nbody"));
+    let gateway = knowing(&[&server]);
+    let mut client = gateway.client();
+    let got = client.ask(&rpc("submit", 2000));
+    assert!(status(&got) == 200 && got.ends_with("\r\n\r\n<b>\r\n\r\nbody"));
+    assert!(got.contains("Content-Type: text/html") && !got.contains("X-Settled"));
+    let (_, seen) = server.next();
+    assert!(
+        seen.starts_with("POST /api/00000000b4d65521?q=1 HTTP/1.1\r\n") && seen.ends_with("\r\n\r\nbody")
+    );
+    assert!(seen.contains("X-Txn: 0123456789abcdef\r\n") && seen.contains("Idempotency-Key: k1\r\n"));
+    let wait = seen.split("X-Remaining-Ms: ").nth(1).and_then(|rest| rest.split('\r').next()).unwrap();
+    assert!(wait.parse::<u64>().unwrap() < 2000, "the gateway waits less than the client");
+    // Both connections are used again.
+    assert_eq!(status(&client.ask(&rpc("read", 2000))), 200);
+    assert_eq!(server.next().0, 0);
+}
+
+#[test]
+fn it_is_ready_only_once_there_is_a_list() {
+    let server = Peer::new(|_, _| answer(200, "", "late"));
+    let line = list(5, true, &[entry("s0", server.address, "ready")]);
+    let discovery = Peer::new(|_, _| say(WATCH));
+    let gateway = Program::start(BIN, discovery.address, "", &settings(""));
+    let mut client = gateway.client();
+    assert_eq!(status(&client.ask("GET /-/ready HTTP/1.1\r\n\r\n")), 503);
+    assert_eq!(status(&client.ask("GET /-/healthy HTTP/1.1\r\n\r\n")), 200);
+    assert!(discovery.next().1.starts_with("GET /api/targets?watch=1&from=0 "));
+    discovery.tell(0, &chunk(&line));
+    while status(&client.ask("GET /-/ready HTTP/1.1\r\n\r\n")) != 200 {}
+    assert_eq!(status(&client.ask(&rpc("read", 2000))), 200);
+}
+
+#[test]
+fn a_cut_or_garbled_watch_is_asked_for_again_and_the_list_stays() {
+    let server = Peer::new(|_, _| answer(200, "", "here"));
+    let moved = Peer::new(|_, _| answer(200, "", "there"));
+    let line = list(5, true, &[entry("s0", server.address, "ready")]);
+    let first = format!("{WATCH}{}", chunk(&line));
+    let discovery = Peer::new(move |number, _| if number == 0 { say(&first) } else { say(WATCH) });
+    let gateway = Program::start(BIN, discovery.address, "", &settings(""));
+    assert!(discovery.next().1.contains("from=0"));
+    discovery.tell(0, &chunk("{\"index\":6,\"snap"));
+    assert!(discovery.next().1.contains("from=5"), "after a garbled line");
+    assert!(gateway.line("\"garbled-line\"").contains("\"list\""));
+    discovery.close(1);
+    assert!(discovery.next().1.contains("from=5"), "after a cut");
+    let mut client = gateway.client();
+    assert!(client.ask(&rpc("read", 2000)).ends_with("here"));
+    // The same server at another address: the connection to the old one is of no more use.
+    discovery.tell(2, &chunk(&list(7, false, &[entry("s0", moved.address, "ready")])));
+    gateway.line("\"server-moved\"");
+    assert!(client.ask(&rpc("read", 2000)).ends_with("there"));
+}
+
+#[test]
+fn what_may_have_run_is_aborted_and_what_never_ran_is_tried_elsewhere() {
+    // Closes on the whole message without an answer: a non-idempotent RPC may have run.
+    let breaks = Peer::new(|_, _| (Vec::new(), true));
+    let gateway = knowing(&[&breaks]);
+    assert_eq!(status(&gateway.client().ask(&rpc("verify", 2000))), 502);
+    assert!(breaks.next().0 == 0 && breaks.nothing_came(), "nothing below the module sends it again");
+    // Turned away, or refused: it never ran and goes on to the other server.
+    let full = Peer::new(|_, _| answer(503, "X-Turned-Away: 1\r\n", ""));
+    let good = Peer::new(|_, _| answer(200, "", "good"));
+    let gone = nowhere();
+    let known =
+        [entry("a", full.address, "ready"), entry("b", good.address, "ready"), entry("c", gone, "ready")];
+    let more = format!("\"known\":{},", list(3, true, &known));
+    let wide = settings("").replace("\"attemptsCap\":2", "\"attemptsCap\":3");
+    let gateway = Program::start(BIN, nowhere(), &more, &wide);
+    for _ in 0..8 {
+        assert!(gateway.client().ask(&rpc("verify", 2000)).ends_with("good"));
+    }
+}
+
+#[test]
+fn a_truncated_answer_of_a_server_is_not_passed_on() {
+    let cut = Peer::new(|_, _| (b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf".to_vec(), true));
+    let gateway = knowing(&[&cut]);
+    let got = gateway.client().ask(&rpc("verify", 2000));
+    assert!(status(&got) == 502 && !got.contains("half"));
+}
+
+#[test]
+fn a_server_that_says_nothing_times_out_before_the_client_does() {
+    let silent = Peer::new(|_, _| (Vec::new(), false));
+    let gateway = knowing(&[&silent]);
+    let start = std::time::Instant::now();
+    assert_eq!(status(&gateway.client().ask(&rpc("verify", 300))), 504);
+    assert!(start.elapsed().as_millis() < 350);
+    gateway.line("call-out-timed-out"); // its connection is closed, so that the server may stop
+}
+
+#[test]
+fn an_answer_for_a_client_that_left_goes_nowhere_and_its_connection_is_kept() {
+    let silent = |message: &str| message.starts_with("POST");
+    let server = Peer::new(move |_, m| if silent(m) { (Vec::new(), false) } else { answer(200, "", "x") });
+    let gateway = knowing(&[&server]);
+    let mut client = gateway.client();
+    client.send(&rpc("verify", 2000));
+    assert_eq!(server.next().0, 0);
+    drop(client);
+    assert!(gateway.line("\"left-before-answer\"").contains("\"client\""));
+    server.tell(0, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold");
+    for _ in 0..5 {
+        assert!(gateway.client().ask(&rpc("read", 2000)).ends_with('x'), "never the answer to another RPC");
+    }
+}
+
+#[test]
+fn malformed_messages_get_a_4xx_other_than_429_and_an_end() {
+    let server = Peer::new(|_, _| answer(200, "", "ok"));
+    let gateway = knowing(&[&server]);
+    let good = rpc("submit", 2000);
+    let bad = [
+        (400, "nonsense\r\n\r\n".to_string()),
+        (400, good.replace("X-Lane: submit", "X-Lane: other")),
+        (400, good.replace("X-Contract: team", "X-Contract: none")),
+        (400, good.replace("X-Txn: 0123456789abcdef\r\n", "")),
+        (400, good.replace("Idempotency-Key: k1\r\n", "")),
+        (400, good.replace("X-Remaining-Ms: 2000", "X-Remaining-Ms: soon")),
+        (400, good.replace("units=2", "units=NaN")),
+        (400, good.replace("Content-Length: 4", "Content-Length: 4\r\nContent-Length: 5")),
+        (400, good.replace("Content-Length: 4", "Content-Length: 4\r\nTransfer-Encoding: chunked")),
+        (404, good.replace("b4d65521", "b4d6552x")),
+        (404, "GET /-/other HTTP/1.1\r\n\r\n".to_string()),
+        (405, good.replace("POST", "PUT")),
+        (411, good.replace("Content-Length: 4", "Transfer-Encoding: chunked")),
+        (413, good.replace("Content-Length: 4", "Content-Length: 65537")),
+        (431, good.replace("Host: service.internal", &format!("Host: {}", "x".repeat(17 << 10)))),
+    ];
+    for (told, message) in bad {
+        let mut client = gateway.client();
+        let got = client.ask(&message);
+        assert!(status(&got) == told && got.contains("Connection: close"), "{message}: {got}");
+        assert!(client.is_closed());
+    }
+    assert!(server.nothing_came());
+    // A body of the most that is taken passes.
+    let body = "x".repeat(64 << 10);
+    let large =
+        good.replace("Content-Length: 4\r\n\r\nbody", &format!("Content-Length: 65536\r\n\r\n{body}"));
+    assert_eq!(status(&gateway.client().ask(&large)), 200);
+    assert!(server.next().1.ends_with(&body));
+}
+
+#[test]
+fn messages_that_come_in_pieces_or_together_get_one_answer_each() {
+    let server = Peer::new(|_, message| answer(200, "", message.split(' ').next().unwrap()));
+    let gateway = knowing(&[&server]);
+    let mut client = gateway.client();
+    for piece in rpc("verify", 2000).as_bytes().chunks(40) {
+        client.send(std::str::from_utf8(piece).unwrap());
+    }
+    client.send(&(rpc("read", 2000) + &rpc("verify", 2000)));
+    let got: Vec<String> = (0..3).map(|_| client.answer().unwrap()).collect();
+    assert!(got[0].ends_with("POST") && got[1].ends_with("GET") && got[2].ends_with("POST"));
+}
+
+#[test]
+fn on_sigterm_it_still_takes_connections_answers_all_and_exits_with_0() {
+    let server = Peer::new(|number, _| if number == 0 { (Vec::new(), false) } else { answer(200, "", "on") });
+    let mut gateway = knowing(&[&server]);
+    let mut held = gateway.client();
+    held.send(&rpc("verify", 2900));
+    assert_eq!(server.next().0, 0);
+    let mut idle = gateway.client();
+    assert_eq!(status(&idle.ask("GET /-/ready HTTP/1.1\r\n\r\n")), 200);
+    gateway.signal("-TERM");
+    gateway.line("\"stopping\"");
+    let got = gateway.client().ask(&rpc("read", 2000));
+    assert!(got.ends_with("on") && got.contains("Connection: close"), "a new connection, after the signal");
+    assert_eq!(status(&gateway.client().ask("GET /-/ready HTTP/1.1\r\n\r\n")), 503);
+    assert!(idle.is_closed(), "an idle connection is ended once new ones stop coming");
+    server.tell(0, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nheld");
+    assert!(held.answer().unwrap().ends_with("held"));
+    drop(held);
+    assert!(gateway.child.wait().unwrap().success());
+}
+
+#[test]
+fn the_counter_is_called_and_its_totals_are_heeded() {
+    let server = Peer::new(|_, _| answer(200, "", "ok"));
+    let counter = Peer::new(|_, call| say(if call == "PING" { "+PONG\r\n" } else { "$5\r\n990.5\r\n" }));
+    let known = list(3, true, &[entry("s0", server.address, "ready")]);
+    let more = format!("\"counter\":\"{}\",\"known\":{known},", counter.address);
+    let wide = settings("\"extra\":{\"hasCounter\":true,\"countWait\":5.0,\"largest\":8},");
+    let gateway = Program::start(BIN, nowhere(), &more, &wide);
+    // Two gateways' customer: the counter is asked before the first units go, and says that none are left.
+    let asked = rpc("verify", 300).replace("spread=1", "spread=2");
+    assert_eq!(status(&gateway.client().ask(&asked)), 429);
+    let (_, call) = counter.next();
+    let words: Vec<&str> = call.split(' ').collect();
+    assert!(words[0] == "INCRTTL" && words[2] == "2" && words[3].parse::<u64>().unwrap() > 0, "{call}");
+    assert!(server.nothing_came());
+}
+
+#[test]
+fn with_no_descriptor_left_idle_connections_give_way() {
+    let server = Peer::new(|_, _| answer(200, "", "ok"));
+    let known = list(3, true, &[entry("s0", server.address, "ready")]);
+    let mut limited = Command::new("sh");
+    limited.args(["-c", &format!("ulimit -n 40; exec {BIN} \"$@\""), "sh"]);
+    let gateway = Program::run(&mut limited, nowhere(), &format!("\"known\":{known},"), &settings(""));
+    let mut kept = Vec::new();
+    for _ in 0..60 {
+        let mut client = gateway.client();
+        let got = client.ask(&rpc("read", 2000));
+        assert!(matches!(status(&got), 200 | 503), "{got}");
+        kept.push(client);
+    }
+    gateway.line("\"made-room\"");
+    assert_eq!(status(&gateway.client().ask("GET /-/healthy HTTP/1.1\r\n\r\n")), 200);
+}
+
+#[test]
+fn a_log_that_nobody_reads_does_not_hold_it_up() {
+    let server = Peer::new(|_, _| answer(200, "", "ok"));
+    let gateway = knowing(&[&server]);
+    gateway.signal("-STOP");
+    gateway.signal("-CONT"); // and standing still for a moment is survived
+    for _ in 0..3000 {
+        let mut client = gateway.client();
+        client.send("x\r\n\r\n"); // each leaves a line
+        assert!(client.answer().is_some());
+    }
+    assert_eq!(status(&gateway.client().ask(&rpc("read", 2000))), 200);
+}
+
+#[test]
+fn a_bad_configuration_ends_it_with_one_plain_line() {
+    for (text, told) in [
+        ("{", "not JSON"),
+        ("{\"listen\":\"127.0.0.1:0\"}", "'discovery' is missing"),
+        ("{\"listen\":\"here\",\"discovery\":\"127.0.0.1:1\"}", "'listen' is no address"),
+        (
+            "{\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\",\"seed\":\"1\"}",
+            "'settings' is missing",
+        ),
+    ] {
+        let file = fake::config_file(text);
+        let ended = Command::new(BIN).args(["check-config", "--config"]).arg(&file).output().unwrap();
+        std::fs::remove_file(file).unwrap();
+        let line = String::from_utf8(ended.stderr).unwrap();
+        assert!(!ended.status.success() && line.lines().count() == 1 && line.contains(told), "{line}");
+    }
+    let version = Command::new(BIN).arg("version").output().unwrap();
+    assert!(version.status.success() && version.stdout.starts_with(b"martenramp "));
+    assert!(!Command::new(BIN).arg("fly").output().unwrap().status.success());
+}
