--- /dev/null
+++ b/crates/gateway/tests/protocol.rs
@@ -0,0 +1,319 @@
+//! What is said on the connections, without a socket: state machines fed bytes, whole, in pieces and garbled.
+
+#[path = "../../../tests/fake/mod.rs"]
+mod fake;
+
+use fake::{MS, SEC, WATCH, chunk, entry, list, rpc, settings};
+use gateway::clients::{self, Client, Got};
+use gateway::config::Config;
+use gateway::counter::{Call, DEAD_AFTER, Line};
+use gateway::http::{Bad, Chunks};
+use gateway::list::Watch;
+use gateway::servers::{self, Body, CallOut, Link, Servers};
+use martenramp::host::End;
+use std::net::SocketAddr;
+
+fn config() -> Config {
+    let text = format!(
+        "{{\"name\":\"n0\",\"listen\":\"127.0.0.1:1\",\"discovery\":\"127.0.0.1:2\",\"seed\":\"8c1f30d27a5be964\",\
+         \"limits\":{{\"sockets\":512}},\"settings\":{}}}",
+        settings("")
+    );
+    Config::read(&text, |_| None).unwrap()
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+#[test]
+fn the_configuration_is_read_as_the_module_gets_it_on_the_wire() {
+    let config = config();
+    assert_eq!((config.seed, config.sockets), (0x8c1f30d27a5be964, 512));
+    let get = |name: &str| config.settings[name].as_str();
+    assert_eq!((get("classes.count"), get("classes.1.idempotency")), ("3", "guarded"));
+    assert_eq!((get("tariffs.0.perSecond"), get("localities")), ("100.0", "a,b"));
+    assert_eq!(config.setting("ceilings.connIdle"), Some(15.0));
+    assert!(config.methods[1].marked && !config.methods[2].marked);
+}
+
+#[test]
+fn an_rpc_is_found_whole_wherever_its_bytes_are_cut() {
+    let (config, text) = (config(), rpc("submit", 480) + "GET /-/ready");
+    let whole = text.len() - "GET /-/ready".len();
+    for cut in 0..whole {
+        let got = Client::default().look(&config, SEC, &text.as_bytes()[..cut]);
+        assert_eq!(got, Ok(Got::Part), "{cut}");
+    }
+    let Ok(Got::Rpc(found)) = Client::default().look(&config, SEC, text.as_bytes()) else { panic!() };
+    assert_eq!((found.customer, found.remaining_ms, found.method, found.plan), (0xb4d65521, 480, 1, 0));
+    assert_eq!((found.units, found.width, found.first, found.body.end), (2.0, 1, 0, whole));
+    assert!(&text[found.body.clone()] == "body" && !found.get && !found.close);
+    // Its time runs from the first byte, not from the last.
+    let mut slow = Client::default();
+    slow.look(&config, SEC, &text.as_bytes()[..10]).unwrap();
+    slow.look(&config, 2 * SEC, text.as_bytes()).unwrap();
+    assert_eq!(slow.since, SEC);
+}
+
+#[test]
+fn a_client_that_asks_first_may_send_its_body_and_is_told_so_once() {
+    let (config, mut client) = (config(), Client::default());
+    let text = rpc("submit", 480).replace("X-Lane", "Expect: 100-continue\r\nX-Lane");
+    let head = &text.as_bytes()[..text.len() - 4];
+    assert_eq!(client.look(&config, SEC, head), Ok(Got::Continue));
+    assert_eq!(client.look(&config, SEC, head), Ok(Got::Part));
+    assert!(matches!(client.look(&config, SEC, text.as_bytes()), Ok(Got::Rpc(_))));
+}
+
+#[test]
+fn a_pushback_says_when_to_come_back_and_an_answer_where_it_ends() {
+    let mut out = Vec::new();
+    clients::write_own(&mut out, 429, 250 * MS, true);
+    let text = String::from_utf8(out).unwrap();
+    assert!(text.starts_with("HTTP/1.1 429 ") && text.contains("\r\nRetry-After: 0.250\r\n"));
+    assert!(text.contains("\r\nConnection: close\r\n"));
+    let (head, body) = text.split_once("\r\n\r\n").unwrap();
+    assert!(head.contains(&format!("Content-Length: {}\r\n", body.len())));
+}
+
+/// What a link makes of an answer that comes whole, and of one that the connection's end follows.
+fn looked(text: &str, ended: bool) -> Result<Option<(End, String, bool)>, &'static str> {
+    let answer = Link::new(1).look(text.as_bytes(), ended)?;
+    Ok(answer.map(|answer| {
+        let body = match &answer.body {
+            Body::Read(range) => text[range.clone()].to_string(),
+            Body::Joined(bytes) => String::from_utf8(bytes.clone()).unwrap(),
+        };
+        (answer.how, body, answer.reusable)
+    }))
+}
+
+#[test]
+fn answers_of_servers_mean_what_the_table_says() {
+    let ok = |how, body: &str, reusable| Ok(Some((how, body.to_string(), reusable)));
+    let length = "Content-Length: 2\r\n";
+    for (status, lines, how) in [
+        (200, "", End::Ok),
+        (500, "", End::Error),
+        (503, "X-Turned-Away: 1\r\n", End::Full),
+        (504, "x-turned-away: 1\r\n", End::Full),
+        (503, "", End::Error),
+        (500, "X-Turned-Away: 1\r\n", End::Error),
+        (404, "", End::Error),
+    ] {
+        let text = format!("HTTP/1.1 {status} X\r\n{lines}{length}\r\nab");
+        assert_eq!(looked(&text, false), ok(how, "ab", true), "{text}");
+        (0..text.len())
+            .for_each(|cut| assert_eq!(looked(&text[..cut], true), Ok(None), "truncated at {cut}"));
+    }
+    assert_eq!(
+        looked("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", false),
+        ok(End::Ok, "x", true)
+    );
+    assert_eq!(
+        looked("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx", false),
+        ok(End::Ok, "x", false)
+    );
+    assert_eq!(looked("HTTP/1.1 200 OK\r\n\r\nall", false), Ok(None), "its end is the connection's");
+    assert_eq!(looked("HTTP/1.1 200 OK\r\n\r\nall", true), ok(End::Ok, "all", false));
+    assert_eq!(looked("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n", false), Err("body-too-large"));
+    assert_eq!(looked("SSH-2.0-x\r\n\r\n", false), Err("bad-head"));
+}
+
+#[test]
+fn a_chunked_answer_is_joined_wherever_its_bytes_are_cut() {
+    let text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Settled: 2.5\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: 1\r\n\r\n";
+    for cut in 1..text.len() {
+        let mut link = Link::new(1);
+        assert_eq!(link.look(&text.as_bytes()[..cut], false), Ok(None), "{cut}");
+        let answer = link.look(text.as_bytes(), false).unwrap().unwrap();
+        assert_eq!(
+            (answer.body, answer.settled, answer.length),
+            (Body::Joined(b"abcde".to_vec()), 2.5, text.len())
+        );
+    }
+    for bad in ["x\r\n", "+3\r\nabc\r\n", "3\r\nabcd\r\n", "fffffffff\r\n"] {
+        assert_eq!(Chunks::default().feed(bad.as_bytes(), |_| {}), Err(Bad(400, "bad-chunk")), "{bad}");
+    }
+}
+
+#[test]
+fn a_call_out_passes_on_all_but_what_is_of_one_connection() {
+    let config = config();
+    let text = rpc("submit", 480)
+        .replace("X-Lane", "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nTraceparent: t\r\nX-Lane");
+    let Ok(Got::Rpc(found)) = Client::default().look(&config, SEC, text.as_bytes()) else { panic!() };
+    let (mut link, mut out) = (Link::new(1), Vec::new());
+    link.call_out(&mut out, CallOut { rpc: 1, nth: 0, sent: SEC }, &found, text.as_bytes(), 300 * MS);
+    let sent = String::from_utf8(out).unwrap();
+    assert!(sent.starts_with("POST /api/00000000b4d65521?q=1 HTTP/1.1\r\nHost: service.internal\r\n"));
+    assert!(sent.ends_with("Content-Length: 4\r\nX-Remaining-Ms: 300\r\n\r\nbody"));
+    assert!(
+        sent.contains("X-Txn: 0123456789abcdef\r\nTraceparent: t\r\n")
+            && sent.contains("Idempotency-Key: k1\r\n")
+    );
+    assert!(
+        !sent.contains("Hop") && !sent.contains("Connection") && sent.matches("X-Remaining-Ms").count() == 1
+    );
+    assert!(link.carries(1, 0) && !link.carries(1, 1));
+}
+
+#[test]
+fn a_load_report_is_put_in_the_order_of_the_settings() {
+    let columns = ["util".to_string(), "inflight".to_string(), "queue".to_string()];
+    assert_eq!(servers::load(b"{\"inflight\":7,\"util\":0.61}", &columns), [0.61, 7.0, 0.0]);
+    assert!(servers::load(b"7", &columns).is_empty());
+}
+
+#[test]
+fn servers_are_known_by_name_and_their_old_connections_go_with_their_address() {
+    let mut all = Servers::default();
+    let (one, _) = all.list("a", address(1), 0);
+    let (two, _) = all.list("b", address(1), 0);
+    assert!(one != two);
+    all.by_number.get_mut(&one).unwrap().idle.push((77, SEC));
+    assert_eq!(all.list("a", address(1), 0), (one, vec![]));
+    assert_eq!(all.list("a", address(2), 0), (one, vec![77]));
+    all.by_number.get_mut(&one).unwrap().idle.push((78, SEC));
+    assert_eq!(all.list("a", address(2), 9), (one, vec![78]), "a new life at the same address");
+    all.by_number.get_mut(&one).unwrap().listed = false;
+    all.forget();
+    assert!(all.known("a").is_none() && all.known("b") == Some(two));
+    assert!(all.list("a", address(2), 9).0 != one, "numbers are not used again");
+}
+
+#[test]
+fn the_watch_finds_its_objects_wherever_the_bytes_are_cut() {
+    let one = list(41, true, &[entry("a", address(1), "ready"), entry("b", address(2), "draining")]);
+    let two = list(43, false, &["{\"name\":\"a\",\"status\":\"gone\"}".to_string()]);
+    let text = format!("{WATCH}{}1\r\n\n\r\n{}", chunk(&one), chunk(&two));
+    for step in [1, 7, 64, text.len()] {
+        let (mut watch, mut out) = (Watch::default(), Vec::new());
+        let (mut told, mut buffer) = (Vec::new(), Vec::new());
+        watch.index = 9;
+        watch.ask(&mut out, SEC);
+        assert!(out.starts_with(b"GET /api/targets?watch=1&from=9 HTTP/1.1\r\n"));
+        for piece in text.as_bytes().chunks(step) {
+            buffer.extend_from_slice(piece);
+            let used = watch.feed(2 * SEC, &buffer, &mut told).unwrap();
+            buffer.drain(..used);
+        }
+        assert_eq!((told.len(), watch.heard), (2, 2 * SEC));
+        assert!(
+            told[0].whole && told[0].index == 41 && told[0].entries[0].ready && !told[0].entries[1].ready
+        );
+        assert!(!told[1].whole && told[1].entries[0].gone);
+    }
+}
+
+#[test]
+fn a_watch_that_is_refused_ends_or_makes_no_sense_is_broken_off() {
+    let fed = |text: String| {
+        let mut told = Vec::new();
+        (Watch::default().feed(SEC, text.as_bytes(), &mut told), told.len())
+    };
+    assert_eq!(fed("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n".to_string()).0, Err("watch-refused"));
+    assert_eq!(fed("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}".to_string()).0, Err("watch-not-chunked"));
+    assert_eq!(fed(format!("{WATCH}0\r\n\r\n")).0, Err("watch-ended"));
+    let good = chunk(&list(41, true, &[entry("a", address(1), "ready")]));
+    let nameless = chunk(&list(42, true, &["{\"status\":\"ready\"}".to_string()]));
+    assert_eq!(
+        fed(format!("{WATCH}{good}{nameless}{good}")),
+        (Err("garbled-line"), 1),
+        "what came before it counts"
+    );
+    let mut watch = Watch::default();
+    let gaps: Vec<_> = (0..6).map(|_| watch.again() / MS).collect();
+    assert_eq!(gaps, [100, 200, 400, 800, 1000, 1000]);
+}
+
+fn call(serial: u64, name: u64) -> Call {
+    Call { serial, name, add: -2.5, forget: 1500 * MS + 1 }
+}
+
+#[test]
+fn the_counter_is_called_in_resp2_once_its_connection_stands() {
+    let (mut line, mut out) = (Line::default(), Vec::new());
+    line.call(&mut out, SEC, call(1, 77));
+    assert!(out.is_empty() && line.holds(1));
+    line.opened(&mut out, SEC);
+    assert_eq!(out, b"*4\r\n$7\r\nINCRTTL\r\n$2\r\n77\r\n$4\r\n-2.5\r\n$4\r\n1501\r\n");
+}
+
+#[test]
+fn answers_of_the_counter_are_told_apart_and_late_ones_keep_their_place() {
+    let (mut line, mut out, mut ended) = (Line::default(), Vec::new(), Vec::new());
+    line.opened(&mut out, SEC);
+    (1..=5).for_each(|serial| line.call(&mut out, SEC, call(serial, serial)));
+    line.ping(&mut out, SEC);
+    assert_eq!(line.time_out(2), Some((call(2, 2), End::TimedOut)));
+    assert_eq!(line.time_out(2), None);
+    let text = b"$3\r\n7.5\r\n$4\r\n99.9\r\n-BUSY later\r\n-ERR no such call\r\n$3\r\nnan\r\n+PONG\r\n$2";
+    let used = line.feed(SEC, text, &mut ended).unwrap();
+    assert_eq!(used, text.len() - 2, "the last is not whole");
+    let ended: Vec<_> = ended.iter().map(|(call, how, total)| (call.serial, *how, *total)).collect();
+    assert_eq!(
+        ended,
+        [(1, End::Ok, 7.5), (3, End::Full, 0.0), (4, End::NotSent, 0.0), (5, End::Error, 0.0)],
+        "the second was too late, and is nobody else's"
+    );
+    assert_eq!(line.feed(SEC, b"+PONG\r\n", &mut Vec::new()), Err("answer-without-call"));
+}
+
+#[test]
+fn calls_on_a_broken_connection_may_have_counted_only_if_they_were_written() {
+    let (mut line, mut out) = (Line::default(), Vec::new());
+    line.call(&mut out, SEC, call(1, 1));
+    assert_eq!(line.time_out(1), Some((call(1, 1), End::NoConnection)), "never written");
+    line.call(&mut out, SEC, call(2, 2));
+    assert_eq!(line.broke(), [(call(2, 2), End::NoConnection)]);
+    line.opened(&mut out, SEC);
+    line.call(&mut out, SEC, call(3, 3));
+    assert!(!line.is_dead(SEC + DEAD_AFTER) && line.is_dead(SEC + DEAD_AFTER + 1));
+    assert_eq!(line.broke(), [(call(3, 3), End::Reset)]);
+    assert!(!line.up && line.written.is_empty());
+}
+
+#[test]
+fn no_bytes_whatever_make_anything_panic() {
+    let config = config();
+    let mut chance = fastrand::Rng::with_seed(5);
+    let seeds = [
+        rpc("submit", 480),
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n".to_string(),
+        format!("{WATCH}{}", chunk(&list(41, true, &[entry("a", address(1), "ready")]))),
+        "$3\r\n7.5\r\n-BUSY\r\n:7\r\n$-1\r\n+PONG\r\n".to_string(),
+    ];
+    for round in 0..20_000 {
+        let mut bytes = seeds[round % seeds.len()].clone().into_bytes();
+        for _ in 0..chance.usize(1..6) {
+            let at = chance.usize(..bytes.len());
+            match chance.u8(..4) {
+                0 => bytes[at] = chance.u8(..),
+                1 => bytes.truncate(at.max(1)),
+                2 => bytes.insert(at, *chance.choice(b"0123456789abcdef\r\n:,=-$+\xff").unwrap()),
+                _ => bytes.extend_from_within(at..),
+            }
+        }
+        let _ = Client::default().look(&config, SEC, &bytes);
+        let mut link = Link::new(1);
+        let cut = chance.usize(..=bytes.len());
+        let _ = link.look(&bytes[..cut], false).and_then(|_| link.look(&bytes, true));
+        let _ = Watch::default().feed(SEC, &bytes, &mut Vec::new());
+        let (mut line, mut out) = (Line::default(), Vec::new());
+        line.opened(&mut out, SEC);
+        (1..4).for_each(|serial| line.call(&mut out, SEC, call(serial, serial)));
+        let _ = line.feed(SEC, &bytes, &mut Vec::new());
+        let _ = Config::read(&String::from_utf8_lossy(&bytes), |_| None);
+        let _ = servers::load(&bytes, &["util".to_string()]);
+    }
+}
+
+#[test]
+fn the_clock_starts_at_unix_time_and_never_goes_back() {
+    let clock = gateway::driver::Clock::start();
+    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_nanos() as u64;
+    let (one, two) = (clock.now(), clock.now());
+    assert!(one <= two && unix.abs_diff(one) < 10 * SEC);
+}
