What waited here unread counts against an RPC's deadline

Deadlines run from the client's sending, but were counted from the turn of the loop that read the message: after a stall of the process (seen with SIGSTOP: an RPC of 2000 ms that waited 700 ms went out with 1995 ms) its client would be gone first. The last round's length, or an overdue timer, now tells how long a message may have waited.

--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -76,6 +76,8 @@
     dirty: Vec<usize>,
     resumed: Vec<usize>,
     pub now: Nanos,
+    /// For how long what is read now may have waited here unread.
+    pub late: Nanos,
 }
 
 impl Net {
@@ -274,7 +276,7 @@
         let clock = Clock::start();
         let registry = poll.registry().try_clone()?;
         let (conns, dirty, resumed) = (Slab::new(), Vec::new(), Vec::new());
-        let net = Net { registry, conns, births: 0, dirty, resumed, now: clock.now() };
+        let net = Net { registry, conns, births: 0, dirty, resumed, now: clock.now(), late: 0 };
         Ok((Driver { poll, listener: Some(listener), signals, clock }, net, listen))
     }
 
@@ -285,13 +287,19 @@
         self.flush(gateway);
         while !gateway.is_over() {
             let now = self.clock.now();
-            let next = gateway.next_turn().map(|at| Duration::from_nanos(at.saturating_sub(now)));
+            let due = gateway.next_turn();
+            let next = due.map(|at| Duration::from_nanos(at.saturating_sub(now)));
             let wait = next.into_iter().chain((!logs.is_empty()).then_some(LOGS_AGAIN)).min();
             match self.poll.poll(&mut events, wait) {
                 Err(e) if e.kind() != ErrorKind::Interrupted => return Err(e),
                 _ => {}
             }
-            gateway.net().now = self.clock.now();
+            // Guards against deadlines counted from too late: what is read now may have come while the last round
+            // lasted, or while the whole process stood still, which an overdue timer tells. Harm: a message that
+            // came just now loses that much of its time.
+            let (net, woke) = (gateway.net(), self.clock.now());
+            net.late = (now - net.now).max(due.map_or(0, |at| woke.saturating_sub(at)));
+            net.now = woke;
             for event in &events {
                 match event.token() {
                     LISTENER => self.accept(gateway),
--- a/crates/gateway/src/gateway/to_clients.rs
+++ b/crates/gateway/src/gateway/to_clients.rs
@@ -11,7 +11,8 @@
             self.desk.net.used(id, length);
         } else if client.rpc.is_none() && !self.desk.net.input(id).is_empty() && self.desk.net.is_sent(id) {
             // The answer before this message is out: one that reads none can't fill the buffer with them.
-            match client.look(&self.desk.config, now, self.desk.net.input(id)) {
+            let came = now - self.desk.net.late;
+            match client.look(&self.desk.config, came, self.desk.net.input(id)) {
                 Ok(Got::Part) => {}
                 Ok(Got::Continue) => {
                     if let Some(out) = self.desk.net.out(id) {
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -288,6 +288,27 @@
     assert_eq!(status(&gateway.client().ask(&rpc("read", 2000))), 200);
 }
 
+#[test]
+fn time_that_a_message_waited_while_the_process_stood_still_is_counted() {
+    let server = Peer::new(|_, _| answer(200, "", "ok"));
+    let gateway = knowing(&[&server]);
+    let mut client = gateway.client();
+    assert_eq!(status(&client.ask(&rpc("read", 2000))), 200);
+    server.next();
+    gateway.signal("-STOP");
+    let state = format!("/proc/{}/stat", gateway.child.id());
+    while !std::fs::read_to_string(&state).unwrap().contains(" T ") {
+        std::thread::yield_now();
+    }
+    client.send(&rpc("read", 2000));
+    std::thread::sleep(std::time::Duration::from_millis(700)); // the time that passes is what is tested
+    gateway.signal("-CONT");
+    assert_eq!(status(&client.answer().unwrap()), 200);
+    let (_, seen) = server.next();
+    let wait = seen.split("X-Remaining-Ms: ").nth(1).and_then(|rest| rest.split('\r').next()).unwrap();
+    assert!(wait.parse::<u64>().unwrap() < 1600, "{wait} ms are left of 2000, 700 of them passed");
+}
+
 #[test]
 fn a_bad_configuration_ends_it_with_one_plain_line() {
     for (text, told) in [
