--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -180,6 +180,36 @@
     assert!(server.next().1.ends_with(&body));
 }
 
+#[test]
+fn garbage_from_clients_and_from_a_server_does_not_end_it() {
+    let garble = |text: &str, seed: u64| {
+        let (mut chance, mut bytes) = (fastrand::Rng::with_seed(seed), text.as_bytes().to_vec());
+        for _ in 0..chance.usize(1..4) {
+            let at = chance.usize(..bytes.len());
+            bytes[at] = chance.u8(b' '..127);
+        }
+        String::from_utf8(bytes).unwrap()
+    };
+    let number = std::sync::atomic::AtomicU64::new(0);
+    let server = Peer::new(move |_, message| {
+        let (good, _) = answer(200, "X-Settled: 2\r\n", "body");
+        let seed = number.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        // A deduplicated RPC gets a garbled answer, and an end that makes it whole.
+        let bad = message.starts_with("POST");
+        let text = String::from_utf8(good).unwrap();
+        (if bad { garble(&text, seed) } else { text }.into_bytes(), bad)
+    });
+    let gateway = knowing(&[&server]);
+    for seed in 0..300 {
+        let mut client = gateway.client();
+        client.try_send(&garble(&rpc("submit", 300), seed));
+    }
+    for _ in 0..20 {
+        assert!(status(&gateway.client().ask(&rpc("submit", 300))) < 600, "whatever it is, it is an answer");
+    }
+    assert_eq!(status(&gateway.client().ask("GET /-/healthy HTTP/1.1\r\n\r\n")), 200);
+}
+
 #[test]
 fn messages_that_come_in_pieces_or_together_get_one_answer_each() {
     let server = Peer::new(|_, message| answer(200, "", message.split(' ').next().unwrap()));
