SIGHUP reads the configuration again and moves discovery and the counter

Checked: driver.rs registered SIGTERM and SIGINT only, so SIGHUP's default action ended the process; nothing in the log before the end, so no panic was behind it. Config was read once, in main.rs, and its addresses never again. Change: flags beside the signal pipe tell signals apart; the file is read again, a bad one is logged and the old one kept. The watch at the old address counts until the new one has spoken. The counter's new lines take all calls but those for names that an old line still carries, so answers for a name keep their order; old lines close once idle, or after 1 s.

--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -15,6 +15,8 @@
 pub const DEAD_AFTER: Nanos = 1_000_000_000;
 /// How long until a connection that failed is opened again.
 pub const AGAIN: Nanos = 100_000_000;
+/// Once the counter has moved, the old connections are closed when all they carry is over, or after so long.
+pub const MOVES_WITHIN: Nanos = 1_000_000_000;
 /// What a call may take where no time is told.
 pub const WAIT: Nanos = 50_000_000;
 /// An answer without an end in so many bytes is none.
@@ -87,6 +89,11 @@
         self.written.iter().flatten().chain(&self.waiting).filter(|call| call.serial != 0)
     }
 
+    /// Whether no call is out here.
+    pub fn is_done(&self) -> bool {
+        self.out().next().is_none()
+    }
+
     /// Whether a call for this name is out here.
     pub fn carries(&self, name: u64) -> bool {
         self.out().any(|call| call.name == name)
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -9,6 +9,8 @@
 use slab::Slab;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 const LISTENER: Token = Token(usize::MAX - 1);
@@ -258,6 +260,9 @@
     poll: Poll,
     listener: Option<TcpListener>,
     signals: UnixStream,
+    /// SIGHUP came; and SIGTERM or SIGINT.
+    hung_up: Arc<AtomicBool>,
+    told_to_stop: Arc<AtomicBool>,
     pub clock: Clock,
 }
 
@@ -270,14 +275,18 @@
         poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
         let (mut signals, end) = UnixStream::pair()?;
         poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
-        for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        let (hung_up, told_to_stop) = (Arc::<AtomicBool>::default(), Arc::<AtomicBool>::default());
+        use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+        for (signal, flag) in [(SIGHUP, &hung_up), (SIGTERM, &told_to_stop), (SIGINT, &told_to_stop)] {
+            signal_hook::flag::register(signal, flag.clone())?;
             signal_hook::low_level::pipe::register(signal, end_of(&end)?)?;
         }
         let clock = Clock::start();
         let registry = poll.registry().try_clone()?;
         let (conns, dirty, resumed) = (Slab::new(), Vec::new(), Vec::new());
         let net = Net { registry, conns, births: 0, dirty, resumed, now: clock.now(), late: 0 };
-        Ok((Driver { poll, listener: Some(listener), signals, clock }, net, listen))
+        let listener = Some(listener);
+        Ok((Driver { poll, listener, signals, hung_up, told_to_stop, clock }, net, listen))
     }
 
     /// Turns until the gateway is over.
@@ -308,7 +317,12 @@
                     SIGNALS => {
                         let mut some = [0; 64];
                         while self.signals.read(&mut some).is_ok_and(|got| got > 0) {}
-                        gateway.stop();
+                        if self.hung_up.swap(false, Ordering::Relaxed) {
+                            gateway.reload();
+                        }
+                        if self.told_to_stop.swap(false, Ordering::Relaxed) {
+                            gateway.stop();
+                        }
                     }
                     Token(id) => {
                         if event.is_writable() || event.is_error() {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -73,8 +73,12 @@
     open: bool,
 }
 
+/// Reads the configuration once more.
+pub type ReadAgain = Box<dyn Fn() -> Result<Config, String>>;
+
 pub struct Gateway {
     brain: Brain,
+    read_again: ReadAgain,
     desk: Desk,
 }
 
@@ -92,9 +96,14 @@
     links: BTreeMap<usize, Link>,
     watch: Watch,
     watch_on: Option<usize>,
-    lines: [Line; counter::LINES],
-    lines_on: [Option<usize>; counter::LINES],
-    lines_again: [Nanos; counter::LINES],
+    /// The watch at the address that an earlier configuration told, heeded until the one at the new speaks.
+    old_watch: Option<(usize, Watch)>,
+    /// Two sets: the one from `lines_from` on is used; the other's lines, where they stand, only end what they carry.
+    lines: [Line; 2 * counter::LINES],
+    lines_on: [Option<usize>; 2 * counter::LINES],
+    lines_again: [Nanos; 2 * counter::LINES],
+    lines_from: usize,
+    moved_at: Nanos,
     last_call: u64,
     /// Ends that the module is to be told of.
     ended: VecDeque<Ended>,
@@ -118,7 +127,7 @@
 }
 
 impl Gateway {
-    pub fn new(config: Config, net: Net, log: Logger) -> Gateway {
+    pub fn new(config: Config, read_again: ReadAgain, net: Net, log: Logger) -> Gateway {
         let own = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
         let sockets = config.sockets.min(own.map_or(usize::MAX, |own| own as usize));
         let spares = (sockets / SPARES).max(2);
@@ -148,9 +157,12 @@
             links: BTreeMap::new(),
             watch: Watch::default(),
             watch_on: None,
+            old_watch: None,
             lines: Default::default(),
             lines_on: Default::default(),
             lines_again: Default::default(),
+            lines_from: 0,
+            moved_at: 0,
             last_call: 0,
             ended: VecDeque::new(),
             counted: VecDeque::new(),
@@ -161,7 +173,8 @@
             accepts_again: false,
             config,
         };
-        Gateway { brain: Brain::new(desk.config.seed, desk.config.settings.clone()), desk }
+        let brain = Brain::new(desk.config.seed, desk.config.settings.clone());
+        Gateway { brain, read_again, desk }
     }
 
     // ---- What the driver calls.
@@ -204,6 +217,26 @@
         }
     }
 
+    /// SIGHUP: discovery and the counter are where the file says now; all else is for the next start. The list, calls
+    /// and RPCs go on. Guards against a file that can't be read: the old one stays. Harm: so does a mistake in it.
+    pub fn reload(&mut self) {
+        let desk = &mut self.desk;
+        let new = match (self.read_again)() {
+            Ok(new) => new,
+            Err(why) => return warn!(desk.log, "configuration kept"; "error" => why),
+        };
+        info!(desk.log, "configuration read"; "discovery" => %new.discovery, "counter" => shown(new.counter),
+            "needs_restart" => new.settings != desk.config.settings);
+        if new.discovery != desk.config.discovery {
+            desk.config.discovery = new.discovery;
+            desk.move_watch();
+        }
+        if new.counter != desk.config.counter {
+            desk.config.counter = new.counter;
+            desk.move_lines();
+        }
+    }
+
     pub fn listens(&self) -> bool {
         self.desk.listens
     }
@@ -238,11 +271,11 @@
 
     /// A connection that was begun here stands.
     pub fn up(&mut self, id: usize) {
-        let Desk { net, links, lines, watch, .. } = &mut self.desk;
+        let Desk { net, links, lines, watch, watch_on, .. } = &mut self.desk;
         let now = net.now;
         match net.peer(id) {
             Some(Peer::Server) => drop(links.get_mut(&id).map(|link| link.up = true)),
-            Some(Peer::List) => drop(net.out(id).map(|out| watch.ask(out, now))),
+            Some(Peer::List) if *watch_on == Some(id) => drop(net.out(id).map(|out| watch.ask(out, now))),
             Some(Peer::Counter(line)) => drop(net.out(id).map(|out| lines[line].opened(out, now))),
             _ => {}
         }
@@ -423,10 +456,13 @@
         if let Some(id) = self.watch_on.filter(|_| now > self.watch.heard + list::SILENCE) {
             self.watch_broke(id, "silent");
         }
-        for at in 0..counter::LINES {
+        for at in 0..self.lines.len() {
             let Some(id) = self.lines_on[at] else { continue };
+            let used = at / counter::LINES == self.lines_from / counter::LINES;
             let line = &mut self.lines[at];
-            if line.is_dead(now) || !line.up && now > line.heard + counter::DEAD_AFTER {
+            if !used && (line.is_done() || now > self.moved_at + counter::MOVES_WITHIN) {
+                self.line_broke(at, "moved");
+            } else if line.is_dead(now) || !line.up && now > line.heard + counter::DEAD_AFTER {
                 self.line_broke(at, "silent");
             } else if line.up
                 && now > line.wrote + counter::PING_EVERY
--- a/crates/gateway/src/gateway/to_counter.rs
+++ b/crates/gateway/src/gateway/to_counter.rs
@@ -19,7 +19,9 @@
         let now = self.net.now;
         let usable = |line: &usize| self.lines_on[*line].is_some() || now >= self.lines_again[*line];
         let least = |line: &usize| self.lines[*line].written.len() + self.lines[*line].waiting.len();
-        let line = carries.or_else(|| (0..counter::LINES).filter(usable).min_by_key(least))?;
+        let line = carries.or_else(|| {
+            (self.lines_from..self.lines_from + counter::LINES).filter(usable).min_by_key(least)
+        })?;
         if self.lines_on[line].is_none() {
             let address = self.config.counter?;
             self.lines[line].heard = now;
@@ -35,6 +37,16 @@
         Some(line)
     }
 
+    /// The counter is elsewhere now. Calls go there; those that are out end where they are, and a name stays there for
+    /// as long as one of its calls is out, so that its answers keep their order.
+    pub(super) fn move_lines(&mut self) {
+        (self.lines_from, self.moved_at) = (counter::LINES - self.lines_from, self.net.now);
+        for line in self.lines_from..self.lines_from + counter::LINES {
+            self.line_broke(line, "moved"); // left from the time before
+            self.lines_again[line] = 0;
+        }
+    }
+
     pub(super) fn line_broke(&mut self, line: usize, why: &'static str) {
         let Some(id) = self.lines_on[line].take() else { return };
         info!(self.log, "counter"; "why" => why, "line" => line, "ms" => (self.net.now - self.net.since(id)) / MS);
--- a/crates/gateway/src/gateway/to_list.rs
+++ b/crates/gateway/src/gateway/to_list.rs
@@ -5,12 +5,19 @@
 impl Gateway {
     pub(super) fn list_came(&mut self, id: usize) {
         let mut told = Vec::new();
-        let Desk { net, watch, .. } = &mut self.desk;
+        let Desk { net, watch, old_watch, .. } = &mut self.desk;
+        let watch = match old_watch {
+            Some((old, watch)) if *old == id => watch,
+            _ => watch,
+        };
         let fed = watch.feed(net.now, net.input(id), &mut told);
         net.used(id, fed.unwrap_or(0));
         if !told.is_empty() {
             watch.fails = 0;
         }
+        if self.desk.watch_on == Some(id) && self.desk.watch.head_read {
+            self.desk.end_old_watch("moved");
+        }
         told.into_iter().for_each(|told| self.told(told));
         if let Some(why) = fed.err().or(self.desk.net.ended(id)) {
             self.desk.watch_broke(id, why);
@@ -72,12 +79,40 @@
         }
     }
 
+    /// Discovery is elsewhere now. What the old watch tells until the new one speaks still counts.
+    pub(super) fn move_watch(&mut self) {
+        let new = Watch::after(self.watch.index);
+        let watch = std::mem::replace(&mut self.watch, new);
+        if let Some(id) = self.watch_on.take() {
+            if self.old_watch.is_some() || !watch.head_read {
+                self.end_watch(id, &watch, "moved");
+            } else {
+                self.old_watch = Some((id, watch));
+            }
+        }
+        self.dial_watch();
+    }
+
+    pub(super) fn end_old_watch(&mut self, why: &'static str) {
+        if let Some((id, watch)) = self.old_watch.take() {
+            self.end_watch(id, &watch, why);
+        }
+    }
+
+    fn end_watch(&mut self, id: usize, watch: &Watch, why: &'static str) {
+        info!(self.log, "list"; "why" => why, "index" => watch.index, "ms" => (self.net.now - self.net.since(id)) / MS);
+        self.net.close(id);
+    }
+
     /// The list held stays; the watch is asked for again after a while.
     pub(super) fn watch_broke(&mut self, id: usize, why: &'static str) {
-        info!(self.log, "list"; "why" => why, "index" => self.watch.index,
-            "ms" => (self.net.now - self.net.since(id)) / MS);
-        self.net.close(id);
+        if self.old_watch.as_ref().is_some_and(|old| old.0 == id) {
+            return self.end_old_watch(why);
+        }
         self.watch_on = None;
+        let watch = std::mem::take(&mut self.watch);
+        self.end_watch(id, &watch, why);
+        self.watch = watch;
         let again = self.net.now + self.watch.again();
         self.timers.set(again, What::Watch);
     }
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -39,7 +39,7 @@
 pub struct Watch {
     /// The version of the list held; 0 is none.
     pub index: u64,
-    head_read: bool,
+    pub head_read: bool,
     chunks: Chunks,
     line: Vec<u8>,
     pub heard: Nanos,
@@ -47,6 +47,11 @@
 }
 
 impl Watch {
+    /// A watch for what comes after this version.
+    pub fn after(index: u64) -> Self {
+        Watch { index, ..Watch::default() }
+    }
+
     /// Starts over on a new connection: the message that asks for changes after the version held.
     pub fn ask(&mut self, out: &mut Vec<u8>, now: Nanos) {
         (self.head_read, self.chunks, self.heard) = (false, Chunks::default(), now);
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -2,7 +2,7 @@
 
 use gateway::config::Config;
 use gateway::driver::Driver;
-use gateway::gateway::Gateway;
+use gateway::gateway::{Gateway, ReadAgain};
 use gateway::logs::Logs;
 use lexopt::prelude::*;
 use std::process::ExitCode;
@@ -10,7 +10,8 @@
 const HELP: &str = "\
 martenramp: an admission gateway for a service sold by plan
 
-usage: martenramp serve [--config FILE]          run the gateway until SIGTERM
+usage: martenramp serve [--config FILE]          run the gateway until SIGTERM;
+                                                 SIGHUP makes it read FILE again
        martenramp check-config [--config FILE]   read the configuration and say what it holds
        martenramp version
 
@@ -39,14 +40,17 @@
             arg => return Err(arg.unexpected().to_string()),
         }
     }
-    let config = || {
-        let path = file.or_else(|| std::env::var_os("LB_CONFIG")).ok_or("no configuration: set LB_CONFIG")?;
+    let config = move || {
+        let path = file
+            .clone()
+            .or_else(|| std::env::var_os("LB_CONFIG"))
+            .ok_or("no configuration: set LB_CONFIG")?;
         let shown = path.to_string_lossy().into_owned();
         let text = std::fs::read_to_string(&path).map_err(|e| format!("{shown}: {e}"))?;
         Config::read(&text, |name| std::env::var(name).ok()).map_err(|e| format!("{shown}: {e}"))
     };
     match command.as_deref() {
-        Some("serve") => serve(config()?),
+        Some("serve") => serve(config()?, Box::new(config)),
         Some("check-config") => {
             let config = config()?;
             println!("{}: listens at {}, discovery at {}", config.name, config.listen, config.discovery);
@@ -71,13 +75,13 @@
     }
 }
 
-fn serve(mut config: Config) -> Result<(), String> {
+fn serve(mut config: Config, read_again: ReadAgain) -> Result<(), String> {
     let logs = Logs::default();
     let log = logs.logger(&config.name);
     let listen = config.listen;
     let (driver, net, listen) = Driver::new(listen).map_err(|e| format!("can't listen at {listen}: {e}"))?;
     config.listen = listen;
-    let mut gateway = Gateway::new(config, net, log);
+    let mut gateway = Gateway::new(config, read_again, net, log);
     let ended = driver.run(&mut gateway, &logs).map_err(|e| e.to_string());
     logs.drain();
     ended
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -370,3 +370,39 @@
     assert!(version.status.success() && version.stdout.starts_with(b"martenramp "));
     assert!(!Command::new(BIN).arg("fly").output().unwrap().status.success());
 }
+
+#[test]
+fn on_sighup_discovery_and_the_counter_move_and_nothing_is_lost() {
+    let server = Peer::new(|number, _| if number == 0 { (Vec::new(), false) } else { answer(200, "", "on") });
+    let known = list(3, true, &[entry("s0", server.address, "ready")]);
+    let (old, new) = (Peer::new(|_, _| say(WATCH)), Peer::new(|_, _| say(WATCH)));
+    let counts = || Peer::new(|_, call| say(if call == "PING" { "+PONG\r\n" } else { "$1\r\n2\r\n" }));
+    let (before, after) = (counts(), counts());
+    let more = format!("\"counter\":\"{}\",\"known\":{known},", before.address);
+    let told = settings("\"extra\":{\"hasCounter\":true,\"countWait\":5.0,\"largest\":8},");
+    let mut gateway = Program::start(BIN, old.address, &more, &told);
+    let asked = |method| rpc(method, 2900).replace("spread=1", "spread=2");
+    let mut held = gateway.client();
+    held.send(&asked("verify"));
+    assert!(
+        server.next().0 == 0 && before.next().1.starts_with("INCRTTL ") && old.next().1.contains("from=3")
+    );
+    // A file that can't be read changes nothing.
+    gateway.rewrite("{\"discovery\":");
+    gateway.signal("-HUP");
+    gateway.line("\"configuration kept\"");
+    let more = format!("\"counter\":\"{}\",", after.address);
+    gateway.rewrite(&gateway.config(new.address, &more, &told));
+    gateway.signal("-HUP");
+    assert!(new.next().1.contains("from=3"), "the list held stays");
+    assert!(gateway.line("\"list\"").contains("\"moved\""));
+    assert!(gateway.line("\"counter\"").contains("\"moved\""));
+    assert!(gateway.client().ask(&asked("verify")).ends_with("on"));
+    assert!(after.next().1.starts_with("INCRTTL "), "the next call");
+    server.tell(0, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nheld");
+    assert!(held.answer().unwrap().ends_with("held"), "an RPC that was out");
+    new.tell(0, &chunk(&list(4, false, &[entry("s0", server.address, "gone")])));
+    gateway.line("\"server-gone\"");
+    gateway.signal("-TERM");
+    assert!(gateway.child.wait().unwrap().success());
+}
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -358,6 +358,7 @@
     pub child: Child,
     pub address: SocketAddr,
     lines: Receiver<String>,
+    file: std::path::PathBuf,
 }
 
 impl Program {
@@ -367,21 +368,16 @@
     }
 
     pub fn run(command: &mut Command, discovery: SocketAddr, more: &str, settings: &str) -> Program {
-        let text = format!(
-            "{{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"{discovery}\",{more}\
-             \"seed\":\"8c1f30d27a5be964\",\"settings\":{settings}}}"
-        );
-        let file = config_file(&text);
+        let file = config_file(&config("127.0.0.1:0", discovery, more, settings));
         let mut child =
             command.args(["serve", "--config"]).arg(&file).stderr(Stdio::piped()).spawn().unwrap();
         let reader = BufReader::new(child.stderr.take().unwrap());
         let (tell, lines) = channel();
         std::thread::spawn(move || reader.lines().map_while(Result::ok).all(|line| tell.send(line).is_ok()));
-        let mut program = Program { child, address: discovery, lines };
+        let mut program = Program { child, address: discovery, lines, file };
         let line = program.line("\"started\"");
         let listen = line.split("\"listen\":\"").nth(1).and_then(|rest| rest.split('"').next());
         program.address = listen.unwrap().parse().unwrap();
-        std::fs::remove_file(file).unwrap();
         program
     }
 
@@ -401,6 +397,15 @@
         Client::new(self.address)
     }
 
+    /// The configuration of this program with other peers.
+    pub fn config(&self, discovery: SocketAddr, more: &str, settings: &str) -> String {
+        config(&self.address.to_string(), discovery, more, settings)
+    }
+
+    pub fn rewrite(&self, text: &str) {
+        std::fs::write(&self.file, text).unwrap();
+    }
+
     pub fn signal(&self, name: &str) {
         let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
         assert!(sent.success());
@@ -411,9 +416,17 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
     }
 }
 
+fn config(listen: &str, discovery: SocketAddr, more: &str, settings: &str) -> String {
+    format!(
+        "{{\"name\":\"n0\",\"listen\":\"{listen}\",\"discovery\":\"{discovery}\",{more}\
+         \"seed\":\"8c1f30d27a5be964\",\"settings\":{settings}}}"
+    )
+}
+
 pub fn config_file(text: &str) -> std::path::PathBuf {
     static NUMBER: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
     let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
