The brake's quota part lets go once the store holds two reserves

At fault: brain.rs, braked(): of 64 outcomes one pushed back is over 0.5%, so it held for 10 s, whatever the store had since. Change: the quota part asks the store too. A story fails without it.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -129,8 +129,7 @@
     }
 
     /// Guards against a server that is down, cut off, full or erring: it rests, longer with each miss and
-    /// with more gateways, which try it together, then is tried singly until an ok. Harm: a short fault idles
-    /// it.
+    /// with more gateways, which try it together, then is tried singly. Harm: a short fault idles it.
     fn rests(&self, now: Nanos, gateways: f64) -> bool {
         let misses = self.ends.iter().rev().take_while(|end| !end.2).count();
         let rest = (((50 * MS) << misses.min(5)) as f64 * (gateways / 3.0).max(1.0)) as Nanos;
@@ -456,10 +455,9 @@
         self.shift(id, State::Ended);
         let most = span(self.setting("ceilings.maxRetryAfter", 0.0));
         let come_back = if self.is_true("ceilings.retryAfter") { room_in.min(most) } else { 0 };
-        if harmless {
-            host.push_back(id, come_back)
-        } else {
-            host.abort(id)
+        match harmless {
+            true => host.push_back(id, come_back),
+            false => host.abort(id),
         }
         Nanos::MAX
     }
@@ -585,12 +583,15 @@
         answers && asks && spare < (customer.width - 1.0) * units + customer.rate * age
     }
 
-    /// The brake on patient RPCs: urgent ones pushed back for lack of this customer's quota, or late (p95).
+    /// The brake on patient RPCs: urgent ones pushed back for lack of this customer's quota (over once the
+    /// store holds two reserves; harm: the next spike finds less there), or late (p95).
     fn braked(&mut self, now: Nanos, key: u64) -> bool {
         let fresh = |at: Nanos| now.saturating_sub(at) < BRAKE_SPAN;
-        let outcomes = self.customers[&key].urgent.iter().filter(|sample| fresh(sample.0));
+        let customer = &self.customers[&key];
+        let outcomes = customer.urgent.iter().filter(|sample| fresh(sample.0));
         let (count, pushed) = (outcomes.clone().count(), outcomes.filter(|sample| sample.1).count());
-        let short = count >= BRAKE_SAMPLES && pushed as f64 > BRAKE_QUOTA_SHARE * count as f64;
+        let lack = customer.level.min(customer.split * customer.width) < 2.0 * RESERVE * customer.burst;
+        let short = lack && count >= BRAKE_SAMPLES && pushed as f64 > BRAKE_QUOTA_SHARE * count as f64;
         if self.brake.0 != now {
             let samples = self.urgent.iter().filter(|sample| fresh(sample.0));
             let mut ratios: Vec<f64> = samples.map(|sample| sample.1).collect();
@@ -730,8 +731,8 @@
     fn choose(&mut self, now: Nanos, id: u32) -> Option<u32> {
         let (mut chance, mut ready) = (self.chance.fork(), std::mem::take(&mut self.ready));
         let rpc = &self.rpcs[&id];
-        let narrow = self.is(rpc, "guarded") && !self.method_is(rpc.method, "group", "all");
-        let group = rpc.ran.filter(|_| narrow);
+        let group =
+            rpc.ran.filter(|_| self.is(rpc, "guarded") && !self.method_is(rpc.method, "group", "all"));
         let zoned = self.method_is(rpc.method, "group", "zone");
         let in_group = |at: &Listed| group.is_none_or(|(_, z, c)| at.cell == c || zoned && at.zone == z);
         let (soft, typical) = (secs(rpc.soft), self.typical(now));
@@ -773,8 +774,7 @@
 
     /// Guards against pushing over a server that has just started: until warm all gateways together send 3/4
     /// of the told multiple of its cold part, less what chance adds. Each keeps a gap, at first a random part
-    /// of it, so that any number may restart, and opens no more than its answers allow. Harm: one warm soon
-    /// idles.
+    /// of it, so that any number may restart, and opens no more than answers allow. Harm: idle if warm soon.
     fn cold_room(&self, now: Nanos, server: &Server) -> bool {
         let own = self.warmth(now, &server.listed);
         if own >= 1.0 {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -327,6 +327,28 @@
     assert_eq!((s.sent(patient), s.sent(urgent)), (0, 1));
 }
 
+#[test]
+fn a_lack_of_quota_brakes_patient_rpcs_until_the_store_has_filled_again() {
+    let mut s = story("").with_servers(9);
+    for _ in 0..24 {
+        let rpc = s.rpc(2, 0.1);
+        s.pass(5 * MS);
+        s.end(rpc, End::Ok);
+    }
+    let spike = s.rpc_of(9, 2, 3.0, SEC);
+    s.end(spike, End::Ok);
+    s.rpc_of(9, 2, 3.0, 50 * MS);
+    s.pass(150 * MS);
+    assert_eq!(s.notes.pushed.len(), 1, "an urgent one found no room");
+    s.pass(300 * MS);
+    let braked = s.rpc_of(9, 0, 0.1, 100 * MS);
+    s.pass(100 * MS);
+    assert_eq!((s.sent(braked), s.notes.pushed.len()), (0, 2), "there is room, above the reserve line");
+    s.pass(500 * MS);
+    let after = s.rpc(0, 0.1);
+    assert_eq!(s.sent(after), 1, "long before the urgent one's end is forgotten");
+}
+
 #[test]
 fn a_server_that_missed_rests() {
     let mut s = story("").with_servers(3);
