A counter answer without a number ends its connection

Checked in a traced run: each wave starts with one answer without a number, and no further answer comes on that connection until it is given up as silent 1 s later (40 times in 26 s); ruled out: a slow counter (p99 17 ms) and full lines. At fault: counter.rs, feed() kept the connection after such an answer, and answer() took any '-' for a call never added. Change: an answer without a number, or an error that is neither -BUSY nor -ERR, counts as added and ends the connection.

--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -134,6 +134,12 @@
             at += used;
             self.heard = now;
             match self.written.pop_front() {
+                // Guards against a spoilt answer: it may have added, and what follows on the connection means
+                // nothing. Harm: the other calls out here count as added too.
+                Some(Some(call)) if how == End::Error => {
+                    ended.extend((call.serial != 0).then_some((call, how, total)));
+                    return Err("answer-without-number");
+                }
                 Some(Some(call)) if call.serial != 0 => ended.push((call, how, total)),
                 Some(_) => {}
                 None => return Err("answer-without-call"),
@@ -143,7 +149,8 @@
     }
 }
 
-/// The first whole answer: its length, and how the call ended. Whatever is no number is no total.
+/// The first whole answer: its length, and how the call ended. Whatever is no number is no total, and an error
+/// that is not known may have added.
 fn answer(input: &[u8]) -> Result<Option<(usize, End, f64)>, &'static str> {
     let Some(end) = input.windows(2).position(|pair| pair == b"\r\n") else {
         return if input.len() > ANSWER_MOST { Err("answer-too-long") } else { Ok(None) };
@@ -156,8 +163,8 @@
     };
     let (used, (how, total)) = match line.as_bytes().first() {
         Some(b'-') if line.starts_with("-BUSY") => (end + 2, (End::Full, 0.0)),
-        Some(b'-') => (end + 2, (End::NotSent, 0.0)), // there is no such call: nothing was added
-        Some(b'+') => (end + 2, (End::Error, 0.0)),
+        Some(b'-') if line.starts_with("-ERR") => (end + 2, (End::NotSent, 0.0)), // no such call: nothing was added
+        Some(b'-' | b'+') => (end + 2, (End::Error, 0.0)),
         Some(b':') => (end + 2, done(number(&line[1..]))),
         Some(b'$') if line == "$-1" => (end + 2, (End::Error, 0.0)),
         Some(b'$') => {
