Impossible amounts, duplicate ids and endless senders are sent away at once

Also: answers to clients late by 55 ms (p99) where the first byte from a server to the client takes 0.1 ms as a rule. Checked: no cap on units or sets in clients.rs, parse(); the id never looked at; flush() in driver.rs reads resumed connections again until they are empty, so a 60 MB sender holds the loop; ruled out: logs and timers. At fault: clients.rs parse_metering(), driver.rs flush(), to_clients.rs refuse() and client_came(). Change: units by the told largest, sets by the told gateways, what decides must stand once, the verb as the method's kind; an id held here is refused; a first message must be whole 2 s after connecting; nothing is read after a refusal.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -11,10 +11,11 @@
 const MAY_PAUSE: Nanos = 2_000_000_000;
 /// What an RPC may say it waits at most; longer is taken as a mistake.
 const REMAINING_MOST: u64 = 3_600_000;
-/// A message that takes longer than this to come in whole is not waited for.
-pub const SLOW_MESSAGE: Nanos = 10_000_000_000;
+/// A new connection's first message must be whole so soon after it was taken, and any other after its first byte;
+/// so long, too, may a client take to read its last answer.
+pub const SLOW_MESSAGE: Nanos = 2_000_000_000;
 /// A connection without an RPC for this long is closed; clients open another when they need it.
-pub const IDLE: Nanos = 120_000_000_000;
+pub const IDLE: Nanos = 10_000_000_000;
 
 /// An RPC as it lies in the read buffer of its connection, which keeps it until it is answered.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -24,6 +25,8 @@
     /// The header lines.
     pub head: Range<usize>,
     pub body: Range<usize>,
+    /// Its id.
+    pub txn: Range<usize>,
     pub method: u16,
     pub plan: u16,
     pub customer: u64,
@@ -134,20 +137,26 @@
     let customer =
         hex.and_then(|hex| u64::from_str_radix(hex, 16).ok()).filter(|customer| *customer < 1 << 33);
     let customer = customer.ok_or(Bad(404, "unknown-path"))?;
-    let lane = http::text(headers, "x-lane").ok_or(Bad(400, "no-method"))?;
+    let lane = http::only(headers, "x-lane").ok_or(Bad(400, "no-method"))?;
     let number =
         config.methods.iter().position(|known| known.name == lane).ok_or(Bad(400, "unknown-method"))?;
-    let contract = http::text(headers, "x-contract").ok_or(Bad(400, "no-plan"))?;
+    if get != config.methods[number].idempotent {
+        return Err(Bad(405, "bad-method")); // one that is not idempotent must never look so, nor the reverse
+    }
+    let contract = http::only(headers, "x-contract").ok_or(Bad(400, "no-plan"))?;
     let plan = config.plans.iter().position(|known| known == contract).ok_or(Bad(400, "unknown-plan"))?;
-    let mark = http::header(headers, "idempotency-key").filter(|mark| !mark.is_empty());
-    if config.methods[number].marked && mark.is_none() {
+    if config.methods[number].marked && http::only(headers, "idempotency-key").is_none() {
         return Err(Bad(400, "no-idempotency-key")); // without it a repeat could not be known as one
     }
-    http::header(headers, "x-txn").filter(|txn| !txn.is_empty()).ok_or(Bad(400, "no-txn"))?;
-    let remaining = http::text(headers, "x-remaining-ms").and_then(|ms| ms.parse().ok());
+    let txn = http::only(headers, "x-txn").ok_or(Bad(400, "no-txn"))?;
+    let remaining = http::only(headers, "x-remaining-ms").and_then(|ms| ms.parse().ok());
     let remaining_ms = remaining.filter(|ms| *ms <= REMAINING_MOST).ok_or(Bad(400, "bad-remaining"))?;
-    let metering = http::text(headers, "x-metering").ok_or(Bad(400, "no-metering"))?;
+    let metering = http::only(headers, "x-metering").ok_or(Bad(400, "no-metering"))?;
     let (units, width, first) = parse_metering(metering).ok_or(Bad(400, "bad-metering"))?;
+    // Guards the customer's store, which others use too: one impossible amount would empty it for good.
+    if units > config.units_most || width > config.gateways || first >= config.gateways {
+        return Err(Bad(400, "bad-metering"));
+    }
     if input.len() < end {
         let asks = http::lists(headers, "expect", "100-continue");
         return Ok(if asks { Got::Continue } else { Got::Part });
@@ -157,6 +166,7 @@
         target: http::place(input, target.as_bytes()),
         head: headers_at(&input[..start])..start,
         body: start..end,
+        txn: http::place(input, txn.as_bytes()),
         method: number as u16,
         plan: plan as u16,
         customer,
@@ -175,21 +185,17 @@
     line.map_or(head.len(), |end| blank + end + 1)
 }
 
-/// `units=2,spread=3,first=1`; what is not known is passed over.
+/// `units=2,spread=3,first=1`, each told once; what is not known is passed over.
 fn parse_metering(text: &str) -> Option<(f64, u32, u32)> {
-    let (mut units, mut width, mut first) = (None, None, Some(0));
-    for part in text.split(',') {
-        let (name, value) = part.split_once('=')?;
-        match name.trim() {
-            "units" => {
-                units = value.trim().parse().ok().filter(|units: &f64| units.is_finite() && *units >= 0.0)
-            }
-            "spread" => width = value.trim().parse().ok().filter(|width| *width > 0),
-            "first" => first = value.trim().parse().ok(),
-            _ => {}
-        }
-    }
-    Some((units?, width?, first?))
+    let told = |name: &str| {
+        let mut named =
+            text.split(',').filter_map(|part| part.split_once('=')).filter(|part| part.0.trim() == name);
+        let value = named.next().map(|part| part.1.trim());
+        value.filter(|_| named.next().is_none())
+    };
+    let units = told("units")?.parse().ok().filter(|units: &f64| units.is_finite() && *units > 0.0)?;
+    let width = told("spread")?.parse().ok().filter(|width| *width > 0)?;
+    Some((units, width, told("first")?.parse().ok()?))
 }
 
 /// The head of an answer with a body of this length; `lines` are header lines to pass on.
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,5 +1,6 @@
 //! What a gateway is told at its start: the configuration file, and the environment for what it leaves out.
 
+use crate::counter;
 use martenramp::host::Settings;
 use serde_json::{Map, Value};
 use std::net::SocketAddr;
@@ -18,12 +19,16 @@
     pub settings: Settings,
     pub methods: Vec<Method>,
     pub plans: Vec<String>,
+    /// The most units that one RPC may take, and how many gateways there are.
+    pub units_most: f64,
+    pub gateways: u32,
 }
 
 /// A method by its name; `marked` ones carry a mark by which a repeat is known.
 pub struct Method {
     pub name: String,
     pub marked: bool,
+    pub idempotent: bool,
 }
 
 /// Where no limit is told: the usual one of a process.
@@ -61,11 +66,9 @@
         let methods: Vec<Method> = names("classes")
             .into_iter()
             .enumerate()
-            .map(|(number, name)| Method {
-                name,
-                marked: settings
-                    .get(&format!("classes.{number}.idempotency"))
-                    .is_some_and(|how| how == "guarded"),
+            .map(|(number, name)| {
+                let how = settings.get(&format!("classes.{number}.idempotency")).map(String::as_str);
+                Method { name, marked: how == Some("guarded"), idempotent: how == Some("free") }
             })
             .collect();
         let plans = names("tariffs");
@@ -75,7 +78,24 @@
         let sockets = all["limits"]["sockets"].as_u64().map_or(SOCKETS, |most| most as usize);
         let known = Some(all["known"].clone()).filter(Value::is_object);
         let name = told("name", "LB_NAME").unwrap_or_else(|_| listen.to_string());
-        Ok(Config { name, listen, discovery, counter, seed, sockets, known, settings, methods, plans })
+        let mut config = Config {
+            name,
+            listen,
+            discovery,
+            counter,
+            seed,
+            sockets,
+            known,
+            settings,
+            methods,
+            plans,
+            units_most: counter::AMOUNT_MOST,
+            gateways: u32::MAX,
+        };
+        config.units_most =
+            config.setting("extra.largest").unwrap_or(config.units_most).min(config.units_most);
+        config.gateways = config.setting("balancers").map_or(u32::MAX, |count| count as u32);
+        Ok(config)
     }
 
     pub fn setting(&self, name: &str) -> Option<f64> {
--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -19,6 +19,8 @@
 pub const MOVES_WITHIN: Nanos = 1_000_000_000;
 /// What a call may take where no time is told.
 pub const WAIT: Nanos = 50_000_000;
+/// The largest amount that a call may add.
+pub const AMOUNT_MOST: f64 = 1e9;
 /// An answer without an end in so many bytes is none.
 const ANSWER_MOST: usize = 512;
 
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -63,6 +63,8 @@
     input_most: usize,
     /// Reading stopped at `input_most` though there may be more.
     paused: bool,
+    /// Nothing more is read.
+    deaf: bool,
     /// The other side has ended its sending, or the connection broke, for this reason.
     ended: Option<&'static str>,
     out: Vec<u8>,
@@ -112,6 +114,7 @@
             input: Vec::new(),
             input_most: most,
             paused: false,
+            deaf: false,
             ended: None,
             out: Vec::new(),
             written: 0,
@@ -182,6 +185,13 @@
         self.get(id).and_then(|conn| conn.ended)
     }
 
+    /// What else comes on a connection is left unread, so that a client that sends on without end costs nothing.
+    pub fn stop_reading(&mut self, id: usize) {
+        if let Some(conn) = self.get_mut(id) {
+            (conn.deaf, conn.paused, conn.input) = (true, false, Vec::new());
+        }
+    }
+
     /// Ends this side's sending.
     pub fn finish(&mut self, id: usize) {
         if let Some(conn) = self.get(id) {
@@ -198,7 +208,10 @@
 
     fn read(&mut self, id: usize, closes: bool) {
         let Some(conn) = self.get_mut(id) else { return };
-        while conn.ended.is_none() {
+        if conn.deaf {
+            conn.ended = conn.ended.or(closes.then_some("closed"));
+        }
+        while conn.ended.is_none() && !conn.deaf {
             let have = conn.input.len();
             if have >= conn.input_most {
                 conn.paused = true;
@@ -299,7 +312,8 @@
             let now = self.clock.now();
             let due = gateway.next_turn();
             let next = due.map(|at| Duration::from_nanos(at.saturating_sub(now)));
-            let wait = next.into_iter().chain((!logs.is_empty()).then_some(LOGS_AGAIN)).min();
+            let more = (!gateway.net().resumed.is_empty()).then_some(Duration::ZERO);
+            let wait = next.into_iter().chain((!logs.is_empty()).then_some(LOGS_AGAIN)).chain(more).min();
             match self.poll.poll(&mut events, wait) {
                 // What came during a stop is found by the next poll, with the timers still overdue.
                 Err(e) if e.kind() == ErrorKind::Interrupted => continue,
@@ -335,6 +349,11 @@
                     }
                 }
             }
+            // Once a turn, so that a client that sends on without end has no more than its turn.
+            for id in std::mem::take(&mut gateway.net().resumed) {
+                gateway.net().read(id, false);
+                gateway.came(id);
+            }
             if gateway.due() {
                 self.accept(gateway);
             }
@@ -370,13 +389,12 @@
         gateway.wrote(id);
     }
 
-    /// Writes all that waits, and whatever comes of that, until nothing is left to do now.
+    /// Writes all that waits, and whatever comes of that, until nothing is left to write now.
     fn flush(&mut self, gateway: &mut Gateway) {
         loop {
             gateway.settle();
             let dirty = std::mem::take(&mut gateway.net().dirty);
-            let resumed = std::mem::take(&mut gateway.net().resumed);
-            if dirty.is_empty() && resumed.is_empty() {
+            if dirty.is_empty() {
                 return;
             }
             for id in dirty {
@@ -389,10 +407,6 @@
                     gateway.came(id);
                 }
             }
-            for id in resumed {
-                gateway.net().read(id, false);
-                gateway.came(id);
-            }
         }
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,7 +12,7 @@
 use martenramp::brain::Brain;
 use martenramp::host::{Arrival, End, Ended, Host, Listed, Nanos};
 use slog::{Logger, info, warn};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 
 mod to_clients;
@@ -71,6 +71,7 @@
     deadline: Nanos,
     call_outs: u16,
     open: bool,
+    id: Box<[u8]>,
 }
 
 /// Reads the configuration once more.
@@ -91,6 +92,8 @@
     clients: BTreeMap<usize, Client>,
     rpcs: HashMap<u32, Rpc>,
     last_rpc: u32,
+    /// Ids of the RPCs held here, as their clients gave them.
+    ids: HashSet<Box<[u8]>>,
     open_rpcs: usize,
     servers: Servers,
     links: BTreeMap<usize, Link>,
@@ -152,6 +155,7 @@
             clients: BTreeMap::new(),
             rpcs: HashMap::new(),
             last_rpc: 0,
+            ids: HashSet::new(),
             open_rpcs: 0,
             servers: Servers::default(),
             links: BTreeMap::new(),
@@ -424,11 +428,17 @@
         if to == Stand::Answered {
             self.open_rpcs -= usize::from(was != Stand::Answered);
             if !rpc.open {
-                self.rpcs.remove(&id);
+                self.forget(id);
             }
         }
     }
 
+    fn forget(&mut self, id: u32) {
+        if let Some(rpc) = self.rpcs.remove(&id) {
+            self.ids.remove(&rpc.id);
+        }
+    }
+
     /// Looks for what is idle, silent or slow.
     fn sweep(&mut self) {
         let now = self.net.now;
@@ -442,6 +452,11 @@
                     over.push((*id, "reads-nothing"))
                 }
                 _ if client.closing.is_some() || client.rpc.is_some() => {}
+                // Guards against connections that are opened to say nothing, or never to end a message. Harm: one
+                // opened long before its first message is opened again.
+                _ if client.served == 0 && now > self.net.since(*id) + clients::SLOW_MESSAGE => {
+                    over.push((*id, if client.partial { "slow-message" } else { "said-nothing" }))
+                }
                 _ if client.partial && age > clients::SLOW_MESSAGE => over.push((*id, "slow-message")),
                 _ if !client.partial && age > clients::IDLE => over.push((*id, "idle")),
                 _ => {}
--- a/crates/gateway/src/gateway/to_clients.rs
+++ b/crates/gateway/src/gateway/to_clients.rs
@@ -41,6 +41,11 @@
             self.desk.answer_own(client, 503, end);
             return;
         }
+        let own: Box<[u8]> = self.desk.net.input(client)[message.txn.clone()].into();
+        if !self.desk.ids.insert(own.clone()) {
+            // Guards against one client's answer going by another's id. Harm: none, ids are fresh on every RPC.
+            return self.desk.refuse(client, 409, "duplicate-id");
+        }
         let id = self.desk.fresh_rpc();
         let Some(at) = self.desk.clients.get_mut(&client) else { return };
         at.rpc = Some((id, end));
@@ -55,7 +60,7 @@
             width: message.width,
             first: message.first,
         };
-        let rpc = Rpc { stand: Stand::Held, client, message, deadline, call_outs: 0, open: false };
+        let rpc = Rpc { stand: Stand::Held, client, message, deadline, call_outs: 0, open: false, id: own };
         self.desk.rpcs.insert(id, rpc);
         self.desk.open_rpcs += 1;
         self.desk.timers.set(deadline + OVERDUE, What::Overdue(id));
@@ -123,10 +128,9 @@
         if let Some(out) = self.net.out(client) {
             clients::write_own(out, status, 0, true);
         }
-        let length = self.net.input(client).len();
-        self.net.used(client, length);
+        self.net.stop_reading(client);
         if let Some(at) = self.clients.get_mut(&client) {
-            at.closing = Some(why);
+            (at.closing, at.since) = (Some(why), self.net.now);
         }
     }
 
--- a/crates/gateway/src/gateway/to_servers.rs
+++ b/crates/gateway/src/gateway/to_servers.rs
@@ -125,7 +125,7 @@
         rpc.open = false;
         let closed = rpc.stand == Stand::Answered;
         if closed {
-            self.rpcs.remove(&call.rpc);
+            self.forget(call.rpc);
         } else {
             self.shift(call.rpc, Stand::Held);
         }
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -30,6 +30,13 @@
     header(headers, name).and_then(|value| std::str::from_utf8(value).ok()).map(str::trim)
 }
 
+/// A header that must stand there once: two could be read differently by whoever is next.
+pub fn only<'a>(headers: &[Header<'a>], name: &str) -> Option<&'a str> {
+    let mut named = headers.iter().filter(|header| header.name.eq_ignore_ascii_case(name));
+    let value = std::str::from_utf8(named.next()?.value).ok().map(str::trim);
+    value.filter(|value| named.next().is_none() && !value.is_empty())
+}
+
 /// Whether a header that lists words holds this one.
 pub fn lists(headers: &[Header], name: &str, word: &str) -> bool {
     let named = headers.iter().filter(|header| header.name.eq_ignore_ascii_case(name));
@@ -180,6 +187,7 @@
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        409 => "Conflict",
         408 => "Request Timeout",
         411 => "Length Required",
         413 => "Content Too Large",
