Idle connections are looked at before reuse; interim answers and buffers are bounded

Seen in the code, then shown by stories that fail without the change: a late second copy on an idle connection was served as the next RPC's answer; each interim answer was a further recursion of look(), with a 2 KB array each; a load report with an unreadable column counted it as 0; buffers had no bound but the number of connections. At fault: to_servers.rs link_to(), servers.rs look() and load(), gateway.rs new().

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -13,6 +13,8 @@
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
+    /// Memory that it may take.
+    pub memory: usize,
     /// The list of servers as this gateway last had it, in discovery's form.
     pub known: Option<Value>,
     /// As the module gets them: path=value, names and units untouched.
@@ -33,6 +35,7 @@
 
 /// Where no limit is told: the usual one of a process.
 const SOCKETS: usize = 1024;
+const MEMORY_MB: u64 = 1024;
 
 impl Config {
     /// Reads the configuration's text; `env` looks up what it leaves out.
@@ -76,6 +79,8 @@
             return Err("'settings' names no classes or no tariffs".to_string());
         }
         let sockets = all["limits"]["sockets"].as_u64().map_or(SOCKETS, |most| most as usize);
+        let memory = all["limits"]["memory_mb"].as_u64().unwrap_or(MEMORY_MB) as usize;
+        let memory = memory.saturating_mul(1 << 20);
         let known = Some(all["known"].clone()).filter(Value::is_object);
         let name = told("name", "LB_NAME").unwrap_or_else(|_| listen.to_string());
         let mut config = Config {
@@ -85,6 +90,7 @@
             counter,
             seed,
             sockets,
+            memory,
             known,
             settings,
             methods,
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -61,6 +61,8 @@
     up: bool,
     input: Vec<u8>,
     input_most: usize,
+    /// Bytes that its buffers take, as last accounted for.
+    held: usize,
     /// Reading stopped at `input_most` though there may be more.
     paused: bool,
     /// Nothing more is read.
@@ -79,6 +81,8 @@
     births: usize,
     dirty: Vec<usize>,
     resumed: Vec<usize>,
+    /// Bytes that the buffers of clients take.
+    pub held: usize,
     pub now: Nanos,
     /// For how long what is read now may have waited here unread.
     pub late: Nanos,
@@ -113,6 +117,7 @@
             up: false,
             input: Vec::new(),
             input_most: most,
+            held: 0,
             paused: false,
             deaf: false,
             ended: None,
@@ -174,6 +179,7 @@
         if std::mem::take(&mut conn.paused) {
             self.resumed.push(id);
         }
+        self.account(id);
     }
 
     /// Whether the other side can have got the last byte written to it.
@@ -190,6 +196,7 @@
         if let Some(conn) = self.get_mut(id) {
             (conn.deaf, conn.paused, conn.input) = (true, false, Vec::new());
         }
+        self.account(id);
     }
 
     /// Ends this side's sending.
@@ -202,11 +209,18 @@
     pub fn close(&mut self, id: usize) {
         if self.get(id).is_some() {
             let mut conn = self.conns.remove(id & ((1 << PLACE_BITS) - 1));
+            self.held -= conn.held;
             let _ = self.registry.deregister(&mut conn.stream);
         }
     }
 
-    fn read(&mut self, id: usize, closes: bool) {
+    /// Reads what has come, up to the buffer's bound.
+    pub fn read(&mut self, id: usize, closes: bool) {
+        self.read_some(id, closes);
+        self.account(id);
+    }
+
+    fn read_some(&mut self, id: usize, closes: bool) {
         let Some(conn) = self.get_mut(id) else { return };
         if conn.deaf {
             conn.ended = conn.ended.or(closes.then_some("closed"));
@@ -218,6 +232,7 @@
                 return;
             }
             let room = if have < 4 * READ { READ } else { 4 * READ }.min(conn.input_most - have);
+            conn.input.reserve_exact(room); // not twice what is needed
             conn.input.resize(have + room, 0);
             let got = conn.stream.read(&mut conn.input[have..]);
             conn.input.truncate(have + got.as_ref().map_or(0, |got| *got));
@@ -233,7 +248,21 @@
         }
     }
 
+    /// Keeps `held` true; called whenever a buffer may have changed its size.
+    fn account(&mut self, id: usize) {
+        let Some(conn) = self.get_mut(id).filter(|conn| conn.peer == Peer::Client) else { return };
+        let now = conn.input.capacity() + conn.out.capacity();
+        let was = std::mem::replace(&mut conn.held, now);
+        self.held = self.held + now - was;
+    }
+
     fn write(&mut self, id: usize) {
+        self.account(id);
+        self.write_some(id);
+        self.account(id);
+    }
+
+    fn write_some(&mut self, id: usize) {
         let Some(conn) = self.get_mut(id).filter(|conn| conn.up && conn.ended.is_none()) else { return };
         while conn.written < conn.out.len() {
             match conn.stream.write(&conn.out[conn.written..]) {
@@ -297,7 +326,7 @@
         let clock = Clock::start();
         let registry = poll.registry().try_clone()?;
         let (conns, dirty, resumed) = (Slab::new(), Vec::new(), Vec::new());
-        let net = Net { registry, conns, births: 0, dirty, resumed, now: clock.now(), late: 0 };
+        let net = Net { registry, conns, births: 0, dirty, resumed, held: 0, now: clock.now(), late: 0 };
         let listener = Some(listener);
         Ok((Driver { poll, listener, signals, hung_up, told_to_stop, clock }, net, listen))
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -38,6 +38,10 @@
 const CLIENTS_TENTHS: usize = 6;
 /// What of the watch and of the counter may wait in a buffer.
 const OTHER_INPUT: usize = 64 << 10;
+/// Of the memory, the parts that buffers may take: all clients' together, all servers', and one line of the list.
+const CLIENTS_MEMORY: usize = 3;
+const LINKS_MEMORY: usize = 3;
+const LIST_MEMORY: usize = 16;
 const MESSAGE_MOST: usize = HEAD_MOST + BODY_MOST + 1024;
 
 /// What a timer is for.
@@ -120,6 +124,8 @@
     clients_most: usize,
     spares: usize,
     links_most: usize,
+    /// Bytes of clients' buffers beyond which no more is taken in.
+    held_most: usize,
     rpcs_most: usize,
     dial: Nanos,
     idle: Nanos,
@@ -148,7 +154,8 @@
             columns: config.list("reporting.columns"),
             clients_most,
             spares,
-            links_most: shared - clients_most,
+            held_most: config.memory / CLIENTS_MEMORY,
+            links_most: (shared - clients_most).min(config.memory / LINKS_MEMORY / (2 * MESSAGE_MOST)).max(2),
             net,
             log,
             timers: Timers::default(),
@@ -159,7 +166,7 @@
             open_rpcs: 0,
             servers: Servers::default(),
             links: BTreeMap::new(),
-            watch: Watch::default(),
+            watch: Watch::new(0, config.memory / LIST_MEMORY),
             watch_on: None,
             old_watch: None,
             lines: Default::default(),
--- a/crates/gateway/src/gateway/to_clients.rs
+++ b/crates/gateway/src/gateway/to_clients.rs
@@ -13,6 +13,11 @@
             // The answer before this message is out: one that reads none can't fill the buffer with them.
             let came = now - self.desk.net.late;
             match client.look(&self.desk.config, came, self.desk.net.input(id)) {
+                // Guards the memory against many long messages at once; servers' buffers have a part of their own.
+                // Harm: a long message is turned away that might have found room a little later.
+                Ok(Got::Part) if self.desk.net.held > self.desk.held_most => {
+                    self.desk.refuse(id, 503, "no-memory")
+                }
                 Ok(Got::Part) => {}
                 Ok(Got::Continue) => {
                     if let Some(out) = self.desk.net.out(id) {
@@ -36,7 +41,7 @@
     pub(super) fn arrive(&mut self, client: usize, message: clients::Rpc) {
         let (now, end) = (self.desk.net.now, message.body.end);
         let spare = self.desk.clients.get(&client).is_some_and(|client| client.spare);
-        if self.desk.open_rpcs >= self.desk.rpcs_most || spare {
+        if self.desk.open_rpcs >= self.desk.rpcs_most || spare || self.desk.net.held > self.desk.held_most {
             // No room for more: what is pushed back here never reached the module.
             self.desk.answer_own(client, 503, end);
             return;
--- a/crates/gateway/src/gateway/to_list.rs
+++ b/crates/gateway/src/gateway/to_list.rs
@@ -81,11 +81,11 @@
 
     /// Discovery is elsewhere now. What the old watch tells until the new one speaks still counts.
     pub(super) fn move_watch(&mut self) {
-        let new = Watch::after(self.watch.index);
+        let new = Watch::new(self.watch.index, self.watch.line_most);
         let watch = std::mem::replace(&mut self.watch, new);
         if let Some(id) = self.watch_on.take() {
             if self.old_watch.is_some() || !watch.head_read {
-                self.end_watch(id, &watch, "moved");
+                self.end_watch(id, watch.index, "moved");
             } else {
                 self.old_watch = Some((id, watch));
             }
@@ -95,12 +95,12 @@
 
     pub(super) fn end_old_watch(&mut self, why: &'static str) {
         if let Some((id, watch)) = self.old_watch.take() {
-            self.end_watch(id, &watch, why);
+            self.end_watch(id, watch.index, why);
         }
     }
 
-    fn end_watch(&mut self, id: usize, watch: &Watch, why: &'static str) {
-        info!(self.log, "list"; "why" => why, "index" => watch.index, "ms" => (self.net.now - self.net.since(id)) / MS);
+    fn end_watch(&mut self, id: usize, index: u64, why: &'static str) {
+        info!(self.log, "list"; "why" => why, "index" => index, "ms" => (self.net.now - self.net.since(id)) / MS);
         self.net.close(id);
     }
 
@@ -110,9 +110,7 @@
             return self.end_old_watch(why);
         }
         self.watch_on = None;
-        let watch = std::mem::take(&mut self.watch);
-        self.end_watch(id, &watch, why);
-        self.watch = watch;
+        self.end_watch(id, self.watch.index, why);
         let again = self.net.now + self.watch.again();
         self.timers.set(again, What::Watch);
     }
--- a/crates/gateway/src/gateway/to_servers.rs
+++ b/crates/gateway/src/gateway/to_servers.rs
@@ -9,10 +9,18 @@
         loop {
             let at = self.servers.by_number.get_mut(&server)?;
             let Some((id, since)) = at.idle.pop() else { break };
-            if now < since + self.idle && self.net.ended(id).is_none() {
-                return Some(id);
+            if now >= since + self.idle {
+                self.end_link(id, "idle");
+                continue;
+            }
+            // Guards against writing to a connection that the server has closed, and against taking what it sent
+            // unasked for the next answer: both may have come since the last poll. Harm: a read for each call-out.
+            self.net.read(id, false);
+            let unasked = (!self.net.input(id).is_empty()).then_some("answer-without-call-out");
+            match unasked.or(self.net.ended(id)) {
+                Some(why) => self.end_link(id, why),
+                None => return Some(id),
             }
-            self.end_link(id, "idle");
         }
         if self.links.len() >= self.links_most && !self.shed_link() {
             return None;
@@ -35,7 +43,11 @@
         let ended = net.ended(id);
         let Stage::Out(call) = link.stage else {
             // Nothing was asked: whatever comes, the connection is of no more use.
-            return self.end_link(id, ended.unwrap_or("answer-without-call-out"));
+            let unasked = (!net.input(id).is_empty()).then_some("answer-without-call-out");
+            if let Some(why) = ended.or(unasked) {
+                self.end_link(id, why);
+            }
+            return;
         };
         match link.look(net.input(id), ended.is_some()) {
             Ok(Some(answer)) => {
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -35,7 +35,7 @@
 }
 
 /// The watch: what was heard last, and the answer that is open.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Watch {
     /// The version of the list held; 0 is none.
     pub index: u64,
@@ -44,12 +44,15 @@
     line: Vec<u8>,
     pub heard: Nanos,
     pub fails: u32,
+    /// The longest line that is taken.
+    pub line_most: usize,
 }
 
 impl Watch {
-    /// A watch for what comes after this version.
-    pub fn after(index: u64) -> Self {
-        Watch { index, ..Watch::default() }
+    /// A watch for what comes after this version, in lines of at most so many bytes.
+    pub fn new(index: u64, line_most: usize) -> Self {
+        let (head_read, chunks, line) = (false, Chunks::default(), Vec::new());
+        Watch { index, head_read, chunks, line, heard: 0, fails: 0, line_most: line_most.min(LINE_MOST) }
     }
 
     /// Starts over on a new connection: the message that asks for changes after the version held.
@@ -101,7 +104,7 @@
             line.extend_from_slice(data);
         });
         at += used.map_err(|Bad(_, why)| why)?;
-        if line.len() > LINE_MOST {
+        if line.len() > self.line_most {
             return Err("line-too-long");
         }
         match garbled {
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -138,21 +138,37 @@
     /// Looks at all that the buffer holds; `ended` tells that no more will come. An error is an answer that
     /// can't be read, with a reason code.
     pub fn look(&mut self, input: &[u8], ended: bool) -> Result<Option<Answer>, &'static str> {
-        let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
-        let mut head = httparse::Response::new(&mut headers);
-        let start = match head.parse(&input[..input.len().min(HEAD_MOST)]) {
-            Ok(httparse::Status::Complete(length)) => length,
-            Ok(httparse::Status::Partial) if input.len() >= HEAD_MOST => return Err("head-too-large"),
-            Ok(httparse::Status::Partial) => return Ok(None),
-            Err(_) => return Err("bad-head"),
-        };
-        let status = head.code.unwrap_or(0);
-        let head_at = input[..start].iter().position(|byte| *byte == b'\n').map_or(start, |end| end + 1);
-        if (100..200).contains(&status) {
-            // An interim answer says nothing; what it announces follows.
-            let rest = self.look(&input[start..], ended)?;
-            return Ok(rest.map(|answer| answer.moved(start)));
+        let mut from = 0;
+        loop {
+            let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
+            let mut head = httparse::Response::new(&mut headers);
+            let rest = &input[from..input.len().min(HEAD_MOST)];
+            let start = match head.parse(rest) {
+                Ok(httparse::Status::Complete(length)) => from + length,
+                Ok(httparse::Status::Partial) if input.len() >= HEAD_MOST => return Err("head-too-large"),
+                Ok(httparse::Status::Partial) => return Ok(None),
+                Err(_) => return Err("bad-head"),
+            };
+            // An interim answer says nothing; what it announces follows, within the bound of one head.
+            match head.code.unwrap_or(0) {
+                100..200 => from = start,
+                status => return self.answer(input, ended, from, start, status, &head),
+            }
         }
+    }
+
+    /// The answer whose head stands at `from` and whose body begins at `start`.
+    fn answer(
+        &mut self,
+        input: &[u8],
+        ended: bool,
+        from: usize,
+        start: usize,
+        status: u16,
+        head: &httparse::Response,
+    ) -> Result<Option<Answer>, &'static str> {
+        let line = input[from..start].iter().position(|byte| *byte == b'\n');
+        let head_at = line.map_or(start, |end| from + end + 1);
         let bare = status == 204 || status == 304;
         let length = if bare { Ok(Length::Fixed(0)) } else { http::length(head.headers, Length::UntilClose) };
         let (body, end) = match length.map_err(|bad| bad.1)? {
@@ -196,25 +212,8 @@
     }
 }
 
-impl Answer {
-    /// The same answer as seen from `by` bytes earlier in the buffer.
-    fn moved(mut self, by: usize) -> Answer {
-        let move_on = |range: &mut std::ops::Range<usize>| *range = range.start + by..range.end + by;
-        if let Body::Read(range) = &mut self.body {
-            move_on(range);
-        }
-        move_on(&mut self.head);
-        self.load.iter_mut().for_each(move_on);
-        self.length += by;
-        self
-    }
-}
-
-/// The values of a load report in the order of `columns`; a value that is missing counts as 0.
+/// The values of a load report in the order of `columns`; one that can't be read makes all of it untold.
 pub fn load(text: &[u8], columns: &[String]) -> Vec<f64> {
     let report: serde_json::Value = serde_json::from_slice(text).unwrap_or_default();
-    if !report.is_object() {
-        return Vec::new();
-    }
-    columns.iter().map(|column| report[column.as_str()].as_f64().unwrap_or(0.0)).collect()
+    columns.iter().map(|column| report[column.as_str()].as_f64()).collect::<Option<_>>().unwrap_or_default()
 }
--- a/crates/gateway/tests/protocol.rs
+++ b/crates/gateway/tests/protocol.rs
@@ -111,6 +111,12 @@
         looked("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", false),
         ok(End::Ok, "x", true)
     );
+    let interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    assert_eq!(
+        looked(&(interim.repeat(99) + "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"), false),
+        ok(End::Ok, "x", true)
+    );
+    assert_eq!(looked(&interim.repeat(9_000), false), Err("head-too-large"), "however long, it is bounded");
     assert_eq!(
         looked("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx", false),
         ok(End::Ok, "x", false)
@@ -162,8 +168,16 @@
 #[test]
 fn a_load_report_is_put_in_the_order_of_the_settings() {
     let columns = ["util".to_string(), "inflight".to_string(), "queue".to_string()];
-    assert_eq!(servers::load(b"{\"inflight\":7,\"util\":0.61}", &columns), [0.61, 7.0, 0.0]);
-    assert!(servers::load(b"7", &columns).is_empty());
+    assert_eq!(servers::load(b"{\"inflight\":7,\"util\":0.61,\"queue\":0}", &columns), [0.61, 7.0, 0.0]);
+    // What can't be read is untold, never nought.
+    for spoilt in [
+        "7",
+        "{\"inflight\":7,\"util\":0.61}",
+        "{\"inflight\":\"x\",\"util\":0.61,\"queue\":0}",
+        "{\"inflight\":",
+    ] {
+        assert!(servers::load(spoilt.as_bytes(), &columns).is_empty(), "{spoilt}");
+    }
 }
 
 #[test]
@@ -189,7 +203,7 @@
     let two = list(43, false, &["{\"name\":\"a\",\"status\":\"gone\"}".to_string()]);
     let text = format!("{WATCH}{}1\r\n\n\r\n{}", chunk(&one), chunk(&two));
     for step in [1, 7, 64, text.len()] {
-        let (mut watch, mut out) = (Watch::default(), Vec::new());
+        let (mut watch, mut out) = (Watch::new(0, usize::MAX), Vec::new());
         let (mut told, mut buffer) = (Vec::new(), Vec::new());
         watch.index = 9;
         watch.ask(&mut out, SEC);
@@ -211,7 +225,7 @@
 fn a_watch_that_is_refused_ends_or_makes_no_sense_is_broken_off() {
     let fed = |text: String| {
         let mut told = Vec::new();
-        (Watch::default().feed(SEC, text.as_bytes(), &mut told), told.len())
+        (Watch::new(0, usize::MAX).feed(SEC, text.as_bytes(), &mut told), told.len())
     };
     assert_eq!(fed("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n".to_string()).0, Err("watch-refused"));
     assert_eq!(fed("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}".to_string()).0, Err("watch-not-chunked"));
@@ -223,7 +237,7 @@
         (Err("garbled-line"), 1),
         "what came before it counts"
     );
-    let mut watch = Watch::default();
+    let mut watch = Watch::new(0, usize::MAX);
     let gaps: Vec<_> = (0..6).map(|_| watch.again() / MS).collect();
     assert_eq!(gaps, [100, 200, 400, 800, 1000, 1000]);
 }
@@ -316,7 +330,7 @@
         let mut link = Link::new(1);
         let cut = chance.usize(..=bytes.len());
         let _ = link.look(&bytes[..cut], false).and_then(|_| link.look(&bytes, true));
-        let _ = Watch::default().feed(SEC, &bytes, &mut Vec::new());
+        let _ = Watch::new(0, usize::MAX).feed(SEC, &bytes, &mut Vec::new());
         let (mut line, mut out) = (Line::default(), Vec::new());
         line.opened(&mut out, SEC);
         (1..4).for_each(|serial| line.call(&mut out, SEC, call(serial, serial)));
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -363,6 +363,48 @@
     assert!((0..100_000).any(served));
 }
 
+#[test]
+fn what_a_server_sent_unasked_is_never_taken_for_the_next_answer() {
+    let server = Peer::new(|_, _| answer(200, "", "new"));
+    let gateway = knowing(&[&server]);
+    let mut client = gateway.client();
+    assert!(client.ask(&rpc("read", 2000)).ends_with("new"));
+    assert_eq!(server.next().0, 0);
+    stop(&gateway);
+    client.send(&rpc("read", 2000)); // is read first
+    server.tell(0, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold");
+    gateway.signal("-CONT");
+    assert!(client.answer().unwrap().ends_with("new"));
+    assert_eq!(server.next().0, 1, "on a connection of its own");
+}
+
+#[test]
+fn many_long_messages_at_once_are_turned_away_before_they_fill_the_memory() {
+    let server = Peer::new(|_, _| answer(200, "", "ok"));
+    let known = list(3, true, &[entry("s0", server.address, "ready")]);
+    let more = format!("\"limits\":{{\"memory_mb\":1}},\"known\":{known},");
+    let gateway = Program::start(BIN, nowhere(), &more, &settings(""));
+    let half = rpc("submit", 2000).replace(
+        "Content-Length: 4\r\n\r\nbody",
+        &format!("Content-Length: 65536\r\n\r\n{}", "x".repeat(60_000)),
+    );
+    let mut clients: Vec<_> = (0..10).map(|_| gateway.client()).collect();
+    clients.iter_mut().for_each(|client| client.send(&half));
+    gateway.line("\"no-memory\"");
+    drop(clients);
+    let served = |_| gateway.client().try_ask(&rpc("read", 2000)).is_some_and(|got| status(&got) == 200);
+    assert!((0..100_000).any(served), "and there is room again");
+}
+
+/// Returns once the program stands still.
+fn stop(gateway: &Program) {
+    gateway.signal("-STOP");
+    let state = format!("/proc/{}/stat", gateway.child.id());
+    while !std::fs::read_to_string(&state).unwrap().contains(" T ") {
+        std::thread::yield_now();
+    }
+}
+
 #[test]
 fn a_log_that_nobody_reads_does_not_hold_it_up() {
     let server = Peer::new(|_, _| answer(200, "", "ok"));
@@ -384,11 +426,7 @@
     let mut client = gateway.client();
     assert_eq!(status(&client.ask(&rpc("read", 2000))), 200);
     server.next();
-    gateway.signal("-STOP");
-    let state = format!("/proc/{}/stat", gateway.child.id());
-    while !std::fs::read_to_string(&state).unwrap().contains(" T ") {
-        std::thread::yield_now();
-    }
+    stop(&gateway);
     client.send(&rpc("verify", 2000));
     std::thread::sleep(std::time::Duration::from_millis(700)); // the time that passes is what is tested
     gateway.signal("-CONT");
