Customers that would stand the same if new are forgotten, each time their number has doubled

Checked: no other state grows (descriptors 160 to 170, timers bounded by deadlines, servers' numbers follow the list); brain.rs kept every customer ever seen. Change: one is forgotten whose store, split and ceiling part are full, with nothing open, queued, claimed or to be told, and untouched for the brake's span and two windows. Wakes and late counts of a forgotten one are passed over.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,6 +1,5 @@
-//! Every decision of the gateway. A host (its interface stands in `host.rs`) makes one `Brain` for each life
-//! of a gateway and calls it with what happens: `listed`, `rpc`, `ended`, `client_left`, `counted`, `woke`.
-//! Each call answers through the `Host` it is given. Start reading at `advance`, the path of an RPC.
+//! Every decision of the gateway. A host makes one `Brain` for each life and tells it what happens; each call
+//! answers through the `Host` it is given. Start reading at `advance`, the path of an RPC.
 
 use crate::host::{Arrival, End, Ended, Host, Listed, Nanos, Settings};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -18,12 +17,10 @@
 /// How much of its soft deadline an RPC may be expected to take in the servers when it is sent.
 const PATIENT_SHARE: f64 = 0.3;
 const URGENT_SHARE: f64 = 0.45;
-/// How soon an RPC held for want of a server, or by the brake, is looked at again.
-const RECHECK: Nanos = 25 * MS;
+const RECHECK: Nanos = 25 * MS; // until an RPC held for want of a server, or by the brake, is looked at again
 const COUNT: u64 = u64::MAX;
-/// Ends of count calls kept; misses that make it silent.
-const COUNTS_KEPT: usize = 8;
-const SILENT_AFTER: usize = 3;
+const COUNTS_KEPT: usize = 8; // ends of count calls
+const SILENT_AFTER: usize = 3; // of them, the last without an answer
 
 /// Where an RPC stands: `Held` waits for room, a server or the brake, `Claiming` for the counter's word.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -44,22 +41,18 @@
     units: f64,
     urgency: f64,
     patient: bool,
-    /// By when an answer is wanted, and never later than the client's deadline.
-    soft_deadline: Nanos,
+    soft_deadline: Nanos, // by when an answer is wanted, and never later than the client's deadline
     soft: Nanos,
-    /// Its units are taken from the store; a further call-out takes none.
-    drawn: bool,
-    claim: u64, // the count call that carries it
+    drawn: bool, // its units are taken from the store; a further call-out takes none
+    claim: u64,  // the count call that carries it
     tries: u64,
-    /// The first call-out that may have run: when it was sent and where to.
-    ran: Option<(Nanos, u16, u16)>,
+    ran: Option<(Nanos, u16, u16)>, // the first call-out that may have run: when sent, and where to
 }
 
 #[derive(Default)]
 struct Customer {
     width: f64,
-    /// The plan's quota, this gateway's part of the ceiling and of the call-outs open at once (0 is no cap).
-    rate: f64,
+    rate: f64, // the plan's; its ceiling and call-outs open at once (0 is no cap) are this gateway's part
     burst: f64,
     ceiling_rate: f64,
     ceiling_burst: f64,
@@ -75,19 +68,16 @@
     read_at: Nanos,
     short_at: Nanos,
     open: u64,
-    /// Ids of held and claiming RPCs, most urgent first, then as they came.
-    queue: Vec<u32>,
+    queue: Vec<u32>, // ids of held and claiming RPCs, most urgent first, then as they came
     wake_at: Nanos,
-    /// Units not yet added to the count.
-    pending: f64,
+    pending: f64, // units not yet added to the count
     /// The last two windows of the count: which, own adds that counted (or may have), and others'.
     ledgers: VecDeque<(u64, f64, f64)>,
     /// Count calls without answer: window, amount, serial. Answers for a name come in the order of calls.
     calls: VecDeque<(u64, f64, u64)>,
     serial: u64,
     counted_at: Nanos,
-    /// Urgent outcomes: when, and whether it was pushed back for lack of quota.
-    urgent: VecDeque<(Nanos, bool)>,
+    urgent: VecDeque<(Nanos, bool)>, // outcomes: when, and whether pushed back for lack of quota
 }
 
 impl Customer {
@@ -114,12 +104,9 @@
 #[derive(Default)]
 struct Server {
     listed: Listed,
-    /// Call-outs open, oldest first: RPC, number, and when sent.
-    open: VecDeque<(u32, u16, Nanos)>,
-    /// Last ends: when, after how long, and whether ok.
-    ends: VecDeque<(Nanos, Nanos, bool)>,
-    /// While cold: since when the next call-out waits, and for what part of the gap.
-    cold: (Nanos, f64),
+    open: VecDeque<(u32, u16, Nanos)>, // oldest first: RPC, number, and when sent
+    ends: VecDeque<(Nanos, Nanos, bool)>, // the last: when, after how long, and whether ok
+    cold: (Nanos, f64), // while cold: since when the next call-out waits, and for what part of the gap
 }
 
 impl Server {
@@ -145,18 +132,16 @@
     /// When this life began: its part of a ceiling is empty then, since an earlier life may have spent it.
     born: Option<Nanos>,
     servers: BTreeMap<u32, Server>,
-    /// Ids of servers that new work may go to, in any order.
-    ready: Vec<u32>,
+    ready: Vec<u32>, // ids of servers that new work may go to, in any order
     customers: HashMap<u64, Customer>,
+    customers_most: usize, // before those are forgotten that can be
     rpcs: HashMap<u32, Rpc>,
     /// Call-outs open: server, customer, when sent, and the soft deadline of an urgent one.
     open: BTreeMap<(u32, u16), (u32, u64, Nanos, Nanos)>,
     wakes: HashMap<u32, u64>, // for which customer, or what else
     next_wake: u32,
-    /// Ends of all that may have run, cut off ones too: when, after how long, and whether ok; and urgent
-    /// ones: when, and latency over soft deadline.
-    ends: VecDeque<(Nanos, Nanos, bool)>,
-    urgent: VecDeque<(Nanos, f64)>,
+    ends: VecDeque<(Nanos, Nanos, bool)>, // of all that may have run: when, after how long, and whether ok
+    urgent: VecDeque<(Nanos, f64)>,       // ends of urgent ones: when, and latency over soft deadline
     /// Worked out once an instant: the wait that one more has, the latency part of the brake, and `typical`.
     wait: (Nanos, f64),
     brake: (Nanos, bool),
@@ -230,9 +215,7 @@
     /// Discovery's list, whole or only what changed. A server off the whole list is gone.
     pub fn listed(&mut self, now: Nanos, whole: bool, list: &[Listed]) {
         self.born.get_or_insert(now);
-        if whole {
-            self.servers.values_mut().for_each(|server| server.listed.ready = false);
-        }
+        self.servers.values_mut().filter(|_| whole).for_each(|server| server.listed.ready = false);
         for listed in list {
             let server = self.servers.entry(listed.server).or_default();
             if server.listed.came_up != listed.came_up {
@@ -268,6 +251,9 @@
             wake_at: Nanos::MAX,
             ..Customer::default()
         };
+        if self.customers.len() > self.customers_most {
+            self.forget(now);
+        }
         self.customers.entry(arrival.customer).or_insert(made);
         let methods = self.setting("classes.count", 1.0) as u16;
         let most_urgent = (0..methods).map(|method| self.urgency(method)).fold(0.0, f64::max);
@@ -288,6 +274,25 @@
         self.release(host, now, arrival.customer);
     }
 
+    /// Forgets customers that would stand the same if they were new; called when their number has doubled.
+    fn forget(&mut self, now: Nanos) {
+        let (counts, to_count) = (self.is_true("extra.hasCounter"), &self.to_count);
+        self.customers.retain(|key, at| {
+            let passed = now.saturating_sub(at.at);
+            let least = at.level.min(at.split * at.width) + secs(passed) * at.rate;
+            let ceiling = at.ceiling + secs(passed) * at.ceiling_rate;
+            let full = least >= at.burst && (ceiling >= at.ceiling_burst || at.ceiling_rate == 0.0);
+            let rests = at.open == 0 && at.queue.is_empty() && at.calls.is_empty() && !to_count.contains(key);
+            let told = at.pending == 0.0 || !counts;
+            !(full && rests && told && passed > BRAKE_SPAN + 2 * at.window)
+        });
+        self.customers_most = 2 * self.customers.len().max(32);
+    }
+
+    pub fn customers_known(&self) -> usize {
+        self.customers.len()
+    }
+
     pub fn client_left(&mut self, id: u32) {
         self.shift(id, State::Ended);
     }
@@ -295,7 +300,7 @@
     pub fn woke(&mut self, host: &mut dyn Host, now: Nanos, token: u32) {
         match self.wakes.remove(&token) {
             Some(COUNT) => self.count_next(host, now),
-            Some(key) if key != COUNT && self.customer(now, key).wake_at <= now => {
+            Some(key) if self.customers.get(&key).is_some_and(|customer| customer.wake_at <= now) => {
                 self.customer(now, key).wake_at = Nanos::MAX;
                 self.release(host, now, key);
                 self.share_count(host, now, key);
@@ -326,8 +331,7 @@
         }
     }
 
-    /// Takes a held RPC as far as it can go now and says when to look again; `ahead` are the units of the
-    /// more urgent ones of its customer that wait too.
+    /// Takes a held RPC as far as it can go now and says when to look again; `ahead` units go first.
     fn advance(&mut self, host: &mut dyn Host, now: Nanos, id: u32, ahead: &mut f64) -> Nanos {
         let Some(rpc) = self.rpcs.get(&id) else { return Nanos::MAX };
         let Rpc { customer: key, units, soft, patient, drawn, .. } = *rpc;
@@ -344,9 +348,8 @@
                 *ahead += units;
                 if room_at > latest {
                     // With this gateway's part of a ceiling spent, another of the set may have room now.
-                    let customer = &self.customers[&key];
-                    let part =
-                        customer.ceiling_rate > 0.0 && customer.ceiling < units && customer.width > 1.0;
+                    let own = &self.customers[&key];
+                    let part = own.ceiling_rate > 0.0 && own.ceiling < units && own.width > 1.0;
                     return self.finish(host, now, id, if part { RECHECK } else { room_at - now });
                 }
                 return room_at;
@@ -411,9 +414,7 @@
         (self.wait.0, self.brake.0, self.typical.0) = (0, 0, 0);
         if let Some(rpc) = self.rpcs.get_mut(&ended.rpc) {
             let (urgent, units, soft) = (!rpc.patient, rpc.units, secs(rpc.soft));
-            if !never_ran && rpc.ran.is_none() {
-                rpc.ran = Some((sent, place.0, place.1));
-            }
+            rpc.ran = rpc.ran.or((!never_ran).then_some((sent, place.0, place.1)));
             if urgent && matches!(ended.how, End::Ok | End::TimedOut) {
                 keep(&mut self.urgent, (now, secs(ended.took) / soft.max(1e-3)), 2 * KEPT);
             }
@@ -679,8 +680,9 @@
         self.counter_gap = if how == End::Ok { gap * 19 / 20 } else { wider };
         let same = |call: &(u64, f64, u64)| call.0 & 0x7fff_ffff == name & 0x7fff_ffff;
         let place = self.customers.get(&key).and_then(|customer| customer.calls.iter().position(same));
+        let Some(place) = place else { return };
         let customer = self.customer(now, key);
-        let Some((window, add, serial)) = place.and_then(|at| customer.calls.remove(at)) else { return };
+        let Some((window, add, serial)) = customer.calls.remove(place) else { return };
         let ledger = customer.ledgers.iter_mut().find(|ledger| ledger.0 == window);
         match (how, ledger) {
             (End::Ok, Some((_, own, others))) if total.is_finite() => {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -349,6 +349,37 @@
     assert_eq!(s.sent(after), 1, "long before the urgent one's end is forgotten");
 }
 
+#[test]
+fn customers_that_would_stand_the_same_if_they_were_new_are_forgotten() {
+    let mut s = story("").with_servers(9);
+    // One that owes units and one with an RPC open are kept; they come first, so that they are the oldest.
+    let open = s.rpc_of(1, 2, 0.1, 200 * SEC);
+    assert_eq!(s.sent(open), 1);
+    for round in 0..20 {
+        (0..200).for_each(|one| {
+            let rpc = s.rpc_of(1000 + 200 * round + one, 2, 0.1, 4 * SEC);
+            s.pass(10 * MS);
+            if s.sent(rpc) > 0 {
+                s.end(rpc, End::Ok);
+            }
+        });
+        s.pass(4 * SEC);
+        let fresh = s.rpc_of(50_000 + round, 2, 0.1, 4 * SEC);
+        assert_eq!(s.sent(fresh), 1, "whoever is new is not taken for one that came long ago");
+        s.end(fresh, End::Ok);
+        assert!(s.brain.customers_known() < 2400, "{round}: {}", s.brain.customers_known());
+    }
+    s.end(open, End::Ok);
+    // A full store is spent; who comes again finds it so, however many came between.
+    let spent = s.rpc_of(2, 2, 5.0, SEC);
+    s.end(spent, End::Ok);
+    for other in 0..5000 {
+        s.rpc_of(100_000 + other, 2, 0.1, MS);
+    }
+    let again = s.rpc_of(2, 2, 5.0, SEC);
+    assert_eq!((s.sent(spent), s.sent(again)), (1, 0));
+}
+
 #[test]
 fn a_server_that_missed_rests() {
     let mut s = story("").with_servers(3);
