Twice the last ends bound the wait that the rate tells

At fault: brain.rs, crowded(): open over answered a second is the wait only where the servers answer as much as they can; at half load it tells twice the truth, so ten open in a burst passed for a queue of 0.15 s. Change: where there are enough answers the figure is bounded by twice the median of the last ends. A story fails without it.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -495,7 +495,7 @@
 
     /// Whether one more would be late: open over answered a second; of few answers the last ones tell more.
     /// Guards against overload of any cause, patient RPCs giving way first; hanging servers are left out, or
-    /// they would stop all. Harm: after a lull the rate looks low.
+    /// they would stop all. A rate below what servers can do says too much, so twice the last ends bound it.
     fn crowded(&mut self, now: Nanos, soft: Nanos, patient: bool) -> bool {
         if self.wait.0 != now {
             let typical = self.typical(now);
@@ -509,7 +509,7 @@
             let by_last = if open.is_empty() { 0.0 } else { secs(median(took)) };
             let spare = if count < KEPT { 3.0 } else { 0.0 }; // of few answers the rate says little
             let by_rate = if count > 0 { (open.len() as f64 + 1.0 - spare) / rate } else { 0.0 };
-            self.wait = (now, if count < KEPT { by_last.max(by_rate) } else { by_rate });
+            self.wait = (now, if count < KEPT { by_last.max(by_rate) } else { by_rate.min(2.0 * by_last) });
         }
         self.wait.1 > if patient { PATIENT_SHARE } else { URGENT_SHARE } * secs(soft)
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -406,6 +406,17 @@
     assert!(s.notes.out.len() >= 80 && silent <= 3, "{silent} of {}", s.notes.out.len());
 }
 
+#[test]
+fn a_burst_on_a_fleet_that_answers_quickly_is_not_taken_for_a_queue() {
+    let mut s = story("").with_servers(30);
+    s.answered(60, 2, 30 * MS); // 33 answers a second, since no more was asked
+    let before = s.notes.out.len();
+    for customer in 0..25 {
+        s.rpc_of(7000 + customer, 2, 0.1, 4 * SEC);
+    }
+    assert_eq!(s.notes.out.len() - before, 25);
+}
+
 #[test]
 fn what_others_added_late_in_a_window_is_read_in_the_next() {
     let mut s = thin("");
