--- a/src/brain.rs
+++ b/src/brain.rs
@@ -219,8 +219,7 @@
         for listed in list {
             let server = self.servers.entry(listed.server).or_default();
             if server.listed.came_up != listed.came_up {
-                // A new life: what the old one showed says nothing, and it is cold.
-                server.ends.clear();
+                server.ends.clear(); // a new life: what the old one showed says nothing, and it is cold
                 server.cold = (now, self.chance.f64());
             }
             server.listed = listed.clone();
@@ -495,7 +494,7 @@
 
     /// Whether one more would be late: open over answered a second; of few answers the last ones tell more.
     /// Guards against overload of any cause, patient RPCs giving way first; hanging servers are left out, or
-    /// they would stop all. A rate below what servers can do says too much, so twice the last ends bound it.
+    /// they would stop all. A rate below what servers can do says too much: while calm the last ends bound it.
     fn crowded(&mut self, now: Nanos, soft: Nanos, patient: bool) -> bool {
         if self.wait.0 != now {
             let typical = self.typical(now);
@@ -509,7 +508,8 @@
             let by_last = if open.is_empty() { 0.0 } else { secs(median(took)) };
             let spare = if count < KEPT { 3.0 } else { 0.0 }; // of few answers the rate says little
             let by_rate = if count > 0 { (open.len() as f64 + 1.0 - spare) / rate } else { 0.0 };
-            self.wait = (now, if count < KEPT { by_last.max(by_rate) } else { by_rate.min(2.0 * by_last) });
+            let bound = if self.brake.1 { by_rate } else { 2.0 * by_last };
+            self.wait = (now, if count < KEPT { by_last.max(by_rate) } else { by_rate.min(bound) });
         }
         self.wait.1 > if patient { PATIENT_SHARE } else { URGENT_SHARE } * secs(soft)
     }
