--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -417,6 +417,24 @@
     assert_eq!(s.notes.out.len() - before, 25);
 }
 
+#[test]
+fn while_urgent_rpcs_are_late_a_burst_is_judged_by_the_rate_alone() {
+    let mut s = story("").with_servers(30);
+    // Late ones first, so that the brake is on; then quick ones, 50 a second.
+    for late in 0..30 {
+        let rpc = s.rpc_of(900 + late, 2, 0.1, 9 * SEC);
+        s.pass(1200 * MS);
+        s.end(rpc, End::Ok);
+    }
+    s.answered(60, 2, 20 * MS);
+    s.rpc_of(50, 0, 0.1, 4 * SEC);
+    let before = s.notes.out.len();
+    for customer in 0..60 {
+        s.rpc_of(7000 + customer, 2, 0.1, 4 * SEC);
+    }
+    assert!(s.notes.out.len() - before < 60);
+}
+
 #[test]
 fn what_others_added_late_in_a_window_is_read_in_the_next() {
     let mut s = thin("");
