--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -71,7 +71,7 @@
                 path, "policy", "arrived", "service", "lost", "over5%", "wall ms", "events/s"
             );
             let points = crate::sweep::sweep(&text, path, &values, &kinds, |point| {
-                let summary = &point.summary;
+                let summary = point;
                 println!(
                     "{:>10} {:>7} {:>10} {:>8.3} {:>8} {:>8} {:>10} {:>12}",
                     point.value,
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -31,9 +31,13 @@
     pub live: u64,
 }
 
-/// One run in one line. Every field comes from the emulated clock: the same scenario and seed give the same line.
+/// One run in one line. Every field but the last two comes from the emulated clock: the same scenario and seed
+/// give the same line. In a sweep, `parameter` and `value` say what was set, and `wall_ms` and `events_per_s` what
+/// the run took on this machine; a single run leaves them empty and nought.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Summary {
+    pub parameter: String,
+    pub value: String,
     pub scenario: String,
     pub policy: String,
     pub seed: u64,
@@ -58,6 +62,8 @@
     pub beyond_share: f64,
     pub events: u64,
     pub live_most: u64,
+    pub wall_ms: u64,
+    pub events_per_s: u64,
 }
 
 fn round(value: f64) -> f64 {
@@ -70,6 +76,8 @@
             record.total;
         let quantile = |q| round(Record::quantile_ms(&record.latency, q));
         Summary {
+            parameter: String::new(),
+            value: String::new(),
             scenario: scenario.name.clone(),
             policy: kind.name().to_string(),
             seed: scenario.seed,
@@ -94,6 +102,8 @@
             beyond_share: round(record.overshoot.beyond),
             events: record.events,
             live_most: record.live_most,
+            wall_ms: 0,
+            events_per_s: 0,
         }
     }
 }
--- a/crates/lab/src/sweep.rs
+++ b/crates/lab/src/sweep.rs
@@ -3,20 +3,11 @@
 use crate::gates::Kind;
 use crate::report::{self, Summary};
 use crate::scenario::Scenario;
-use serde::{Deserialize, Serialize};
 use std::path::{Path, PathBuf};
 use std::time::Instant;
 
-/// One point of a sweep. `wall_ms` and `events_per_s` are the only fields that depend on the machine.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
-pub struct Point {
-    pub parameter: String,
-    pub value: String,
-    #[serde(flatten)]
-    pub summary: Summary,
-    pub wall_ms: u64,
-    pub events_per_s: u64,
-}
+/// One point of a sweep: a summary with its parameter, value and wall time filled in.
+pub type Point = Summary;
 
 /// Plays `text` with `path` set to each of `values`, for each policy in `kinds`.
 pub fn sweep(
@@ -34,15 +25,10 @@
             let started = Instant::now();
             let record = crate::world::play(&scenario, kind, None);
             let wall = started.elapsed();
-            let summary = Summary::of(&scenario, kind, &record);
-            let per_second = (summary.events as f64 / wall.as_secs_f64().max(1e-9)) as u64;
-            let point = Point {
-                parameter: path.to_string(),
-                value: value.clone(),
-                summary,
-                wall_ms: wall.as_millis() as u64,
-                events_per_s: per_second,
-            };
+            let mut point = Summary::of(&scenario, kind, &record);
+            point.events_per_s = (point.events as f64 / wall.as_secs_f64().max(1e-9)) as u64;
+            (point.parameter, point.value) = (path.to_string(), value.clone());
+            point.wall_ms = wall.as_millis() as u64;
             told(&point);
             points.push(point);
         }
@@ -59,7 +45,7 @@
         let mut lines: Vec<(String, Vec<(f64, f64)>)> = Vec::new();
         for point in &points {
             let Ok(x) = point.value.parse::<f64>() else { continue };
-            let name = &point.summary.policy;
+            let name = &point.policy;
             match lines.iter_mut().find(|line| &line.0 == name) {
                 Some(line) => line.1.push((x, pick(point))),
                 None => lines.push((name.clone(), vec![(x, pick(point))])),
@@ -69,8 +55,8 @@
     };
     type Pick<'a> = &'a dyn Fn(&Point) -> f64;
     let charts: [(&str, &str, &str, Pick); 3] = [
-        ("sweep-service.svg", "utility served over utility asked", "share", &|point| point.summary.service),
-        ("sweep-events.svg", "emulated events", "events", &|point| point.summary.events as f64),
+        ("sweep-service.svg", "utility served over utility asked", "share", &|point| point.service),
+        ("sweep-events.svg", "emulated events", "events", &|point| point.events as f64),
         ("sweep-speed.svg", "emulated events per second of wall time", "events/s", &|point| {
             point.events_per_s as f64
         }),
--- a/crates/lab/tests/stories.rs
+++ b/crates/lab/tests/stories.rs
@@ -204,3 +204,22 @@
     assert_eq!(counter.add(1, 1, 1, 1.0, lab::SEC), Some(11.0));
     assert_eq!(counter.add(1, 2, 1, 1.0, lab::SEC), Some(11.0), "the other half does not see that add");
 }
+
+#[test]
+fn a_sweep_and_a_run_are_kept_as_tables_and_drawn_from_them() {
+    let dir = std::env::temp_dir().join(format!("martenramp-lab-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&dir);
+    let text = EXAMPLE.replace("seconds = 20.0", "seconds = 5.0");
+    let scenario = Scenario::from_toml(&text).unwrap();
+    lab::cli::run(&scenario, &Kind::ALL, &dir).unwrap();
+    let drawn = report::chart_runs(&dir).unwrap();
+    assert_eq!(drawn.len(), 3);
+    assert!(std::fs::read_to_string(&drawn[0]).unwrap().starts_with("<svg"));
+    let values = ["2".to_string(), "4".to_string()];
+    let points = lab::sweep::sweep(&text, "servers.count", &values, &[Kind::Design], |_| {}).unwrap();
+    report::write_csv(&dir.join("sweep.csv"), &points).unwrap();
+    assert_eq!(lab::sweep::chart(&dir).unwrap().len(), 3);
+    let kept: Vec<report::Summary> = report::read_csv(&dir.join("sweep.csv")).unwrap();
+    assert_eq!((kept.len(), kept[1].servers, kept[1].value.as_str()), (2, 4, "4"));
+    std::fs::remove_dir_all(&dir).unwrap();
+}
