--- /dev/null
+++ b/crates/membership/src/etcd.rs
@@ -0,0 +1,210 @@
+//! etcd v3's JSON gateway, as its public API documentation describes it: `POST /v3/kv/range` and `POST /v3/watch`
+//! with JSON bodies, byte fields in base64, 64-bit numbers as strings. Nothing here knows a socket.
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+/// The end of a prefix's range: the prefix with its last byte raised by one, as etcd's clients compute it.
+pub fn prefix_end(prefix: &[u8]) -> Vec<u8> {
+    let mut end = prefix.to_vec();
+    while let Some(last) = end.pop() {
+        if last < 0xff {
+            end.push(last + 1);
+            return end;
+        }
+    }
+    vec![0] // all keys
+}
+
+/// The body of a range request for every key under `prefix`.
+pub fn range_body(prefix: &[u8]) -> String {
+    json!({"key": STANDARD.encode(prefix), "range_end": STANDARD.encode(prefix_end(prefix))}).to_string()
+}
+
+/// The body of a watch create request from `revision` on, with progress notifications.
+pub fn watch_body(prefix: &[u8], revision: i64) -> String {
+    let create = json!({"key": STANDARD.encode(prefix), "range_end": STANDARD.encode(prefix_end(prefix)),
+        "start_revision": revision.to_string(), "progress_notify": true});
+    json!({"create_request": create}).to_string()
+}
+
+/// A key and its value, decoded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    pub key: Vec<u8>,
+    pub value: Vec<u8>,
+    pub mod_revision: i64,
+}
+
+/// A change seen by a watch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    Put(Entry),
+    Delete(Vec<u8>),
+}
+
+/// What a reply says, decoded; an error names what was wrong.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// A range's whole answer at `revision`.
+    Range { revision: i64, entries: Vec<Entry> },
+    /// One message of a watch stream: changes up to `revision` (none for a progress notification).
+    Watched { revision: i64, changes: Vec<Change> },
+    /// The watch was created.
+    Created { revision: i64 },
+    /// The watch was cancelled; `compacted` is the compaction's revision where that was the cause.
+    Cancelled { compacted: Option<i64> },
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Header {
+    revision: Option<Value>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Kv {
+    key: String,
+    value: String,
+    mod_revision: Option<Value>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Event {
+    #[serde(rename = "type")]
+    kind: String,
+    kv: Kv,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Body {
+    header: Header,
+    kvs: Vec<Kv>,
+    events: Vec<Event>,
+    created: bool,
+    canceled: bool,
+    compact_revision: Option<Value>,
+}
+
+/// 64-bit numbers come as strings in the JSON mapping; plain numbers are taken too.
+fn number(value: &Option<Value>) -> Option<i64> {
+    match value.as_ref()? {
+        Value::String(text) => text.parse().ok(),
+        Value::Number(number) => number.as_i64(),
+        _ => None,
+    }
+}
+
+fn bytes(text: &str) -> Result<Vec<u8>, String> {
+    STANDARD.decode(text).map_err(|e| format!("not base64: {e}"))
+}
+
+fn entry(kv: &Kv) -> Result<Entry, String> {
+    Ok(Entry {
+        key: bytes(&kv.key)?,
+        value: bytes(&kv.value)?,
+        mod_revision: number(&kv.mod_revision).unwrap_or(0),
+    })
+}
+
+/// Reads one range reply.
+pub fn range_reply(body: &[u8]) -> Result<Reply, String> {
+    let body: Body = serde_json::from_slice(body).map_err(|e| format!("range reply: {e}"))?;
+    let revision = number(&body.header.revision).ok_or("range reply without a revision")?;
+    let entries = body.kvs.iter().map(entry).collect::<Result<_, _>>()?;
+    Ok(Reply::Range { revision, entries })
+}
+
+/// Reads one message of a watch stream, `{"result": {...}}` or `{"error": {...}}`.
+pub fn watch_message(message: &Value) -> Result<Reply, String> {
+    if let Some(error) = message.get("error") {
+        return Err(format!("watch error: {error}"));
+    }
+    let result = message.get("result").ok_or("watch message without a result")?;
+    let body: Body = serde_json::from_value(result.clone()).map_err(|e| format!("watch message: {e}"))?;
+    if body.canceled {
+        return Ok(Reply::Cancelled {
+            compacted: number(&body.compact_revision).filter(|revision| *revision > 0),
+        });
+    }
+    let revision = number(&body.header.revision).ok_or("watch message without a revision")?;
+    if body.created {
+        return Ok(Reply::Created { revision });
+    }
+    let change = |event: &Event| -> Result<Change, String> {
+        match event.kind.as_str() {
+            "DELETE" => Ok(Change::Delete(bytes(&event.kv.key)?)),
+            "PUT" | "" => Ok(Change::Put(entry(&event.kv)?)),
+            other => Err(format!("watch event of unknown type {other:?}")),
+        }
+    };
+    let changes = body.events.iter().map(change).collect::<Result<_, _>>()?;
+    Ok(Reply::Watched { revision, changes })
+}
+
+/// Splits a watch stream's bytes into whole JSON messages; what is not whole yet stays in the buffer.
+#[derive(Default)]
+pub struct Stream {
+    buffer: Vec<u8>,
+}
+
+/// A watch stream's message may be no larger: a bound on what one peer can make the gateway hold.
+pub const MESSAGE_MOST: usize = 4 << 20;
+
+impl Stream {
+    /// Takes bytes; gives the messages now whole, or an error if the stream can't be read on.
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<Value>, String> {
+        self.buffer.extend_from_slice(bytes);
+        let mut messages = Vec::new();
+        let mut reader = serde_json::Deserializer::from_slice(&self.buffer).into_iter::<Value>();
+        let used = loop {
+            match reader.next() {
+                Some(Ok(message)) => messages.push(message),
+                Some(Err(e)) if e.is_eof() => break reader.byte_offset(),
+                Some(Err(e)) => return Err(format!("watch stream: {e}")),
+                None => break reader.byte_offset(),
+            }
+        };
+        self.buffer.drain(..used);
+        if self.buffer.len() > MESSAGE_MOST {
+            return Err(format!("watch stream: a message over {MESSAGE_MOST} bytes"));
+        }
+        Ok(messages)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn bodies_and_replies_in_the_json_mapping() {
+        assert_eq!(prefix_end(b"/nodes/"), b"/nodes0");
+        assert_eq!(prefix_end(&[0x61, 0xff]), [0x62]);
+        assert!(watch_body(b"/n/", 8).contains("\"start_revision\":\"8\""));
+        let reply =
+            br#"{"header":{"revision":"12"},"kvs":[{"key":"L24vYQ==","value":"e30=","mod_revision":"9"}]}"#;
+        let entry = Entry { key: b"/n/a".to_vec(), value: b"{}".to_vec(), mod_revision: 9 };
+        assert_eq!(range_reply(reply).unwrap(), Reply::Range { revision: 12, entries: vec![entry] });
+        let mut stream = Stream::default();
+        let text =
+            br#"{"result":{"header":{"revision":"13"},"events":[{"type":"DELETE","kv":{"key":"L24vYQ=="}}]}}
+{"result":{"header":{"revision":"14"},"canceled":true,"compact_revision":"13"}}{"resu"#;
+        let messages = stream.feed(text).unwrap();
+        assert_eq!(messages.len(), 2);
+        let deleted = Reply::Watched { revision: 13, changes: vec![Change::Delete(b"/n/a".to_vec())] };
+        assert_eq!(watch_message(&messages[0]).unwrap(), deleted);
+        assert_eq!(watch_message(&messages[1]).unwrap(), Reply::Cancelled { compacted: Some(13) });
+        assert_eq!(
+            stream.feed(br#"lt":{"header":{"revision":"15"}}}"#).unwrap().len(),
+            1,
+            "the rest came later"
+        );
+        assert!(stream.feed(b"}garbage").is_err());
+    }
+}
--- /dev/null
+++ b/crates/membership/src/nodes.rs
@@ -0,0 +1,180 @@
+//! The one set of servers the module sees, merged from every source that lists nodes. A node is ready only while
+//! every source that lists it says ready: a drain or a removal in any source stops new work to it. A source that
+//! falls silent keeps its last list; the module never loses servers because a source is quiet.
+
+use crate::Nanos;
+use martenramp::host::Listed;
+use serde::Deserialize;
+use std::collections::BTreeMap;
+
+/// Where a node list comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Source {
+    Discovery,
+    Etcd,
+}
+
+/// How a source lists a node.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Node {
+    pub zone: String,
+    pub ready: bool,
+    pub weight: f64,
+    /// Clock time of its last start; 0 for long ago.
+    pub came_up: Nanos,
+}
+
+/// A node's value in etcd: `{"address": ..., "zone": ..., "state": "ready" | "draining", "weight": ..., "since_ms": ...}`.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Value {
+    address: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default = "ready")]
+    state: String,
+    #[serde(default = "one")]
+    weight: f64,
+    #[serde(default)]
+    since_ms: u64,
+}
+
+fn ready() -> String {
+    "ready".to_string()
+}
+fn one() -> f64 {
+    1.0
+}
+
+/// Reads a node's value; the error says what is wrong with it.
+pub fn parse(value: &[u8]) -> Result<(String, Node), String> {
+    let value: Value = serde_json::from_slice(value).map_err(|e| format!("node value: {e}"))?;
+    let ready = match value.state.as_str() {
+        "ready" => true,
+        "draining" => false,
+        other => return Err(format!("node value: state {other:?} is neither ready nor draining")),
+    };
+    if value.address.parse::<std::net::SocketAddr>().is_err() {
+        return Err(format!("node value: {:?} is no address", value.address));
+    }
+    let node = Node {
+        zone: value.zone,
+        ready,
+        weight: value.weight,
+        came_up: value.since_ms.saturating_mul(1_000_000),
+    };
+    Ok((value.address, node))
+}
+
+#[derive(Default)]
+struct Held {
+    nodes: BTreeMap<String, Node>,
+    /// When the source last said anything; none if it never did.
+    heard: Option<Nanos>,
+}
+
+/// The merged set. Addresses keep their numbers for as long as the set lives.
+#[derive(Default)]
+pub struct Members {
+    sources: BTreeMap<Source, Held>,
+    numbers: BTreeMap<String, u32>,
+    zones: BTreeMap<String, u16>,
+}
+
+impl Members {
+    /// A source's whole list, replacing what it said before.
+    pub fn replace(&mut self, now: Nanos, source: Source, nodes: BTreeMap<String, Node>) {
+        let held = self.sources.entry(source).or_default();
+        (held.nodes, held.heard) = (nodes, Some(now));
+    }
+
+    /// One node as a source now lists it; `None` removes it from that source.
+    pub fn change(&mut self, now: Nanos, source: Source, address: &str, node: Option<Node>) {
+        let held = self.sources.entry(source).or_default();
+        held.heard = Some(now);
+        match node {
+            Some(node) => drop(held.nodes.insert(address.to_string(), node)),
+            None => drop(held.nodes.remove(address)),
+        }
+    }
+
+    /// The source said something, if only that it lives (a progress notification).
+    pub fn heard(&mut self, now: Nanos, source: Source) {
+        self.sources.entry(source).or_default().heard = Some(now);
+    }
+
+    /// How long since a source last spoke; none if it never did.
+    pub fn silent_for(&self, now: Nanos, source: Source) -> Option<Nanos> {
+        Some(now.saturating_sub(self.sources.get(&source)?.heard?))
+    }
+
+    /// The number a server has for the module.
+    pub fn number(&mut self, address: &str) -> u32 {
+        let next = self.numbers.len() as u32;
+        *self.numbers.entry(address.to_string()).or_insert(next)
+    }
+
+    pub fn address(&self, number: u32) -> Option<&str> {
+        self.numbers.iter().find(|(_, at)| **at == number).map(|(address, _)| address.as_str())
+    }
+
+    /// The set as the module gets it, in order of address: ready only where every source that lists a node says so;
+    /// a node that no source lists any more is gone.
+    pub fn view(&mut self) -> Vec<Listed> {
+        let mut merged: BTreeMap<String, Node> = BTreeMap::new();
+        for held in self.sources.values() {
+            for (address, node) in &held.nodes {
+                let kept = merged.entry(address.clone()).or_insert_with(|| node.clone());
+                kept.ready &= node.ready;
+                kept.came_up = kept.came_up.max(node.came_up);
+            }
+        }
+        let mut list = Vec::with_capacity(merged.len());
+        for (address, node) in merged {
+            let server = self.number(&address);
+            let zones = self.zones.len() as u16;
+            let zone = *self.zones.entry(node.zone.clone()).or_insert(zones);
+            list.push(Listed {
+                server,
+                zone,
+                ready: node.ready,
+                weight: node.weight,
+                came_up: node.came_up,
+                ..Listed::default()
+            });
+        }
+        list
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn node(ready: bool) -> Node {
+        Node { zone: "a".into(), ready, weight: 1.0, came_up: 0 }
+    }
+
+    #[test]
+    fn a_drain_in_any_source_stops_new_work_and_silence_keeps_the_list() {
+        let mut members = Members::default();
+        let both = BTreeMap::from([
+            ("127.0.0.1:1".to_string(), node(true)),
+            ("127.0.0.1:2".to_string(), node(true)),
+        ]);
+        members.replace(0, Source::Discovery, both.clone());
+        members.replace(0, Source::Etcd, both);
+        members.change(5, Source::Etcd, "127.0.0.1:2", Some(node(false)));
+        let view = members.view();
+        assert_eq!(view.iter().map(|listed| listed.ready).collect::<Vec<_>>(), [true, false]);
+        members.change(6, Source::Etcd, "127.0.0.1:1", None);
+        assert!(members.view()[0].ready, "still listed ready by discovery");
+        assert_eq!(members.silent_for(100, Source::Etcd), Some(94));
+        assert_eq!(members.view().len(), 2, "a silent source keeps what it said");
+        assert_eq!(members.number("127.0.0.1:2"), 1, "numbers hold");
+        assert!(parse(br#"{"address":"127.0.0.1:9","state":"gone"}"#).unwrap_err().contains("neither"));
+        assert!(parse(br#"{"address":"nowhere"}"#).is_err());
+        let (address, parsed) = parse(br#"{"address":"127.0.0.1:9","zone":"b","state":"draining"}"#).unwrap();
+        assert_eq!((address.as_str(), parsed.ready, parsed.zone.as_str()), ("127.0.0.1:9", false, "b"));
+    }
+}
