--- a/crates/membership/src/etcd.rs
+++ b/crates/membership/src/etcd.rs
@@ -178,6 +178,62 @@
     }
 }
 
+/// HTTP/1.1's chunked transfer coding, as the JSON gateway sends a watch stream: fed bytes, gives the data.
+#[derive(Default)]
+pub struct Chunks {
+    head: Vec<u8>,
+    /// Bytes of data still due in the chunk being read, and whether its closing CRLF is.
+    due: usize,
+    closing: u8,
+    pub done: bool,
+}
+
+/// A chunk's size line may be no longer: a bound against a peer that never ends one.
+const SIZE_LINE_MOST: usize = 1024;
+
+impl Chunks {
+    /// Takes bytes; gives the data they carry, or an error for a coding that is broken.
+    pub fn feed(&mut self, mut bytes: &[u8]) -> Result<Vec<u8>, String> {
+        let mut data = Vec::new();
+        while !bytes.is_empty() && !self.done {
+            if self.due > 0 {
+                let take = self.due.min(bytes.len());
+                data.extend_from_slice(&bytes[..take]);
+                (self.due, bytes) = (self.due - take, &bytes[take..]);
+                continue;
+            }
+            if self.closing > 0 {
+                let expected = if self.closing == 2 { b'\r' } else { b'\n' };
+                if bytes[0] != expected {
+                    return Err("chunked stream: a chunk does not end in CRLF".into());
+                }
+                (self.closing, bytes) = (self.closing - 1, &bytes[1..]);
+                continue;
+            }
+            let Some(end) = bytes.iter().position(|byte| *byte == b'\n') else {
+                self.head.extend_from_slice(bytes);
+                if self.head.len() > SIZE_LINE_MOST {
+                    return Err("chunked stream: a size line without end".into());
+                }
+                break;
+            };
+            self.head.extend_from_slice(&bytes[..end]);
+            bytes = &bytes[end + 1..];
+            let line = String::from_utf8_lossy(&self.head).trim().to_string();
+            self.head.clear();
+            let size = line.split(';').next().unwrap_or_default();
+            let size =
+                usize::from_str_radix(size, 16).map_err(|_| format!("chunked stream: size {line:?}"))?;
+            if size == 0 {
+                self.done = true;
+            } else {
+                (self.due, self.closing) = (size, 2);
+            }
+        }
+        Ok(data)
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -206,5 +262,10 @@
             "the rest came later"
         );
         assert!(stream.feed(b"}garbage").is_err());
+        let mut chunks = Chunks::default();
+        let mut data = chunks.feed(b"5\r\nhel").unwrap();
+        data.extend(chunks.feed(b"lo\r\n3;x=1\r\n ok\r\n0\r\n\r\n").unwrap());
+        assert_eq!((data.as_slice(), chunks.done), (&b"hello ok"[..], true));
+        assert!(Chunks::default().feed(b"zz\r\n").is_err());
     }
 }
