--- a/crates/etcd-standin/src/lib.rs
+++ b/crates/etcd-standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! taken down and up (connections cut, new ones refused at once), its streams slowed, its store rolled back to an
 //! older revision as a restored member would be. Written from etcd's public API documentation; test use only.
 
+pub mod client;
 mod store;
 
 use base64::Engine;
