Lab: a baseline's share of a store is worked out once; the wishes buffer is handed back plainly

Read of the whole change: Baseline::take divided rate and burst by the width in one place and the rate again for the wait, a copy with a small variation; it now takes the share once (1 for the late baseline, the width for plain). World::carry cleared and handed back its buffer through a guard that could never fail, since nothing it carries out calls a gate; it now drains and returns it. Same arithmetic, same order of draws; all tests pass as before. Left as it is: the CSV rows (TimeRow, Summary) repeat the fields of Counts, because the csv writer takes no nested or flattened structs.

--- a/crates/lab/src/gates.rs
+++ b/crates/lab/src/gates.rs
@@ -196,13 +196,13 @@
 
     /// Takes `units` from the customer's store if there is room; else the time until there is.
     fn take(&mut self, now: Nanos, arrival: &Arrival) -> Result<(), Nanos> {
-        let rate = self.number(&format!("tariffs.{}.perSecond", arrival.plan), 0.0);
-        let burst = self.number(&format!("tariffs.{}.depth", arrival.plan), 0.0);
+        // The late one sees the whole store; a plain gateway keeps its even part of it.
+        let share = if self.kind == Kind::Late { 1.0 } else { f64::from(arrival.width.max(1)) };
+        let rate = self.number(&format!("tariffs.{}.perSecond", arrival.plan), 0.0) / share;
+        let burst = self.number(&format!("tariffs.{}.depth", arrival.plan), 0.0) / share;
         let room = match self.kind {
             Kind::Late => self.ledger.borrow_mut().room(now, self.gateway, arrival.customer, rate, burst),
             _ => {
-                let width = f64::from(arrival.width.max(1));
-                let (rate, burst) = (rate / width, burst / width);
                 let part = self.parts.entry(arrival.customer).or_insert(Part { level: burst, at: now });
                 part.level = (part.level + secs(now - part.at) * rate).min(burst);
                 part.at = now;
@@ -210,7 +210,6 @@
             }
         };
         if room < arrival.units {
-            let rate = if self.kind == Kind::Late { rate } else { rate / f64::from(arrival.width.max(1)) };
             let wait = if rate > 0.0 { (arrival.units - room) / rate } else { 1.0 };
             return Err(crate::nanos(wait.min(60.0)));
         }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -357,9 +357,10 @@
 
     /// Carries out what a gate wished during its last call, in order.
     fn carry(&mut self, now: Nanos, gateway: u32) {
-        let wishes = std::mem::take(&mut self.wishes.0);
-        for wish in &wishes {
-            match *wish {
+        // Nothing carried out here calls a gate, so the buffer can be taken and given back with its room.
+        let mut wishes = std::mem::take(&mut self.wishes.0);
+        for wish in wishes.drain(..) {
+            match wish {
                 Wish::CallOut { rpc, server, limit } => self.call_out(now, gateway, rpc, server, limit),
                 Wish::PushBack { rpc, come_back } => self.final_answer(now, rpc, true, come_back),
                 Wish::Abort { rpc } => self.final_answer(now, rpc, false, 0),
@@ -370,11 +371,7 @@
                 Wish::Count { name, add, forget } => self.count(now, gateway, name, add, forget),
             }
         }
-        let mut wishes = wishes;
-        wishes.clear();
-        if self.wishes.0.is_empty() {
-            self.wishes.0 = wishes;
-        }
+        self.wishes.0 = wishes;
     }
 
     fn call_out(&mut self, now: Nanos, gateway: u32, rpc: u32, server: u32, limit: Nanos) {
