A fleet that lost its watch at once asks for it again out of step

Seen in the logs of all 100 gateways: every one asked in the same millisecond (0.1, 0.2, 0.4, 0.8, then every 1 s) and either met a full line or waited 2 s for nothing, though the service takes about 20 calls a second. Ruled out: a lost list (known lists stood), a silent agent (refusals came in 2 ms), the fleet's total rate alone (the same number of calls out of step all get through). At fault: Watch::again in list.rs (no chance in it, at most 1 s whatever the fleet) and Gateway::start, which asked at once.

Rests are drawn from nought to 60 ms for each gateway of the fleet (1 to 6 s), half of that the first time; a gateway that starts with a list asks after such a rest. A line tells when the watch stands.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -103,6 +103,8 @@
     links: BTreeMap<usize, Link>,
     watch: Watch,
     watch_on: Option<usize>,
+    /// The watch that is on has been answered.
+    watching: bool,
     /// The watch at the address that an earlier configuration told, heeded until the one at the new speaks.
     old_watch: Option<(usize, Watch)>,
     /// Two sets: the one from `lines_from` on is used; the other's lines, where they stand, only end what they carry.
@@ -133,6 +135,10 @@
     zones: Vec<String>,
     kinds: Vec<String>,
     columns: Vec<String>,
+    /// How many gateways there are, as far as the settings tell.
+    fleet: u32,
+    /// For rests that must not be in step with other gateways'; the module has a source of its own.
+    chance: fastrand::Rng,
 }
 
 impl Gateway {
@@ -167,7 +173,10 @@
             servers: Servers::default(),
             links: BTreeMap::new(),
             watch: Watch::new(0, config.memory / LIST_MEMORY),
+            fleet: config.setting("balancers").map_or(1, |count| count as u32),
+            chance: fastrand::Rng::with_seed(config.seed.rotate_left(32)),
             watch_on: None,
+            watching: false,
             old_watch: None,
             lines: Default::default(),
             lines_on: Default::default(),
@@ -194,14 +203,19 @@
         &mut self.desk.net
     }
 
-    /// Begins with the list held from before; discovery and the counter may be down.
+    /// Begins with the list held from before; discovery and the counter may be down. With a list the watch is asked for
+    /// after a rest, since most of the fleet may start at this moment.
     pub fn start(&mut self, now: Nanos) {
         self.desk.net.now = now;
         let known = self.desk.config.known.take().and_then(|known| list::read(&known));
         if let Some(told) = known.filter(|told| !told.entries.is_empty()) {
             self.told(told);
         }
-        self.desk.dial_watch();
+        if self.desk.has_list {
+            self.desk.watch_later()
+        } else {
+            self.desk.dial_watch()
+        }
         self.desk.timers.set(now + SWEEP, What::Sweep);
         info!(self.desk.log, "started"; "listen" => %self.desk.config.listen, "version" => env!("CARGO_PKG_VERSION"), "servers" => self.desk.servers.by_number.len(),
             "clients_most" => self.desk.clients_most, "links_most" => self.desk.links_most);
--- a/crates/gateway/src/gateway/to_list.rs
+++ b/crates/gateway/src/gateway/to_list.rs
@@ -15,6 +15,12 @@
         if !told.is_empty() {
             watch.fails = 0;
         }
+        if self.desk.watch_on == Some(id)
+            && self.desk.watch.head_read
+            && !std::mem::replace(&mut self.desk.watching, true)
+        {
+            info!(self.desk.log, "watching"; "index" => self.desk.watch.index, "ms" => (self.desk.net.now - self.desk.net.since(id)) / MS);
+        }
         if self.desk.watch_on == Some(id) && self.desk.watch.head_read {
             self.desk.end_old_watch("moved");
         }
@@ -64,6 +70,12 @@
 }
 
 impl Desk {
+    /// The watch is asked for after a rest of this gateway's own.
+    pub(super) fn watch_later(&mut self) {
+        let again = self.net.now + self.watch.again(self.fleet, &mut self.chance);
+        self.timers.set(again, What::Watch);
+    }
+
     pub(super) fn dial_watch(&mut self) {
         if self.watch_on.is_some() {
             return;
@@ -73,8 +85,7 @@
             Ok(id) => self.watch_on = Some(id),
             Err(e) => {
                 warn!(self.log, "can't connect"; "to" => %self.config.discovery, "error" => %e);
-                let again = self.net.now + self.watch.again();
-                self.timers.set(again, What::Watch);
+                self.watch_later();
             }
         }
     }
@@ -110,8 +121,8 @@
             return self.end_old_watch(why);
         }
         self.watch_on = None;
+        self.watching = false;
         self.end_watch(id, self.watch.index, why);
-        let again = self.net.now + self.watch.again();
-        self.timers.set(again, What::Watch);
+        self.watch_later();
     }
 }
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -7,9 +7,10 @@
 
 /// An empty line comes every 2 s while nothing changes; silence for more than two of them is a break.
 pub const SILENCE: Nanos = 4_500_000_000;
-/// How long until the watch is asked for again after a break: doubled from the first to the last.
-pub const AGAIN_FIRST: Nanos = 100_000_000;
-pub const AGAIN_LAST: Nanos = 1_000_000_000;
+/// How long until the watch is asked for again after a break: up to so much for each gateway of the fleet, within
+/// these bounds, and half of it the first time.
+pub const AGAIN_EACH: Nanos = 60_000_000;
+pub const AGAIN_LAST: std::ops::RangeInclusive<Nanos> = 1_000_000_000..=6_000_000_000;
 /// A line longer than this is garbled; a list of ten thousand servers takes a quarter of it.
 const LINE_MOST: usize = 8 << 20;
 
@@ -114,10 +115,15 @@
         }
     }
 
-    /// How long to wait before asking again.
-    pub fn again(&mut self) -> Nanos {
+    /// How long to wait before asking again, drawn anew each time. Guards against a fleet that lost its watch at one
+    /// moment (a discovery that fails, a release that kills most gateways) and asks again in step: a service of fixed
+    /// capacity, which also works on calls that nobody waits for any more, then turns all away for good. Covers any
+    /// cause of lost watches. Harm: a list comes up to some seconds later than it could have.
+    pub fn again(&mut self, gateways: u32, chance: &mut fastrand::Rng) -> Nanos {
+        let last = (AGAIN_EACH * Nanos::from(gateways)).clamp(*AGAIN_LAST.start(), *AGAIN_LAST.end());
+        let rest = ((last / 2) << self.fails.min(8)).min(last);
         self.fails += 1;
-        (AGAIN_FIRST << (self.fails - 1).min(8)).min(AGAIN_LAST)
+        chance.u64(..rest)
     }
 }
 
