A gateway draws servers from a part of its own and heeds the RPCs held that they tell

Ruled out: too little capacity (median server at 0.6 to 0.8 while the slowest tenth was full), cold servers (none before 8 s), the quota store (looked at apart). At fault: choose in brain.rs, which draws from all servers whatever the gateway's own rate, and burden, which knows own counts alone; a gateway's own counts of 0 or 1 open tell nothing of what 99 others do, the load report of each answer was not used.

Drawn are now a gateway's part (as many as it meets every 2 s, at least so many that 12 gateways meet each server; by a salt of its own), the cold, whose budget all share as before, and others if none of these is able. The burden adds the RPCs held as told last, fading over 5 s. Small fleets draw from all as before.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -21,6 +21,9 @@
 const COUNT: u64 = u64::MAX;
 const COUNTS_KEPT: usize = 8; // ends of count calls
 const SILENT_AFTER: usize = 3; // of them, the last without an answer
+/// A gateway's part of the servers: each is met about so often, and by so many gateways at the least.
+const MEET: Nanos = 2 * SEC;
+const MET_BY: f64 = 12.0;
 
 /// Where an RPC stands: `Held` waits for room, a server or the brake, `Claiming` for the counter's word.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -107,6 +110,7 @@
     open: VecDeque<(u32, u16, Nanos)>, // oldest first: RPC, number, and when sent
     ends: VecDeque<(Nanos, Nanos, bool)>, // the last: when, after how long, and whether ok
     cold: (Nanos, f64), // while cold: since when the next call-out waits, and for what part of the gap
+    held: (Nanos, f64), // RPCs held there by all gateways, as it told last, and when
 }
 
 impl Server {
@@ -132,7 +136,9 @@
     /// When this life began: its part of a ceiling is empty then, since an earlier life may have spent it.
     born: Option<Nanos>,
     servers: BTreeMap<u32, Server>,
-    ready: Vec<u32>, // ids of servers that new work may go to, in any order
+    ready: Vec<u32>, // ids of servers that new work may go to, first those of this gateway's part
+    cold: Vec<u32>,  // those of them that were cold when last listed
+    salt: u64,       // of this life: which servers come first
     customers: HashMap<u64, Customer>,
     customers_most: usize, // before those are forgotten that can be
     rpcs: HashMap<u32, Rpc>,
@@ -181,7 +187,8 @@
 
 impl Brain {
     pub fn new(seed: u64, settings: Settings) -> Self {
-        Brain { settings, chance: fastrand::Rng::with_seed(seed), ..Brain::default() }
+        let mut chance = fastrand::Rng::with_seed(seed);
+        Brain { settings, salt: chance.u64(..), chance, ..Brain::default() }
     }
 
     // ---- Settings: each is picked where it is needed; what is missing or can't be read takes the default.
@@ -227,6 +234,10 @@
         self.servers.retain(|_, server| server.listed.ready || !server.open.is_empty());
         let ready = self.servers.iter().filter(|(_, server)| server.listed.ready);
         self.ready = ready.map(|(id, _)| *id).collect();
+        let rank = |id: &u32| fastrand::Rng::with_seed(self.salt ^ u64::from(*id)).u64(..);
+        self.ready.sort_by_cached_key(rank);
+        let cold = self.ready.iter().filter(|id| self.warmth(now, &self.servers[*id].listed) < 1.0);
+        self.cold = cold.copied().collect();
     }
 
     pub fn rpc(&mut self, host: &mut dyn Host, now: Nanos, arrival: &Arrival) {
@@ -399,12 +410,15 @@
         let Some((chosen, key, sent, _)) = self.open.remove(&(ended.rpc, ended.nth)) else { return };
         let never_ran = matches!(ended.how, End::Full | End::NoConnection | End::NotSent);
         let mut place = (u16::MAX, u16::MAX);
+        let mut columns = self.settings.get("reporting.columns").map_or("", String::as_str).split(',');
+        let told = columns.position(|name| name == "busy_reqs").and_then(|at| ended.load.get(at).copied());
         if let Some(server) = self.servers.get_mut(&chosen) {
             place = (server.listed.zone, server.listed.cell);
             server.open.retain(|open| (open.0, open.1) != (ended.rpc, ended.nth));
             if ended.how != End::NotSent {
                 keep(&mut server.ends, (now, ended.took, ended.how == End::Ok), KEPT);
             }
+            server.held = told.map_or(server.held, |held| (now, held.max(0.0)));
         }
         if !never_ran {
             keep(&mut self.ends, (now, ended.took, ended.how == End::Ok), 2 * KEPT);
@@ -728,10 +742,20 @@
         self.count_next(host, now);
     }
 
+    /// Guards against knowing nothing of any server: one of hundreds of gateways that calls out to all meets each
+    /// seldom, learns too late which are slow or bad, and opens a connection for each call-out. So it draws from a
+    /// part of its own, as many as it meets often. Harm: a server may be in few parts or many.
+    fn part(&self, now: Nanos) -> usize {
+        let since = self.ends.front().map_or(SEC, |first| now - first.0).max(SEC);
+        let often = self.ends.len() as f64 / secs(since) * secs(MEET);
+        often.max(MET_BY * self.ready.len() as f64 / self.gateways()).ceil() as usize
+    }
+
     /// Two drawn at random, the one that this gateway's own counts favour is taken. What can't take it is
-    /// passed over in the draw, so that a fleet in health costs two looks, whatever its size.
+    /// passed over in the draw, so that a fleet in health costs two looks, whatever its size. Drawn are its part
+    /// and the cold, whose budget all share; the others if none of these is able.
     fn choose(&mut self, now: Nanos, id: u32) -> Option<u32> {
-        let (mut chance, mut ready) = (self.chance.fork(), std::mem::take(&mut self.ready));
+        let mut chance = self.chance.fork();
         let rpc = &self.rpcs[&id];
         let group =
             rpc.ran.filter(|_| self.is(rpc, "guarded") && !self.method_is(rpc.method, "group", "all"));
@@ -740,9 +764,17 @@
         let (soft, typical) = (secs(rpc.soft), self.typical(now));
         let least = (9.0 / self.gateways()).clamp(1.0, 3.0);
         let (mut drawn, mut last_resort) = (Vec::new(), Vec::new());
+        let (part, others) = self.ready.split_at(self.part(now).min(self.ready.len()));
+        let is_cold = |id: &&u32| self.cold.contains(*id);
+        let mut ready: Vec<u32> = part.iter().chain(others.iter().filter(is_cold)).copied().collect();
+        let own = ready.len();
+        ready.extend(others.iter().filter(|id| !is_cold(id)));
         for place in 0..ready.len() {
-            let other = chance.usize(place..ready.len());
-            ready.swap(place, other);
+            if drawn.len() == 2 || place >= own && !drawn.is_empty() {
+                break;
+            }
+            let upto = if place < own { own } else { ready.len() };
+            ready.swap(place, chance.usize(place..upto));
             let server = &self.servers[&ready[place]];
             let (_, rate) = answered(now, &server.ends, KEPT);
             let full = server.open.len() as f64 >= (URGENT_SHARE * soft * rate).max(least);
@@ -751,17 +783,13 @@
             }
             let unwell = server.rests(now, self.gateways()) || server.hangs(now, typical);
             if unwell { &mut last_resort } else { &mut drawn }.push(ready[place]);
-            if drawn.len() == 2 {
-                break;
-            }
         }
         let drawn = if drawn.is_empty() { last_resort } else { drawn };
-        self.ready = ready;
         let burden = |id: &&u32| self.burden(now, **id);
         drawn.iter().take(2).min_by(|one, two| burden(one).total_cmp(&burden(two))).copied()
     }
 
-    /// How long one more would take there, by this gateway's own counts.
+    /// How long one more would take there, by this gateway's own counts and what the server told of all others'.
     fn burden(&self, now: Nanos, id: u32) -> f64 {
         let (server, typical) = (&self.servers[&id], self.typical(now).max(MS) as f64);
         let ran = server.ends.iter().rev().filter(|end| end.2 || end.1 as f64 > typical);
@@ -771,7 +799,9 @@
         let took = fresh.chain(oldest).map(|took| took as f64);
         let (count, sum) = took.fold((1.0, typical), |(count, sum), took| (count + 1.0, sum + took));
         let far = if f64::from(server.listed.zone) == self.setting("zone", -1.0) { 1.0 } else { 1.1 };
-        (server.open.len() as f64 + 1.0) * (sum / count) * far / server.listed.weight.max(0.05)
+        let age = now.saturating_sub(server.held.0).min(FRESH);
+        let held = server.held.1 * (1.0 - secs(age) / secs(FRESH));
+        (held + server.open.len() as f64 + 1.0) * (sum / count) * far / server.listed.weight.max(0.05)
     }
 
     /// Guards against pushing over a server that has just started: until warm all gateways together send 3/4
