Reports of RPCs held count only where a gateway draws from a part of the servers

At fault: burden in brain.rs: four gateways with 30 and more RPCs a second each know the servers by their own counts, and a report up to a second old sends many RPCs to the same server before the next comes. Reports now act only while a gateway's part is smaller than the list.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -785,12 +785,13 @@
             if unwell { &mut last_resort } else { &mut drawn }.push(ready[place]);
         }
         let drawn = if drawn.is_empty() { last_resort } else { drawn };
-        let burden = |id: &&u32| self.burden(now, **id);
+        let burden = |id: &&u32| self.burden(now, **id, own < ready.len());
         drawn.iter().take(2).min_by(|one, two| burden(one).total_cmp(&burden(two))).copied()
     }
 
-    /// How long one more would take there, by this gateway's own counts and what the server told of all others'.
-    fn burden(&self, now: Nanos, id: u32) -> f64 {
+    /// How long one more would take there, by this gateway's own counts and, where it meets servers seldom, by what
+    /// they told of all others' RPCs.
+    fn burden(&self, now: Nanos, id: u32, seldom: bool) -> f64 {
         let (server, typical) = (&self.servers[&id], self.typical(now).max(MS) as f64);
         let ran = server.ends.iter().rev().filter(|end| end.2 || end.1 as f64 > typical);
         let fresh = ran.take(8).filter(|end| now - end.0 < 4 * FRESH).map(|end| end.1);
@@ -800,7 +801,7 @@
         let (count, sum) = took.fold((1.0, typical), |(count, sum), took| (count + 1.0, sum + took));
         let far = if f64::from(server.listed.zone) == self.setting("zone", -1.0) { 1.0 } else { 1.1 };
         let age = now.saturating_sub(server.held.0).min(FRESH);
-        let held = server.held.1 * (1.0 - secs(age) / secs(FRESH));
+        let held = if seldom { server.held.1 * (1.0 - secs(age) / secs(FRESH)) } else { 0.0 };
         (held + server.open.len() as f64 + 1.0) * (sum / count) * far / server.listed.weight.max(0.05)
     }
 
