A store not read in the last window is taken to have been used before as in this one

A customer with 17 units a second over 81 gateways is met every 7 s by each, and a window lasts 2.9 s: the store had refilled to its burst and only the new window's total was taken off, so every gateway saw it nearly full while it was asked for twice its rate. At fault: counted in brain.rs.

Now the first total of a window, where the one before was not read, also stands for the use before: what this window's pace exceeds the rate by, over the window so far and one more, is missing from the burst.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -697,9 +697,11 @@
         let Some(place) = place else { return };
         let customer = self.customer(now, key);
         let Some((window, add, serial)) = customer.calls.remove(place) else { return };
+        let unread = !customer.ledgers.iter().any(|ledger| ledger.0 + 1 == window);
         let ledger = customer.ledgers.iter_mut().find(|ledger| ledger.0 == window);
         match (how, ledger) {
             (End::Ok, Some((_, own, others))) if total.is_finite() => {
+                let first = unread && *others == 0.0;
                 *own += add;
                 if total + 0.01 + 1e-5 * total.abs() < *own {
                     // Guards against a counter that came back empty and timed-out adds that did not count:
@@ -712,6 +714,14 @@
                 if std::mem::replace(&mut customer.read_at, now) == 0 {
                     customer.level = customer.burst - total - customer.pending;
                 }
+                // Guards against a store that looks full where a customer is met less than once a window: nothing
+                // is known of the use before this window, so it is taken to be as in this one.
+                if first {
+                    let passed = (now % customer.window).max(customer.window / 4);
+                    let pace = total / secs(passed) - customer.rate;
+                    let before = pace.max(0.0) * secs(passed + customer.window);
+                    customer.level = customer.level.min(customer.burst - before - customer.pending);
+                }
                 if customer.level < customer.burst / 4.0 {
                     customer.short_at = now;
                 }
