A crowded thin gateway still calls out to servers that were quick; p95 by nearest rank

A gateway with five answers in 2 s judges the fleet by their median, so a few slow servers stop it for all; and with 20 samples the index len*95/100 is the largest one, so one late urgent RPC in ten seconds braked. At fault: crowded as used in advance, and braked, brain.rs.

A gateway that meets servers seldom now calls out while crowded to a server whose last answer was ok, within 5 s, took less than the time that counts as crowded and has nothing of its own open, or that is cold and has room; p95 is the nearest rank. The first rest before the watch stays within half of the told time for drains (a site tells 250 ms).

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -137,6 +137,8 @@
     columns: Vec<String>,
     /// How many gateways there are, as far as the settings tell.
     fleet: u32,
+    /// New work to a server must stop so long after its drain was told.
+    stop_within: Nanos,
     /// For rests that must not be in step with other gateways'; the module has a source of its own.
     chance: fastrand::Rng,
 }
@@ -173,6 +175,7 @@
             servers: Servers::default(),
             links: BTreeMap::new(),
             watch: Watch::new(0, config.memory / LIST_MEMORY),
+            stop_within: span("rules.stopSendingWithin", list::STOP_WITHIN),
             fleet: config.setting("balancers").map_or(1, |count| count as u32),
             chance: fastrand::Rng::with_seed(config.seed.rotate_left(32)),
             watch_on: None,
--- a/crates/gateway/src/gateway/to_list.rs
+++ b/crates/gateway/src/gateway/to_list.rs
@@ -72,7 +72,7 @@
 impl Desk {
     /// The watch is asked for after a rest of this gateway's own.
     pub(super) fn watch_later(&mut self) {
-        let again = self.net.now + self.watch.again(self.fleet, &mut self.chance);
+        let again = self.net.now + self.watch.again(self.fleet, self.stop_within, &mut self.chance);
         self.timers.set(again, What::Watch);
     }
 
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -8,10 +8,11 @@
 /// An empty line comes every 2 s while nothing changes; silence for more than two of them is a break.
 pub const SILENCE: Nanos = 4_500_000_000;
 /// How long until the watch is asked for again after a break: up to so much for each gateway of the fleet, within
-/// these bounds; a sixth of it the first time, so that news of drains is asked for well within the time in which new
-/// work must stop, and half of it the second time.
+/// these bounds; a sixth of it the first time and half of it the second.
 pub const AGAIN_EACH: Nanos = 60_000_000;
 pub const AGAIN_LAST: std::ops::RangeInclusive<Nanos> = 1_000_000_000..=6_000_000_000;
+/// What applies where no time is told in which new work must stop after a drain.
+pub const STOP_WITHIN: Nanos = 2_000_000_000;
 /// A line longer than this is garbled; a list of ten thousand servers takes a quarter of it.
 const LINE_MOST: usize = 8 << 20;
 
@@ -119,12 +120,13 @@
     /// How long to wait before asking again, drawn anew each time. Guards against a fleet that lost its watch at one
     /// moment (a discovery that fails, a release that kills most gateways) and asks again in step: a service of fixed
     /// capacity, which also works on calls that nobody waits for any more, then turns all away for good. Covers any
-    /// cause of lost watches. Harm: a list comes up to some seconds later than it could have.
-    pub fn again(&mut self, gateways: u32, chance: &mut fastrand::Rng) -> Nanos {
+    /// cause of lost watches. The first rest stays within half of the told time in which new work must stop after a
+    /// drain was told, since what a watch would have told counts from then. Harm: a list comes up to some seconds later than it could have.
+    pub fn again(&mut self, gateways: u32, told: Nanos, chance: &mut fastrand::Rng) -> Nanos {
         let last = (AGAIN_EACH * Nanos::from(gateways)).clamp(*AGAIN_LAST.start(), *AGAIN_LAST.end());
-        let rest = last / [6, 2, 1][self.fails.min(2) as usize];
+        let rest = [(last / 6).min(told / 2), last / 2, last][self.fails.min(2) as usize];
         self.fails += 1;
-        chance.u64(..rest)
+        chance.u64(..rest.max(1))
     }
 }
 
--- a/crates/gateway/tests/protocol.rs
+++ b/crates/gateway/tests/protocol.rs
@@ -284,7 +284,8 @@
     assert!(without_a_list(100, 15 * SEC, in_step) > 30, "asked in step, the service works for nobody");
     let (mut chance, mut watches) = (fastrand::Rng::with_seed(7), Vec::new());
     watches.resize_with(100, || Watch::new(0, usize::MAX));
-    let left = without_a_list(100, 15 * SEC, |caller, _| watches[caller as usize].again(100, &mut chance));
+    let left =
+        without_a_list(100, 15 * SEC, |caller, _| watches[caller as usize].again(100, 2 * SEC, &mut chance));
     assert_eq!(left, 0);
 }
 
@@ -294,17 +295,20 @@
         let mut chance = fastrand::Rng::with_seed(7);
         let mut watch = Watch::new(0, usize::MAX);
         watch.fails = fails;
-        (0..1000).map(|_| (watch.fails, watch.again(fleet, &mut chance)).1).max().unwrap() / MS
+        (0..1000).map(|_| (watch.fails, watch.again(fleet, 2 * SEC, &mut chance)).1).max().unwrap() / MS
     };
     assert!((950..1000).contains(&longest(3, 9)) && (5700..6000).contains(&longest(u32::MAX, 9)));
     let mut firsts: Vec<_> = (0..50).map(|seed| first_rest(seed, 100) / (100 * MS)).collect();
     firsts.sort_unstable();
     firsts.dedup();
     assert!(firsts.len() >= 9 && firsts.iter().all(|tenth| *tenth < 10), "spread over 1 s: {firsts:?}");
+    let mut short = Watch::new(0, usize::MAX);
+    let rest = short.again(100, 250 * MS, &mut fastrand::Rng::with_seed(1));
+    assert!(rest < 125 * MS, "news of a drain is asked for within the time in which it must be heeded");
 }
 
 fn first_rest(seed: u64, fleet: u32) -> u64 {
-    Watch::new(0, usize::MAX).again(fleet, &mut fastrand::Rng::with_seed(seed))
+    Watch::new(0, usize::MAX).again(fleet, 2 * SEC, &mut fastrand::Rng::with_seed(seed))
 }
 
 fn call(serial: u64, name: u64) -> Call {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -369,8 +369,10 @@
             thin = self.is_thin(now, key, units + *ahead, patient);
         }
         // A server that can take it, unless the brake holds or all are crowded.
-        let held = !drawn && patient && self.braked(now, key) || self.crowded(now, soft, patient);
-        let Some(server) = (if held { None } else { self.choose(now, id) }) else {
+        let crowded = self.crowded(now, soft, patient);
+        let held = !drawn && patient && self.braked(now, key);
+        let most = secs(soft) * if patient { PATIENT_SHARE } else { URGENT_SHARE };
+        let Some(server) = (if held { None } else { self.choose(now, id, crowded.then_some(most)) }) else {
             return (now + RECHECK).min(latest);
         };
         // Units are taken; where another gateway could take the same last ones, the counter is asked first.
@@ -618,7 +620,8 @@
             // A call-out open past its soft deadline is distress though no latency has come.
             ratios.extend(self.open.values().filter(|out| out.3 < now).map(|_| 2.0));
             ratios.sort_by(f64::total_cmp);
-            self.brake = (now, ratios.len() >= BRAKE_SAMPLES && ratios[ratios.len() * 95 / 100] > 1.0);
+            let p95 = (ratios.len() * 95).div_ceil(100).max(1) - 1; // of 20 samples the 19th
+            self.brake = (now, ratios.len() >= BRAKE_SAMPLES && ratios[p95] > 1.0);
         }
         short || self.brake.1
     }
@@ -772,7 +775,10 @@
     /// Two drawn at random, the one that this gateway's own counts favour is taken. What can't take it is
     /// passed over in the draw, so that a fleet in health costs two looks, whatever its size. Drawn are its part
     /// and the cold, whose budget all share; the others if none of these is able.
-    fn choose(&mut self, now: Nanos, id: u32) -> Option<u32> {
+    /// While all are crowded (`most` is the time that counts as quick), it calls out only where it meets servers
+    /// seldom, and there to one that answered quickly just now or has room while cold. Guards against a few slow
+    /// servers met by chance that stop a gateway with few answers. Harm: what was quick may be full by now.
+    fn choose(&mut self, now: Nanos, id: u32, most: Option<f64>) -> Option<u32> {
         let mut chance = self.chance.fork();
         let rpc = &self.rpcs[&id];
         let group =
@@ -797,7 +803,15 @@
             let server = &self.servers[&ready[place]];
             let (_, rate) = answered(now, &server.ends, KEPT);
             let full = server.open.len() as f64 >= (URGENT_SHARE * soft * rate).max(least);
-            if full || !in_group(&server.listed) || !self.cold_room(now, server, carries) {
+            let last =
+                server.ends.back().filter(|end| end.2 && now - end.0 < FRESH && server.open.is_empty());
+            let quick = |most| last.is_some_and(|end| secs(end.1) < most);
+            let able = |most| own < ready.len() && (quick(most) || self.warmth(now, &server.listed) < 1.0);
+            if full
+                || !most.is_none_or(able)
+                || !in_group(&server.listed)
+                || !self.cold_room(now, server, carries)
+            {
                 continue;
             }
             let unwell = server.rests(now, self.gateways()) || server.hangs(now, typical);
