--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -386,12 +386,15 @@
     /// The next log line that holds this.
     pub fn line(&self, part: &str) -> String {
         let until = std::time::Instant::now() + PATIENCE;
+        let mut others = Vec::new();
         loop {
             let left = until.saturating_duration_since(std::time::Instant::now());
-            let line = self.lines.recv_timeout(left).unwrap_or_else(|_| panic!("no line with {part}"));
+            let line = self.lines.recv_timeout(left);
+            let line = line.unwrap_or_else(|_| panic!("no line with {part} but {others:#?}"));
             if line.contains(part) {
                 return line;
             }
+            others.push(line);
         }
     }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -508,6 +508,46 @@
     assert!(calm > pressed, "{calm} afterwards");
 }
 
+#[test]
+fn a_crowded_gateway_that_meets_servers_seldom_still_calls_out_to_one_that_was_quick() {
+    let after_slow_answers = |mut s: Story| {
+        s.answered(60, 2, 160 * MS);
+        for batch in 0..2 {
+            let slow: Vec<u32> =
+                (0..4).map(|rpc| s.rpc_of(5000 + 4 * batch + rpc, 2, 0.1, 4 * SEC)).collect();
+            s.pass(700 * MS);
+            slow.iter().for_each(|rpc| s.end(*rpc, End::Ok));
+        }
+        let slow = met(&s, 60);
+        s.rpc_of(5999, 2, 0.1, 4 * SEC); // with nothing open nobody is crowded
+        let rpc = s.rpc_of(6000, 2, 0.1, 4 * SEC);
+        (s.sent(rpc), slow.contains_key(&s.notes.out.last().expect("sent").1))
+    };
+    let sent = after_slow_answers(one_of_a_hundred(5));
+    assert_eq!(sent, (1, false), "eight slow answers are not all servers");
+    let few = after_slow_answers(story("").with_servers(20));
+    assert_eq!(few.0, 0, "few gateways know all servers by their own answers");
+}
+
+#[test]
+fn one_late_urgent_rpc_of_twenty_does_not_brake_and_two_do() {
+    let mut s = story("").with_servers(20);
+    let mut late = |quick: u32| {
+        s.answered(quick, 2, MS);
+        let rpc = s.rpc_of(77, 2, 0.1, 4 * SEC);
+        s.pass(1100 * MS);
+        s.end(rpc, End::Ok);
+        s.answered(8, 2, MS); // the last answers are quick again
+        let patient = s.rpc_of(2000 + u64::from(quick), 0, 0.1, 4 * SEC);
+        let sent = s.sent(patient);
+        if sent == 1 {
+            s.end(patient, End::Ok);
+        }
+        sent
+    };
+    assert_eq!((late(11), late(4)), (1, 0), "the 19th of 20 samples is in time; of 33 the 32nd is late");
+}
+
 #[test]
 fn a_bad_server_of_many_is_met_less_than_the_good_ones() {
     let mut s = one_of_a_hundred(11);
