--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -508,6 +508,33 @@
     assert!(calm > pressed, "{calm} afterwards");
 }
 
+#[test]
+fn while_most_of_the_list_is_replaced_each_rpc_out_gets_one_answer_and_the_cold_get_little() {
+    let mut s = one_of_a_hundred(7);
+    s.answered(60, 2, 160 * MS);
+    let out: Vec<u32> = (0..4).map(|customer| s.rpc_of(5000 + customer, 2, 0.1, 4 * SEC)).collect();
+    let gone: Vec<Listed> = (1..=36).map(|id| Listed { ready: false, ..server(id, id as u16 % 2) }).collect();
+    let cold = |now| (61..=96).map(move |id| Listed { came_up: now, ..server(id, id as u16 % 2) });
+    s.list(false, &gone);
+    s.list(false, &cold(s.notes.now).collect::<Vec<_>>());
+    // Half of those out are reset, the others answered: none twice, none not at all.
+    s.pass(100 * MS);
+    for (at, rpc) in out.iter().enumerate() {
+        s.end(*rpc, if at % 2 == 0 { End::Reset } else { End::Ok });
+    }
+    assert!(
+        s.notes.aborted == [out[0], out[2]] && s.notes.pushed.is_empty(),
+        "non-idempotent ones that may have run"
+    );
+    let from = s.notes.out.len();
+    s.answered(60, 2, 160 * MS);
+    let met = met(&s, from);
+    assert!(met.keys().all(|server| *server > 36), "nothing goes to what is gone");
+    let to_cold: usize = met.range(61..).map(|server| server.1).sum();
+    assert!((1..=30).contains(&to_cold), "{to_cold} of 60 to the cold: one each at the most at first");
+    assert!(met.range(61..).all(|server| *server.1 <= 2), "{met:?}");
+}
+
 #[test]
 fn a_crowded_gateway_that_meets_servers_seldom_still_calls_out_to_one_that_was_quick() {
     let after_slow_answers = |mut s: Story| {
