--- a/src/brain.rs
+++ b/src/brain.rs
@@ -653,7 +653,7 @@
             let some: Vec<_> = (0..8).map(|_| self.chance.usize(..self.to_count.len())).chain([0]).collect();
             let most = |place: &usize| match &self.customers[&self.to_count[*place]] {
                 customer if *place == 0 && !customer.queue.is_empty() => f64::MAX,
-                customer => customer.pending.abs() / customer.level.max(customer.burst / 8.0).max(1e-6),
+                customer => customer.pending.abs() / customer.burst.max(1e-6),
             };
             let best = some.into_iter().max_by(|one, two| most(one).total_cmp(&most(two)));
             let Some(next) = best.and_then(|best| self.to_count.remove(best)) else { return };
