--- a/crates/gateway/src/gateway/to_list.rs
+++ b/crates/gateway/src/gateway/to_list.rs
@@ -94,6 +94,7 @@
     pub(super) fn move_watch(&mut self) {
         let new = Watch::new(self.watch.index, self.watch.line_most);
         let watch = std::mem::replace(&mut self.watch, new);
+        self.watching = false;
         if let Some(id) = self.watch_on.take() {
             if self.old_watch.is_some() || !watch.head_read {
                 self.end_watch(id, watch.index, "moved");
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -121,7 +121,8 @@
     /// moment (a discovery that fails, a release that kills most gateways) and asks again in step: a service of fixed
     /// capacity, which also works on calls that nobody waits for any more, then turns all away for good. Covers any
     /// cause of lost watches. The first rest stays within half of the told time in which new work must stop after a
-    /// drain was told, since what a watch would have told counts from then. Harm: a list comes up to some seconds later than it could have.
+    /// drain was told, since what a watch would have told counts from then. Harm: a list comes up to some seconds later
+    /// than it could have.
     pub fn again(&mut self, gateways: u32, told: Nanos, chance: &mut fastrand::Rng) -> Nanos {
         let last = (AGAIN_EACH * Nanos::from(gateways)).clamp(*AGAIN_LAST.start(), *AGAIN_LAST.end());
         let rest = [(last / 6).min(told / 2), last / 2, last][self.fails.min(2) as usize];
