--- a/crates/gateway/tests/protocol.rs
+++ b/crates/gateway/tests/protocol.rs
@@ -1,9 +1,5 @@
 //! What is said on the connections, without a socket: state machines fed bytes, whole, in pieces and garbled.
 
-#[path = "../../../tests/fake/mod.rs"]
-mod fake;
-
-use fake::{MS, SEC, WATCH, chunk, entry, list, rpc, settings};
 use gateway::clients::{self, Client, Got};
 use gateway::config::Config;
 use gateway::counter::{Call, DEAD_AFTER, Line};
@@ -11,6 +7,7 @@
 use gateway::list::Watch;
 use gateway::servers::{self, Body, CallOut, Link, Reuses, Servers};
 use martenramp::host::End;
+use standins::scripted::{MS, SEC, WATCH, chunk, entry, list, rpc, settings};
 use std::net::SocketAddr;
 
 fn config() -> Config {
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -1,9 +1,8 @@
 //! The program itself, started and spoken to over loopback: one short story for each failure met.
 
-#[path = "../../../tests/fake/mod.rs"]
-mod fake;
-
-use fake::{Peer, Program, WATCH, answer, chunk, entry, list, nowhere, rpc, say, settings};
+use standins::scripted::{
+    self as fake, Peer, Program, WATCH, answer, chunk, entry, list, nowhere, rpc, say, settings,
+};
 use std::process::Command;
 
 const BIN: &str = env!("CARGO_BIN_EXE_martenramp");
--- /dev/null
+++ b/crates/rig/src/front.rs
@@ -0,0 +1,373 @@
+//! The front: an open-loop load over all gateways. Arrivals come when they are due, whatever became of earlier ones;
+//! each is written down with how late the front itself was.
+
+use crate::{MS, Nanos, SEC};
+use rand::Rng;
+use rand::distr::{Distribution, weighted::WeightedIndex};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::Exp1;
+use standins::http;
+use standins::reactor::{Conn, Io, Service};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+const ARRIVAL: u64 = u64::MAX;
+const PROBES: u64 = u64::MAX - 1;
+const PROBE_EVERY: Nanos = 100 * MS;
+/// An RPC without an answer so long after its deadline is lost.
+const SLACK: Nanos = 500 * MS;
+
+/// A class of RPCs as the front sends it.
+#[derive(Clone, Debug)]
+pub struct Method {
+    pub name: String,
+    pub idempotency: String,
+    pub deadline: Nanos,
+    pub share: f64,
+    pub units: f64,
+}
+
+/// A customer: its share of all arrivals, and its gateways, `width` of them from `first` on.
+#[derive(Clone, Copy, Debug)]
+pub struct Customer {
+    pub share: f64,
+    pub first: usize,
+    pub width: usize,
+}
+
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// RPCs a second in all.
+    pub rate: f64,
+    pub plan: String,
+    pub methods: Vec<Method>,
+    pub customers: Vec<Customer>,
+    pub notice: Nanos,
+}
+
+/// How an RPC ended at its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Open,
+    Ok,
+    /// 429 or 503.
+    PushedBack,
+    /// Any other answer.
+    Failed,
+    /// The connection broke after the RPC was written.
+    Cut,
+    /// No gateway took the connection.
+    Unreached,
+    /// No answer by its deadline and some.
+    Lost,
+}
+
+/// One RPC as the client saw it.
+#[derive(Clone, Copy, Debug)]
+pub struct Call {
+    pub txn: u64,
+    pub gateway: usize,
+    pub method: usize,
+    pub due: Nanos,
+    pub sent: Nanos,
+    pub done: Nanos,
+    pub outcome: Outcome,
+}
+
+/// Where a gateway stands with the front. `Front::shift` is the one place that changes it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stand {
+    /// Not yet ready, or found dead: probed until it answers 200.
+    Out,
+    Admitted,
+    /// It failed then, and the front has not noticed yet.
+    Failing(Nanos),
+}
+
+struct Gateway {
+    address: SocketAddr,
+    stand: Stand,
+    idle: Vec<Conn>,
+    probe: Option<Conn>,
+}
+
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Use {
+    Probe,
+    Idle,
+    Call(usize),
+}
+
+pub struct Front {
+    plan: Plan,
+    gateways: Vec<Gateway>,
+    conns: BTreeMap<Conn, (usize, Use)>,
+    pub calls: Vec<Call>,
+    chance: ChaCha8Rng,
+    customers: Option<WeightedIndex<f64>>,
+    methods: Option<WeightedIndex<f64>>,
+    next: Nanos,
+    running: bool,
+    factor: f64,
+    /// Answers that came when none was owed.
+    pub extra: u64,
+}
+
+impl Front {
+    pub fn new(plan: Plan, chance: ChaCha8Rng) -> Front {
+        let customers = WeightedIndex::new(plan.customers.iter().map(|customer| customer.share)).ok();
+        let methods = WeightedIndex::new(plan.methods.iter().map(|method| method.share)).ok();
+        Front {
+            plan,
+            gateways: Vec::new(),
+            conns: BTreeMap::new(),
+            calls: Vec::new(),
+            chance,
+            customers,
+            methods,
+            next: 0,
+            running: false,
+            factor: 1.0,
+            extra: 0,
+        }
+    }
+
+    /// One more gateway, probed from now on.
+    pub fn add(&mut self, io: &mut Io, address: SocketAddr) {
+        if self.gateways.is_empty() {
+            io.at(io.now(), PROBES);
+        }
+        self.gateways.push(Gateway { address, stand: Stand::Out, idle: Vec::new(), probe: None });
+    }
+
+    pub fn admitted(&self) -> usize {
+        self.gateways.iter().filter(|gateway| gateway.stand == Stand::Admitted).count()
+    }
+
+    /// Arrivals come from now on, or stop.
+    pub fn run(&mut self, io: &mut Io, running: bool) {
+        self.running = running;
+        if running {
+            self.next = io.now();
+            io.at(self.next, ARRIVAL);
+        }
+    }
+
+    /// All arrivals come so many times as often.
+    pub fn burst(&mut self, factor: f64) {
+        self.factor = factor;
+    }
+
+    /// The customers' gateways go over to a fleet of another size.
+    pub fn place(&mut self, customers: Vec<Customer>) {
+        self.customers = WeightedIndex::new(customers.iter().map(|customer| customer.share)).ok();
+        self.plan.customers = customers;
+    }
+
+    pub fn open(&self) -> usize {
+        self.conns.values().filter(|(_, what)| matches!(what, Use::Call(_))).count()
+    }
+
+    fn shift(&mut self, gateway: usize, to: Stand) {
+        let at = &mut self.gateways[gateway];
+        let was = std::mem::replace(&mut at.stand, to);
+        if was != to && to == Stand::Out {
+            at.probe = None;
+        }
+    }
+
+    fn arrive(&mut self, io: &mut Io) {
+        while self.running && self.next <= io.now() {
+            let due = self.next;
+            let wait: f64 = Exp1.sample(&mut self.chance);
+            self.next += ((wait / (self.plan.rate * self.factor).max(1e-6)) * 1e9) as Nanos;
+            self.send(io, due);
+        }
+        if self.running {
+            io.at(self.next, ARRIVAL);
+        }
+    }
+
+    fn send(&mut self, io: &mut Io, due: Nanos) {
+        let (Some(customers), Some(methods)) = (&self.customers, &self.methods) else { return };
+        let key = customers.sample(&mut self.chance);
+        let method = methods.sample(&mut self.chance);
+        let customer = self.plan.customers[key];
+        let set = (0..customer.width).map(|at| (customer.first + at) % self.gateways.len());
+        let up: Vec<usize> = set.filter(|at| self.gateways[*at].stand != Stand::Out).collect();
+        let now = io.clock().now();
+        let number = self.calls.len();
+        if up.is_empty() {
+            return self.calls.push(Call {
+                txn: u64::MAX,
+                gateway: customer.first,
+                method,
+                due,
+                sent: now,
+                done: now,
+                outcome: Outcome::Unreached,
+            });
+        }
+        let gateway = up[self.chance.random_range(0..up.len())];
+        let txn = (gateway as u64) << 48 | number as u64;
+        let mut call = Call { txn, gateway, method, due, sent: now, done: now, outcome: Outcome::Open };
+        let idle = loop {
+            match self.gateways[gateway].idle.pop() {
+                Some(conn) if !io.is_open(conn) => continue,
+                other => break other,
+            }
+        };
+        let Some(conn) = idle.or_else(|| io.connect(self.gateways[gateway].address).ok()) else {
+            call.outcome = Outcome::Unreached;
+            return self.calls.push(call);
+        };
+        self.conns.insert(conn, (gateway, Use::Call(number)));
+        let how = &self.plan.methods[method];
+        let text = request(&self.plan.plan, how, txn, key, &customer);
+        io.send(conn, text.as_bytes());
+        io.at(due + how.deadline + SLACK, number as u64);
+        self.calls.push(call);
+    }
+
+    fn end(&mut self, io: &mut Io, call: usize, outcome: Outcome) {
+        let call = &mut self.calls[call];
+        if call.outcome == Outcome::Open {
+            (call.outcome, call.done) = (outcome, io.now());
+        }
+    }
+
+    /// A gateway failed just now: the front notices somewhat later.
+    fn failed(&mut self, io: &mut Io, gateway: usize) {
+        if self.gateways[gateway].stand == Stand::Admitted {
+            self.shift(gateway, Stand::Failing(io.now()));
+        }
+    }
+
+    fn probe(&mut self, io: &mut Io) {
+        for gateway in 0..self.gateways.len() {
+            if let Stand::Failing(since) = self.gateways[gateway].stand
+                && io.now() >= since + self.plan.notice
+            {
+                self.shift(gateway, Stand::Out);
+            }
+            let at = &mut self.gateways[gateway];
+            let asked = at.probe.is_some_and(|conn| io.is_open(conn));
+            if at.stand == Stand::Out
+                && !asked
+                && let Ok(conn) = io.connect(at.address)
+            {
+                at.probe = Some(conn);
+                self.conns.insert(conn, (gateway, Use::Probe));
+                io.send(conn, b"GET /-/ready HTTP/1.1\r\nHost: gateway\r\n\r\n");
+            }
+        }
+        io.at(io.now() + PROBE_EVERY, PROBES);
+    }
+}
+
+fn request(plan: &str, method: &Method, txn: u64, key: usize, customer: &Customer) -> String {
+    let lines = format!(
+        "Host: service.internal\r\nX-Txn: {txn:016x}\r\nX-Lane: {}\r\nX-Contract: {plan}\r\n\
+         X-Remaining-Ms: {}\r\nX-Metering: units={},spread={},first={}\r\n",
+        method.name,
+        method.deadline / MS,
+        method.units,
+        customer.width,
+        customer.first
+    );
+    let path = format!("/api/{key:016x}");
+    match method.idempotency.as_str() {
+        "free" => format!("GET {path} HTTP/1.1\r\n{lines}\r\n"),
+        "guarded" => format!(
+            "POST {path} HTTP/1.1\r\n{lines}Idempotency-Key: {txn:032x}\r\nContent-Length: 4\r\n\r\nbody"
+        ),
+        _ => format!("POST {path} HTTP/1.1\r\n{lines}Content-Length: 4\r\n\r\nbody"),
+    }
+}
+
+impl Service for Front {
+    fn came(&mut self, io: &mut Io, conn: Conn) {
+        let Some((gateway, what)) = self.conns.get(&conn).copied() else { return };
+        let answer = match http::answer(io.input(conn)) {
+            Ok(Some(answer)) => answer,
+            Ok(None) => return,
+            Err(_) => {
+                self.over(io, conn);
+                return io.close(conn);
+            }
+        };
+        io.used(conn, answer.length);
+        match what {
+            Use::Probe => {
+                self.conns.remove(&conn);
+                io.close(conn);
+                self.gateways[gateway].probe = None;
+                if answer.status == 200 {
+                    self.shift(gateway, Stand::Admitted);
+                }
+            }
+            Use::Idle => self.extra += 1,
+            Use::Call(call) => {
+                self.end(
+                    io,
+                    call,
+                    match answer.status {
+                        200 => Outcome::Ok,
+                        429 | 503 => Outcome::PushedBack,
+                        _ => Outcome::Failed,
+                    },
+                );
+                if answer.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close")) {
+                    self.conns.remove(&conn);
+                    io.close(conn);
+                } else {
+                    self.conns.insert(conn, (gateway, Use::Idle));
+                    self.gateways[gateway].idle.push(conn);
+                }
+            }
+        }
+    }
+
+    fn over(&mut self, io: &mut Io, conn: Conn) {
+        match self.conns.remove(&conn) {
+            Some((gateway, Use::Probe)) => self.gateways[gateway].probe = None,
+            Some((gateway, Use::Call(call))) => {
+                // A connection that never stood took nothing with it.
+                let wrote = io.waiting(conn) == 0;
+                self.end(io, call, if wrote { Outcome::Cut } else { Outcome::Unreached });
+                self.failed(io, gateway);
+            }
+            Some((_, Use::Idle)) | None => {}
+        }
+    }
+
+    fn due(&mut self, io: &mut Io, token: u64) {
+        match token {
+            ARRIVAL => self.arrive(io),
+            PROBES => self.probe(io),
+            call => {
+                if self.calls[call as usize].outcome != Outcome::Open {
+                    return;
+                }
+                self.end(io, call as usize, Outcome::Lost);
+                let conn = self.conns.iter().find(|(_, what)| what.1 == Use::Call(call as usize));
+                if let Some(conn) = conn.map(|(conn, _)| *conn) {
+                    self.conns.remove(&conn);
+                    io.close(conn);
+                }
+            }
+        }
+    }
+}
+
+/// How late the front was: due to written, in nanoseconds, at these quantiles and at most.
+pub fn lateness(calls: &[Call]) -> (Nanos, Nanos, Nanos) {
+    let mut late: Vec<Nanos> = calls.iter().map(|call| call.sent.saturating_sub(call.due)).collect();
+    late.sort_unstable();
+    let at = |share: f64| late.get(((late.len() as f64 * share) as usize).min(late.len().saturating_sub(1)));
+    (at(0.5).copied().unwrap_or(0), at(0.99).copied().unwrap_or(0), late.last().copied().unwrap_or(0))
+}
+
+/// A run whose front was later than this for one RPC in a hundred is void.
+pub const LATE_MOST: Nanos = SEC / 20;
--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,36 @@
+//! The rig: many real processes of the program on loopback, between an open-loop front and stand-in servers, discovery
+//! and counter, with faults put between them by a script. A [`scenario::Scenario`] says what is played,
+//! [`fleet::play`] plays it, [`measure`] works out how evenly the load came to the servers beside two references for
+//! the same arrivals, and [`report`] writes tables and charts. `docs/rig.md` documents the format and the figures.
+//!
+//! Figures of the rig are measured, in real time; a run says how late its own load generator was and is void when
+//! that was too late.
+
+pub mod fleet;
+pub mod front;
+pub mod measure;
+pub mod report;
+pub mod scenario;
+
+pub use standins::{MS, Nanos, SEC, nanos};
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// What draws chance, each from its own stream of the scenario's seed.
+#[derive(Clone, Copy, Debug)]
+pub enum Stream {
+    Arrivals = 1,
+    Servers = 2,
+    Links = 3,
+    Script = 4,
+    References = 5,
+    Seeds = 6,
+}
+
+/// The stream of one part of the rig.
+pub fn chance(seed: u64, stream: Stream) -> ChaCha8Rng {
+    let mut chance = ChaCha8Rng::seed_from_u64(seed);
+    chance.set_stream(stream as u64);
+    chance
+}
--- /dev/null
+++ b/crates/rig/src/main.rs
@@ -0,0 +1,80 @@
+//! The command line: `martenramp-rig run SCENARIO.toml`, `martenramp-rig check SCENARIO.toml`.
+
+use lexopt::prelude::*;
+use rig::fleet::play;
+use rig::report::Figures;
+use rig::scenario::Scenario;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+const HELP: &str = "\
+martenramp-rig: many real martenramp processes on loopback, with faults between them
+
+usage: martenramp-rig run SCENARIO.toml [--program FILE] [--out DIR] [--set FIELD=VALUE]... [--logs]
+       martenramp-rig check SCENARIO.toml [--set FIELD=VALUE]...
+
+FILE is the program played, the `martenramp` beside this one unless given. DIR gets the tables and charts, rig-out
+unless given. --set lays a field over the scenario's (gateways=100, load.rate=5.0); --logs keeps the gateways' log
+lines there, too. `docs/rig.md` documents scenarios and figures.
+";
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("martenramp-rig: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<(), String> {
+    let (mut verb, mut file, mut program, mut out) = (None, None, None, PathBuf::from("rig-out"));
+    let (mut set, mut logs) = (Vec::new(), false);
+    let mut args = lexopt::Parser::from_env();
+    let text = |e: lexopt::Error| e.to_string();
+    while let Some(arg) = args.next().map_err(text)? {
+        match arg {
+            Short('h') | Long("help") => verb = Some("help".to_string()),
+            Long("program") => program = Some(PathBuf::from(args.value().map_err(text)?)),
+            Long("out") => out = args.value().map_err(text)?.into(),
+            Long("set") => set.push(args.value().map_err(text)?.to_string_lossy().into_owned()),
+            Long("logs") => logs = true,
+            Value(word) if verb.is_none() => verb = Some(word.to_string_lossy().into_owned()),
+            Value(word) if file.is_none() => file = Some(PathBuf::from(word)),
+            arg => return Err(arg.unexpected().to_string()),
+        }
+    }
+    let scenario = || -> Result<Scenario, String> { Scenario::load(&file.ok_or("no scenario given")?, &set) };
+    match verb.as_deref() {
+        Some("run") => {
+            let beside = || Some(std::env::current_exe().ok()?.parent()?.join("martenramp"));
+            let program = program.or_else(beside).ok_or("no program given")?;
+            let scenario = scenario()?;
+            let outcome = play(&scenario, &program)?;
+            let figures = Figures::of(&scenario, &outcome);
+            figures.write(&out)?;
+            if logs {
+                for (gateway, lines) in outcome.lines.iter().enumerate() {
+                    let file = out.join(format!("n{gateway}.log"));
+                    std::fs::write(&file, lines.join("\n"))
+                        .map_err(|e| format!("{}: {e}", file.display()))?;
+                }
+            }
+            print!("{}", figures.shown());
+            outcome.crashed.iter().for_each(|crashed| println!("{crashed}"));
+            println!("wrote {}", out.display());
+            if figures.run.void { Err("the front was too late: the run is void".to_string()) } else { Ok(()) }
+        }
+        Some("check") => {
+            let scenario = scenario()?;
+            println!("{}: {} gateways, {} faults", scenario.name, scenario.gateways, scenario.faults.len());
+            Ok(())
+        }
+        Some("help") | None => {
+            print!("{HELP}");
+            Ok(())
+        }
+        Some(other) => Err(format!("no command '{other}'; try --help")),
+    }
+}
--- /dev/null
+++ b/crates/rig/src/measure.rs
@@ -0,0 +1,302 @@
+//! How evenly the load came to the servers: per server and window, RPCs, RPCs held and connections over the server's
+//! weight, beside two references for the same arrivals. `chance` sends each to a server drawn by weight, `central` is
+//! a dispatcher that sees all and sends each to the server with the least held for its weight.
+
+use crate::{Nanos, Stream, chance};
+use rand::distr::{Distribution, weighted::WeightedIndex};
+use standins::servers::{How, Row};
+
+/// A server over the run: its weight, and the spans in which it was up and listed as ready.
+#[derive(Clone, Debug)]
+pub struct Server {
+    pub weight: f64,
+    pub ready: Vec<(Nanos, Nanos)>,
+}
+
+impl Server {
+    fn is_ready(&self, from: Nanos, to: Nanos) -> bool {
+        self.ready.iter().any(|span| span.0 <= from && span.1 >= to)
+    }
+}
+
+/// An RPC at a server, as far as the measures need it.
+#[derive(Clone, Copy, Debug)]
+pub struct Visit {
+    pub server: usize,
+    pub at: Nanos,
+    pub done: Nanos,
+}
+
+/// All RPCs that a server took in; what it turned away at once was never held.
+pub fn visits(ledger: &[Row], until: Nanos) -> Vec<Visit> {
+    let held = |row: &&Row| row.how != How::TurnedAway;
+    let visit = |row: &Row| Visit {
+        server: row.server as usize,
+        at: row.at,
+        done: if row.how == How::Open { until } else { row.done },
+    };
+    ledger.iter().filter(held).map(visit).collect()
+}
+
+/// What is looked at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Quantity {
+    Rpcs,
+    /// RPCs in the server on average over the window.
+    Held,
+    Connections,
+}
+
+impl Quantity {
+    pub fn name(self) -> &'static str {
+        match self {
+            Quantity::Rpcs => "rpcs",
+            Quantity::Held => "held",
+            Quantity::Connections => "connections",
+        }
+    }
+}
+
+/// One window: each server's value over its weight, for those that were ready throughout.
+#[derive(Clone, Debug)]
+pub struct Window {
+    pub from: Nanos,
+    pub values: Vec<(usize, f64)>,
+}
+
+impl Window {
+    pub fn mean(&self) -> f64 {
+        self.values.iter().map(|value| value.1).sum::<f64>() / self.values.len().max(1) as f64
+    }
+
+    /// Over the mean: the highest, the p99 by nearest rank, and the lowest. Nothing where nothing came.
+    pub fn spread(&self) -> Option<[f64; 3]> {
+        let mean = self.mean();
+        let mut sorted: Vec<f64> = self.values.iter().map(|value| value.1 / mean).collect();
+        sorted.sort_by(f64::total_cmp);
+        let p99 = ((sorted.len() as f64 * 0.99).ceil() as usize).clamp(1, sorted.len().max(1)) - 1;
+        (mean > 0.0).then(|| [sorted[sorted.len() - 1], sorted[p99], sorted[0]])
+    }
+}
+
+/// Windows of a run from `from` to `to`, whole ones only.
+#[derive(Clone, Copy, Debug)]
+pub struct Frame {
+    pub from: Nanos,
+    pub to: Nanos,
+    pub width: Nanos,
+}
+
+impl Frame {
+    fn count(&self) -> usize {
+        (self.to.saturating_sub(self.from) / self.width.max(1)) as usize
+    }
+
+    /// The values of each server in each window.
+    pub fn windows(&self, servers: &[Server], visits: &[Visit], quantity: Quantity) -> Vec<Window> {
+        let mut sums = vec![vec![0.0; servers.len()]; self.count()];
+        let place = |at: Nanos| (at.saturating_sub(self.from) / self.width) as usize;
+        for visit in visits {
+            if quantity == Quantity::Rpcs {
+                if visit.at >= self.from && place(visit.at) < sums.len() {
+                    sums[place(visit.at)][visit.server] += 1.0;
+                }
+                continue;
+            }
+            let (at, done) = (visit.at.max(self.from), visit.done);
+            for (window, sum) in sums.iter_mut().enumerate().skip(place(at)) {
+                let start = self.from + window as Nanos * self.width;
+                if done <= start {
+                    break;
+                }
+                let inside = done.min(start + self.width).saturating_sub(at.max(start));
+                sum[visit.server] += inside as f64 / self.width as f64;
+            }
+        }
+        self.weigh(servers, sums)
+    }
+
+    /// Likewise from samples of open connections, the highest of each window.
+    pub fn connections(&self, servers: &[Server], samples: &[(Nanos, Vec<u32>)]) -> Vec<Window> {
+        let mut most = vec![vec![0.0; servers.len()]; self.count()];
+        for (at, open) in samples.iter().filter(|sample| sample.0 >= self.from) {
+            if let Some(window) = most.get_mut(((at - self.from) / self.width) as usize) {
+                window
+                    .iter_mut()
+                    .zip(open)
+                    .for_each(|(most, open)| *most = f64::max(*most, f64::from(*open)));
+            }
+        }
+        self.weigh(servers, most)
+    }
+
+    fn weigh(&self, servers: &[Server], values: Vec<Vec<f64>>) -> Vec<Window> {
+        let window = |(at, values): (usize, Vec<f64>)| {
+            let from = self.from + at as Nanos * self.width;
+            let ready = |server: &usize| servers[*server].is_ready(from, from + self.width);
+            let values = values.into_iter().enumerate().filter(|(server, _)| ready(server));
+            Window { from, values: values.map(|(at, value)| (at, value / servers[at].weight)).collect() }
+        };
+        values.into_iter().enumerate().map(window).collect()
+    }
+}
+
+/// The same arrivals, each at a server drawn by weight from those ready.
+pub fn by_chance(servers: &[Server], visits: &[Visit], seed: u64) -> Vec<Visit> {
+    let mut draws = chance(seed, Stream::References);
+    remap(servers, visits, |ready, _| {
+        let weights = WeightedIndex::new(ready.iter().map(|at| servers[*at].weight)).ok()?;
+        Some(ready[weights.sample(&mut draws)])
+    })
+}
+
+/// The same arrivals, each at the ready server that holds least for its weight just then; of equals, the one that has
+/// been sent least for its weight.
+pub fn by_centre(servers: &[Server], visits: &[Visit]) -> Vec<Visit> {
+    let mut sent = vec![0.0; servers.len()];
+    remap(servers, visits, |ready, held| {
+        let cost = |at: &usize| (held[*at] / servers[*at].weight, sent[*at] / servers[*at].weight);
+        let least = ready.iter().min_by(|one, two| {
+            let (one, two) = (cost(one), cost(two));
+            one.0.total_cmp(&two.0).then(one.1.total_cmp(&two.1))
+        });
+        let least = *least?;
+        sent[least] += 1.0;
+        Some(least)
+    })
+}
+
+fn remap(
+    servers: &[Server],
+    visits: &[Visit],
+    mut pick: impl FnMut(&[usize], &[f64]) -> Option<usize>,
+) -> Vec<Visit> {
+    let mut sorted = visits.to_vec();
+    sorted.sort_by_key(|visit| visit.at);
+    let mut held = vec![0.0; servers.len()];
+    let mut ends = std::collections::BinaryHeap::new();
+    for visit in &mut sorted {
+        while let Some(std::cmp::Reverse((done, server))) = ends.peek().copied()
+            && done <= visit.at
+        {
+            ends.pop();
+            held[server] -= 1.0;
+        }
+        let ready: Vec<usize> =
+            (0..servers.len()).filter(|at| servers[*at].is_ready(visit.at, visit.at)).collect();
+        visit.server = pick(&ready, &held).unwrap_or(visit.server);
+        held[visit.server] += 1.0;
+        ends.push(std::cmp::Reverse((visit.done, visit.server)));
+    }
+    sorted
+}
+
+/// Of a run of windows: the middle and worst of highest over mean, the middle p99 over mean, the middle and worst of
+/// lowest over mean.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Spread {
+    pub peak: f64,
+    pub peak_worst: f64,
+    pub p99: f64,
+    pub least: f64,
+    pub least_worst: f64,
+}
+
+impl Spread {
+    pub fn of(windows: &[Window]) -> Spread {
+        let all: Vec<[f64; 3]> = windows.iter().filter_map(Window::spread).collect();
+        let sorted = |at: usize| {
+            let mut some: Vec<f64> = all.iter().map(|one| one[at]).collect();
+            some.sort_by(f64::total_cmp);
+            some
+        };
+        let middle = |some: &[f64]| some.get(some.len() / 2).copied().unwrap_or(0.0);
+        let (peaks, p99s, least) = (sorted(0), sorted(1), sorted(2));
+        Spread {
+            peak: middle(&peaks),
+            peak_worst: peaks.last().copied().unwrap_or(0.0),
+            p99: middle(&p99s),
+            least: middle(&least),
+            least_worst: least.first().copied().unwrap_or(0.0),
+        }
+    }
+
+    /// The middle of several, figure by figure.
+    pub fn middle(several: &[Spread]) -> Spread {
+        let middle = |pick: fn(&Spread) -> f64| {
+            let mut some: Vec<f64> = several.iter().map(pick).collect();
+            some.sort_by(f64::total_cmp);
+            some.get(some.len() / 2).copied().unwrap_or(0.0)
+        };
+        Spread {
+            peak: middle(|one| one.peak),
+            peak_worst: middle(|one| one.peak_worst),
+            p99: middle(|one| one.p99),
+            least: middle(|one| one.least),
+            least_worst: middle(|one| one.least_worst),
+        }
+    }
+}
+
+/// Servers that were ready for a whole window and got no RPC in it, over all windows whose mean is above `above` RPCs.
+pub fn idle(windows: &[Window], above: f64) -> usize {
+    let busy = windows.iter().filter(|window| window.mean() > above);
+    busy.flat_map(|window| &window.values).filter(|value| value.1 == 0.0).count()
+}
+
+/// How many gateways each server was sent RPCs by, for those ready throughout: lowest, mean, highest.
+pub fn parts(servers: &[Server], ledger: &[Row], from: Nanos, to: Nanos) -> (usize, f64, usize) {
+    let mut met: Vec<std::collections::BTreeSet<usize>> = vec![Default::default(); servers.len()];
+    for row in ledger.iter().filter(|row| row.at >= from && row.at < to) {
+        met[row.server as usize].insert(row.gateway());
+    }
+    let ready = (0..servers.len()).filter(|at| servers[*at].is_ready(from, to));
+    let counts: Vec<usize> = ready.map(|at| met[at].len()).collect();
+    let mean = counts.iter().sum::<usize>() as f64 / counts.len().max(1) as f64;
+    (counts.iter().min().copied().unwrap_or(0), mean, counts.iter().max().copied().unwrap_or(0))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SEC: Nanos = 1_000_000_000;
+
+    fn servers(count: usize) -> Vec<Server> {
+        vec![Server { weight: 1.0, ready: vec![(0, 100 * SEC)] }; count]
+    }
+
+    #[test]
+    fn windows_count_rpcs_and_time_held_for_servers_that_are_ready() {
+        let mut servers = servers(3);
+        servers[1].weight = 2.0;
+        servers[2].ready = vec![(0, SEC / 2)];
+        let visits = [
+            Visit { server: 0, at: SEC / 2, done: 3 * SEC / 2 },
+            Visit { server: 1, at: 0, done: SEC },
+            Visit { server: 1, at: 0, done: 2 * SEC },
+        ];
+        let frame = Frame { from: 0, to: 2 * SEC, width: SEC };
+        let rpcs = frame.windows(&servers, &visits, Quantity::Rpcs);
+        assert_eq!(rpcs[0].values, [(0, 1.0), (1, 1.0)], "by weight, and not the one that went");
+        let held = frame.windows(&servers, &visits, Quantity::Held);
+        assert_eq!(held[0].values, [(0, 0.5), (1, 1.0)]);
+        assert_eq!(held[1].values, [(0, 0.5), (1, 0.5)]);
+        assert_eq!(held[0].spread().map(|spread| spread[0]), Some(1.0 / 0.75));
+        assert_eq!(idle(&rpcs, 0.5), 0);
+        assert_eq!(idle(&frame.windows(&servers, &visits[1..], Quantity::Rpcs), 0.1), 1);
+    }
+
+    #[test]
+    fn the_centre_is_even_and_chance_is_not() {
+        let servers = servers(10);
+        let visits: Vec<Visit> =
+            (0..1000).map(|at| Visit { server: 0, at: at * SEC / 100, done: at * SEC / 100 + 1 }).collect();
+        let frame = Frame { from: 0, to: 10 * SEC, width: 5 * SEC };
+        let spread = |visits: &[Visit]| Spread::of(&frame.windows(&servers, visits, Quantity::Rpcs));
+        assert_eq!(spread(&by_centre(&servers, &visits)).peak, 1.0);
+        let peak = spread(&by_chance(&servers, &visits, 1)).peak;
+        assert!(peak > 1.05 && peak < 1.6, "{peak}");
+        assert_eq!(spread(&visits).peak, 10.0);
+    }
+}
--- /dev/null
+++ b/crates/rig/src/report.rs
@@ -0,0 +1,398 @@
+//! Tables and charts of a run: `summary.csv` (one row for each part of the run, window and quantity), `run.csv` (one row
+//! of counts), `windows.csv` (over time), `servers.csv` and `gateways.csv`, and SVG charts drawn from them.
+
+use crate::fleet::Outcome;
+use crate::front::{LATE_MOST, Outcome as End, lateness};
+use crate::measure::{Frame, Quantity, Spread, Visit, Window, by_centre, by_chance, idle, parts, visits};
+use crate::scenario::Scenario;
+use crate::{MS, Nanos, SEC};
+use lab::report::{chart, write_csv};
+use serde::Serialize;
+use standins::servers::How;
+use std::collections::BTreeMap;
+use std::path::Path;
+
+/// How often chance is drawn for its middle figures.
+const CHANCES: u64 = 11;
+/// Servers count as idle in windows of 5 s with more than so many RPCs a second each.
+const IDLE_ABOVE: f64 = 2.0;
+
+/// Highest, p99 and lowest server over the mean, in one part of the run, for one width of window and one quantity.
+#[derive(Clone, Debug, Serialize)]
+pub struct SpreadRow {
+    pub scenario: String,
+    pub part: &'static str,
+    pub window_s: f64,
+    pub quantity: &'static str,
+    pub windows: usize,
+    pub mean: f64,
+    pub peak: f64,
+    pub peak_worst: f64,
+    pub p99: f64,
+    pub least: f64,
+    pub least_worst: f64,
+    pub chance_peak: f64,
+    pub chance_peak_worst: f64,
+    pub chance_least: f64,
+    pub chance_least_worst: f64,
+    pub centre_peak: f64,
+    pub centre_peak_worst: f64,
+}
+
+/// Counts of one run.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct RunRow {
+    pub scenario: String,
+    pub seed: u64,
+    pub gateways: usize,
+    pub servers: usize,
+    pub rpcs: usize,
+    pub ok: usize,
+    pub pushed_back: usize,
+    pub failed: usize,
+    pub cut: usize,
+    pub unreached: usize,
+    pub lost: usize,
+    pub extra_answers: u64,
+    /// RPCs that may run once only and ran twice.
+    pub twice: usize,
+    pub call_outs: usize,
+    pub turned_away: usize,
+    /// 5 s windows of single servers that were ready and got nothing while the mean was above 2 RPCs a second.
+    pub idle: usize,
+    /// Gateways that sent to a server before the first fault: lowest, mean and highest.
+    pub parts_least: usize,
+    pub parts_mean: f64,
+    pub parts_most: usize,
+    /// The busiest gateway's RPCs over the mean.
+    pub gateway_peak: f64,
+    pub p50_ms: f64,
+    pub p99_ms: f64,
+    pub count_calls: u64,
+    pub crashed: usize,
+    pub late_p50_ms: f64,
+    pub late_p99_ms: f64,
+    pub late_most_ms: f64,
+    /// The front was too late: the figures are worth nothing.
+    pub void: bool,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct WindowRow {
+    t_s: f64,
+    quantity: &'static str,
+    mean: f64,
+    peak: f64,
+    least: f64,
+    chance_peak: f64,
+    centre_peak: f64,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct ServerRow {
+    server: usize,
+    weight: f64,
+    rpcs: usize,
+    turned_away: usize,
+    gateways: usize,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct GatewayRow {
+    gateway: usize,
+    rpcs: usize,
+    call_outs: usize,
+    servers: usize,
+}
+
+fn ms(span: Nanos) -> f64 {
+    round(span as f64 / MS as f64)
+}
+
+fn round(value: f64) -> f64 {
+    (value * 1e3).round() / 1e3
+}
+
+/// All that is worked out of a run.
+pub struct Figures {
+    pub run: RunRow,
+    pub spreads: Vec<SpreadRow>,
+    windows: Vec<WindowRow>,
+    servers: Vec<ServerRow>,
+    gateways: Vec<GatewayRow>,
+}
+
+impl Figures {
+    /// The row for a part (`health` or `fault`), window width in seconds and quantity.
+    pub fn spread(&self, part: &str, window_s: f64, quantity: Quantity) -> Option<&SpreadRow> {
+        let is = |row: &&SpreadRow| {
+            row.part == part && row.window_s == window_s && row.quantity == quantity.name()
+        };
+        self.spreads.iter().find(is)
+    }
+
+    pub fn of(scenario: &Scenario, outcome: &Outcome) -> Figures {
+        let all = visits(&outcome.ledger, outcome.to + 10 * SEC);
+        let centre = by_centre(&outcome.servers, &all);
+        let chances: Vec<_> =
+            (0..CHANCES).map(|nth| by_chance(&outcome.servers, &all, scenario.seed ^ nth << 32)).collect();
+        let until = outcome.fault_at.unwrap_or(outcome.to);
+        let mut spreads = Vec::new();
+        for (part, from, to) in [("health", outcome.from, until), ("fault", until, outcome.to)] {
+            for width in [SEC, 5 * SEC] {
+                let frame = Frame { from, to, width };
+                for quantity in [Quantity::Rpcs, Quantity::Held, Quantity::Connections] {
+                    let look = |visits: &[Visit]| frame.windows(&outcome.servers, visits, quantity);
+                    let connections = quantity == Quantity::Connections;
+                    let seen = match connections {
+                        true => frame.connections(&outcome.servers, &outcome.connections),
+                        false => look(&all),
+                    };
+                    if seen.is_empty() {
+                        continue;
+                    }
+                    let referred = |some: &[Vec<Visit>]| match connections {
+                        true => Spread::default(),
+                        false => {
+                            Spread::middle(&some.iter().map(|one| Spread::of(&look(one))).collect::<Vec<_>>())
+                        }
+                    };
+                    let chance = referred(&chances);
+                    let centre = referred(std::slice::from_ref(&centre));
+                    let spread = Spread::of(&seen);
+                    let mean = seen.iter().map(Window::mean).sum::<f64>() / seen.len() as f64;
+                    spreads.push(SpreadRow {
+                        scenario: scenario.name.clone(),
+                        part,
+                        window_s: width as f64 / SEC as f64,
+                        quantity: quantity.name(),
+                        windows: seen.len(),
+                        mean: round(mean),
+                        peak: round(spread.peak),
+                        peak_worst: round(spread.peak_worst),
+                        p99: round(spread.p99),
+                        least: round(spread.least),
+                        least_worst: round(spread.least_worst),
+                        chance_peak: round(chance.peak),
+                        chance_peak_worst: round(chance.peak_worst),
+                        chance_least: round(chance.least),
+                        chance_least_worst: round(chance.least_worst),
+                        centre_peak: round(centre.peak),
+                        centre_peak_worst: round(centre.peak_worst),
+                    });
+                }
+            }
+        }
+        let whole = Frame { from: outcome.from, to: outcome.to, width: 5 * SEC };
+        let idle = idle(&whole.windows(&outcome.servers, &all, Quantity::Rpcs), IDLE_ABOVE * 5.0);
+        let seconds = Frame { width: SEC, ..whole };
+        let mut windows = Vec::new();
+        for quantity in [Quantity::Rpcs, Quantity::Held] {
+            let look = |visits: &[Visit]| seconds.windows(&outcome.servers, visits, quantity);
+            let lines = look(&all).into_iter().zip(look(&chances[0])).zip(look(&centre));
+            windows.extend(lines.filter_map(|((seen, chance), centre)| {
+                let spread = seen.spread()?;
+                Some(WindowRow {
+                    t_s: round((seen.from - outcome.from) as f64 / SEC as f64),
+                    quantity: quantity.name(),
+                    mean: round(seen.mean()),
+                    peak: round(spread[0]),
+                    least: round(spread[2]),
+                    chance_peak: round(chance.spread()?[0]),
+                    centre_peak: round(centre.spread()?[0]),
+                })
+            }));
+        }
+        Figures {
+            run: run_row(scenario, outcome, until, idle),
+            spreads,
+            windows,
+            servers: server_rows(outcome),
+            gateways: gateway_rows(outcome),
+        }
+    }
+
+    /// Writes all tables and charts into a directory.
+    pub fn write(&self, dir: &Path) -> Result<(), String> {
+        std::fs::create_dir_all(dir).map_err(|e| format!("{}: {e}", dir.display()))?;
+        write_csv(&dir.join("summary.csv"), &self.spreads)?;
+        write_csv(&dir.join("run.csv"), std::slice::from_ref(&self.run))?;
+        write_csv(&dir.join("windows.csv"), &self.windows)?;
+        write_csv(&dir.join("servers.csv"), &self.servers)?;
+        write_csv(&dir.join("gateways.csv"), &self.gateways)?;
+        for quantity in ["rpcs", "held"] {
+            let line = |name: &str, pick: fn(&WindowRow) -> f64| {
+                let rows = self.windows.iter().filter(|row| row.quantity == quantity);
+                (name.to_string(), rows.map(|row| (row.t_s, pick(row))).collect::<Vec<_>>())
+            };
+            let lines = [
+                line("measured, busiest", |row| row.peak),
+                line("measured, least busy", |row| row.least),
+                line("pure chance, busiest", |row| row.chance_peak),
+                line("one dispatcher, busiest", |row| row.centre_peak),
+            ];
+            let title =
+                format!("{}: {quantity} of a server over the mean, windows of 1 s", self.run.scenario);
+            chart(&dir.join(format!("{quantity}.svg")), &title, "seconds", "over the mean", &lines)?;
+        }
+        let mut shares: Vec<f64> = self.servers.iter().map(|row| row.rpcs as f64 / row.weight).collect();
+        shares.sort_by(f64::total_cmp);
+        let mean = shares.iter().sum::<f64>() / shares.len().max(1) as f64;
+        let line: Vec<(f64, f64)> =
+            shares.iter().enumerate().map(|(at, share)| (at as f64, share / mean.max(1e-9))).collect();
+        let title = format!("{}: servers by RPCs over the mean, the whole run", self.run.scenario);
+        chart(
+            &dir.join("servers.svg"),
+            &title,
+            "servers in order",
+            "over the mean",
+            &[("measured".into(), line)],
+        )
+    }
+
+    /// The figures for a person.
+    pub fn shown(&self) -> String {
+        let run = &self.run;
+        let mut text = format!(
+            "{}: {} gateways, {} servers, {} RPCs: {} ok, {} pushed back, {} failed, {} cut, {} unreached, {} lost; \
+             {} call-outs, {} turned away, {} ran twice; p50 {} ms, p99 {} ms\n\
+             parts {} / {:.1} / {}, idle servers {}, busiest gateway {:.2} of the mean, crashed {}, \
+             front late p99 {} ms, at most {} ms{}\n\
+             part    win quantity     mean | peak  worst | p99   | least worst | chance peak worst least worst | centre peak worst\n",
+            run.scenario,
+            run.gateways,
+            run.servers,
+            run.rpcs,
+            run.ok,
+            run.pushed_back,
+            run.failed,
+            run.cut,
+            run.unreached,
+            run.lost,
+            run.call_outs,
+            run.turned_away,
+            run.twice,
+            run.p50_ms,
+            run.p99_ms,
+            run.parts_least,
+            run.parts_mean,
+            run.parts_most,
+            run.idle,
+            run.gateway_peak,
+            run.crashed,
+            run.late_p99_ms,
+            run.late_most_ms,
+            if run.void { " VOID" } else { "" },
+        );
+        for row in &self.spreads {
+            text += &format!(
+                "{:<7} {:>2}s {:<11} {:>5.1} | {:<5.2} {:<5.2} | {:<5.2} | {:<5.2} {:<5.2} | \
+                 {:>11.2} {:<5.2} {:<5.2} {:<5.2} | {:>11.2} {:<5.2}\n",
+                row.part,
+                row.window_s,
+                row.quantity,
+                row.mean,
+                row.peak,
+                row.peak_worst,
+                row.p99,
+                row.least,
+                row.least_worst,
+                row.chance_peak,
+                row.chance_peak_worst,
+                row.chance_least,
+                row.chance_least_worst,
+                row.centre_peak,
+                row.centre_peak_worst,
+            );
+        }
+        text
+    }
+}
+
+fn run_row(scenario: &Scenario, outcome: &Outcome, until: Nanos, idle: usize) -> RunRow {
+    let calls: Vec<_> = outcome.calls.iter().filter(|call| call.due >= outcome.from).collect();
+    let count = |end: End| calls.iter().filter(|call| call.outcome == end).count();
+    let mut times: Vec<Nanos> =
+        calls.iter().filter(|call| call.outcome == End::Ok).map(|call| call.done - call.due).collect();
+    times.sort_unstable();
+    let quantile = |share: f64| {
+        let at = ((times.len() as f64 * share) as usize).min(times.len().saturating_sub(1));
+        ms(times.get(at).copied().unwrap_or(0))
+    };
+    // What ran: an RPC may do so once, unless its class says otherwise. Work of a server that died may have been done.
+    let once = |txn: u64| {
+        let call = outcome.calls.get((txn & 0xffff_ffff_ffff) as usize);
+        call.is_some_and(|call| !outcome.methods[call.method].1)
+    };
+    let mut ran: BTreeMap<u64, usize> = BTreeMap::new();
+    for row in outcome.ledger.iter().filter(|row| row.how != How::TurnedAway && once(row.txn)) {
+        *ran.entry(row.txn).or_default() += 1;
+    }
+    let (least, mean, most) = parts(&outcome.servers, &outcome.ledger, outcome.from, until);
+    let (p50, p99, late_most) = lateness(&outcome.calls);
+    let mut at_gateway = vec![0usize; outcome.lines.len()];
+    calls.iter().for_each(|call| at_gateway[call.gateway.min(outcome.lines.len() - 1)] += 1);
+    let busiest = at_gateway.iter().max().copied().unwrap_or(0) as f64;
+    RunRow {
+        scenario: scenario.name.clone(),
+        seed: scenario.seed,
+        gateways: outcome.lines.len(),
+        servers: outcome.servers.len(),
+        rpcs: calls.len(),
+        ok: count(End::Ok),
+        pushed_back: count(End::PushedBack),
+        failed: count(End::Failed),
+        cut: count(End::Cut),
+        unreached: count(End::Unreached),
+        lost: count(End::Lost) + count(End::Open),
+        extra_answers: outcome.extra_answers,
+        twice: ran.values().filter(|count| **count > 1).count(),
+        call_outs: outcome.ledger.len(),
+        turned_away: outcome.ledger.iter().filter(|row| row.how == How::TurnedAway).count(),
+        idle,
+        parts_least: least,
+        parts_mean: round(mean),
+        parts_most: most,
+        gateway_peak: round(busiest * outcome.lines.len() as f64 / calls.len().max(1) as f64),
+        p50_ms: quantile(0.5),
+        p99_ms: quantile(0.99),
+        count_calls: outcome.count_calls,
+        crashed: outcome.crashed.len(),
+        late_p50_ms: ms(p50),
+        late_p99_ms: ms(p99),
+        late_most_ms: ms(late_most),
+        void: p99 > LATE_MOST,
+    }
+}
+
+fn server_rows(outcome: &Outcome) -> Vec<ServerRow> {
+    let rows = |at: usize| outcome.ledger.iter().filter(move |row| row.server as usize == at);
+    let row = |(at, server): (usize, &crate::measure::Server)| {
+        let gateways: std::collections::BTreeSet<usize> = rows(at).map(|row| row.gateway()).collect();
+        ServerRow {
+            server: at,
+            weight: server.weight,
+            rpcs: rows(at).count(),
+            turned_away: rows(at).filter(|row| row.how == How::TurnedAway).count(),
+            gateways: gateways.len(),
+        }
+    };
+    outcome.servers.iter().enumerate().map(row).collect()
+}
+
+fn gateway_rows(outcome: &Outcome) -> Vec<GatewayRow> {
+    let mut met: Vec<(usize, std::collections::BTreeSet<u32>)> =
+        vec![Default::default(); outcome.lines.len()];
+    for row in &outcome.ledger {
+        if let Some(at) = met.get_mut(row.gateway()) {
+            at.0 += 1;
+            at.1.insert(row.server);
+        }
+    }
+    let mut calls = vec![0; outcome.lines.len()];
+    outcome.calls.iter().for_each(|call| calls[call.gateway.min(outcome.lines.len() - 1)] += 1);
+    let row = |(gateway, (call_outs, servers)): (usize, (usize, std::collections::BTreeSet<u32>))| {
+        GatewayRow { gateway, rpcs: calls[gateway], call_outs, servers: servers.len() }
+    };
+    met.into_iter().enumerate().map(row).collect()
+}
--- /dev/null
+++ b/crates/rig/src/scenario.rs
@@ -0,0 +1,478 @@
+//! What the rig plays, read from TOML and checked before any process starts. `docs/rig.md` documents the format.
+
+use serde::{Deserialize, Serialize};
+use std::ops::Range;
+use std::path::Path;
+
+/// One scenario, as read.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    pub name: String,
+    #[serde(default = "one")]
+    pub seed: u64,
+    /// Seconds of arrivals before anything is measured, and measured ones.
+    #[serde(default = "four")]
+    pub warm_seconds: f64,
+    pub seconds: f64,
+    pub gateways: usize,
+    /// Zone `g % len` is gateway `g`'s.
+    pub zones: Vec<String>,
+    /// Pairs of gateways of which the second is given the first one's number by mistake.
+    #[serde(default)]
+    pub same_number: Vec<(usize, usize)>,
+    /// The service's settings in the gateway's nested form; `balancers`, `me`, `zone` and `localities` are added.
+    pub settings: toml::Table,
+    pub load: Load,
+    pub servers: Vec<Servers>,
+    #[serde(default)]
+    pub counter: Counter,
+    #[serde(default)]
+    pub faults: Vec<Fault>,
+}
+
+/// Open-loop arrivals.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Load {
+    /// RPCs a second for each gateway on average (Poisson over the whole fleet).
+    pub rate: f64,
+    pub customers: usize,
+    /// Sigma of the log-normal that customers' shares are drawn from; 0 gives all the same.
+    #[serde(default)]
+    pub skew: f64,
+    /// Through how many gateways in a row each customer's RPCs come in.
+    pub width: usize,
+    pub methods: Vec<Method>,
+    /// A tariff of the settings.
+    pub plan: String,
+    /// How long until the front notices a dead gateway, seconds.
+    #[serde(default = "one_f")]
+    pub notice: f64,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Method {
+    /// A class of the settings.
+    pub name: String,
+    pub share: f64,
+    #[serde(default = "one_f")]
+    pub units: f64,
+}
+
+/// A group of alike servers, in the zones by turns.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Servers {
+    pub count: usize,
+    /// Only in this zone.
+    #[serde(default)]
+    pub zone: Option<String>,
+    #[serde(default = "one_f")]
+    pub weight: f64,
+    pub cores: usize,
+    pub queue: usize,
+    #[serde(default = "table")]
+    pub connections: usize,
+    pub service_ms: f64,
+    #[serde(default = "spread")]
+    pub spread: f64,
+    #[serde(default = "one_f")]
+    pub cold_share: f64,
+    #[serde(default)]
+    pub cold_seconds: f64,
+    #[serde(default)]
+    pub reports: bool,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Counter {
+    /// Time that one call takes of it, microseconds.
+    pub cost_us: f64,
+}
+
+impl Default for Counter {
+    fn default() -> Self {
+        Counter { cost_us: 20.0 }
+    }
+}
+
+/// Who an end of a link is, as `front`, `discovery`, `counter`, `gateways:3`, `gateways:0-9`, `servers:4-7` or `zone:a`.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Place {
+    Front,
+    Discovery,
+    Counter,
+    Gateways(Range<usize>),
+    Servers(Range<usize>),
+    Zone(String),
+}
+
+impl Place {
+    pub fn parse(text: &str) -> Result<Place, String> {
+        let range = |text: &str| -> Option<Range<usize>> {
+            let (from, to) = text.split_once('-').unwrap_or((text, text));
+            Some(from.parse().ok()?..to.parse::<usize>().ok()? + 1)
+        };
+        let bad = || format!("no such place: '{text}'");
+        match text.split_once(':') {
+            None if text == "front" => Ok(Place::Front),
+            None if text == "discovery" => Ok(Place::Discovery),
+            None if text == "counter" => Ok(Place::Counter),
+            Some(("gateways", which)) => range(which).map(Place::Gateways).ok_or_else(bad),
+            Some(("servers", which)) => range(which).map(Place::Servers).ok_or_else(bad),
+            Some(("zone", name)) => Ok(Place::Zone(name.to_string())),
+            _ => Err(bad()),
+        }
+    }
+}
+
+/// What a link does to what passes it. Ways are seen from `from`.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Wire {
+    pub cut_there: bool,
+    pub cut_back: bool,
+    /// Each way.
+    pub delay_ms: f64,
+    pub lose: f64,
+    pub reset: bool,
+    /// Accepts and says nothing.
+    pub silent: bool,
+}
+
+/// A fault at a time (seconds after the warm-up), for a span where it has one. Shares are drawn by the seed.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
+pub enum Fault {
+    /// Gateways get SIGKILL, and start again after a while if told.
+    Kill {
+        at: f64,
+        share: f64,
+        back_after: Option<f64>,
+    },
+    /// Gateways get SIGTERM, likewise.
+    Term {
+        at: f64,
+        share: f64,
+        back_after: Option<f64>,
+    },
+    /// Gateways get SIGSTOP and later SIGCONT.
+    Pause {
+        at: f64,
+        share: f64,
+        seconds: f64,
+    },
+    /// So many more gateways start, told of the larger fleet; the old ones are told by SIGHUP, each `share` of them.
+    Grow {
+        at: f64,
+        count: usize,
+        share: f64,
+    },
+    /// Servers are replaced by new, cold ones, evenly over `seconds`; an old one drains for `drain` and goes.
+    Replace {
+        at: f64,
+        share: f64,
+        seconds: f64,
+        drain: f64,
+    },
+    /// One more server like the first group's, or the last one gone.
+    Join {
+        at: f64,
+    },
+    Leave {
+        at: f64,
+    },
+    /// All servers of a zone are down; the list says so after `told_after` if told, and they come back cold.
+    ZoneDown {
+        at: f64,
+        zone: String,
+        seconds: f64,
+        told_after: Option<f64>,
+    },
+    Slow {
+        at: f64,
+        share: f64,
+        factor: f64,
+        seconds: f64,
+    },
+    FailsFast {
+        at: f64,
+        share: f64,
+        seconds: f64,
+    },
+    Silent {
+        at: f64,
+        share: f64,
+        seconds: f64,
+    },
+    /// A share of the gateways hears changes of the list so late, or nothing, or an older version once more.
+    ListLate {
+        at: f64,
+        share: f64,
+        seconds: f64,
+        late: f64,
+    },
+    ListStill {
+        at: f64,
+        share: f64,
+        seconds: f64,
+    },
+    ListBack {
+        at: f64,
+        share: f64,
+        seconds: f64,
+        versions: u64,
+    },
+    DiscoveryDown {
+        at: f64,
+        share: f64,
+        seconds: f64,
+    },
+    CounterStall {
+        at: f64,
+        seconds: f64,
+    },
+    CounterDown {
+        at: f64,
+        seconds: f64,
+    },
+    CounterEmpty {
+        at: f64,
+    },
+    /// All arrivals come so many times as often.
+    Burst {
+        at: f64,
+        factor: f64,
+        seconds: f64,
+    },
+    /// A link between two places.
+    Link {
+        at: f64,
+        seconds: f64,
+        from: String,
+        to: String,
+        wire: Wire,
+    },
+}
+
+impl Fault {
+    pub fn at(&self) -> f64 {
+        use Fault::*;
+        match *self {
+            Kill { at, .. } | Term { at, .. } | Pause { at, .. } | Grow { at, .. } | Replace { at, .. } => at,
+            Join { at } | Leave { at } | CounterEmpty { at } => at,
+            ZoneDown { at, .. } | Slow { at, .. } | FailsFast { at, .. } | Silent { at, .. } => at,
+            ListLate { at, .. } | ListStill { at, .. } | ListBack { at, .. } => at,
+            DiscoveryDown { at, .. } | CounterStall { at, .. } | CounterDown { at, .. } => at,
+            Burst { at, .. } | Link { at, .. } => at,
+        }
+    }
+
+    fn share(&self) -> f64 {
+        use Fault::*;
+        match *self {
+            Kill { share, .. } | Term { share, .. } | Pause { share, .. } | Replace { share, .. } => share,
+            Slow { share, .. } | FailsFast { share, .. } | Silent { share, .. } => share,
+            ListLate { share, .. } | ListStill { share, .. } | ListBack { share, .. } => share,
+            DiscoveryDown { share, .. } | Grow { share, .. } => share,
+            _ => 0.0,
+        }
+    }
+}
+
+fn one() -> u64 {
+    1
+}
+fn one_f() -> f64 {
+    1.0
+}
+fn four() -> f64 {
+    4.0
+}
+fn table() -> usize {
+    512
+}
+fn spread() -> f64 {
+    0.3
+}
+
+impl Scenario {
+    /// Reads and checks a scenario file, with what it `extends` and with dotted fields set (`gateways=100`).
+    pub fn load(path: &Path, set: &[String]) -> Result<Scenario, String> {
+        let text = lab::scenario::read_text(path)?;
+        let mut table: toml::Table = toml::from_str(&text).map_err(|e| e.to_string())?;
+        for one in set {
+            let (name, value) = one.split_once('=').ok_or_else(|| format!("'{one}' is not FIELD=VALUE"))?;
+            let value = format!("v = {value}").parse::<toml::Table>().map_err(|e| format!("{one}: {e}"))?;
+            let nested = name.rsplit('.').fold(value["v"].clone(), |inner, field| {
+                toml::Value::Table([(field.to_string(), inner)].into_iter().collect())
+            });
+            if let toml::Value::Table(nested) = nested {
+                lab::scenario::merge(&mut table, nested);
+            }
+        }
+        Scenario::from_table(table).map_err(|e| format!("{}: {e}", path.display()))
+    }
+
+    pub fn from_toml(text: &str) -> Result<Scenario, String> {
+        Scenario::from_table(toml::from_str(text).map_err(|e| e.to_string())?)
+    }
+
+    fn from_table(table: toml::Table) -> Result<Scenario, String> {
+        let scenario: Scenario = table.try_into().map_err(|e: toml::de::Error| e.to_string())?;
+        scenario.check()?;
+        Ok(scenario)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let fail = |what: String| Err(what);
+        if self.gateways == 0 || self.zones.is_empty() || self.servers.iter().all(|group| group.count == 0) {
+            return fail("'gateways', 'zones' and 'servers' must not be empty".into());
+        }
+        if !(self.seconds > 0.0 && self.seconds <= 3600.0 && (0.0..=600.0).contains(&self.warm_seconds)) {
+            return fail("'seconds' must be from 0 to 3600, 'warm_seconds' from 0 to 600".into());
+        }
+        if self.load.width == 0 || self.load.width > self.gateways || self.load.customers == 0 {
+            return fail("'load.width' must be from 1 to 'gateways', 'load.customers' 1 or more".into());
+        }
+        if !(self.load.rate > 0.0 && self.load.rate.is_finite()) {
+            return fail("'load.rate' must be above nought".into());
+        }
+        let names = |list: &str| -> Vec<&str> {
+            let entries = self.settings.get(list).and_then(toml::Value::as_array);
+            entries.into_iter().flatten().filter_map(|entry| entry.get("name")?.as_str()).collect()
+        };
+        if !names("tariffs").contains(&&*self.load.plan) {
+            return fail(format!("load.plan: no tariff named '{}' in the settings", self.load.plan));
+        }
+        if let Some(method) =
+            self.load.methods.iter().find(|method| !names("classes").contains(&&*method.name))
+        {
+            return fail(format!("load.methods: no class named '{}' in the settings", method.name));
+        }
+        if self.load.methods.is_empty() {
+            return fail("'load.methods' must not be empty".into());
+        }
+        for (at, group) in self.servers.iter().enumerate() {
+            if group.zone.as_ref().is_some_and(|zone| !self.zones.contains(zone)) {
+                return fail(format!("servers[{at}].zone is none of 'zones'"));
+            }
+            if !(group.weight > 0.0 && group.service_ms > 0.0 && group.cores > 0) {
+                return fail(format!(
+                    "servers[{at}]: 'weight', 'service_ms' and 'cores' must be above nought"
+                ));
+            }
+        }
+        for (at, fault) in self.faults.iter().enumerate() {
+            if !(0.0..=self.seconds).contains(&fault.at()) || !(0.0..=1.0).contains(&fault.share()) {
+                return fail(format!("faults[{at}]: 'at' must lie in 'seconds', 'share' be from 0 to 1"));
+            }
+            match fault {
+                Fault::ZoneDown { zone, .. } if !self.zones.contains(zone) => {
+                    return fail(format!("faults[{at}].zone is none of 'zones'"));
+                }
+                Fault::Link { from, to, .. } => {
+                    let (from, to) = (Place::parse(from)?, Place::parse(to)?);
+                    let ok = match (&from, &to) {
+                        (Place::Front, Place::Gateways(_) | Place::Zone(_)) => true,
+                        (Place::Gateways(_) | Place::Zone(_), to) => {
+                            !matches!(to, Place::Front | Place::Gateways(_))
+                        }
+                        _ => false,
+                    };
+                    if !ok {
+                        return fail(format!(
+                            "faults[{at}]: a link leads from the front to gateways, or from gateways to servers, \
+                             discovery or the counter"
+                        ));
+                    }
+                }
+                _ => {}
+            }
+        }
+        for (one, other) in &self.same_number {
+            if *one >= self.gateways || *other >= self.gateways {
+                return fail("same_number names a gateway beyond 'gateways'".into());
+            }
+        }
+        Ok(())
+    }
+
+    /// A class's deadline in seconds.
+    pub fn deadline(&self, class: &str) -> f64 {
+        let classes = self.settings.get("classes").and_then(toml::Value::as_array);
+        let entry = classes
+            .into_iter()
+            .flatten()
+            .find(|entry| entry.get("name").and_then(toml::Value::as_str) == Some(class));
+        let value = entry.and_then(|entry| entry.get("deadline"));
+        value
+            .and_then(|value| value.as_float().or(value.as_integer().map(|whole| whole as f64)))
+            .unwrap_or(5.0)
+    }
+
+    /// How a class may be repeated, as the settings have it (`free`, `guarded` or `single_shot`).
+    pub fn idempotency(&self, class: &str) -> String {
+        let classes = self.settings.get("classes").and_then(toml::Value::as_array);
+        let entry = classes
+            .into_iter()
+            .flatten()
+            .find(|entry| entry.get("name").and_then(toml::Value::as_str) == Some(class));
+        let told = entry.and_then(|entry| entry.get("idempotency")?.as_str());
+        told.unwrap_or("single_shot").to_string()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    pub const SMALL: &str = r#"
+name = "small"
+seconds = 5.0
+gateways = 4
+zones = ["a", "b"]
+[settings]
+classes = [{ name = "read", credit = 1, onTime = 1.5, deadline = 3.0, idempotency = "free" }]
+tariffs = [{ name = "team", perSecond = 100.0, depth = 100.0 }]
+[load]
+rate = 5.0
+customers = 8
+width = 2
+plan = "team"
+methods = [{ name = "read", share = 1.0 }]
+[[servers]]
+count = 4
+cores = 4
+queue = 16
+service_ms = 5.0
+[[faults]]
+kind = "link"
+at = 1.0
+seconds = 1.0
+from = "zone:a"
+to = "servers:0-1"
+wire = { cut_back = true }
+"#;
+
+    #[test]
+    fn a_scenario_reads_and_what_is_wrong_is_named() {
+        let scenario = Scenario::from_toml(SMALL).unwrap();
+        assert_eq!((scenario.deadline("read"), scenario.idempotency("read")), (3.0, "free".to_string()));
+        assert_eq!(Place::parse("servers:0-1"), Ok(Place::Servers(0..2)));
+        for (was, is, named) in [
+            ("plan = \"team\"", "plan = \"none\"", "no tariff named 'none'"),
+            ("name = \"read\", share", "name = \"none\", share", "no class named 'none'"),
+            ("gateways = 4", "gateways = 4\nwhat = 1", "what"),
+            ("at = 1.0", "at = 9.0", "faults[0]"),
+            ("to = \"servers:0-1\"", "to = \"front\"", "a link leads"),
+            ("width = 2", "width = 9", "load.width"),
+        ] {
+            let error = Scenario::from_toml(&SMALL.replace(was, is)).unwrap_err();
+            assert!(error.contains(named), "{error}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/counter.rs
@@ -0,0 +1,188 @@
+//! A stand-in for the shared counter: RESP2 `INCRTTL NAME AMOUNT LIFE`, served one after another, with calls told apart
+//! by name. A script may stall it, empty it, or shut it.
+
+use crate::reactor::{Conn, Door, Io, Service};
+use crate::{MS, Nanos};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+
+/// What the counter does. `Counter::become_` is the one place that changes it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    Serves,
+    /// Takes calls and answers none until it serves again.
+    Stalls,
+    /// Nobody listens.
+    Down,
+}
+
+/// The counter: every call takes `cost` of its time.
+pub struct Counter {
+    state: State,
+    cost: Nanos,
+    free_at: Nanos,
+    address: SocketAddr,
+    door: Option<Door>,
+    totals: HashMap<Vec<u8>, (f64, Nanos)>,
+    conns: BTreeMap<Conn, ()>,
+    line: VecDeque<(Nanos, Conn, Vec<u8>)>,
+    pub calls: u64,
+}
+
+impl Counter {
+    pub fn new(cost: Nanos) -> Counter {
+        Counter {
+            state: State::Down,
+            cost,
+            free_at: 0,
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            door: None,
+            totals: HashMap::new(),
+            conns: BTreeMap::new(),
+            line: VecDeque::new(),
+            calls: 0,
+        }
+    }
+
+    /// Begins to listen; where.
+    pub fn open(&mut self, io: &mut Io, address: SocketAddr) -> std::io::Result<SocketAddr> {
+        let (door, address) = io.listen(address)?;
+        (self.door, self.address, self.state) = (Some(door), address, State::Serves);
+        Ok(address)
+    }
+
+    pub fn become_(&mut self, io: &mut Io, state: State) -> std::io::Result<()> {
+        let was = std::mem::replace(&mut self.state, state);
+        if state == State::Down {
+            self.door.take().into_iter().for_each(|door| io.shut(door));
+            std::mem::take(&mut self.conns).into_keys().for_each(|conn| io.reset(conn));
+            self.line.clear();
+        } else if was == State::Down {
+            self.door = Some(io.listen(self.address)?.0);
+        }
+        self.answer(io);
+        Ok(())
+    }
+
+    /// A replacement that starts at nought.
+    pub fn empty(&mut self) {
+        self.totals.clear();
+    }
+
+    fn answer(&mut self, io: &mut Io) {
+        while self.state == State::Serves && self.line.front().is_some_and(|call| call.0 <= io.now()) {
+            if let Some((_, conn, text)) = self.line.pop_front() {
+                io.send(conn, &text);
+            }
+        }
+    }
+
+    fn call(&mut self, now: Nanos, words: &[Vec<u8>]) -> Vec<u8> {
+        let number = |at: usize| -> Option<f64> {
+            std::str::from_utf8(words.get(at)?).ok()?.parse().ok().filter(|value: &f64| value.is_finite())
+        };
+        match words.first().map(|word| word.to_ascii_uppercase()).as_deref() {
+            Some(b"PING") => b"+PONG\r\n".to_vec(),
+            Some(b"CLIENT" | b"SELECT") => b"+OK\r\n".to_vec(),
+            Some(b"INCRTTL") => {
+                let (Some(name), Some(add), Some(life)) = (words.get(1), number(2), number(3)) else {
+                    return b"-ERR no such call\r\n".to_vec();
+                };
+                self.calls += 1;
+                let until = now + life.clamp(1.0, 60_000.0) as Nanos * MS;
+                let total = self.totals.entry(name.clone()).or_insert((0.0, until));
+                if total.1 < now {
+                    *total = (0.0, until);
+                }
+                total.0 += add;
+                let text = format!("{}", total.0);
+                format!("${}\r\n{text}\r\n", text.len()).into_bytes()
+            }
+            _ => b"-ERR no such call\r\n".to_vec(),
+        }
+    }
+}
+
+type Words = Vec<Vec<u8>>;
+
+/// The RESP array of bulk strings at the front of `input`, and the bytes it takes.
+fn parse(input: &[u8]) -> Result<Option<(Words, usize)>, &'static str> {
+    let mut at = 0;
+    let mut line = |mark: u8| -> Result<Option<(usize, usize)>, &'static str> {
+        let Some(end) = input[at..].windows(2).position(|two| two == b"\r\n") else { return Ok(None) };
+        let text = &input[at..at + end];
+        let number = text.strip_prefix(&[mark]).and_then(|text| std::str::from_utf8(text).ok()?.parse().ok());
+        let number = number.filter(|number| *number <= 1 << 16).ok_or("bad call")?;
+        at += end + 2;
+        if mark == b'*' {
+            return Ok(Some((number, at)));
+        }
+        let from = at;
+        at += number + 2;
+        Ok((at <= input.len()).then_some((number, from)))
+    };
+    let Some((count, mut end)) = line(b'*')? else { return Ok(None) };
+    let mut words = Vec::new();
+    for _ in 0..count {
+        let Some((length, from)) = line(b'$')? else { return Ok(None) };
+        words.push(input[from..from + length].to_vec());
+        end = from + length + 2;
+    }
+    Ok(Some((words, end)))
+}
+
+impl Service for Counter {
+    fn accepted(&mut self, _io: &mut Io, conn: Conn, _door: Door) {
+        self.conns.insert(conn, ());
+    }
+
+    fn came(&mut self, io: &mut Io, conn: Conn) {
+        loop {
+            let (words, length) = match parse(io.input(conn)) {
+                Ok(Some(call)) => call,
+                Ok(None) => break,
+                Err(_) => {
+                    self.over(io, conn);
+                    return io.close(conn);
+                }
+            };
+            io.used(conn, length);
+            let now = io.now();
+            let answer = self.call(now, &words);
+            self.free_at = self.free_at.max(now) + self.cost;
+            self.line.push_back((self.free_at, conn, answer));
+            io.at(self.free_at, 0);
+        }
+        self.answer(io);
+    }
+
+    fn over(&mut self, _io: &mut Io, conn: Conn) {
+        self.conns.remove(&conn);
+        self.line.retain(|call| call.1 != conn);
+    }
+
+    fn due(&mut self, io: &mut Io, _token: u64) {
+        self.answer(io);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn calls_are_read_whole_or_not_at_all_and_nonsense_is_an_error() {
+        let call = b"*4\r\n$7\r\nINCRTTL\r\n$1\r\na\r\n$4\r\n-2.5\r\n$4\r\n4000\r\n";
+        for cut in 0..call.len() {
+            assert_eq!(parse(&call[..cut]), Ok(None), "cut at {cut}");
+        }
+        let (words, length) = parse(call).unwrap().unwrap();
+        assert_eq!((words.len(), length), (4, call.len()));
+        assert!(parse(b"*x\r\n").is_err() && parse(b"*1\r\n+a\r\n").is_err());
+        let mut counter = Counter::new(0);
+        assert_eq!(counter.call(0, &words), b"$4\r\n-2.5\r\n");
+        assert_eq!(counter.call(MS, &words), b"$2\r\n-5\r\n");
+        // A name is forgotten after its life.
+        assert_eq!(counter.call(4001 * MS, &words), b"$4\r\n-2.5\r\n");
+    }
+}
--- /dev/null
+++ b/crates/standins/src/process.rs
@@ -0,0 +1,135 @@
+//! The program under test as a process: started on a configuration file of its own, spoken to by signals and heard by
+//! its log lines. It is ended by its own id when it is dropped, also while a test unwinds.
+
+use crate::scripted::{Client, PATIENCE};
+use rustix::process::{Pid, Signal, kill_process};
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::Instant;
+
+/// One process of the program.
+pub struct Program {
+    pub child: Child,
+    /// Where it listens.
+    pub address: SocketAddr,
+    lines: Receiver<String>,
+    file: PathBuf,
+}
+
+impl Program {
+    /// `more` is further configuration, each part with a comma behind.
+    pub fn start(program: &str, discovery: SocketAddr, more: &str, settings: &str) -> Program {
+        Program::run(&mut Command::new(program), discovery, more, settings)
+    }
+
+    pub fn run(command: &mut Command, discovery: SocketAddr, more: &str, settings: &str) -> Program {
+        let mut program = Program::spawn(command, &config("127.0.0.1:0", discovery, more, settings)).unwrap();
+        program.wait_started();
+        program
+    }
+
+    /// Starts a command on a configuration given as text; `wait_started` tells where it listens.
+    pub fn spawn(command: &mut Command, text: &str) -> std::io::Result<Program> {
+        let file = config_file(text);
+        let mut child = command.args(["serve", "--config"]).arg(&file).stderr(Stdio::piped()).spawn()?;
+        let reader = BufReader::new(child.stderr.take().expect("standard error is piped"));
+        let (tell, lines) = channel();
+        std::thread::spawn(move || reader.lines().map_while(Result::ok).all(|line| tell.send(line).is_ok()));
+        Ok(Program { child, address: SocketAddr::from(([127, 0, 0, 1], 0)), lines, file })
+    }
+
+    /// Waits until the program says that it started, and learns where it listens.
+    pub fn wait_started(&mut self) {
+        let line = self.line("\"started\"");
+        let listen = line.split("\"listen\":\"").nth(1).and_then(|rest| rest.split('"').next());
+        self.address = listen.and_then(|listen| listen.parse().ok()).expect("an address in the line");
+    }
+
+    /// The next log line that holds this.
+    pub fn line(&self, part: &str) -> String {
+        let until = Instant::now() + PATIENCE;
+        let mut others = Vec::new();
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            let line = self.lines.recv_timeout(left);
+            let line = line.unwrap_or_else(|_| panic!("no line with {part} but {others:#?}"));
+            if line.contains(part) {
+                return line;
+            }
+            others.push(line);
+        }
+    }
+
+    /// The log lines that came since the last look.
+    pub fn lines_now(&self) -> Vec<String> {
+        self.lines.try_iter().collect()
+    }
+
+    pub fn client(&self) -> Client {
+        Client::new(self.address)
+    }
+
+    /// The configuration of this program with other peers.
+    pub fn config(&self, discovery: SocketAddr, more: &str, settings: &str) -> String {
+        config(&self.address.to_string(), discovery, more, settings)
+    }
+
+    pub fn file(&self) -> &Path {
+        &self.file
+    }
+
+    pub fn rewrite(&self, text: &str) {
+        std::fs::write(&self.file, text).unwrap();
+    }
+
+    /// Sends a signal to this process, which must not have been waited for.
+    pub fn send(&self, signal: Signal) -> std::io::Result<()> {
+        let pid = Pid::from_raw(self.child.id() as i32).ok_or(std::io::ErrorKind::InvalidInput)?;
+        Ok(kill_process(pid, signal)?)
+    }
+
+    /// The same by the signal's usual short name, for tests.
+    pub fn signal(&self, name: &str) {
+        let signal = match name {
+            "-TERM" => Signal::TERM,
+            "-HUP" => Signal::HUP,
+            "-STOP" => Signal::STOP,
+            "-CONT" => Signal::CONT,
+            other => panic!("no signal named {other}"),
+        };
+        self.send(signal).unwrap();
+    }
+
+    /// Whether it has ended, and how.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+fn config(listen: &str, discovery: SocketAddr, more: &str, settings: &str) -> String {
+    format!(
+        "{{\"name\":\"n0\",\"listen\":\"{listen}\",\"discovery\":\"{discovery}\",{more}\
+         \"seed\":\"8c1f30d27a5be964\",\"settings\":{settings}}}"
+    )
+}
+
+/// A file of its own with this text.
+pub fn config_file(text: &str) -> PathBuf {
+    static NUMBER: AtomicU32 = AtomicU32::new(0);
+    let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+    let file = std::env::temp_dir().join(format!("martenramp-{}-{number}.json", std::process::id()));
+    std::fs::write(&file, text).unwrap();
+    file
+}
--- /dev/null
+++ b/crates/standins/src/relay.rs
@@ -0,0 +1,285 @@
+//! Links with faults between any two processes: user-space relays for TCP connections and UDP datagrams on loopback.
+//! A link is a door in front of one address; each of its ways, there and back, has faults of its own.
+//!
+//! What a relay can't do: it accepts before it dials, so that a connection over a cut link stands and stays silent
+//! where a real network would never let it come up, and one to a dead process is reset where it would be refused.
+//! Ending only one side's sending ends the whole connection.
+
+use crate::reactor::{Conn, Door, Io, Service};
+use crate::{MS, Nanos};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+/// What lost bytes of a connection cost, as a retransmission would.
+const RETRANSMIT: Nanos = 200 * MS;
+/// How far reordered datagrams are thrown back.
+const REORDER: Nanos = 20 * MS;
+/// Bytes that wait in one way of a connection before its reading stops.
+const WAITING_MOST: usize = 256 << 10;
+
+/// The faults of one way of a link.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Path {
+    /// Nothing passes. Bytes wait for the end of the cut, as they would in the sender; datagrams are lost.
+    pub cut: bool,
+    pub delay: Nanos,
+    /// The share of datagrams lost, and of reads on a connection that come a retransmission later.
+    pub lose: f64,
+    /// Datagrams only: the share that is overtaken, and the share that comes twice.
+    pub reorder: f64,
+    pub double: f64,
+}
+
+/// What happens to connections at a link's door.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Gate {
+    #[default]
+    Passes,
+    /// Accepts and passes nothing on, for good.
+    Silent,
+    /// All are reset, new ones as they come.
+    Resets,
+}
+
+/// The faults of a link.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Faults {
+    pub gate: Gate,
+    pub there: Path,
+    pub back: Path,
+}
+
+struct Link {
+    target: SocketAddr,
+    faults: Faults,
+}
+
+/// One way of a connection: what waits, and whether its sender has ended.
+#[derive(Default)]
+struct Way {
+    waits: VecDeque<(Nanos, Vec<u8>)>,
+    bytes: usize,
+    over: bool,
+}
+
+struct Pair {
+    link: usize,
+    /// The side that came in, and the one that was dialled.
+    ends: [Option<Conn>; 2],
+    up: bool,
+    /// There and back.
+    ways: [Way; 2],
+}
+
+/// All links of one reactor.
+pub struct Relays {
+    links: Vec<Link>,
+    doors: BTreeMap<Door, usize>,
+    plugs: BTreeMap<Door, usize>,
+    pairs: BTreeMap<u64, Pair>,
+    conns: BTreeMap<Conn, (u64, usize)>,
+    late: BTreeMap<u64, (Door, SocketAddr, Vec<u8>)>,
+    serial: u64,
+    chance: ChaCha8Rng,
+}
+
+/// Timers of datagrams, and of pairs.
+const DATAGRAM: u64 = 1 << 63;
+
+impl Relays {
+    pub fn new(chance: ChaCha8Rng) -> Relays {
+        Relays {
+            links: Vec::new(),
+            doors: BTreeMap::new(),
+            plugs: BTreeMap::new(),
+            pairs: BTreeMap::new(),
+            conns: BTreeMap::new(),
+            late: BTreeMap::new(),
+            serial: 0,
+            chance,
+        }
+    }
+
+    /// A link for connections to `target`; its number, and the address to come to.
+    pub fn link(
+        &mut self,
+        io: &mut Io,
+        at: SocketAddr,
+        target: SocketAddr,
+    ) -> std::io::Result<(usize, SocketAddr)> {
+        let (door, address) = io.listen(at)?;
+        self.links.push(Link { target, faults: Faults::default() });
+        self.doors.insert(door, self.links.len() - 1);
+        Ok((self.links.len() - 1, address))
+    }
+
+    /// A link for datagrams to `target`, likewise; they arrive from this address.
+    pub fn datagrams(
+        &mut self,
+        io: &mut Io,
+        at: SocketAddr,
+        target: SocketAddr,
+    ) -> std::io::Result<(usize, SocketAddr)> {
+        let (plug, address) = io.plug(at)?;
+        self.links.push(Link { target, faults: Faults::default() });
+        self.plugs.insert(plug, self.links.len() - 1);
+        Ok((self.links.len() - 1, address))
+    }
+
+    pub fn set(&mut self, io: &mut Io, link: usize, faults: Faults) {
+        self.links[link].faults = faults;
+        let pairs: Vec<u64> =
+            self.pairs.iter().filter(|(_, pair)| pair.link == link).map(|(id, _)| *id).collect();
+        for id in pairs {
+            match faults.gate {
+                Gate::Resets => self.end(io, id, true),
+                _ => (0..2).for_each(|way| self.pump(io, id, way)),
+            }
+        }
+    }
+
+    /// What stands at a link now.
+    pub fn faults(&self, link: usize) -> Faults {
+        self.links[link].faults
+    }
+
+    fn path(&self, link: usize, way: usize) -> Path {
+        let faults = &self.links[link].faults;
+        if way == 0 { faults.there } else { faults.back }
+    }
+
+    fn end(&mut self, io: &mut Io, id: u64, reset: bool) {
+        let Some(pair) = self.pairs.remove(&id) else { return };
+        for conn in pair.ends.into_iter().flatten() {
+            self.conns.remove(&conn);
+            if reset { io.reset(conn) } else { io.close_after(conn) }
+        }
+    }
+
+    /// Takes what came from one end into its way.
+    fn take(&mut self, io: &mut Io, id: u64, way: usize, conn: Conn) {
+        let Some(link) = self.pairs.get(&id).map(|pair| pair.link) else { return };
+        let path = self.path(link, way);
+        let bytes = io.input(conn).to_vec();
+        if bytes.is_empty() {
+            return;
+        }
+        io.used(conn, bytes.len());
+        let lost = path.lose > 0.0 && self.chance.random_bool(path.lose.min(1.0));
+        let due = io.now() + path.delay + if lost { RETRANSMIT } else { 0 };
+        let Some(pair) = self.pairs.get_mut(&id) else { return };
+        let way_ = &mut pair.ways[way];
+        let due = due.max(way_.waits.back().map_or(0, |last| last.0)); // bytes keep their order
+        way_.bytes += bytes.len();
+        way_.waits.push_back((due, bytes));
+        if way_.bytes > WAITING_MOST {
+            io.hold(conn, true);
+        }
+    }
+
+    /// Passes on what is due in one way of a connection, and its end once nothing waits before it.
+    fn pump(&mut self, io: &mut Io, id: u64, way: usize) {
+        let Some(link) = self.pairs.get(&id).map(|pair| pair.link) else { return };
+        if self.path(link, way).cut {
+            return;
+        }
+        let Some(pair) = self.pairs.get_mut(&id).filter(|pair| pair.up) else { return };
+        let (from, to) = (pair.ends[way], pair.ends[1 - way]);
+        let ways = &mut pair.ways[way];
+        while let Some((due, _)) = ways.waits.front() {
+            if *due > io.now() {
+                let due = *due;
+                return io.at(due, id << 1 | way as u64);
+            }
+            let Some((_, bytes)) = ways.waits.pop_front() else { return };
+            ways.bytes -= bytes.len();
+            to.into_iter().for_each(|to| io.send(to, &bytes));
+        }
+        from.into_iter().for_each(|from| io.hold(from, false));
+        if ways.over {
+            self.end(io, id, false);
+        }
+    }
+}
+
+impl Service for Relays {
+    fn accepted(&mut self, io: &mut Io, conn: Conn, door: Door) {
+        let Some(link) = self.doors.get(&door).copied() else { return io.close(conn) };
+        let gate = self.links[link].faults.gate;
+        if gate == Gate::Resets {
+            return io.reset(conn);
+        }
+        let far = if gate == Gate::Silent { None } else { io.connect(self.links[link].target).ok() };
+        if far.is_none() && gate == Gate::Passes {
+            return io.reset(conn);
+        }
+        self.serial += 1;
+        self.conns.insert(conn, (self.serial, 0));
+        if let Some(far) = far {
+            self.conns.insert(far, (self.serial, 1));
+        }
+        let pair = Pair { link, ends: [Some(conn), far], up: false, ways: Default::default() };
+        self.pairs.insert(self.serial, pair);
+    }
+
+    fn up(&mut self, io: &mut Io, conn: Conn) {
+        let Some((id, _)) = self.conns.get(&conn).copied() else { return };
+        if let Some(pair) = self.pairs.get_mut(&id) {
+            pair.up = true;
+        }
+        self.pump(io, id, 0);
+    }
+
+    fn came(&mut self, io: &mut Io, conn: Conn) {
+        let Some((id, way)) = self.conns.get(&conn).copied() else { return };
+        self.take(io, id, way, conn);
+        self.pump(io, id, way);
+    }
+
+    fn over(&mut self, io: &mut Io, conn: Conn) {
+        let Some((id, way)) = self.conns.remove(&conn) else { return };
+        let Some(pair) = self.pairs.get_mut(&id) else { return };
+        pair.ends[way] = None;
+        pair.ways[way].over = true;
+        if way == 1 && !pair.up {
+            return self.end(io, id, true); // it never came up
+        }
+        if pair.ends == [None, None] {
+            self.pairs.remove(&id);
+        } else {
+            self.pump(io, id, way);
+        }
+    }
+
+    fn due(&mut self, io: &mut Io, token: u64) {
+        if token & DATAGRAM == 0 {
+            return self.pump(io, token >> 1, (token & 1) as usize);
+        }
+        if let Some((plug, to, bytes)) = self.late.remove(&token) {
+            io.send_to(plug, to, &bytes);
+        }
+    }
+
+    fn datagram(&mut self, io: &mut Io, door: Door, _from: SocketAddr, bytes: &[u8]) {
+        let Some(link) = self.plugs.get(&door).copied() else { return };
+        let (target, path) = (self.links[link].target, self.path(link, 0));
+        let mut is = |share: f64| share > 0.0 && self.chance.random_bool(share.min(1.0));
+        if path.cut || is(path.lose) {
+            return;
+        }
+        let copies = 1 + u64::from(is(path.double));
+        let delay = path.delay + if is(path.reorder) { REORDER } else { 0 };
+        for _ in 0..copies {
+            if delay == 0 {
+                io.send_to(door, target, bytes);
+            } else {
+                self.serial += 1;
+                let token = DATAGRAM | self.serial;
+                self.late.insert(token, (door, target, bytes.to_vec()));
+                io.at(io.now() + delay, token);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/scripted.rs
@@ -0,0 +1,216 @@
+//! Peers that one test scripts message by message, the program under test, and the words they speak. Blocking, a thread a
+//! connection: for a handful of peers. Everything waits on events, for [`PATIENCE`] at most, and panics when none comes.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+pub use crate::process::{Program, config_file};
+pub use crate::{MS, SEC};
+
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What a stand-in does with a message: the bytes to write, and whether it closes then.
+pub type Reply = (Vec<u8>, bool);
+
+pub fn say(text: &str) -> Reply {
+    (text.as_bytes().to_vec(), false)
+}
+
+/// A whole answer with this body and further header lines.
+pub fn answer(status: u16, lines: &str, body: &str) -> Reply {
+    say(&format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n{lines}\r\n{body}", body.len()))
+}
+
+/// Someone that the gateway connects to: each whole message is answered by `reply`, which gets the number of
+/// the connection, and is told to the test.
+pub struct Peer {
+    pub address: SocketAddr,
+    seen: Receiver<(usize, String)>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Peer {
+    pub fn new(reply: impl Fn(usize, &str) -> Reply + Send + Sync + 'static) -> Peer {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (tell, seen) = channel();
+        let streams = Arc::new(Mutex::new(Vec::new()));
+        let (all, reply) = (streams.clone(), Arc::new(reply));
+        std::thread::spawn(move || {
+            for (number, stream) in listener.incoming().flatten().enumerate() {
+                all.lock().unwrap().push(stream.try_clone().unwrap());
+                let (tell, reply) = (tell.clone(), reply.clone());
+                std::thread::spawn(move || converse(number, stream, &tell, &*reply));
+            }
+        });
+        Peer { address, seen, streams }
+    }
+
+    /// The next message that came whole: on which connection, and its text.
+    pub fn next(&self) -> (usize, String) {
+        self.seen.recv_timeout(PATIENCE).expect("no message came")
+    }
+
+    pub fn nothing_came(&self) -> bool {
+        self.seen_now().is_none()
+    }
+
+    /// A message that is there already.
+    pub fn seen_now(&self) -> Option<(usize, String)> {
+        self.seen.try_recv().ok()
+    }
+
+    /// Writes on a connection, unasked.
+    pub fn tell(&self, number: usize, text: &str) {
+        (&self.streams.lock().unwrap()[number]).write_all(text.as_bytes()).unwrap();
+    }
+
+    pub fn close(&self, number: usize) {
+        let _ = self.streams.lock().unwrap()[number].shutdown(std::net::Shutdown::Both);
+    }
+}
+
+fn converse(
+    number: usize,
+    stream: TcpStream,
+    tell: &Sender<(usize, String)>,
+    reply: &dyn Fn(usize, &str) -> Reply,
+) {
+    let mut reader = BufReader::new(stream.try_clone().unwrap());
+    while let Some(message) = read_message(&mut reader) {
+        let (bytes, closes) = reply(number, &message);
+        let over = (&stream).write_all(&bytes).is_err() || closes;
+        let _ = tell.send((number, message)); // what the test writes next comes after the reply
+        if over {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+            return;
+        }
+    }
+}
+
+/// One HTTP message with a told length, or one RESP array; nothing at the connection's end.
+pub fn read_message(reader: &mut impl BufRead) -> Option<String> {
+    let mut text = String::new();
+    reader.read_line(&mut text).ok().filter(|length| *length > 0)?;
+    if let Some(words) = text.strip_prefix('*') {
+        let words: usize = words.trim().parse().ok()?;
+        let mut call = Vec::new();
+        for _ in 0..words {
+            let (mut size, mut word) = (String::new(), String::new());
+            reader.read_line(&mut size).ok()?;
+            reader.read_line(&mut word).ok()?;
+            call.push(word.trim().to_string());
+        }
+        return Some(call.join(" "));
+    }
+    let mut length = 0;
+    loop {
+        let start = text.len();
+        reader.read_line(&mut text).ok().filter(|length| *length > 0)?;
+        let line = text[start..].to_ascii_lowercase();
+        if let Some(value) = line.strip_prefix("content-length:") {
+            length = value.trim().parse().ok()?;
+        } else if line.trim().is_empty() {
+            break;
+        }
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some(text + &String::from_utf8_lossy(&body))
+}
+
+/// A client's connection.
+pub struct Client(BufReader<TcpStream>);
+
+impl Client {
+    pub fn new(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Client(BufReader::new(stream))
+    }
+
+    pub fn send(&mut self, text: &str) {
+        self.0.get_ref().write_all(text.as_bytes()).unwrap();
+    }
+
+    /// The next whole answer; nothing if the connection ends first.
+    pub fn answer(&mut self) -> Option<String> {
+        read_message(&mut self.0)
+    }
+
+    pub fn ask(&mut self, text: &str) -> String {
+        self.send(text);
+        self.answer().expect("no whole answer")
+    }
+
+    /// The same to a connection that may be gone.
+    pub fn try_send(&mut self, text: &str) {
+        let _ = self.0.get_ref().write_all(text.as_bytes());
+    }
+
+    pub fn try_ask(&mut self, text: &str) -> Option<String> {
+        self.try_send(text);
+        self.answer()
+    }
+
+    pub fn is_closed(&mut self) -> bool {
+        matches!(self.0.get_mut().read(&mut [0]), Ok(0) | Err(_))
+    }
+}
+
+/// An RPC as a client sends it: `read` is idempotent, `submit` deduplicated, `verify` non-idempotent.
+pub fn rpc(method: &str, remaining_ms: u64) -> String {
+    let lines = format!(
+        "Host: service.internal\r\nX-Txn: 0123456789abcdef\r\nX-Lane: {method}\r\nX-Contract: team\r\n\
+         X-Remaining-Ms: {remaining_ms}\r\nX-Metering: units=2,spread=1,first=0\r\n"
+    );
+    let path = "/api/00000000b4d65521?q=1";
+    match method {
+        "read" => format!("GET {path} HTTP/1.1\r\n{lines}\r\n"),
+        "submit" => {
+            format!("POST {path} HTTP/1.1\r\n{lines}Idempotency-Key: k1\r\nContent-Length: 4\r\n\r\nbody")
+        }
+        _ => format!("POST {path} HTTP/1.1\r\n{lines}Content-Length: 4\r\n\r\nbody"),
+    }
+}
+
+/// An entry of the list, and a whole list or a change of it as a chunk of the watch.
+pub fn entry(name: &str, address: SocketAddr, status: &str) -> String {
+    format!(
+        "{{\"name\":\"{name}\",\"address\":\"{address}\",\"zone\":\"a\",\"type\":\"m\",\"group\":1,\
+         \"status\":\"{status}\",\"weight\":1.0,\"since_ms\":0}}"
+    )
+}
+
+pub fn list(index: u64, whole: bool, entries: &[String]) -> String {
+    format!("{{\"index\":{index},\"snapshot\":{whole},\"endpoints\":[{}]}}", entries.join(","))
+}
+
+pub fn chunk(line: &str) -> String {
+    format!("{:x}\r\n{line}\n\r\n", line.len() + 1)
+}
+
+pub const WATCH: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// Settings of three methods and one plan, and what a test adds (each with a comma behind).
+pub fn settings(extra: &str) -> String {
+    format!(
+        "{{{extra}\"balancers\":2,\"classes\":[\
+         {{\"name\":\"read\",\"credit\":1,\"onTime\":1.5,\"deadline\":3.0,\"idempotency\":\"free\"}},\
+         {{\"name\":\"submit\",\"credit\":3,\"onTime\":1.2,\"deadline\":3.0,\"idempotency\":\"guarded\",\
+          \"group\":\"all\",\"window\":5.0}},\
+         {{\"name\":\"verify\",\"credit\":3,\"onTime\":0.8,\"deadline\":3.0,\"idempotency\":\"single_shot\"}}],\
+         \"tariffs\":[{{\"name\":\"team\",\"perSecond\":100.0,\"depth\":100.0,\"beyondCosts\":1.0}}],\
+         \"ceilings\":{{\"attemptsCap\":2,\"connIdle\":15.0,\"dialTimeout\":0.25,\"retryAfter\":true,\
+         \"maxRetryAfter\":1.0,\"maxOpen\":1000}},\"localities\":[\"a\",\"b\"],\"shapes\":[\"m\"]}}"
+    )
+}
+
+/// An address where nobody listens, now or later: all stand-ins are at 127.0.0.1, so no port given back here can become
+/// another story's peer.
+pub fn nowhere() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 2], 9))
+}
