--- a/crates/rig/src/front.rs
+++ b/crates/rig/src/front.rs
@@ -347,7 +347,8 @@
             ARRIVAL => self.arrive(io),
             PROBES => self.probe(io),
             call => {
-                if self.calls[call as usize].outcome != Outcome::Open {
+                // After the run the calls are handed over while their timers still stand.
+                if self.calls.get(call as usize).is_none_or(|call| call.outcome != Outcome::Open) {
                     return;
                 }
                 self.end(io, call as usize, Outcome::Lost);
--- a/crates/rig/src/measure.rs
+++ b/crates/rig/src/measure.rs
@@ -150,18 +150,18 @@
     })
 }
 
-/// The same arrivals, each at the ready server that holds least for its weight just then; of equals, the one that has
-/// been sent least for its weight.
+/// The same arrivals, each at the ready server that holds least for its weight just then; of equals, the one whose turn
+/// it is by weight.
 pub fn by_centre(servers: &[Server], visits: &[Visit]) -> Vec<Visit> {
-    let mut sent = vec![0.0; servers.len()];
+    let (mut next, mut turn) = (vec![0.0; servers.len()], 0.0);
     remap(servers, visits, |ready, held| {
-        let cost = |at: &usize| (held[*at] / servers[*at].weight, sent[*at] / servers[*at].weight);
-        let least = ready.iter().min_by(|one, two| {
-            let (one, two) = (cost(one), cost(two));
+        let cost = |at: usize| (held[at] / servers[at].weight, f64::max(next[at], turn));
+        let least = ready.iter().copied().min_by(|one, two| {
+            let (one, two) = (cost(*one), cost(*two));
             one.0.total_cmp(&two.0).then(one.1.total_cmp(&two.1))
-        });
-        let least = *least?;
-        sent[least] += 1.0;
+        })?;
+        turn = cost(least).1;
+        next[least] = turn + 1.0 / servers[least].weight;
         Some(least)
     })
 }
