Parts of the servers come out even over the fleet, and turns within them

Need: a server was in 5 to 19 of 40 parts, and within a part the seemingly quicker of two drawn turned the noise of a few samples into shares (choose, part and listed in brain.rs). src/spread.rs, free of I/O, works the same table of pairs out at every gateway from its number (me), the fleet's size and the servers' keys: best hashes first, a server in its number of parts, parts between 0.9 and 1.25 of the mean, each zone by itself, further layers for busier gateways. Where servers are met seldom an RPC goes to the server whose turn it is, past those that bear over twice the median. Listed has a key common to all gateways. The driver knows the gateway by a trait now; the circle between the two files is cut.

--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -1,7 +1,6 @@
 //! Sockets only: one mio poll that reads into each connection's buffer and writes what waits for it.
 //! It knows who a connection belongs to, and nothing of what is said on it.
 
-use crate::gateway::Gateway;
 use crate::logs::Logs;
 use martenramp::host::Nanos;
 use mio::net::{TcpListener, TcpStream, UnixStream};
@@ -128,7 +127,7 @@
         Ok(id)
     }
 
-    /// Begins a connection; `Gateway::up` tells when it stands. At most `most` bytes wait in its buffer.
+    /// Begins a connection; `Turned::up` tells when it stands. At most `most` bytes wait in its buffer.
     pub fn connect(&mut self, address: SocketAddr, peer: Peer, most: usize) -> io::Result<usize> {
         let stream = TcpStream::connect(address)?;
         let _ = stream.set_nodelay(true);
@@ -297,6 +296,31 @@
     e.raw_os_error().is_some_and(|code| codes.iter().any(|known| known.raw_os_error() == code))
 }
 
+/// What the driver turns: told of what the sockets bring, and asked what to do next. It holds the connections, and
+/// carries out nothing on them by itself.
+pub trait Turned {
+    fn net(&mut self) -> &mut Net;
+    fn start(&mut self, now: Nanos);
+    fn next_turn(&mut self) -> Option<Nanos>;
+    /// SIGTERM or SIGINT, and SIGHUP.
+    fn stop(&mut self);
+    fn reload(&mut self);
+    fn listens(&self) -> bool;
+    fn is_over(&self) -> bool;
+    fn has_room(&mut self) -> bool;
+    fn client_input_most(&self) -> usize;
+    fn accepted(&mut self, id: usize);
+    fn accept_later(&mut self);
+    /// Frees a descriptor; false if none can be.
+    fn shed(&mut self) -> bool;
+    fn up(&mut self, id: usize);
+    fn wrote(&mut self, id: usize);
+    fn came(&mut self, id: usize);
+    /// Timers that are due; true if connections may be accepted again.
+    fn due(&mut self) -> bool;
+    fn settle(&mut self);
+}
+
 /// The poll, and the sockets that are no connections.
 pub struct Driver {
     poll: Poll,
@@ -332,7 +356,7 @@
     }
 
     /// Turns until the gateway is over.
-    pub fn run(mut self, gateway: &mut Gateway, logs: &Logs) -> io::Result<()> {
+    pub fn run(mut self, gateway: &mut impl Turned, logs: &Logs) -> io::Result<()> {
         let mut events = Events::with_capacity(256);
         gateway.start(self.clock.now());
         self.flush(gateway);
@@ -400,7 +424,7 @@
         Ok(())
     }
 
-    fn writable(&mut self, gateway: &mut Gateway, id: usize) {
+    fn writable(&mut self, gateway: &mut impl Turned, id: usize) {
         let Some(conn) = gateway.net().get_mut(id) else { return };
         if !conn.up {
             match conn.stream.take_error() {
@@ -419,7 +443,7 @@
     }
 
     /// Writes all that waits, and whatever comes of that, until nothing is left to write now.
-    fn flush(&mut self, gateway: &mut Gateway) {
+    fn flush(&mut self, gateway: &mut impl Turned) {
         loop {
             gateway.settle();
             let dirty = std::mem::take(&mut gateway.net().dirty);
@@ -439,7 +463,7 @@
         }
     }
 
-    fn accept(&mut self, gateway: &mut Gateway) {
+    fn accept(&mut self, gateway: &mut impl Turned) {
         let Some(listener) = &self.listener else { return };
         while gateway.has_room() {
             match listener.accept() {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,7 +4,7 @@
 use crate::clients::{self, Client, Got};
 use crate::config::Config;
 use crate::counter::{self, Call, Line};
-use crate::driver::{ACCEPT_AGAIN, Net, Peer};
+use crate::driver::{ACCEPT_AGAIN, Net, Peer, Turned};
 use crate::http::{BODY_MOST, Bad, HEAD_MOST};
 use crate::list::{self, Told, Watch};
 use crate::servers::{self, Answer, Body, CallOut, Link, Servers, Stage};
@@ -199,16 +199,16 @@
         let brain = Brain::new(desk.config.seed, desk.config.settings.clone());
         Gateway { brain, read_again, desk }
     }
+}
 
-    // ---- What the driver calls.
-
-    pub fn net(&mut self) -> &mut Net {
+impl Turned for Gateway {
+    fn net(&mut self) -> &mut Net {
         &mut self.desk.net
     }
 
     /// Begins with the list held from before; discovery and the counter may be down. With a list the watch is asked for
     /// after a rest, since most of the fleet may start at this moment.
-    pub fn start(&mut self, now: Nanos) {
+    fn start(&mut self, now: Nanos) {
         self.desk.net.now = now;
         let known = self.desk.config.known.take().and_then(|known| list::read(&known));
         if let Some(told) = known.filter(|told| !told.entries.is_empty()) {
@@ -225,7 +225,7 @@
     }
 
     /// When to turn next. Timers whose cause is over are dropped as they come first, so that they wake nobody.
-    pub fn next_turn(&mut self) -> Option<Nanos> {
+    fn next_turn(&mut self) -> Option<Nanos> {
         let Desk { timers, links, rpcs, lines, .. } = &mut self.desk;
         timers.skip(|what| match what {
             What::CallOut(id, rpc, nth) => !links.get(id).is_some_and(|link| link.carries(*rpc, *nth)),
@@ -238,7 +238,7 @@
     }
 
     /// SIGTERM: connections are taken for a while yet, every answer closes its connection, all held is answered.
-    pub fn stop(&mut self) {
+    fn stop(&mut self) {
         if !std::mem::replace(&mut self.desk.stopping, true) {
             info!(self.desk.log, "stopping"; "held" => self.desk.open_rpcs, "clients" => self.desk.clients.len());
             self.desk.timers.set(self.desk.net.now + STAY, What::Stay);
@@ -247,7 +247,7 @@
 
     /// SIGHUP: discovery and the counter are where the file says now; all else is for the next start. The list, calls
     /// and RPCs go on. Guards against a file that can't be read: the old one stays. Harm: so does a mistake in it.
-    pub fn reload(&mut self) {
+    fn reload(&mut self) {
         let desk = &mut self.desk;
         let new = match (self.read_again)() {
             Ok(new) => new,
@@ -265,40 +265,40 @@
         }
     }
 
-    pub fn listens(&self) -> bool {
+    fn listens(&self) -> bool {
         self.desk.listens
     }
 
-    pub fn is_over(&self) -> bool {
+    fn is_over(&self) -> bool {
         !self.desk.listens && self.desk.clients.is_empty()
     }
 
     /// Whether one more client can be taken, if need be for one that only holds its place.
-    pub fn has_room(&mut self) -> bool {
+    fn has_room(&mut self) -> bool {
         self.desk.clients.len() < self.desk.clients_most + self.desk.spares || self.desk.shed_client()
     }
 
-    pub fn client_input_most(&self) -> usize {
+    fn client_input_most(&self) -> usize {
         MESSAGE_MOST
     }
 
-    pub fn accepted(&mut self, id: usize) {
+    fn accepted(&mut self, id: usize) {
         let spare = self.desk.clients.len() >= self.desk.clients_most && !self.desk.shed_client();
         let client = Client { since: self.desk.net.now, spare, ..Client::default() };
         self.desk.clients.insert(id, client);
     }
 
-    pub fn accept_later(&mut self) {
+    fn accept_later(&mut self) {
         self.desk.timers.set(self.desk.net.now + ACCEPT_AGAIN, What::Accept);
     }
 
     /// Closes an idle connection to free its descriptor; false if there is none.
-    pub fn shed(&mut self) -> bool {
+    fn shed(&mut self) -> bool {
         self.desk.shed_link() || self.desk.shed_client()
     }
 
     /// A connection that was begun here stands.
-    pub fn up(&mut self, id: usize) {
+    fn up(&mut self, id: usize) {
         let Desk { net, links, lines, watch, watch_on, .. } = &mut self.desk;
         let now = net.now;
         match net.peer(id) {
@@ -310,7 +310,7 @@
     }
 
     /// All or some of what waited for a connection is written.
-    pub fn wrote(&mut self, id: usize) {
+    fn wrote(&mut self, id: usize) {
         let Desk { net, clients, .. } = &mut self.desk;
         let closing = clients.get_mut(&id).filter(|client| client.closing.is_some() && !client.finished);
         if let Some(client) = closing.filter(|_| net.is_sent(id)) {
@@ -323,7 +323,7 @@
     }
 
     /// Bytes came in, or the connection ended.
-    pub fn came(&mut self, id: usize) {
+    fn came(&mut self, id: usize) {
         match self.desk.net.peer(id) {
             Some(Peer::Client) => self.client_came(id),
             Some(Peer::Server) => self.desk.server_came(id),
@@ -334,7 +334,7 @@
     }
 
     /// Timers that are due; true if connections may be accepted again.
-    pub fn due(&mut self) -> bool {
+    fn due(&mut self) -> bool {
         let now = self.desk.net.now;
         while let Some(what) = self.desk.timers.due(now) {
             match what {
@@ -363,7 +363,7 @@
     }
 
     /// Tells the module of all that has ended, until nothing more comes of it.
-    pub fn settle(&mut self) {
+    fn settle(&mut self) {
         let now = self.desk.net.now;
         loop {
             if let Some(ended) = self.desk.ended.pop_front() {
--- a/crates/lab/src/gates.rs
+++ b/crates/lab/src/gates.rs
@@ -311,7 +311,11 @@
     ledger: &Rc<RefCell<Ledger>>,
 ) -> Box<dyn Gate> {
     match kind {
-        Kind::Design => Box::new(Brain::new(seed, settings.clone())),
+        Kind::Design => {
+            let mut settings = settings.clone();
+            settings.insert("me".to_string(), gateway.to_string());
+            Box::new(Brain::new(seed, settings))
+        }
         _ => Box::new(Baseline::new(kind, gateway, settings.clone(), ledger.clone())),
     }
 }
--- a/crates/lab/src/servers.rs
+++ b/crates/lab/src/servers.rs
@@ -158,6 +158,7 @@
     pub fn listed(&self) -> Vec<Listed> {
         let entry = |server: &Server| Listed {
             server: server.id,
+            key: u64::from(server.id),
             zone: server.zone as u16,
             ready: server.up,
             weight: 1.0,
--- a/crates/membership/src/nodes.rs
+++ b/crates/membership/src/nodes.rs
@@ -136,6 +136,7 @@
             let zone = *self.zones.entry(node.zone.clone()).or_insert(zones);
             list.push(Listed {
                 server,
+                key: martenramp::spread::key(&address),
                 zone,
                 ready: node.ready,
                 weight: node.weight,
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -82,8 +82,10 @@
             let count = record.u32()? as usize;
             let mut list = Vec::new();
             for _ in 0..count {
+                let server = record.u32()?;
                 list.push(Listed {
-                    server: record.u32()?,
+                    server,
+                    key: u64::from(server), // the same at every instance
                     zone: record.u16()?,
                     kind: record.u8()?,
                     cell: record.u16()?,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -2,6 +2,7 @@
 //! answers through the `Host` it is given. Start reading at `advance`, the path of an RPC.
 
 use crate::host::{Arrival, End, Ended, Host, Listed, Nanos, Settings};
+use crate::spread::{Member, Spread};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 const MS: Nanos = 1_000_000;
@@ -138,9 +139,8 @@
     /// When this life began: its part of a ceiling is empty then, since an earlier life may have spent it.
     born: Option<Nanos>,
     servers: BTreeMap<u32, Server>,
-    ready: Vec<u32>, // ids of servers that new work may go to, first those of this gateway's part
-    cold: Vec<u32>,  // those of them that were cold when last listed
-    salt: u64,       // of this life: which servers come first
+    spread: Spread, // the servers that new work may go to, first those of this gateway's part
+    cold: Vec<u32>, // those of them that were cold when last listed
     customers: HashMap<u64, Customer>,
     customers_most: usize, // before those are forgotten that can be
     rpcs: HashMap<u32, Rpc>,
@@ -190,7 +190,11 @@
 impl Brain {
     pub fn new(seed: u64, settings: Settings) -> Self {
         let mut chance = fastrand::Rng::with_seed(seed);
-        Brain { settings, salt: chance.u64(..), chance, ..Brain::default() }
+        let salt = chance.u64(..);
+        let mut brain = Brain { settings, chance, ..Brain::default() };
+        let number = brain.settings.get("me").and_then(|number| number.parse().ok());
+        brain.spread = Spread::new(number, brain.gateways() as usize, salt);
+        brain
     }
 
     // ---- Settings: each is picked where it is needed; what is missing or can't be read takes the default.
@@ -234,11 +238,14 @@
             server.listed = listed.clone();
         }
         self.servers.retain(|_, server| server.listed.ready || !server.open.is_empty());
-        let ready = self.servers.iter().filter(|(_, server)| server.listed.ready);
-        self.ready = ready.map(|(id, _)| *id).collect();
-        let rank = |id: &u32| fastrand::Rng::with_seed(self.salt ^ u64::from(*id)).u64(..);
-        self.ready.sort_by_cached_key(rank);
-        let cold = self.ready.iter().filter(|id| self.warmth(now, &self.servers[*id].listed) < 1.0);
+        let zone = self.setting("zone", -1.0);
+        let member = |(id, server): (&u32, &Server)| {
+            let Listed { key, zone: at, weight, .. } = server.listed;
+            Member { id: *id, key, zone: at, weight, near: f64::from(at) == zone }
+        };
+        let ready = self.servers.iter().filter(|(_, server)| server.listed.ready).map(member);
+        self.spread.list(ready.collect(), MET_BY);
+        let cold = self.spread.order().iter().filter(|id| self.warmth(now, &self.servers[*id].listed) < 1.0);
         self.cold = cold.copied().collect();
     }
 
@@ -403,6 +410,7 @@
             server.open.push_back((id, nth, now));
             server.cold = (now, 1.0);
         }
+        self.spread.took(chosen);
         self.open.insert((id, nth), (chosen, key, now, soft));
         host.call_out(id, chosen, limit);
         self.wait.0 = 0;
@@ -765,16 +773,16 @@
 
     /// Guards against knowing nothing of any server: one of hundreds of gateways that calls out to all meets each
     /// seldom, learns too late which are slow or bad, and opens a connection for each call-out. So it draws from a
-    /// part of its own, as many as it meets often. Harm: a server may be in few parts or many.
+    /// part of its own, even over the fleet (see `spread`), or from as many more as it meets often.
     fn part(&self, now: Nanos) -> usize {
         let since = self.ends.front().map_or(SEC, |first| now - first.0).max(SEC);
         let often = self.ends.len() as f64 / secs(since) * secs(MEET);
-        often.max(MET_BY * self.ready.len() as f64 / self.gateways()).ceil() as usize
+        (often.ceil() as usize).max(self.spread.own())
     }
 
     /// Two drawn at random, the one that this gateway's own counts favour is taken. What can't take it is
-    /// passed over in the draw, so that a fleet in health costs two looks, whatever its size. Drawn are its part
-    /// and the cold, whose budget all share; the others if none of these is able.
+    /// passed over in the draw, so that a fleet in health costs two looks, whatever its size. Where servers are met
+    /// seldom, all of its part and the cold, whose budget all share, have their turns; the others if none is able.
     /// While all are crowded (`most` is the time that counts as quick), it calls out only where it meets servers
     /// seldom, and there to one that answered quickly just now or has room while cold. Guards against a few slow
     /// servers met by chance that stop a gateway with few answers. Harm: what was quick may be full by now.
@@ -789,13 +797,15 @@
         let least = (9.0 / self.gateways()).clamp(1.0, 3.0);
         let carries = if self.cold.is_empty() { 0.0 } else { self.carries(now) };
         let (mut drawn, mut last_resort) = (Vec::new(), Vec::new());
-        let (part, others) = self.ready.split_at(self.part(now).min(self.ready.len()));
+        let all = self.spread.order();
+        let (part, others) = all.split_at(self.part(now).min(all.len()));
         let is_cold = |id: &&u32| self.cold.contains(*id);
         let mut ready: Vec<u32> = part.iter().chain(others.iter().filter(is_cold)).copied().collect();
         let own = ready.len();
         ready.extend(others.iter().filter(|id| !is_cold(id)));
+        let seldom = own < ready.len();
         for place in 0..ready.len() {
-            if drawn.len() == 2 || place >= own && !drawn.is_empty() {
+            if drawn.len() == 2 && !seldom || place >= own && !drawn.is_empty() {
                 break;
             }
             let upto = if place < own { own } else { ready.len() };
@@ -806,7 +816,7 @@
             let last =
                 server.ends.back().filter(|end| end.2 && now - end.0 < FRESH && server.open.is_empty());
             let quick = |most| last.is_some_and(|end| secs(end.1) < most);
-            let able = |most| own < ready.len() && (quick(most) || self.warmth(now, &server.listed) < 1.0);
+            let able = |most| seldom && (quick(most) || self.warmth(now, &server.listed) < 1.0);
             if full
                 || !most.is_none_or(able)
                 || !in_group(&server.listed)
@@ -818,7 +828,10 @@
             if unwell { &mut last_resort } else { &mut drawn }.push(ready[place]);
         }
         let drawn = if drawn.is_empty() { last_resort } else { drawn };
-        let burden = |id: &&u32| self.burden(now, **id, own < ready.len());
+        let burden = |id: &&u32| self.burden(now, **id, seldom);
+        if seldom {
+            return self.spread.pick(&drawn.iter().map(|id| (*id, burden(&id))).collect::<Vec<_>>());
+        }
         drawn.iter().take(2).min_by(|one, two| burden(one).total_cmp(&burden(two))).copied()
     }
 
@@ -835,7 +848,9 @@
         let far = if f64::from(server.listed.zone) == self.setting("zone", -1.0) { 1.0 } else { 1.1 };
         let age = now.saturating_sub(server.held.0).min(FRESH);
         let held = if seldom { server.held.1 * (1.0 - secs(age) / secs(FRESH)) } else { 0.0 };
-        (held + server.open.len() as f64 + 1.0) * (sum / count) * far / server.listed.weight.max(0.05)
+        let (open, weight) = (held + server.open.len() as f64, server.listed.weight.max(0.05));
+        let line = if seldom { open / weight + 1.0 } else { (open + 1.0) / weight };
+        line * (sum / count) * far
     }
 
     /// Guards against pushing over a server that has just started: until warm all gateways together send 3/4
--- a/src/host.rs
+++ b/src/host.rs
@@ -41,6 +41,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Listed {
     pub server: u32,
+    /// The same at every gateway, whatever numbers they give.
+    pub key: u64,
     pub zone: u16,
     pub kind: u8,
     pub cell: u16,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! martenramp: admission decisions for a service sold by plan.
 //!
-//! [`brain`] holds every decision, [`host`] what it needs from whoever runs it.
+//! [`brain`] holds every decision, [`spread`] which servers a gateway draws from, [`host`] what both need from whoever
+//! runs them.
 //! A host hands events to a [`brain::Brain`] and carries out what comes back:
 //!
 //! ```
@@ -28,3 +29,4 @@
 pub mod brain;
 pub mod host;
 pub mod settings;
+pub mod spread;
--- /dev/null
+++ b/src/spread.rs
@@ -0,0 +1,230 @@
+//! Which servers a gateway draws from, worked out by every gateway alone and yet even over the fleet: no talk between
+//! gateways, no state, no I/O. `docs/spread-design.md` weighs what else there is.
+//!
+//! From the gateway's number, the fleet's size and the list, every gateway works out the same table of pairs (gateway,
+//! server) and takes its own line of it. A pair's hash says how well the two fit; pairs are taken best first while the
+//! server is in fewer than its number of parts and the gateway's part is not full. So every server is in nearly the same
+//! number of parts, whatever the fleet's size, and a change of the list moves few pairs: one hash never depends on another.
+//! The parts of each zone are worked out on their own, so that every gateway has its share of each zone, and the loss of
+//! one moves nothing in the others.
+//!
+//! Within its part a gateway sends by turns, in proportion to the servers' shares, so that few RPCs come out even, too.
+
+use std::collections::BTreeMap;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// A gateway's part may be so much larger than the mean, and is filled up when it is so much smaller.
+const LARGER: f64 = 1.25;
+const SMALLER: f64 = 0.9;
+/// Filling up may put a server in so many more parts than its number.
+const MORE: f64 = 0.2;
+/// Of all pairs of a server only the best are looked at: this many times its number, and if that does not do, all.
+const LOOKED_AT: f64 = 4.0;
+/// A busier gateway draws from more servers: those of tables worked out on top, each for so many times the parts.
+const LAYER: f64 = 1.5;
+const LAYERS: i32 = 3;
+/// What counts as out of the ordinary among the servers that could be sent to.
+const FAR_WORSE: f64 = 2.0;
+/// A turn at a server of another zone costs so much more.
+const FAR: f64 = 1.1;
+
+/// A server as the list has it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Member {
+    /// As this gateway numbers it, and as all gateways know it.
+    pub id: u32,
+    pub key: u64,
+    pub zone: u16,
+    pub weight: f64,
+    /// In this gateway's zone.
+    pub near: bool,
+}
+
+/// The key of a server's name, the same at every gateway.
+pub fn key(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
+/// A gateway's part of the servers, and whose turn it is.
+#[derive(Debug, Default)]
+pub struct Spread {
+    /// This gateway's number, if it is told, of so many.
+    number: Option<usize>,
+    fleet: usize,
+    /// Of this life: the order of turns, and of the list where no number is told.
+    salt: u64,
+    members: Vec<Member>,
+    /// Ids of all servers: first this gateway's part, then the others in an order of its own.
+    order: Vec<u32>,
+    own: usize,
+    /// What a server's turns cost: its parts over its weight.
+    costs: BTreeMap<u32, f64>,
+    /// When (in turns) each is next, and what turn it is.
+    next: BTreeMap<u32, f64>,
+    turn: f64,
+}
+
+impl Spread {
+    /// `number` counts from 0 and is the same after a restart; `fleet` is how many gateways there are.
+    pub fn new(number: Option<usize>, fleet: usize, salt: u64) -> Spread {
+        let fleet = fleet.max(number.map_or(1, |number| number + 1));
+        Spread { number, fleet, salt, ..Spread::default() }
+    }
+
+    /// Takes the list; every server of mean weight is to be in `met_by` parts.
+    pub fn list(&mut self, members: Vec<Member>, met_by: f64) {
+        if members == self.members {
+            return;
+        }
+        self.members = members;
+        let counts = counts(&self.members, self.fleet, met_by);
+        let cost = |at: &Member, count: usize| count as f64 / weight(at) * if at.near { 1.0 } else { FAR };
+        let costs = self.members.iter().zip(&counts).map(|(at, count)| (at.id, cost(at, *count)));
+        self.costs = costs.collect();
+        let least = self.costs.values().copied().fold(f64::MAX, f64::min);
+        self.costs.values_mut().for_each(|cost| *cost /= least);
+        self.next.retain(|id, _| self.costs.contains_key(id));
+        let seed = self.number.map_or(self.salt, |number| number as u64);
+        let mut order: Vec<usize> = (0..self.members.len()).collect();
+        order.sort_by_cached_key(|at| xxh3_64_with_seed(&seed.to_le_bytes(), self.members[*at].key));
+        let part = self.number.map(|number| table(&self.members, self.fleet, met_by).swap_remove(number));
+        // Without a number each draws a part of the mean size for itself.
+        let mean = counts.iter().sum::<usize>().div_ceil(self.fleet).min(order.len());
+        let (part, own) = part.unwrap_or((Vec::new(), mean));
+        self.own = own;
+        order.sort_by_key(|at| part.iter().position(|first| first == at).unwrap_or(usize::MAX));
+        self.order = order.into_iter().map(|at| self.members[at].id).collect();
+    }
+
+    /// All servers, first the `own` of this gateway's part.
+    pub fn order(&self) -> &[u32] {
+        &self.order
+    }
+
+    pub fn own(&self) -> usize {
+        self.own
+    }
+
+    /// Of servers and what each bears now, whose turn it is. One that bears far more than the others is passed over,
+    /// and loses its turns: what comes back is not caught up with.
+    pub fn pick(&self, able: &[(u32, f64)]) -> Option<u32> {
+        let mut burdens: Vec<f64> = able.iter().map(|at| at.1).collect();
+        burdens.sort_by(f64::total_cmp);
+        let most = FAR_WORSE * burdens.get(burdens.len() / 2)?;
+        let turn = |id: u32| (self.next(id), xxh3_64_with_seed(&self.salt.to_le_bytes(), u64::from(id)));
+        let ordinary = able.iter().filter(|at| at.1 <= most).map(|at| at.0);
+        ordinary.min_by(|one, two| {
+            let (one, two) = (turn(*one), turn(*two));
+            one.0.total_cmp(&two.0).then(one.1.cmp(&two.1))
+        })
+    }
+
+    fn next(&self, id: u32) -> f64 {
+        self.next.get(&id).copied().unwrap_or(0.0).max(self.turn)
+    }
+
+    /// An RPC went to this server.
+    pub fn took(&mut self, id: u32) {
+        let next = self.next(id);
+        if let Some(cost) = self.costs.get(&id) {
+            self.turn = next;
+            self.next.insert(id, next + cost);
+        }
+    }
+}
+
+fn weight(member: &Member) -> f64 {
+    if member.weight.is_finite() { member.weight.max(0.05) } else { 1.0 }
+}
+
+/// In how many parts each server is to be: by weight, at least in one and at most in all.
+fn counts(members: &[Member], fleet: usize, met_by: f64) -> Vec<usize> {
+    let mean = members.iter().map(weight).sum::<f64>() / members.len().max(1) as f64;
+    let count = |member: &Member| (met_by * weight(member) / mean).round() as usize;
+    members.iter().map(|member| count(member).clamp(1, fleet.max(1))).collect()
+}
+
+/// The parts of all gateways of a fleet, as each of them works them out: ids of servers.
+pub fn parts(members: &[Member], fleet: usize, met_by: f64) -> Vec<Vec<u32>> {
+    let ids = |(part, own): (Vec<usize>, usize)| part[..own].iter().map(|at| members[*at].id).collect();
+    table(members, fleet, met_by).into_iter().map(ids).collect()
+}
+
+/// The parts of all gateways, as places in `members`, and behind each what a busier gateway draws from, too; and how
+/// long the part itself is. The same at every gateway, whatever order the list came in.
+fn table(members: &[Member], fleet: usize, met_by: f64) -> Vec<(Vec<usize>, usize)> {
+    let mut zones: BTreeMap<u16, Vec<usize>> = BTreeMap::new();
+    members.iter().enumerate().for_each(|(at, member)| zones.entry(member.zone).or_default().push(at));
+    let all: Vec<usize> = (0..members.len()).collect();
+    let first = counts(members, fleet, met_by);
+    for share in [LOOKED_AT, f64::INFINITY] {
+        let mut table = Table { parts: vec![Vec::new(); fleet], met: vec![0; members.len()] };
+        let pairs: Vec<_> = zones.values().map(|zone| pairs(members, zone, &first, fleet, share)).collect();
+        let mut every = pairs.concat();
+        every.sort_unstable();
+        let mut own = Vec::new();
+        for layer in 0..LAYERS {
+            let counts = counts(members, fleet, met_by * LAYER.powi(layer));
+            let mean = |of: &[usize]| of.iter().map(|at| counts[*at]).sum::<usize>() as f64 / fleet as f64;
+            for (zone, pairs) in zones.values().zip(&pairs) {
+                table.take(pairs, zone, &counts, (mean(zone) * LARGER).ceil() as usize, 0.0);
+                table.take(pairs, zone, &counts, (mean(zone) * SMALLER).floor() as usize, MORE);
+            }
+            let least = ((mean(&all) * SMALLER).floor() as usize).max(1);
+            table.take(&every, &all, &counts, least, MORE);
+            if layer == 0 {
+                own = table.parts.iter().map(Vec::len).collect();
+                let met = table.met.iter().zip(&counts).all(|(met, count)| met >= count);
+                if share < f64::INFINITY && !(met && own.iter().all(|own| *own >= least)) {
+                    break; // too few were looked at
+                }
+            }
+            if layer + 1 == LAYERS {
+                return table.parts.into_iter().zip(own).collect();
+            }
+        }
+    }
+    Vec::new()
+}
+
+/// Pairs by hash, best first: hash, the server's key, gateway, the server's place.
+type Pair = (u64, u64, usize, usize);
+
+fn pairs(members: &[Member], zone: &[usize], counts: &[usize], fleet: usize, share: f64) -> Vec<Pair> {
+    let mut pairs = Vec::new();
+    for at in zone {
+        let part = (share * counts[*at] as f64 / fleet as f64).min(1.0);
+        let most = if part < 1.0 { (part * u64::MAX as f64) as u64 } else { u64::MAX };
+        let key = members[*at].key;
+        let each = (0..fleet)
+            .map(|number| (xxh3_64_with_seed(&(number as u64).to_le_bytes(), key), key, number, *at));
+        pairs.extend(each.filter(|pair| pair.0 <= most));
+    }
+    pairs.sort_unstable();
+    pairs
+}
+
+struct Table {
+    parts: Vec<Vec<usize>>,
+    met: Vec<usize>,
+}
+
+impl Table {
+    /// Takes pairs best first into parts that hold fewer than `most` of these servers, while the server is in no more
+    /// parts than its count and `more` of it.
+    fn take(&mut self, pairs: &[Pair], of: &[usize], counts: &[usize], most: usize, more: f64) {
+        let mut is_in = vec![false; self.met.len()];
+        of.iter().for_each(|at| is_in[*at] = true);
+        let held = |part: &Vec<usize>| part.iter().filter(|at| is_in[**at]).count();
+        let mut held: Vec<usize> = self.parts.iter().map(held).collect();
+        for (_, _, gateway, at) in pairs {
+            let bound = counts[*at] + (counts[*at] as f64 * more) as usize;
+            let fits = held[*gateway] < most && self.met[*at] < bound.min(self.parts.len());
+            if fits && !self.parts[*gateway].contains(at) {
+                self.parts[*gateway].push(*at);
+                held[*gateway] += 1;
+                self.met[*at] += 1;
+            }
+        }
+    }
+}
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -70,7 +70,15 @@
 }
 
 pub fn server(server: u32, zone: u16) -> Listed {
-    Listed { server, zone, cell: server as u16, ready: true, weight: 1.0, ..Listed::default() }
+    Listed {
+        server,
+        key: u64::from(server),
+        zone,
+        cell: server as u16,
+        ready: true,
+        weight: 1.0,
+        ..Listed::default()
+    }
 }
 
 impl Story {
--- /dev/null
+++ b/tests/spread.rs
@@ -0,0 +1,176 @@
+//! Parts of the servers: even over the fleet, moved little by changes, the same for all who work them out; and turns.
+
+use martenramp::spread::{self, Member, Spread, key};
+use std::collections::BTreeSet;
+
+const MET_BY: f64 = 12.0;
+
+fn members(count: usize, zones: u16) -> Vec<Member> {
+    let one = |at: usize| Member {
+        id: at as u32,
+        key: key(&format!("s{at:04}")),
+        zone: at as u16 % zones,
+        weight: 1.0,
+        near: false,
+    };
+    (0..count).map(one).collect()
+}
+
+fn parts(fleet: usize, members: &[Member]) -> Vec<BTreeSet<u32>> {
+    spread::parts(members, fleet, MET_BY).into_iter().map(|part| part.into_iter().collect()).collect()
+}
+
+fn met(parts: &[BTreeSet<u32>], members: &[Member]) -> Vec<usize> {
+    members.iter().map(|member| parts.iter().filter(|part| part.contains(&member.id)).count()).collect()
+}
+
+/// Pairs of the second that the first has not, as a share of the first's.
+fn moved(before: &[BTreeSet<u32>], after: &[BTreeSet<u32>]) -> f64 {
+    let new: usize = before.iter().zip(after).map(|(before, after)| after.difference(before).count()).sum();
+    new as f64 / before.iter().map(BTreeSet::len).sum::<usize>() as f64
+}
+
+const SIZES: [(usize, usize, u16); 7] =
+    [(40, 40, 2), (100, 60, 2), (300, 100, 3), (300, 200, 4), (20, 60, 1), (100, 12, 2), (60, 40, 5)];
+
+#[test]
+fn every_server_is_in_nearly_as_many_parts_and_no_part_is_small() {
+    for (fleet, count, zones) in SIZES {
+        let members = members(count, zones);
+        let parts = parts(fleet, &members);
+        let met = met(&parts, &members);
+        let (least, most) = (*met.iter().min().unwrap(), *met.iter().max().unwrap());
+        assert!(least as f64 * 1.25 >= most as f64, "{fleet} x {count}: in {least} to {most} parts");
+        let mean = MET_BY * count as f64 / fleet as f64;
+        let smallest = parts.iter().map(BTreeSet::len).min().unwrap();
+        assert!(smallest >= ((mean * 0.9) as usize).max(1), "{fleet} x {count}: a part of {smallest}");
+        // Every gateway has its share of every zone where there is one for it.
+        for zone in 0..zones {
+            let of_zone = |part: &BTreeSet<u32>| part.iter().filter(|id| **id as u16 % zones == zone).count();
+            let share = (mean / f64::from(zones) * 0.9 - 1.0).max(0.0).floor();
+            let least = parts.iter().map(of_zone).min().unwrap();
+            assert!(least as f64 >= share, "{fleet} x {count}: {least} of zone {zone} for {share}");
+        }
+    }
+}
+
+#[test]
+fn a_server_that_joins_or_leaves_moves_few_pairs_and_a_restart_none() {
+    for (fleet, count, zones) in SIZES {
+        let members = members(count, zones);
+        let whole = parts(fleet, &members);
+        let (mut leaves, mut joins) = (0.0, 0.0);
+        let tried = 5;
+        for gone in 0..tried {
+            let mut less = members.clone();
+            less.remove(gone * count / tried);
+            let left = parts(fleet, &less);
+            leaves += moved(&whole, &left) / tried as f64;
+            joins += moved(&left, &whole) / tried as f64;
+        }
+        let bound = 2.0 / count as f64;
+        assert!(leaves <= bound && joins <= bound, "{fleet} x {count}: {leaves} {joins} over {bound}");
+        // Each gateway works the same out for itself, from a list in another order and after a restart (another salt).
+        for (number, salt) in [(0, 1), (0, 999), (fleet - 1, 5)] {
+            let mut list = members.clone();
+            list.rotate_left(number % count + 1);
+            let mut own = Spread::new(Some(number), fleet, salt);
+            own.list(list, MET_BY);
+            assert_eq!(own.order().len(), count);
+            assert_eq!(own.order()[..own.own()].iter().copied().collect::<BTreeSet<_>>(), whole[number]);
+        }
+    }
+}
+
+#[test]
+fn a_zone_that_goes_moves_nothing_in_the_others() {
+    let all = members(60, 3);
+    let left: Vec<Member> = all.iter().copied().filter(|member| member.zone != 1).collect();
+    let (before, after) = (parts(100, &all), parts(100, &left));
+    // What is new is only what fills up parts that the zone left too small.
+    assert!(moved(&before, &after) <= 0.02, "{}", moved(&before, &after));
+}
+
+#[test]
+fn weights_tell_how_many_parts_and_what_turns_cost() {
+    let mut members = members(40, 2);
+    for (at, member) in members.iter_mut().enumerate() {
+        member.weight = [0.1, 0.5, 1.0, 2.0, 10.0][at % 5];
+    }
+    let parts = parts(100, &members);
+    let met = met(&parts, &members);
+    let mean = members.iter().map(|member| member.weight).sum::<f64>() / 40.0;
+    for (member, met) in members.iter().zip(met) {
+        let want = (MET_BY * member.weight / mean).round().max(1.0);
+        assert!(met as f64 >= want && met as f64 <= (want * 1.2).max(want + 1.0), "{met} for {want}");
+    }
+    // Few gateways: a heavy server is in all parts and its turns come more often there.
+    let mut spread = Spread::new(Some(0), 20, 1);
+    spread.list(members.clone(), MET_BY);
+    let mut sent = [0; 40];
+    let able: Vec<(u32, f64)> = spread.order()[..spread.own()].iter().map(|id| (*id, 1.0)).collect();
+    for _ in 0..1000 {
+        let id = spread.pick(&able).unwrap();
+        spread.took(id);
+        sent[id as usize] += 1;
+    }
+    let (heavy, middle) = (able.iter().filter(|at| at.0 % 5 == 4), able.iter().filter(|at| at.0 % 5 == 3));
+    let each = |some: Vec<&(u32, f64)>| some.iter().map(|at| sent[at.0 as usize]).sum::<usize>() / some.len();
+    assert!(each(heavy.collect()) > 2 * each(middle.collect()), "{sent:?}");
+}
+
+#[test]
+fn turns_come_out_even_pass_over_the_worst_and_are_not_caught_up_with() {
+    let mut spread = Spread::new(Some(3), 100, 5);
+    spread.list(members(60, 2), MET_BY);
+    let own: Vec<u32> = spread.order()[..spread.own()].to_vec();
+    let turn = |spread: &mut Spread, bears: &dyn Fn(u32) -> f64| {
+        let able: Vec<(u32, f64)> = own.iter().map(|id| (*id, bears(*id))).collect();
+        let id = spread.pick(&able).unwrap();
+        spread.took(id);
+        id
+    };
+    let mut sent = vec![0; 60];
+    // Chance in what they bear, and then none: all have had as many turns, to one.
+    for nth in 0..own.len() * 5 {
+        let id = turn(&mut spread, &|id| 1.0 + f64::from((id * 7 + nth as u32 * 3) % 10) / 11.0);
+        sent[id as usize] += 1;
+    }
+    let counts: BTreeSet<usize> = own.iter().map(|id| sent[*id as usize]).collect();
+    assert_eq!(counts, BTreeSet::from([5]), "{counts:?}");
+    // One bears far more for a while: it gets nothing, and afterwards its turn like anybody's.
+    let worst = own[2];
+    for _ in 0..own.len() * 3 {
+        assert_ne!(turn(&mut spread, &|id| if id == worst { 2.5 } else { 1.0 }), worst);
+    }
+    let after: Vec<u32> = (0..own.len() * 2).map(|_| turn(&mut spread, &|_| 1.0)).collect();
+    let of_worst = after.iter().filter(|id| **id == worst).count();
+    assert!((1..=3).contains(&of_worst), "{of_worst} turns of {}", after.len());
+}
+
+#[test]
+fn what_is_told_wrong_harms_only_a_little() {
+    // A number beyond the fleet counts as the fleet's last; a list of nothing, or of one, is taken as it is.
+    let mut spread = Spread::new(Some(9), 4, 1);
+    spread.list(Vec::new(), MET_BY);
+    assert_eq!((spread.order().len(), spread.own(), spread.pick(&[])), (0, 0, None));
+    let mut odd = members(1, 1);
+    odd[0].weight = f64::NAN;
+    spread.list(odd, MET_BY);
+    assert_eq!((spread.order(), spread.own()), (&[0][..], 1));
+    // Two with one number: each server is in at most one part more.
+    let members = members(60, 2);
+    let whole = parts(100, &members);
+    let mut twice = whole.clone();
+    twice[4] = whole[3].clone();
+    let (met, wrong) = (met(&whole, &members), met(&twice, &members));
+    assert!(met.iter().zip(&wrong).all(|(met, wrong)| met.abs_diff(*wrong) <= 1));
+    // Without a number a part of the mean size is drawn by the life's salt.
+    let mut without = Spread::new(None, 100, 8);
+    without.list(members.clone(), MET_BY);
+    assert_eq!(without.own(), 8);
+    // A few gateways draw from all.
+    let mut few = Spread::new(Some(1), 4, 8);
+    few.list(members, MET_BY);
+    assert_eq!(few.own(), 60);
+}
