Two drawn at random within the part, the one that had fewer turns; strict turns undone

So every gateway called out to a server at once when it had rested, since its turn was overdue (Spread::pick and next).

A server too heavy for the number of gateways is drawn as often as it weighs.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -781,8 +781,8 @@
     }
 
     /// Two drawn at random, the one that this gateway's own counts favour is taken. What can't take it is
-    /// passed over in the draw, so that a fleet in health costs two looks, whatever its size. Where servers are met
-    /// seldom, all of its part and the cold, whose budget all share, have their turns; the others if none is able.
+    /// passed over in the draw, so that a fleet in health costs two looks, whatever its size. Drawn are its part and
+    /// the cold, whose budget all share, the others if none is able; where servers are met seldom, by turns.
     /// While all are crowded (`most` is the time that counts as quick), it calls out only where it meets servers
     /// seldom, and there to one that answered quickly just now or has room while cold. Guards against a few slow
     /// servers met by chance that stop a gateway with few answers. Harm: what was quick may be full by now.
@@ -805,7 +805,7 @@
         ready.extend(others.iter().filter(|id| !is_cold(id)));
         let seldom = own < ready.len();
         for place in 0..ready.len() {
-            if drawn.len() == 2 && !seldom || place >= own && !drawn.is_empty() {
+            if drawn.len() == 2 || place >= own && !drawn.is_empty() {
                 break;
             }
             let upto = if place < own { own } else { ready.len() };
@@ -828,11 +828,12 @@
             if unwell { &mut last_resort } else { &mut drawn }.push(ready[place]);
         }
         let drawn = if drawn.is_empty() { last_resort } else { drawn };
-        let burden = |id: &&u32| self.burden(now, **id, seldom);
+        let drawn = drawn.iter().take(2).map(|id| (*id, self.burden(now, *id, seldom)));
+        let drawn: Vec<(u32, f64)> = drawn.collect();
         if seldom {
-            return self.spread.pick(&drawn.iter().map(|id| (*id, burden(&id))).collect::<Vec<_>>());
+            return self.spread.pick(&drawn);
         }
-        drawn.iter().take(2).min_by(|one, two| burden(one).total_cmp(&burden(two))).copied()
+        drawn.iter().min_by(|one, two| one.1.total_cmp(&two.1)).map(|least| least.0)
     }
 
     /// How long one more would take there, by this gateway's own counts and, where it meets servers seldom, by what
--- a/src/spread.rs
+++ b/src/spread.rs
@@ -8,7 +8,8 @@
 //! The parts of each zone are worked out on their own, so that every gateway has its share of each zone, and the loss of
 //! one moves nothing in the others.
 //!
-//! Within its part a gateway sends by turns, in proportion to the servers' shares, so that few RPCs come out even, too.
+//! Within its part a gateway draws two at random and sends to the one that has had fewer turns for its share, so that few
+//! RPCs come out nearly even, too, and nobody's next turn is known beforehand.
 
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -23,8 +24,10 @@
 /// A busier gateway draws from more servers: those of tables worked out on top, each for so many times the parts.
 const LAYER: f64 = 1.5;
 const LAYERS: i32 = 3;
-/// What counts as out of the ordinary among the servers that could be sent to.
+/// Of two drawn, one that bears so many times more is passed over.
 const FAR_WORSE: f64 = 2.0;
+/// So many turns can be owed to a server at most.
+const BEHIND: f64 = 2.0;
 /// A turn at a server of another zone costs so much more.
 const FAR: f64 = 1.1;
 
@@ -51,7 +54,7 @@
     /// This gateway's number, if it is told, of so many.
     number: Option<usize>,
     fleet: usize,
-    /// Of this life: the order of turns, and of the list where no number is told.
+    /// Of this life: the order of the list where no number is told.
     salt: u64,
     members: Vec<Member>,
     /// Ids of all servers: first this gateway's part, then the others in an order of its own.
@@ -59,9 +62,9 @@
     own: usize,
     /// What a server's turns cost: its parts over its weight.
     costs: BTreeMap<u32, f64>,
-    /// When (in turns) each is next, and what turn it is.
-    next: BTreeMap<u32, f64>,
-    turn: f64,
+    /// Turns that each has had, by what they cost, and the most of all.
+    turns: BTreeMap<u32, f64>,
+    most: f64,
 }
 
 impl Spread {
@@ -81,9 +84,9 @@
         let cost = |at: &Member, count: usize| count as f64 / weight(at) * if at.near { 1.0 } else { FAR };
         let costs = self.members.iter().zip(&counts).map(|(at, count)| (at.id, cost(at, *count)));
         self.costs = costs.collect();
-        let least = self.costs.values().copied().fold(f64::MAX, f64::min);
-        self.costs.values_mut().for_each(|cost| *cost /= least);
-        self.next.retain(|id, _| self.costs.contains_key(id));
+        let mean = self.costs.values().sum::<f64>() / self.costs.len().max(1) as f64;
+        self.costs.values_mut().for_each(|cost| *cost /= mean);
+        self.turns.retain(|id, _| self.costs.contains_key(id));
         let seed = self.number.map_or(self.salt, |number| number as u64);
         let mut order: Vec<usize> = (0..self.members.len()).collect();
         order.sort_by_cached_key(|at| xxh3_64_with_seed(&seed.to_le_bytes(), self.members[*at].key));
@@ -93,10 +96,20 @@
         let (part, own) = part.unwrap_or((Vec::new(), mean));
         self.own = own;
         order.sort_by_key(|at| part.iter().position(|first| first == at).unwrap_or(usize::MAX));
-        self.order = order.into_iter().map(|at| self.members[at].id).collect();
+        // What is too heavy for the number of gateways stands in the order so many times, to be drawn as often.
+        let all = self.own == order.len();
+        let times = |at: &usize| {
+            let id = self.members[*at].id;
+            let times = if all { 1.0 } else { (1.0 / self.costs[&id]).round().max(1.0) };
+            std::iter::repeat_n(id, times as usize)
+        };
+        self.order = order[..self.own].iter().flat_map(times).collect();
+        let own = self.order.len();
+        self.order.extend(order[self.own..].iter().flat_map(times));
+        self.own = own;
     }
 
-    /// All servers, first the `own` of this gateway's part.
+    /// All servers, first the `own` of this gateway's part; some more than once.
     pub fn order(&self) -> &[u32] {
         &self.order
     }
@@ -105,30 +118,26 @@
         self.own
     }
 
-    /// Of servers and what each bears now, whose turn it is. One that bears far more than the others is passed over,
-    /// and loses its turns: what comes back is not caught up with.
-    pub fn pick(&self, able: &[(u32, f64)]) -> Option<u32> {
-        let mut burdens: Vec<f64> = able.iter().map(|at| at.1).collect();
-        burdens.sort_by(f64::total_cmp);
-        let most = FAR_WORSE * burdens.get(burdens.len() / 2)?;
-        let turn = |id: u32| (self.next(id), xxh3_64_with_seed(&self.salt.to_le_bytes(), u64::from(id)));
-        let ordinary = able.iter().filter(|at| at.1 <= most).map(|at| at.0);
-        ordinary.min_by(|one, two| {
-            let (one, two) = (turn(*one), turn(*two));
-            one.0.total_cmp(&two.0).then(one.1.cmp(&two.1))
-        })
+    /// Of a few servers drawn at random and what each bears now, whose turn it is: the one that had fewest, unless it
+    /// bears far more than the least; of equals the first.
+    pub fn pick(&self, drawn: &[(u32, f64)]) -> Option<u32> {
+        let most = FAR_WORSE * drawn.iter().map(|at| at.1).fold(f64::MAX, f64::min);
+        let ordinary = drawn.iter().filter(|at| at.1 <= most).map(|at| at.0);
+        ordinary.min_by(|one, two| self.turns(*one).total_cmp(&self.turns(*two)))
     }
 
-    fn next(&self, id: u32) -> f64 {
-        self.next.get(&id).copied().unwrap_or(0.0).max(self.turn)
+    /// Turns had. Guards against a herd at what comes back or is new, which has had none while all others went on: it
+    /// is no more than `BEHIND` behind them. Harm: what was left out for long gets a little less than its share.
+    fn turns(&self, id: u32) -> f64 {
+        self.turns.get(&id).copied().unwrap_or(0.0).max(self.most - BEHIND)
     }
 
     /// An RPC went to this server.
     pub fn took(&mut self, id: u32) {
-        let next = self.next(id);
         if let Some(cost) = self.costs.get(&id) {
-            self.turn = next;
-            self.next.insert(id, next + cost);
+            let turns = self.turns(id) + cost;
+            self.turns.insert(id, turns);
+            self.most = self.most.max(turns);
         }
     }
 }
