--- /dev/null
+++ b/benches/spread.rs
@@ -0,0 +1,27 @@
+//! What one change of the list costs a gateway: the whole table of pairs worked out, at several sizes.
+
+use criterion::{Criterion, criterion_group, criterion_main};
+use martenramp::spread::{Member, Spread, key};
+
+fn list(c: &mut Criterion) {
+    for (fleet, count) in [(40, 40), (100, 60), (300, 100), (300, 200)] {
+        let member = |at: usize| Member {
+            id: at as u32,
+            key: key(&format!("s{at:04}")),
+            zone: at as u16 % 3,
+            weight: 1.0,
+            near: at.is_multiple_of(3),
+        };
+        let members: Vec<Member> = (0..count).map(member).collect();
+        c.bench_function(&format!("list {fleet} gateways {count} servers"), |bench| {
+            bench.iter(|| {
+                let mut spread = Spread::new(Some(1), fleet, 7);
+                spread.list(members.clone(), 12.0);
+                spread.own()
+            });
+        });
+    }
+}
+
+criterion_group!(benches, list);
+criterion_main!(benches);
