--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -401,14 +401,16 @@
         Ok(())
     }
 
+    /// A field of a class of the settings.
+    fn class(&self, class: &str, field: &str) -> Option<&toml::Value> {
+        let classes = self.settings.get("classes").and_then(toml::Value::as_array)?;
+        let is = |entry: &&toml::Value| entry.get("name").and_then(toml::Value::as_str) == Some(class);
+        classes.iter().find(is)?.get(field)
+    }
+
     /// A class's deadline in seconds.
     pub fn deadline(&self, class: &str) -> f64 {
-        let classes = self.settings.get("classes").and_then(toml::Value::as_array);
-        let entry = classes
-            .into_iter()
-            .flatten()
-            .find(|entry| entry.get("name").and_then(toml::Value::as_str) == Some(class));
-        let value = entry.and_then(|entry| entry.get("deadline"));
+        let value = self.class(class, "deadline");
         value
             .and_then(|value| value.as_float().or(value.as_integer().map(|whole| whole as f64)))
             .unwrap_or(5.0)
@@ -416,13 +418,7 @@
 
     /// How a class may be repeated, as the settings have it (`free`, `guarded` or `single_shot`).
     pub fn idempotency(&self, class: &str) -> String {
-        let classes = self.settings.get("classes").and_then(toml::Value::as_array);
-        let entry = classes
-            .into_iter()
-            .flatten()
-            .find(|entry| entry.get("name").and_then(toml::Value::as_str) == Some(class));
-        let told = entry.and_then(|entry| entry.get("idempotency")?.as_str());
-        told.unwrap_or("single_shot").to_string()
+        self.class(class, "idempotency").and_then(toml::Value::as_str).unwrap_or("single_shot").to_string()
     }
 }
 
