--- a/src/brain.rs
+++ b/src/brain.rs
@@ -68,8 +68,8 @@
     split: f64,
     ceiling: f64,
     at: Nanos,
-    /// When the last total was read, what the others drew a second by then, and when one last showed the store
-    /// short; 0 is never.
+    /// When the last total was read, what the others drew a second by then, and when one last showed the
+    /// store short; 0 is never.
     read_at: Nanos,
     others: f64,
     short_at: Nanos,
@@ -520,7 +520,8 @@
 
     /// Whether one more would be late: open over answered a second; of few answers the last ones tell more.
     /// Guards against overload of any cause, patient RPCs giving way first; hanging servers are left out, or
-    /// they would stop all. A rate below what servers can do says too much: while calm the last ends bound it.
+    /// they would stop all. A rate below what servers can do says too much: while calm the last ends bound
+    /// it.
     fn crowded(&mut self, now: Nanos, soft: Nanos, patient: bool) -> bool {
         if self.wait.0 != now {
             let typical = self.typical(now);
@@ -730,12 +731,13 @@
                 *others += more;
                 customer.level -= more;
                 let theirs = (total - *own).max(0.0);
-                customer.others = (theirs - (theirs * largest).sqrt()).max(0.0) / since; // less what chance adds
+                // Less what chance adds.
+                customer.others = (theirs - (theirs * largest).sqrt()).max(0.0) / since;
                 if std::mem::replace(&mut customer.read_at, now) == 0 {
                     customer.level = customer.burst - total - customer.pending;
                 }
-                // Guards against a store that looks full where a customer is met less than once a window: nothing
-                // is known of the use before this window, so it is taken to be as in this one.
+                // Guards against a store that looks full where a customer is met less than once a window:
+                // nothing is known of the use before this window, so it is taken to be as in this one.
                 if first {
                     let more = (customer.others - customer.rate).max(0.0);
                     let before = more * (since + secs(customer.window));
@@ -771,9 +773,10 @@
         self.count_next(host, now);
     }
 
-    /// Guards against knowing nothing of any server: one of hundreds of gateways that calls out to all meets each
-    /// seldom, learns too late which are slow or bad, and opens a connection for each call-out. So it draws from a
-    /// part of its own, even over the fleet (see `spread`), or from as many more as it meets often.
+    /// Guards against knowing nothing of any server: one of hundreds of gateways that calls out to all meets
+    /// each seldom, learns too late which are slow or bad, and opens a connection for each call-out. So it
+    /// draws from a part of its own, even over the fleet (see `spread`), or from as many more as it meets
+    /// often.
     fn part(&self, now: Nanos) -> usize {
         let since = self.ends.front().map_or(SEC, |first| now - first.0).max(SEC);
         let often = self.ends.len() as f64 / secs(since) * secs(MEET);
@@ -781,11 +784,12 @@
     }
 
     /// Two drawn at random, the one that this gateway's own counts favour is taken. What can't take it is
-    /// passed over in the draw, so that a fleet in health costs two looks, whatever its size. Drawn are its part and
-    /// the cold, whose budget all share, the others if none is able; where servers are met seldom, by turns.
-    /// While all are crowded (`most` is the time that counts as quick), it calls out only where it meets servers
-    /// seldom, and there to one that answered quickly just now or has room while cold. Guards against a few slow
-    /// servers met by chance that stop a gateway with few answers. Harm: what was quick may be full by now.
+    /// passed over in the draw, so that a fleet in health costs two looks, whatever its size. Drawn are its
+    /// part and the cold, whose budget all share, the others if none is able; where servers are met seldom,
+    /// by turns. While all are crowded (`most` is the time that counts as quick), it calls out only where it
+    /// meets servers seldom, and there to one that answered quickly just now or has room while cold. Guards
+    /// against a few slow servers met by chance that stop a gateway with few answers. Harm: what was quick
+    /// may be full by now.
     fn choose(&mut self, now: Nanos, id: u32, most: Option<f64>) -> Option<u32> {
         let mut chance = self.chance.fork();
         let rpc = &self.rpcs[&id];
@@ -836,8 +840,8 @@
         drawn.iter().min_by(|one, two| one.1.total_cmp(&two.1)).map(|least| least.0)
     }
 
-    /// How long one more would take there, by this gateway's own counts and, where it meets servers seldom, by what
-    /// they told of all others' RPCs.
+    /// How long one more would take there, by this gateway's own counts and, where it meets servers seldom,
+    /// by what they told of all others' RPCs.
     fn burden(&self, now: Nanos, id: u32, seldom: bool) -> f64 {
         let (server, typical) = (&self.servers[&id], self.typical(now).max(MS) as f64);
         let ran = server.ends.iter().rev().filter(|end| end.2 || end.1 as f64 > typical);
@@ -850,7 +854,8 @@
         let age = now.saturating_sub(server.held.0).min(FRESH);
         let held = if seldom { server.held.1 * (1.0 - secs(age) / secs(FRESH)) } else { 0.0 };
         let (open, weight) = (held + server.open.len() as f64, server.listed.weight.max(0.05));
-        // Guards against errors that come quickly and so look quick, where a rest is over before the next meeting.
+        // Guards against errors that come quickly and so look quick, where a rest is over before the next
+        // meeting.
         let missed = server.ends.iter().rev().take_while(|end| !end.2 && now - end.0 < 4 * FRESH).count();
         let line = if seldom { open / weight + 1.0 + 2.0 * missed as f64 } else { (open + 1.0) / weight };
         line * (sum / count) * far
