--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -27,8 +27,9 @@
 const READY_WITHIN: Nanos = 60 * SEC;
 /// How long RPCs may still be answered after the last arrival, and a gateway may take to end.
 const LINGER: Nanos = 8 * SEC;
-/// A gateway whose machine is at its end gets so much memory and so many descriptors told.
-const LIMITS: &str = "{\"sockets\":1024,\"memory_mb\":64}";
+/// The limits that every gateway is told.
+const SOCKETS: u32 = 1024;
+const MEMORY_MB: u32 = 64;
 
 fn address(last: u8) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, last], 0))
@@ -319,7 +320,7 @@
         json!({"name": format!("n{}", at.number), "listen": at.listen.to_string(),
             "discovery": at.discovery.to_string(), "counter": at.counter.to_string(),
             "seed": format!("{:016x}", self.seeds.random::<u64>()),
-            "limits": serde_json::from_str::<Value>(LIMITS).unwrap_or_default(),
+            "limits": {"sockets": SOCKETS, "memory_mb": MEMORY_MB},
             "known": serde_json::from_str::<Value>(&known).unwrap_or_default(), "settings": settings})
         .to_string()
     }
--- a/crates/standins/src/counter.rs
+++ b/crates/standins/src/counter.rs
@@ -3,7 +3,7 @@
 
 use crate::reactor::{Conn, Door, Io, Service};
 use crate::{MS, Nanos};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 
 /// What the counter does. `Counter::become_` is the one place that changes it.
@@ -24,7 +24,7 @@
     address: SocketAddr,
     door: Option<Door>,
     totals: HashMap<Vec<u8>, (f64, Nanos)>,
-    conns: BTreeMap<Conn, ()>,
+    conns: BTreeSet<Conn>,
     line: VecDeque<(Nanos, Conn, Vec<u8>)>,
     pub calls: u64,
 }
@@ -38,7 +38,7 @@
             address: SocketAddr::from(([127, 0, 0, 1], 0)),
             door: None,
             totals: HashMap::new(),
-            conns: BTreeMap::new(),
+            conns: BTreeSet::new(),
             line: VecDeque::new(),
             calls: 0,
         }
@@ -55,7 +55,7 @@
         let was = std::mem::replace(&mut self.state, state);
         if state == State::Down {
             self.door.take().into_iter().for_each(|door| io.shut(door));
-            std::mem::take(&mut self.conns).into_keys().for_each(|conn| io.reset(conn));
+            std::mem::take(&mut self.conns).into_iter().for_each(|conn| io.reset(conn));
             self.line.clear();
         } else if was == State::Down {
             self.door = Some(io.listen(self.address)?.0);
@@ -133,7 +133,7 @@
 
 impl Service for Counter {
     fn accepted(&mut self, _io: &mut Io, conn: Conn, _door: Door) {
-        self.conns.insert(conn, ());
+        self.conns.insert(conn);
     }
 
     fn came(&mut self, io: &mut Io, conn: Conn) {
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -5,7 +5,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, channel};
@@ -78,10 +78,6 @@
         config(&self.address.to_string(), discovery, more, settings)
     }
 
-    pub fn file(&self) -> &Path {
-        &self.file
-    }
-
     pub fn rewrite(&self, text: &str) {
         std::fs::write(&self.file, text).unwrap();
     }
--- a/crates/standins/src/reactor.rs
+++ b/crates/standins/src/reactor.rs
@@ -115,7 +115,9 @@
         let address = listener.local_addr()?;
         let entry = self.doors.vacant_entry();
         self.registry.register(&mut listener, Token(KIND_DOOR | entry.key()), Interest::READABLE)?;
-        Ok((entry.insert_entry(listener), address))
+        let key = entry.key();
+        entry.insert(listener);
+        Ok((key, address))
     }
 
     /// Refuses whoever comes to this address from now on.
@@ -280,18 +282,6 @@
     }
 }
 
-trait InsertEntry<T> {
-    fn insert_entry(self, value: T) -> usize;
-}
-
-impl<T> InsertEntry<T> for slab::VacantEntry<'_, T> {
-    fn insert_entry(self, value: T) -> usize {
-        let key = self.key();
-        self.insert(value);
-        key
-    }
-}
-
 type Job<S> = Box<dyn FnOnce(&mut S, &mut Io) + Send>;
 
 /// A running reactor. Dropped, it stops and its thread is waited for.
--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -143,11 +143,6 @@
         }
     }
 
-    /// What stands at a link now.
-    pub fn faults(&self, link: usize) -> Faults {
-        self.links[link].faults
-    }
-
     fn path(&self, link: usize, way: usize) -> Path {
         let faults = &self.links[link].faults;
         if way == 0 { faults.there } else { faults.back }
--- a/crates/standins/src/servers.rs
+++ b/crates/standins/src/servers.rs
@@ -174,9 +174,7 @@
                 (row.done, row.how) = (io.now(), if row.how == How::Left { How::Left } else { How::Lost });
             }
             self.jobs.retain(|_, at| *at != number);
-            let open: Vec<Conn> =
-                self.conns.iter().filter(|(_, at)| **at == number).map(|(conn, _)| *conn).collect();
-            for conn in open {
+            for conn in self.open(number) {
                 self.conns.remove(&conn);
                 io.reset(conn);
             }
@@ -189,13 +187,15 @@
         } else if was == Health::Silent {
             let stuck = std::mem::take(&mut self.servers[number].stuck);
             stuck.into_iter().for_each(|serial| self.done(io, serial));
-            let open: Vec<Conn> =
-                self.conns.iter().filter(|(_, at)| **at == number).map(|(conn, _)| *conn).collect();
-            open.into_iter().for_each(|conn| self.came(io, conn));
+            self.open(number).into_iter().for_each(|conn| self.came(io, conn));
         }
         Ok(())
     }
 
+    fn open(&self, number: usize) -> Vec<Conn> {
+        self.conns.iter().filter(|(_, at)| **at == number).map(|(conn, _)| *conn).collect()
+    }
+
     /// When this life began, 0 for long ago.
     pub fn since(&self, number: usize) -> Nanos {
         self.servers[number].since
