--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -65,6 +65,8 @@
     /// This side's sending is ended; what still comes is passed over until the client closes too.
     pub finished: bool,
     pub continued: bool,
+    /// It sent more than one message before its answer, and what was too much of it is dropped.
+    pub floods: bool,
     /// Taken beyond the clients' part of the descriptors, only to push back what it brings.
     pub spare: bool,
     pub served: u64,
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -24,6 +24,9 @@
 /// How much is read at once; a buffer that grew beyond `KEPT` is given back once it is empty.
 const READ: usize = 4 << 10;
 const KEPT: usize = 16 << 10;
+/// How much is read and discarded of a connection that is about to be closed, and in one turn.
+const DISCARDS: usize = 4 << 20;
+const DISCARDS_A_TURN: usize = 64 << 10;
 /// How long until accepting is tried again when no descriptor was left for it.
 pub const ACCEPT_AGAIN: Nanos = 10_000_000;
 /// Log lines that standard error did not take are offered again so often.
@@ -56,6 +59,28 @@
     Counter(usize),
 }
 
+/// How a connection ended. What it carried may only be taken as whole where it was [`Ending::Closed`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The other side ended its sending in good order, and all that it sent has been read.
+    Closed,
+    /// The other side reset it: what it sent last may be missing.
+    Reset,
+    /// It never came up, or reading or writing failed, for this reason.
+    Failed(&'static str),
+}
+
+impl Ending {
+    /// The reason code for the log.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Ending::Closed => "closed",
+            Ending::Reset => "reset",
+            Ending::Failed(why) => why,
+        }
+    }
+}
+
 struct Conn {
     id: usize,
     peer: Peer,
@@ -69,10 +94,10 @@
     held: usize,
     /// Reading stopped at `input_most` though there may be more.
     paused: bool,
-    /// Nothing more is read.
-    deaf: bool,
-    /// The other side has ended its sending, or the connection broke, for this reason.
-    ended: Option<&'static str>,
+    /// Nothing more is used: what comes is read and discarded, up to so many bytes.
+    discards: Option<usize>,
+    /// The other side has ended its sending, or the connection broke.
+    ended: Option<Ending>,
     out: Vec<u8>,
     written: usize,
     dirty: bool,
@@ -126,7 +151,7 @@
             input_most: most,
             held: 0,
             paused: false,
-            deaf: false,
+            discards: None,
             ended: None,
             out: Vec::new(),
             written: 0,
@@ -224,19 +249,39 @@
         self.account(id);
     }
 
+    /// Drops what was read beyond so many bytes, and reads on.
+    pub fn keep(&mut self, id: usize, bytes: usize) {
+        let Some(conn) = self.get_mut(id) else { return };
+        conn.input.truncate(bytes);
+        if std::mem::take(&mut conn.paused) {
+            self.resumed.push(id);
+        }
+        self.account(id);
+    }
+
+    /// Whether its buffer is full, so that its end could not be seen.
+    pub fn is_full(&self, id: usize) -> bool {
+        self.get(id).is_some_and(|conn| conn.paused)
+    }
+
     /// Whether the other side can have got the last byte written to it.
     pub fn is_sent(&self, id: usize) -> bool {
         self.get(id).is_some_and(|conn| conn.up && conn.written == conn.out.len())
     }
 
-    pub fn ended(&self, id: usize) -> Option<&'static str> {
+    pub fn ended(&self, id: usize) -> Option<Ending> {
         self.get(id).and_then(|conn| conn.ended)
     }
 
-    /// What else comes on a connection is left unread, so that a client that sends on without end costs nothing.
-    pub fn stop_reading(&mut self, id: usize) {
-        if let Some(conn) = self.get_mut(id) {
-            (conn.deaf, conn.paused, conn.input) = (true, false, Vec::new());
+    /// What else comes on a connection is read and discarded, since closing over unread bytes resets the connection and
+    /// may take the last answer with it. Guards against a client that sends on without end: it is read for
+    /// [`DISCARDS`] bytes and then left unread. Harm: such a client may miss its answer.
+    pub fn discard(&mut self, id: usize) {
+        if let Some(conn) = self.get_mut(id).filter(|conn| conn.discards.is_none()) {
+            (conn.discards, conn.input) = (Some(DISCARDS), Vec::new());
+            if !std::mem::replace(&mut conn.paused, true) {
+                self.resumed.push(id);
+            }
         }
         self.account(id);
     }
@@ -264,13 +309,15 @@
 
     fn read_some(&mut self, id: usize, closes: bool) {
         let Some(conn) = self.get_mut(id) else { return };
-        if conn.deaf {
-            conn.ended = conn.ended.or(closes.then_some("closed"));
+        if let Some(left) = conn.discards {
+            return self.discard_some(id, left, closes);
         }
-        while conn.ended.is_none() && !conn.deaf {
+        while conn.ended.is_none() {
             let have = conn.input.len();
             if have >= conn.input_most {
                 conn.paused = true;
+                // A client that closes has gone, whatever it sent before; of a server's answer the rest is still to be read.
+                conn.ended = (closes && conn.peer == Peer::Client).then_some(Ending::Closed);
                 return;
             }
             let room = if have < 4 * READ { READ } else { 4 * READ }.min(conn.input_most - have);
@@ -279,17 +326,42 @@
             let got = conn.stream.read(&mut conn.input[have..]);
             conn.input.truncate(have + got.as_ref().map_or(0, |got| *got));
             match got {
-                Ok(0) => conn.ended = Some("closed"),
+                Ok(0) => conn.ended = Some(Ending::Closed),
                 // A short read has emptied the socket; what comes later makes a new event.
                 Ok(got) if got < room && !closes => return,
                 Ok(_) => {}
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                Err(e) => conn.ended = Some(reason(&e)),
+                Err(e) => conn.ended = Some(ending(&e)),
             }
         }
     }
 
+    /// Reads and discards a turn's worth.
+    fn discard_some(&mut self, id: usize, mut left: usize, closes: bool) {
+        let Some(conn) = self.get_mut(id) else { return };
+        let mut bytes = [0; READ];
+        let mut turn = DISCARDS_A_TURN;
+        conn.paused = false;
+        while conn.ended.is_none() && left > 0 && turn > 0 {
+            match conn.stream.read(&mut bytes) {
+                Ok(0) => conn.ended = Some(Ending::Closed),
+                Ok(got) => (left, turn) = (left.saturating_sub(got), turn.saturating_sub(got)),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) => conn.ended = Some(ending(&e)),
+            }
+        }
+        conn.discards = Some(left);
+        if left == 0 && closes {
+            conn.ended = conn.ended.or(Some(Ending::Closed));
+        }
+        if turn == 0 && left > 0 && conn.ended.is_none() {
+            conn.paused = true;
+            self.resumed.push(id);
+        }
+    }
+
     /// Keeps `held` true; called whenever a buffer may have changed its size.
     fn account(&mut self, id: usize) {
         let Some(conn) = self.get_mut(id).filter(|conn| conn.peer == Peer::Client) else { return };
@@ -311,7 +383,7 @@
                 Ok(written) => conn.written += written,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                Err(e) => return conn.ended = Some(reason(&e)),
+                Err(e) => return conn.ended = Some(ending(&e)),
             }
         }
         (conn.written, conn.out) = (0, std::mem::take(&mut conn.out));
@@ -322,15 +394,15 @@
     }
 }
 
-fn reason(e: &io::Error) -> &'static str {
-    match e.kind() {
+fn ending(e: &io::Error) -> Ending {
+    Ending::Failed(match e.kind() {
+        ErrorKind::ConnectionReset => return Ending::Reset,
         ErrorKind::ConnectionRefused => "refused",
-        ErrorKind::ConnectionReset => "reset",
         ErrorKind::BrokenPipe => "broken-pipe",
         ErrorKind::TimedOut => "network-time-out",
         ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable => "unreachable",
         _ => "network-error",
-    }
+    })
 }
 
 fn out_of_descriptors(e: &io::Error) -> bool {
@@ -366,6 +438,9 @@
     /// Timers that are due; true if connections may be accepted again.
     fn due(&mut self) -> bool;
     fn settle(&mut self);
+    /// The turn's bytes are about to go out: attempts whose connection stands are written now, if what was true when
+    /// each was asked for still is.
+    fn write_attempts(&mut self);
 }
 
 /// The poll, and the sockets that are no connections.
@@ -497,7 +572,7 @@
             match conn.stream.take_error() {
                 Ok(None) if conn.stream.peer_addr().is_ok() => conn.up = true,
                 Ok(None) => return, // not yet
-                Ok(Some(e)) | Err(e) => conn.ended = Some(reason(&e)),
+                Ok(Some(e)) | Err(e) => conn.ended = Some(ending(&e)),
             }
             if conn.ended.is_none() {
                 gateway.up(id);
@@ -513,6 +588,7 @@
     fn flush(&mut self, gateway: &mut impl Turned) {
         loop {
             gateway.settle();
+            gateway.write_attempts();
             let dirty = std::mem::take(&mut gateway.net().dirty);
             if dirty.is_empty() {
                 return;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,10 +4,10 @@
 use crate::clients::{self, Client, Got};
 use crate::config::Config;
 use crate::counter::{self, Call, Line};
-use crate::driver::{ACCEPT_AGAIN, Net, Peer, Turned};
+use crate::driver::{ACCEPT_AGAIN, Ending, Net, Peer, Turned};
 use crate::http::{BODY_MOST, Bad, HEAD_MOST};
 use crate::list::{self, Told, Watch};
-use crate::servers::{self, Answer, Body, CallOut, Link, Servers, Stage};
+use crate::servers::{self, Answer, Attempt, Body, Link, Server, Servers, Stage};
 use crate::timers::Timers;
 use martenramp::brain::Brain;
 use martenramp::host::{Arrival, End, Ended, Host, Listed, Nanos};
@@ -43,6 +43,8 @@
 const CLIENTS_MEMORY: usize = 3;
 const LINKS_MEMORY: usize = 3;
 const LIST_MEMORY: usize = 16;
+/// So many names of zones are kept.
+const ZONES_MOST: usize = 1024;
 const MESSAGE_MOST: usize = HEAD_MOST + BODY_MOST + 1024;
 
 /// What a timer is for.
@@ -77,6 +79,8 @@
     deadline: Nanos,
     call_outs: u16,
     open: bool,
+    /// Some of it was written to a server.
+    written: bool,
     id: Box<[u8]>,
 }
 
@@ -105,6 +109,8 @@
     open_rpcs: usize,
     servers: Servers,
     links: BTreeMap<usize, Link>,
+    /// Connections that stand and have been asked to carry an attempt; it is written when the turn's bytes go out.
+    to_write: VecDeque<usize>,
     watch: Watch,
     watch_on: Option<usize>,
     /// The watch that is on has been answered.
@@ -139,6 +145,8 @@
     zones: Vec<String>,
     kinds: Vec<String>,
     columns: Vec<String>,
+    /// Whether discovery pushes its lists, so that asking costs it nothing.
+    pushed: bool,
     /// How many gateways there are, as far as the settings tell.
     fleet: u32,
     /// New work to a server must stop so long after its drain was told.
@@ -178,8 +186,10 @@
             open_rpcs: 0,
             servers: Servers::default(),
             links: BTreeMap::new(),
+            to_write: VecDeque::new(),
             watch: Watch::new(0, config.memory / LIST_MEMORY),
             stop_within: span("rules.stopSendingWithin", list::STOP_WITHIN),
+            pushed: config.settings.get("membershipMode").is_some_and(|mode| mode == "push"),
             fleet: config.setting("balancers").map_or(1, |count| count as u32),
             chance: fastrand::Rng::with_seed(config.seed.rotate_left(32)),
             watch_on: None,
@@ -317,10 +327,15 @@
 
     /// A connection that was begun here stands.
     fn up(&mut self, id: usize) {
-        let Desk { net, links, lines, watch, watch_on, .. } = &mut self.desk;
+        let Desk { net, links, to_write, lines, watch, watch_on, .. } = &mut self.desk;
         let now = net.now;
         match net.peer(id) {
-            Some(Peer::Server) => drop(links.get_mut(&id).map(|link| link.up = true)),
+            Some(Peer::Server) => {
+                if let Some(link) = links.get_mut(&id) {
+                    link.up = true;
+                    to_write.push_back(id);
+                }
+            }
             Some(Peer::List) if *watch_on == Some(id) => drop(net.out(id).map(|out| watch.ask(out, now))),
             Some(Peer::Counter(line)) => drop(net.out(id).map(|out| lines[line].opened(out, now))),
             _ => {}
@@ -381,6 +396,13 @@
         std::mem::take(&mut self.desk.accepts_again)
     }
 
+    fn write_attempts(&mut self) {
+        while let Some(id) = self.desk.to_write.pop_front() {
+            self.desk.write_attempt(id);
+            self.settle();
+        }
+    }
+
     /// Tells the module of all that has ended, until nothing more comes of it.
     fn settle(&mut self) {
         let now = self.desk.net.now;
@@ -403,27 +425,26 @@
 }
 
 impl Host for Desk {
-    fn call_out(&mut self, id: u32, server: u32, limit: Nanos) {
+    fn call_out(&mut self, id: u32, server: u32, limit: Nanos, before: Nanos) {
         let now = self.net.now;
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
-        let call = CallOut { rpc: id, nth: rpc.call_outs, sent: now };
-        rpc.call_outs += 1;
         let until = if limit == 0 { rpc.deadline } else { (now + limit).min(rpc.deadline) };
-        let (client, answered) = (rpc.client, rpc.stand == Stand::Answered);
-        if answered || until <= now {
-            return self.end_call_out(server, call, End::NotSent, 0.0, Vec::new());
+        let attempt = Attempt { rpc: id, nth: rpc.call_outs, sent: now, until, before };
+        rpc.call_outs += 1;
+        if rpc.stand == Stand::Answered || until <= now {
+            return self.end_call_out(server, attempt, End::NotSent, 0.0, Vec::new());
         }
         let Some(to) = self.link_to(server) else {
-            return self.end_call_out(server, call, End::NoConnection, 0.0, Vec::new());
+            return self.end_call_out(server, attempt, End::NoConnection, 0.0, Vec::new());
         };
         self.shift(id, Stand::Out);
-        let Desk { net, links, rpcs, .. } = self;
-        let (Some(rpc), Some(link)) = (rpcs.get_mut(&id), links.get_mut(&to)) else { return };
+        let (Some(rpc), Some(link)) = (self.rpcs.get_mut(&id), self.links.get_mut(&to)) else { return };
         rpc.open = true;
-        if let Some((message, out)) = net.input_and_out(client, to) {
-            link.call_out(out, call, &rpc.message, message, until - now);
+        link.stage = Stage::Asked(attempt);
+        if link.up {
+            self.to_write.push_back(to);
         }
-        self.timers.set(until, What::CallOut(to, id, call.nth));
+        self.timers.set(until, What::CallOut(to, id, attempt.nth));
     }
 
     fn push_back(&mut self, id: u32, come_back: Nanos) {
@@ -506,12 +527,16 @@
             }
         }
         for (id, why) in over {
-            if why == "slow-message" { self.refuse(id, 408, why) } else { self.end_client(id, why) }
+            match why {
+                "slow-message" => self.refuse(id, 408, why),
+                "idle" | "said-nothing" => self.finish_client(id, why),
+                _ => self.end_client(id, why),
+            }
         }
         let idle = self.servers.by_number.values().flat_map(|server| &server.idle);
         let idle: Vec<usize> = idle.filter(|idle| now >= idle.1 + self.idle).map(|idle| idle.0).collect();
         idle.into_iter().for_each(|id| self.end_link(id, "idle"));
-        if let Some(id) = self.watch_on.filter(|_| now > self.watch.heard + list::SILENCE) {
+        if let Some(id) = self.watch_on.filter(|_| self.watch.is_silent(now)) {
             self.watch_broke(id, "silent");
         }
         for at in 0..self.lines.len() {
--- a/crates/gateway/src/gateway/to_clients.rs
+++ b/crates/gateway/src/gateway/to_clients.rs
@@ -9,6 +9,11 @@
         if client.closing.is_some() {
             let length = self.desk.net.input(id).len();
             self.desk.net.used(id, length);
+        } else if let Some((_, length)) = client.rpc.filter(|_| self.desk.net.is_full(id)) {
+            // Guards against a client whose leaving lies behind what it sent in the meantime, so that its RPC would wait
+            // on for nobody. Covers floods. Harm: one that sends on before its answer has to open another connection.
+            client.floods = true;
+            self.desk.net.keep(id, length);
         } else if client.rpc.is_none() && !self.desk.net.input(id).is_empty() && self.desk.net.is_sent(id) {
             // The answer before this message is out: one that reads none can't fill the buffer with them.
             let came = now - self.desk.net.late;
@@ -37,8 +42,8 @@
                 Err(Bad(status, why)) => self.desk.refuse(id, status, why),
             }
         }
-        if let Some(why) = self.desk.net.ended(id) {
-            self.client_left(id, why);
+        if let Some(ending) = self.desk.net.ended(id) {
+            self.client_left(id, ending.reason());
         }
     }
 
@@ -69,7 +74,16 @@
             width: message.width,
             first: message.first,
         };
-        let rpc = Rpc { stand: Stand::Held, client, message, deadline, call_outs: 0, open: false, id: own };
+        let rpc = Rpc {
+            stand: Stand::Held,
+            client,
+            message,
+            deadline,
+            call_outs: 0,
+            open: false,
+            written: false,
+            id: own,
+        };
         self.desk.rpcs.insert(id, rpc);
         self.desk.open_rpcs += 1;
         self.desk.timers.set(deadline + OVERDUE, What::Overdue(id));
@@ -80,7 +94,9 @@
     pub(super) fn overdue(&mut self, id: u32) {
         if self.desk.rpcs.get(&id).is_some_and(|rpc| rpc.stand != Stand::Answered) {
             warn!(self.desk.log, "overdue"; "rpc" => id);
-            self.desk.answer(id, 504, 0);
+            // What was never written to a server is pushed back: trying again is harmless.
+            let ran = self.desk.rpcs.get(&id).is_some_and(|rpc| rpc.written);
+            self.desk.answer(id, if ran { 504 } else { 503 }, 0);
             self.brain.client_left(id);
         }
     }
@@ -99,13 +115,19 @@
     /// The one final answer of an RPC, when it is the gateway's own.
     pub(super) fn answer(&mut self, id: u32, status: u16, come_back: Nanos) {
         let Some(rpc) = self.rpcs.get(&id).filter(|rpc| rpc.stand != Stand::Answered) else { return };
-        let (client, close) = (rpc.client, rpc.message.close || self.stopping);
+        let (client, close) = (rpc.client, self.closes(rpc));
         if let Some(out) = self.net.out(client) {
             clients::write_own(out, status, come_back, close);
         }
         self.answered(id, client, close);
     }
 
+    /// Whether the answer to an RPC is the last on its connection.
+    pub(super) fn closes(&self, rpc: &Rpc) -> bool {
+        let floods = self.clients.get(&rpc.client).is_some_and(|client| client.floods);
+        rpc.message.close || self.stopping || floods
+    }
+
     pub(super) fn answered(&mut self, id: u32, client: usize, close: bool) {
         self.shift(id, Stand::Answered);
         let Some(at) = self.clients.get_mut(&client) else { return };
@@ -114,7 +136,11 @@
         at.since = self.net.now;
         self.net.used(client, length);
         if close {
-            at.closing = Some(if self.stopping { "stopping" } else { "client-asked" });
+            at.closing = Some(match at.floods {
+                _ if self.stopping => "stopping",
+                true => "sends-on-before-its-answer",
+                false => "client-asked",
+            });
         }
     }
 
@@ -137,7 +163,7 @@
         if let Some(out) = self.net.out(client) {
             clients::write_own(out, status, 0, true);
         }
-        self.net.stop_reading(client);
+        self.net.discard(client);
         if let Some(at) = self.clients.get_mut(&client) {
             (at.closing, at.since) = (Some(why), self.net.now);
         }
@@ -151,13 +177,41 @@
         self.net.close(id);
     }
 
-    /// Ends this side's sending on idle clients; with `partial` also on those whose message is not whole.
-    pub(super) fn close_clients(&mut self, partial: bool) {
+    /// A last look before this side ends a resting connection: whether nothing has come that is still to be served. What
+    /// had arrived by now is served; what comes later crosses the end, was not read before it and is never sent on.
+    fn rests(&mut self, id: usize) -> bool {
+        self.net.read(id, false);
+        let rests = self.net.input(id).is_empty() && self.net.ended(id).is_none();
+        if !rests {
+            self.again.push_back(id);
+        }
+        rests
+    }
+
+    /// Ends this side's sending on a resting client; what it still sends is discarded until it closes, too, so that no
+    /// unread bytes make a reset of the close.
+    pub(super) fn finish_client(&mut self, id: usize, why: &'static str) {
+        if !self.rests(id) {
+            return;
+        }
         let now = self.net.now;
-        for (id, client) in &mut self.clients {
-            if client.rpc.is_none() && client.closing.is_none() && (partial || !client.partial) {
-                (client.closing, client.finished, client.since) = (Some("stopping"), true, now);
-                self.net.finish(*id);
+        if let Some(client) = self.clients.get_mut(&id) {
+            (client.closing, client.finished, client.since) = (Some(why), true, now);
+            self.net.finish(id);
+        }
+    }
+
+    /// While this program stops: ends this side's sending on resting clients. Those that have not said anything yet and
+    /// those inside a message get until the last call, when what is not whole is pushed back: it never reached the module.
+    pub(super) fn close_clients(&mut self, last: bool) {
+        let open = |client: &Client| client.rpc.is_none() && client.closing.is_none();
+        let ids: Vec<usize> = self.clients.iter().filter(|(_, one)| open(one)).map(|(id, _)| *id).collect();
+        for id in ids {
+            let (partial, served) = self.clients.get(&id).map_or((false, 0), |one| (one.partial, one.served));
+            match () {
+                _ if partial && last => self.refuse(id, 503, "stopping"),
+                _ if partial || served == 0 && !last => {}
+                _ => self.finish_client(id, "stopping"),
             }
         }
     }
@@ -166,8 +220,10 @@
     pub(super) fn shed_client(&mut self) -> bool {
         let now = self.net.now;
         let idle = self.clients.iter().filter(|(_, client)| client.may_go(now));
-        let Some(id) = idle.min_by_key(|(_, client)| client.since).map(|(id, _)| *id) else { return false };
-        self.end_client(id, "made-room");
-        true
+        let mut idle: Vec<(Nanos, usize)> = idle.map(|(id, client)| (client.since, *id)).collect();
+        idle.sort_unstable();
+        let partial = |desk: &Desk, id| desk.clients.get(&id).is_some_and(|client| client.partial);
+        let goes = idle.into_iter().map(|one| one.1).find(|id| partial(self, *id) || self.rests(*id));
+        goes.map(|id| self.end_client(id, "made-room")).is_some()
     }
 }
--- a/crates/gateway/src/gateway/to_counter.rs
+++ b/crates/gateway/src/gateway/to_counter.rs
@@ -8,7 +8,7 @@
         let fed = self.lines[line].feed(self.net.now, self.net.input(id), &mut ended);
         self.net.used(id, fed.unwrap_or(0));
         self.counted.extend(ended);
-        if let Some(why) = fed.err().or(self.net.ended(id)) {
+        if let Some(why) = fed.err().or(self.net.ended(id).map(Ending::reason)) {
             self.line_broke(line, why);
         }
     }
--- a/crates/gateway/src/gateway/to_list.rs
+++ b/crates/gateway/src/gateway/to_list.rs
@@ -25,7 +25,7 @@
             self.desk.end_old_watch("moved");
         }
         told.into_iter().for_each(|told| self.told(told));
-        if let Some(why) = fed.err().or(self.desk.net.ended(id)) {
+        if let Some(why) = fed.err().or(self.desk.net.ended(id).map(Ending::reason)) {
             self.desk.watch_broke(id, why);
         }
     }
@@ -45,6 +45,12 @@
     pub(super) fn list(&mut self, told: Told) {
         let desk = &mut self.desk;
         let place = |names: &[String], name: &str| names.iter().position(|known| known == name);
+        // Zones beyond those that the settings name are told apart all the same.
+        for entry in told.entries.iter().filter(|entry| !entry.gone) {
+            if place(&desk.zones, &entry.zone).is_none() && desk.zones.len() < ZONES_MOST {
+                desk.zones.push(entry.zone.clone());
+            }
+        }
         if told.whole {
             desk.servers.by_number.values_mut().for_each(|server| server.listed = false);
         }
@@ -56,7 +62,7 @@
                 desk.servers.by_number.entry(number).and_modify(|server| server.listed = false);
                 number
             } else {
-                let (number, stale) = desk.servers.list(&entry.name, entry.address, came_up);
+                let (number, stale) = desk.servers.list(&entry.name, entry.address, came_up, entry.ready);
                 stale.into_iter().for_each(|id| desk.end_link(id, "server-moved"));
                 number
             };
@@ -84,8 +90,8 @@
 impl Desk {
     /// The watch is asked for after a rest of this gateway's own.
     pub(super) fn watch_later(&mut self) {
-        let again = self.net.now + self.watch.again(self.fleet, self.stop_within, &mut self.chance);
-        self.timers.set(again, What::Watch);
+        let rest = self.watch.again(self.pushed, self.fleet, self.stop_within, &mut self.chance);
+        self.timers.set(self.net.now + rest, What::Watch);
     }
 
     pub(super) fn dial_watch(&mut self) {
@@ -104,7 +110,7 @@
 
     /// Discovery is elsewhere now. What the old watch tells until the new one speaks still counts.
     pub(super) fn move_watch(&mut self) {
-        let new = Watch::new(self.watch.index, self.watch.line_most);
+        let new = Watch::new(self.watch.index, self.watch.object_most);
         let watch = std::mem::replace(&mut self.watch, new);
         self.watching = false;
         if let Some(id) = self.watch_on.take() {
--- a/crates/gateway/src/gateway/to_servers.rs
+++ b/crates/gateway/src/gateway/to_servers.rs
@@ -18,7 +18,7 @@
             // unasked for the next answer: both may have come since the last poll. Harm: a read for each call-out.
             self.net.read(id, false);
             let unasked = (!self.net.input(id).is_empty()).then_some("answer-without-call-out");
-            match unasked.or(self.net.ended(id)) {
+            match unasked.or(self.net.ended(id).map(Ending::reason)) {
                 Some(why) => self.end_link(id, why),
                 None => {
                     self.links.entry(id).and_modify(|link| link.rested = Some(rested));
@@ -29,11 +29,11 @@
         if self.links.len() >= self.links_most && !self.shed_link() {
             return None;
         }
-        let address = self.servers.by_number.get(&server)?.address;
+        let Server { address, came_up, .. } = *self.servers.by_number.get(&server)?;
         let dial = |net: &mut Net| net.connect(address, Peer::Server, MESSAGE_MOST);
         let id = dial(&mut self.net).or_else(|e| if self.shed_link() { dial(&mut self.net) } else { Err(e) });
         let id = id.map_err(|e| warn!(self.log, "can't connect"; "to" => %address, "error" => %e)).ok()?;
-        self.links.insert(id, Link::new(server));
+        self.links.insert(id, Link::new(server, came_up));
         if let Some(at) = self.servers.by_number.get_mut(&server) {
             at.open += 1;
         }
@@ -41,19 +41,74 @@
         Some(id)
     }
 
+    /// Writes the attempt that a connection was asked to carry, if all that was true when it was asked for still is. An
+    /// attempt of which no byte was written is provably not run and may go elsewhere; the connection is kept.
+    pub(super) fn write_attempt(&mut self, id: usize) {
+        let Some(Link { stage: Stage::Asked(attempt), server, .. }) = self.links.get(&id) else { return };
+        let (attempt, server) = (*attempt, *server);
+        // Guards against taking for its answer what the server sent unasked, and against writing to what it has closed:
+        // both may have come since the connection was taken up. Harm: a read for each attempt.
+        self.net.read(id, false);
+        let unasked = (!self.net.input(id).is_empty()).then_some("answer-without-call-out");
+        if let Some(why) = unasked.or(self.net.ended(id).map(Ending::reason)) {
+            return self.give_up(id, self.unwritten(id), why);
+        }
+        if let Some(why) = self.obstacle(id, &attempt) {
+            info!(self.log, "not written"; "why" => why, "rpc" => attempt.rpc, "attempt" => attempt.nth,
+                "ms" => (self.net.now - attempt.sent) / MS);
+            self.end_call_out(server, attempt, End::NotSent, 0.0, Vec::new());
+            return self.rest_link(id);
+        }
+        let Desk { net, links, rpcs, .. } = self;
+        let (Some(rpc), Some(link)) = (rpcs.get_mut(&attempt.rpc), links.get_mut(&id)) else { return };
+        rpc.written = true;
+        let wait = attempt.until - net.now;
+        if let Some((message, out)) = net.input_and_out(rpc.client, id) {
+            link.write(out, attempt, &rpc.message, message, wait);
+        }
+    }
+
+    /// How an attempt ended of which nothing was written. That a connection went while it rested says nothing of the server.
+    fn unwritten(&self, id: usize) -> End {
+        let rested = self.links.get(&id).is_some_and(|link| link.rested.is_some());
+        if rested { End::NotSent } else { End::NoConnection }
+    }
+
+    /// Why an attempt may no longer be written. Guards against everything that may have changed while its connection came
+    /// up, or within the turn: the client left, its time or the time for a repeat passed (less what the way takes), the
+    /// server drains, is gone, or is another one now. Harm: none, nothing has run.
+    fn obstacle(&self, id: usize, attempt: &Attempt) -> Option<&'static str> {
+        let now = self.net.now;
+        let there = |rpc: &Rpc| rpc.stand != Stand::Answered && self.clients.contains_key(&rpc.client);
+        let link = self.links.get(&id)?;
+        let server = self.servers.by_number.get(&link.server).filter(|server| server.listed && server.ready);
+        match server {
+            _ if !self.rpcs.get(&attempt.rpc).is_some_and(there) => Some("client-left"),
+            _ if now >= attempt.until => Some("deadline-over"),
+            _ if now.saturating_add(MARGIN) >= attempt.before => Some("repeat-window-over"),
+            None => Some("server-drains-or-gone"),
+            Some(server) => (!self.is_same(id, link, server)).then_some("server-moved"),
+        }
+    }
+
+    /// Whether the connection leads to what the server is now.
+    fn is_same(&self, id: usize, link: &Link, server: &Server) -> bool {
+        self.net.address(id) == Some(server.address) && link.came_up == server.came_up
+    }
+
     pub(super) fn server_came(&mut self, id: usize) {
         let Desk { net, links, .. } = self;
         let Some(link) = links.get_mut(&id) else { return };
         let ended = net.ended(id);
         let Stage::Out(call) = link.stage else {
-            // Nothing was asked: whatever comes, the connection is of no more use.
+            // Nothing was written: whatever comes, the connection is of no more use.
             let unasked = (!net.input(id).is_empty()).then_some("answer-without-call-out");
-            if let Some(why) = ended.or(unasked) {
-                self.end_link(id, why);
+            if let Some(why) = ended.map(Ending::reason).or(unasked) {
+                self.give_up(id, self.unwritten(id), why);
             }
             return;
         };
-        match link.look(net.input(id), ended.is_some()) {
+        match link.look(net.input(id), ended) {
             Ok(Some(answer)) => {
                 let server = link.server;
                 if let Some(rested) = link.rested {
@@ -73,7 +128,7 @@
                     self.end_link(id, if unasked { "answer-without-call-out" } else { "server-closes" });
                 }
             }
-            Ok(None) => drop(ended.map(|why| self.break_off(id, why))),
+            Ok(None) => drop(ended.map(|ending| self.break_off(id, ending.reason()))),
             Err(why) => self.break_off(id, why),
         }
     }
@@ -81,7 +136,7 @@
     /// A server's 200 answer goes to the client, its body unchanged.
     pub(super) fn pass_on(&mut self, link: usize, id: u32, answer: &Answer) {
         let Some(rpc) = self.rpcs.get(&id).filter(|rpc| rpc.stand != Stand::Answered) else { return };
-        let (client, close) = (rpc.client, rpc.message.close || self.stopping);
+        let (client, close) = (rpc.client, self.closes(rpc));
         if let Some((input, out)) = self.net.input_and_out(link, client) {
             let body = match &answer.body {
                 Body::Read(range) => &input[range.clone()],
@@ -96,17 +151,24 @@
     pub(super) fn rest_link(&mut self, id: usize) {
         let Some(link) = self.links.get_mut(&id) else { return };
         link.stage = Stage::Idle;
-        match self.servers.by_number.get_mut(&link.server) {
-            Some(server) if server.listed && self.net.address(id) == Some(server.address) => {
-                server.idle.push((id, self.net.now));
-            }
-            _ => self.end_link(id, "server-gone"),
+        let (number, now) = (link.server, self.net.now);
+        let (link, server) = (&self.links[&id], self.servers.by_number.get(&number));
+        let kept = server.is_some_and(|server| server.listed && self.is_same(id, link, server));
+        match self.servers.by_number.get_mut(&number).filter(|_| kept) {
+            Some(server) => server.idle.push((id, now)),
+            None => self.end_link(id, "server-gone"),
         }
     }
 
+    /// Whether the attempt on this connection may have run: its last byte was written.
+    fn may_have_run(&self, id: usize) -> bool {
+        let out = self.links.get(&id).is_some_and(|link| matches!(link.stage, Stage::Out(_)));
+        out && self.net.is_sent(id)
+    }
+
     /// The connection can't be used on: its call-out ends by whether the last byte had been written.
     pub(super) fn break_off(&mut self, id: usize, why: &'static str) {
-        let how = if self.net.is_sent(id) { End::Reset } else { End::NoConnection };
+        let how = if self.may_have_run(id) { End::Reset } else { End::NoConnection };
         if let Some(rested) = self.links.get(&id).and_then(|link| link.rested).filter(|_| why == "reset") {
             self.servers.reuses.ended(self.net.now, rested, true);
         }
@@ -115,8 +177,8 @@
 
     pub(super) fn give_up(&mut self, id: usize, how: End, why: &'static str) {
         let Some(link) = self.links.get(&id) else { return };
-        if let Stage::Out(call) = link.stage {
-            self.end_call_out(link.server, call, how, 0.0, Vec::new());
+        if let Some(attempt) = link.attempt() {
+            self.end_call_out(link.server, attempt, how, 0.0, Vec::new());
         }
         self.end_link(id, why);
     }
@@ -124,7 +186,7 @@
     /// The time of a call-out is over.
     pub(super) fn call_out_over(&mut self, id: usize, rpc: u32, nth: u16) {
         if self.links.get(&id).is_some_and(|link| link.carries(rpc, nth)) {
-            let how = if self.net.is_sent(id) { End::TimedOut } else { End::NoConnection };
+            let how = if self.may_have_run(id) { End::TimedOut } else { End::NoConnection };
             self.give_up(id, how, "call-out-timed-out");
         }
     }
@@ -138,7 +200,7 @@
     pub(super) fn end_call_out(
         &mut self,
         server: u32,
-        call: CallOut,
+        call: Attempt,
         how: End,
         settled: f64,
         load: Vec<f64>,
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -2,6 +2,7 @@
 //! writes a call-out and reads its answer.
 
 use crate::clients::Rpc;
+use crate::driver::Ending;
 use crate::http::{self, BODY_MOST, Chunks, HEAD_MOST, HEADERS_MOST, Length};
 use martenramp::host::{End, Nanos};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -59,6 +60,8 @@
 pub struct Server {
     pub address: SocketAddr,
     pub came_up: Nanos,
+    /// Whether new work may go there.
+    pub ready: bool,
     /// Idle connections, the one used last at the end, and since when.
     pub idle: Vec<(usize, Nanos)>,
     pub open: usize,
@@ -77,16 +80,23 @@
 impl Servers {
     /// The number of a listed server and the idle connections to what it was before: those to another address
     /// or an earlier life are of no more use.
-    pub fn list(&mut self, name: &str, address: SocketAddr, came_up: Nanos) -> (u32, Vec<usize>) {
+    pub fn list(
+        &mut self,
+        name: &str,
+        address: SocketAddr,
+        came_up: Nanos,
+        ready: bool,
+    ) -> (u32, Vec<usize>) {
         let last = &mut self.last;
         let number = *self.numbers.entry(name.to_string()).or_insert_with(|| {
             *last += 1;
             *last
         });
-        let fresh = || Server { address, came_up, idle: Vec::new(), open: 0, listed: true };
+        let fresh = || Server { address, came_up, ready, idle: Vec::new(), open: 0, listed: true };
         let server = self.by_number.entry(number).or_insert_with(fresh);
         let moved = server.address != address || server.came_up != came_up;
-        (server.address, server.came_up, server.listed) = (address, came_up, true);
+        (server.address, server.came_up) = (address, came_up);
+        (server.listed, server.ready) = (true, ready);
         let stale = if moved { std::mem::take(&mut server.idle) } else { Vec::new() };
         (number, stale.into_iter().map(|idle| idle.0).collect())
     }
@@ -103,25 +113,33 @@
     }
 }
 
-/// The call-out that a connection carries.
+/// The attempt that a connection carries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct CallOut {
+pub struct Attempt {
     pub rpc: u32,
     pub nth: u16,
+    /// When it was asked for, by when it has to be answered, and before when it has to be written.
     pub sent: Nanos,
+    pub until: Nanos,
+    pub before: Nanos,
 }
 
 /// Where a connection to a server stands.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Stage {
     Idle,
-    Out(CallOut),
+    /// Asked for, not a byte of it written: the connection has to come up first, or the turn to end.
+    Asked(Attempt),
+    /// Written, or being written.
+    Out(Attempt),
 }
 
 /// One connection to a server.
 #[derive(Debug)]
 pub struct Link {
     pub server: u32,
+    /// The start of the server's life that it was opened to.
+    pub came_up: Nanos,
     pub stage: Stage,
     pub up: bool,
     pub used: u64,
@@ -153,17 +171,25 @@
 }
 
 impl Link {
-    pub fn new(server: u32) -> Self {
-        Link { server, stage: Stage::Idle, up: false, used: 0, rested: None, chunks: None }
+    pub fn new(server: u32, came_up: Nanos) -> Self {
+        Link { server, came_up, stage: Stage::Idle, up: false, used: 0, rested: None, chunks: None }
+    }
+
+    /// The attempt that is asked for or out here.
+    pub fn attempt(&self) -> Option<Attempt> {
+        match self.stage {
+            Stage::Idle => None,
+            Stage::Asked(attempt) | Stage::Out(attempt) => Some(attempt),
+        }
     }
 
     pub fn carries(&self, rpc: u32, nth: u16) -> bool {
-        matches!(self.stage, Stage::Out(call) if (call.rpc, call.nth) == (rpc, nth))
+        self.attempt().is_some_and(|attempt| (attempt.rpc, attempt.nth) == (rpc, nth))
     }
 
-    /// Takes up a call-out: writes its message, with how long this gateway will wait.
-    pub fn call_out(&mut self, out: &mut Vec<u8>, call: CallOut, rpc: &Rpc, message: &[u8], wait: Nanos) {
-        self.stage = Stage::Out(call);
+    /// Writes the message of an attempt, with how long this gateway will wait.
+    pub fn write(&mut self, out: &mut Vec<u8>, attempt: Attempt, rpc: &Rpc, message: &[u8], wait: Nanos) {
+        self.stage = Stage::Out(attempt);
         self.used += 1;
         self.chunks = None;
         out.extend_from_slice(if rpc.get { b"GET " } else { b"POST " });
@@ -178,9 +204,10 @@
         out.extend_from_slice(body);
     }
 
-    /// Looks at all that the buffer holds; `ended` tells that no more will come. An error is an answer that
-    /// can't be read, with a reason code.
-    pub fn look(&mut self, input: &[u8], ended: bool) -> Result<Option<Answer>, &'static str> {
+    /// Looks at all that the buffer holds; `ended` tells that no more will come, and how that was: an answer without a
+    /// length is whole only once the connection was closed in good order. An error is an answer that can't be read, with
+    /// a reason code.
+    pub fn look(&mut self, input: &[u8], ended: Option<Ending>) -> Result<Option<Answer>, &'static str> {
         let mut from = 0;
         loop {
             let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
@@ -204,7 +231,7 @@
     fn answer(
         &mut self,
         input: &[u8],
-        ended: bool,
+        ended: Option<Ending>,
         from: usize,
         start: usize,
         status: u16,
@@ -219,7 +246,7 @@
             Length::Fixed(size) if input.len() < start + size => return Ok(None),
             Length::Fixed(size) => (Body::Read(start..start + size), start + size),
             Length::UntilClose if input.len() > start + BODY_MOST => return Err("body-too-large"),
-            Length::UntilClose if !ended => return Ok(None),
+            Length::UntilClose if ended != Some(Ending::Closed) => return Ok(None),
             Length::UntilClose => (Body::Read(start..input.len()), input.len()),
             Length::Chunked => {
                 let (chunks, joined, at) =
@@ -248,7 +275,7 @@
             body,
             head: head_at..start,
             length: end,
-            reusable: !closes && length != Ok(Length::UntilClose) && !ended,
+            reusable: !closes && length != Ok(Length::UntilClose) && ended.is_none(),
             settled: settled.filter(|units: &f64| units.is_finite() && *units >= 0.0).unwrap_or(0.0),
             load: http::header(head.headers, "x-pressure").map(|load| http::place(input, load)),
         }))
--- a/crates/gateway/tests/protocol.rs
+++ b/crates/gateway/tests/protocol.rs
@@ -3,9 +3,10 @@
 use gateway::clients::{self, Client, Got};
 use gateway::config::Config;
 use gateway::counter::{Call, DEAD_AFTER, Line};
+use gateway::driver::Ending;
 use gateway::http::{Bad, Chunks};
 use gateway::list::Watch;
-use gateway::servers::{self, Body, CallOut, Link, Reuses, Servers};
+use gateway::servers::{self, Attempt, Body, Link, Reuses, Servers};
 use martenramp::host::End;
 use standins::scripted::{MS, SEC, WATCH, chunk, entry, list, rpc, settings};
 use std::net::SocketAddr;
@@ -76,7 +77,11 @@
 
 /// What a link makes of an answer that comes whole, and of one that the connection's end follows.
 fn looked(text: &str, ended: bool) -> Result<Option<(End, String, bool)>, &'static str> {
-    let answer = Link::new(1).look(text.as_bytes(), ended)?;
+    looked_at(text, ended.then_some(Ending::Closed))
+}
+
+fn looked_at(text: &str, ended: Option<Ending>) -> Result<Option<(End, String, bool)>, &'static str> {
+    let answer = Link::new(1, 0).look(text.as_bytes(), ended)?;
     Ok(answer.map(|answer| {
         let body = match &answer.body {
             Body::Read(range) => text[range.clone()].to_string(),
@@ -120,6 +125,11 @@
     );
     assert_eq!(looked("HTTP/1.1 200 OK\r\n\r\nall", false), Ok(None), "its end is the connection's");
     assert_eq!(looked("HTTP/1.1 200 OK\r\n\r\nall", true), ok(End::Ok, "all", false));
+    for broken in [Ending::Reset, Ending::Failed("broken-pipe")] {
+        assert_eq!(looked_at("HTTP/1.1 200 OK\r\n\r\nall", Some(broken)), Ok(None), "{broken:?} is no end");
+        let turned_away = "HTTP/1.1 503 X\r\nX-Turned-Away: 1\r\n\r\n";
+        assert_eq!(looked_at(turned_away, Some(broken)), Ok(None), "{broken:?}");
+    }
     assert_eq!(looked("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n", false), Err("body-too-large"));
     assert_eq!(looked("SSH-2.0-x\r\n\r\n", false), Err("bad-head"));
 }
@@ -128,9 +138,9 @@
 fn a_chunked_answer_is_joined_wherever_its_bytes_are_cut() {
     let text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Settled: 2.5\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: 1\r\n\r\n";
     for cut in 1..text.len() {
-        let mut link = Link::new(1);
-        assert_eq!(link.look(&text.as_bytes()[..cut], false), Ok(None), "{cut}");
-        let answer = link.look(text.as_bytes(), false).unwrap().unwrap();
+        let mut link = Link::new(1, 0);
+        assert_eq!(link.look(&text.as_bytes()[..cut], None), Ok(None), "{cut}");
+        let answer = link.look(text.as_bytes(), None).unwrap().unwrap();
         assert_eq!(
             (answer.body, answer.settled, answer.length),
             (Body::Joined(b"abcde".to_vec()), 2.5, text.len())
@@ -147,8 +157,9 @@
     let text = rpc("submit", 480)
         .replace("X-Lane", "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nTraceparent: t\r\nX-Lane");
     let Ok(Got::Rpc(found)) = Client::default().look(&config, SEC, text.as_bytes()) else { panic!() };
-    let (mut link, mut out) = (Link::new(1), Vec::new());
-    link.call_out(&mut out, CallOut { rpc: 1, nth: 0, sent: SEC }, &found, text.as_bytes(), 300 * MS);
+    let (mut link, mut out) = (Link::new(1, 0), Vec::new());
+    let attempt = Attempt { rpc: 1, nth: 0, sent: SEC, until: 2 * SEC, before: u64::MAX };
+    link.write(&mut out, attempt, &found, text.as_bytes(), 300 * MS);
     let sent = String::from_utf8(out).unwrap();
     assert!(sent.starts_with("POST /api/00000000b4d65521?q=1 HTTP/1.1\r\nHost: service.internal\r\n"));
     assert!(sent.ends_with("Content-Length: 4\r\nX-Remaining-Ms: 300\r\n\r\nbody"));
@@ -180,18 +191,18 @@
 #[test]
 fn servers_are_known_by_name_and_their_old_connections_go_with_their_address() {
     let mut all = Servers::default();
-    let (one, _) = all.list("a", address(1), 0);
-    let (two, _) = all.list("b", address(1), 0);
+    let (one, _) = all.list("a", address(1), 0, true);
+    let (two, _) = all.list("b", address(1), 0, true);
     assert!(one != two);
     all.by_number.get_mut(&one).unwrap().idle.push((77, SEC));
-    assert_eq!(all.list("a", address(1), 0), (one, vec![]));
-    assert_eq!(all.list("a", address(2), 0), (one, vec![77]));
+    assert_eq!(all.list("a", address(1), 0, true), (one, vec![]));
+    assert_eq!(all.list("a", address(2), 0, true), (one, vec![77]));
     all.by_number.get_mut(&one).unwrap().idle.push((78, SEC));
-    assert_eq!(all.list("a", address(2), 9), (one, vec![78]), "a new life at the same address");
+    assert_eq!(all.list("a", address(2), 9, true), (one, vec![78]), "a new life at the same address");
     all.by_number.get_mut(&one).unwrap().listed = false;
     all.forget();
     assert!(all.known("a").is_none() && all.known("b") == Some(two));
-    assert!(all.list("a", address(2), 9).0 != one, "numbers are not used again");
+    assert!(all.list("a", address(2), 9, true).0 != one, "numbers are not used again");
 }
 
 #[test]
@@ -243,7 +254,7 @@
     let nameless = chunk(&list(42, true, &["{\"status\":\"ready\"}".to_string()]));
     assert_eq!(
         fed(format!("{WATCH}{good}{nameless}{good}")),
-        (Err("garbled-line"), 1),
+        (Err("garbled-object"), 1),
         "what came before it counts"
     );
 }
@@ -281,8 +292,9 @@
     assert!(without_a_list(100, 15 * SEC, in_step) > 30, "asked in step, the service works for nobody");
     let (mut chance, mut watches) = (fastrand::Rng::with_seed(7), Vec::new());
     watches.resize_with(100, || Watch::new(0, usize::MAX));
-    let left =
-        without_a_list(100, 15 * SEC, |caller, _| watches[caller as usize].again(100, 2 * SEC, &mut chance));
+    let left = without_a_list(100, 15 * SEC, |caller, _| {
+        watches[caller as usize].again(false, 100, 2 * SEC, &mut chance)
+    });
     assert_eq!(left, 0);
 }
 
@@ -292,7 +304,8 @@
         let mut chance = fastrand::Rng::with_seed(7);
         let mut watch = Watch::new(0, usize::MAX);
         watch.fails = fails;
-        (0..1000).map(|_| (watch.fails, watch.again(fleet, 2 * SEC, &mut chance)).1).max().unwrap() / MS
+        (0..1000).map(|_| (watch.fails, watch.again(false, fleet, 2 * SEC, &mut chance)).1).max().unwrap()
+            / MS
     };
     assert!((950..1000).contains(&longest(3, 9)) && (5700..6000).contains(&longest(u32::MAX, 9)));
     let mut firsts: Vec<_> = (0..50).map(|seed| first_rest(seed, 100) / (100 * MS)).collect();
@@ -300,12 +313,12 @@
     firsts.dedup();
     assert!(firsts.len() >= 9 && firsts.iter().all(|tenth| *tenth < 10), "spread over 1 s: {firsts:?}");
     let mut short = Watch::new(0, usize::MAX);
-    let rest = short.again(100, 250 * MS, &mut fastrand::Rng::with_seed(1));
+    let rest = short.again(false, 100, 250 * MS, &mut fastrand::Rng::with_seed(1));
     assert!(rest < 125 * MS, "news of a drain is asked for within the time in which it must be heeded");
 }
 
 fn first_rest(seed: u64, fleet: u32) -> u64 {
-    Watch::new(0, usize::MAX).again(fleet, 2 * SEC, &mut fastrand::Rng::with_seed(seed))
+    Watch::new(0, usize::MAX).again(false, fleet, 2 * SEC, &mut fastrand::Rng::with_seed(seed))
 }
 
 fn call(serial: u64, name: u64) -> Call {
@@ -393,9 +406,9 @@
             }
         }
         let _ = Client::default().look(&config, SEC, &bytes);
-        let mut link = Link::new(1);
+        let mut link = Link::new(1, 0);
         let cut = chance.usize(..=bytes.len());
-        let _ = link.look(&bytes[..cut], false).and_then(|_| link.look(&bytes, true));
+        let _ = link.look(&bytes[..cut], None).and_then(|_| link.look(&bytes, Some(Ending::Closed)));
         let _ = Watch::new(0, usize::MAX).feed(SEC, &bytes, &mut Vec::new());
         let (mut line, mut out) = (Line::default(), Vec::new());
         line.opened(&mut out, SEC);
--- /dev/null
+++ b/crates/gateway/tests/races.rs
@@ -0,0 +1,479 @@
+//! Rare moments, made to happen every time: the program is started and spoken to over loopback, and each story brings
+//! one event between two others where it does the most harm. `docs/races.md` lists the windows.
+
+use standins::scripted::{
+    Late, PATIENCE, Peer, Program, Reply, WATCH, answer, chunk, entry, list, nowhere, rpc, say, settings,
+};
+use std::time::{Duration, Instant};
+
+const BIN: &str = env!("CARGO_BIN_EXE_martenramp");
+
+fn status(answer: &str) -> u16 {
+    answer.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap()
+}
+
+/// Settings that leave a connection and an RPC all the time that a late connection needs.
+fn patient_settings() -> String {
+    let wide =
+        settings("\"membershipMode\":\"push\",").replace("\"dialTimeout\":0.25", "\"dialTimeout\":15.0");
+    let wide = wide.replace("\"onTime\":1.5", "\"onTime\":15").replace("\"onTime\":1.2", "\"onTime\":15");
+    wide.replace("\"onTime\":0.8", "\"onTime\":15").replace("\"window\":5.0", "\"window\":1.0")
+}
+
+/// A gateway with these entries in its list, under a watch that the test speaks on.
+fn under(discovery: &Peer, entries: &[String], settings: &str) -> Program {
+    let known = list(3, true, entries);
+    let gateway = Program::start(BIN, discovery.address, &format!("\"known\":{known},"), settings);
+    assert!(discovery.next().1.contains("from=3"));
+    gateway
+}
+
+fn watch() -> Peer {
+    Peer::new(|_, _| say(WATCH))
+}
+
+/// Returns once the gateway has dealt with all that was sent to it before.
+fn caught_up(gateway: &Program) {
+    assert_eq!(status(&gateway.client().ask("GET /-/healthy HTTP/1.1\r\n\r\n")), 200);
+}
+
+/// Returns once the program stands still.
+fn stop(gateway: &Program) {
+    gateway.signal("-STOP");
+    let state = format!("/proc/{}/stat", gateway.child.id());
+    while !std::fs::read_to_string(&state).unwrap().contains(" T ") {
+        std::thread::yield_now();
+    }
+}
+
+// ---- A connection to a server that comes up late: what was true when the attempt was asked for may not be any more.
+
+#[test]
+fn a_client_that_left_while_its_connection_came_up_is_not_sent_on() {
+    let (late, discovery) = (Late::default(), watch());
+    let gateway = under(&discovery, &[entry("s0", late.address, "ready")], &patient_settings());
+    let mut client = gateway.client();
+    client.send(&rpc("verify", 20_000));
+    drop(client);
+    gateway.line("left-before-answer");
+    let mut server = late.open();
+    assert!(gateway.line("\"not written\"").contains("client-left"));
+    assert!(server.nothing_came());
+    // The connection is kept for whoever comes next.
+    let mut next = gateway.client();
+    next.send(&rpc("verify", 20_000));
+    assert!(server.answer().unwrap().starts_with("POST "));
+}
+
+#[test]
+fn a_server_that_drains_while_its_connection_comes_up_gets_nothing_and_another_is_asked() {
+    let (late, discovery) = (Late::default(), watch());
+    let other = Peer::new(|_, _| answer(200, "", "other"));
+    let gateway = under(&discovery, &[entry("s0", late.address, "ready")], &patient_settings());
+    let mut client = gateway.client();
+    client.send(&rpc("verify", 20_000));
+    caught_up(&gateway);
+    let drains = [entry("s0", late.address, "draining"), entry("s1", other.address, "ready")];
+    discovery.tell(0, &chunk(&list(4, false, &drains)));
+    let mut server = late.open();
+    assert!(gateway.line("\"not written\"").contains("server-drains-or-gone"));
+    assert!(server.nothing_came());
+    assert!(
+        client.answer().unwrap().ends_with("other"),
+        "an attempt that was never written may go elsewhere"
+    );
+}
+
+#[test]
+fn a_server_that_moves_while_its_connection_comes_up_is_asked_where_it_is_now() {
+    let (late, discovery) = (Late::default(), watch());
+    let moved = Peer::new(|_, _| answer(200, "", "moved"));
+    let gateway = under(&discovery, &[entry("s0", late.address, "ready")], &patient_settings());
+    let mut client = gateway.client();
+    client.send(&rpc("verify", 20_000));
+    caught_up(&gateway);
+    discovery.tell(0, &chunk(&list(4, false, &[entry("s0", moved.address, "ready")])));
+    let mut server = late.open();
+    assert!(gateway.line("\"not written\"").contains("server-moved"));
+    assert!(client.answer().unwrap().ends_with("moved"));
+    assert!(server.is_closed(), "and nothing was written there");
+}
+
+#[test]
+fn a_repeat_whose_window_passes_while_its_connection_comes_up_is_not_written() {
+    let (late, discovery) = (Late::default(), watch());
+    let first = Peer::new(|_, _| (Vec::new(), false));
+    let gateway = under(&discovery, &[entry("s0", first.address, "ready")], &patient_settings());
+    let mut client = gateway.client();
+    client.send(&rpc("submit", 20_000));
+    assert_eq!(first.next().0, 0);
+    let next = [entry("s0", first.address, "draining"), entry("s1", late.address, "ready")];
+    discovery.tell(0, &chunk(&list(4, false, &next)));
+    caught_up(&gateway);
+    // It may have run, and may be repeated for a second. The system asks again for the connection after one.
+    first.reset(0);
+    assert!(gateway.line("\"server\"").contains("\"reset\""));
+    let mut server = late.open();
+    assert!(gateway.line("\"not written\"").contains("repeat-window-over"));
+    assert_eq!(status(&client.answer().unwrap()), 502, "nothing is promised of what may have run");
+    assert!(server.nothing_came());
+}
+
+#[test]
+fn an_rpc_whose_time_passes_while_its_connection_comes_up_is_pushed_back_and_never_written() {
+    let (late, discovery) = (Late::default(), watch());
+    let told = patient_settings().replace("\"attemptsCap\":2", "\"attemptsCap\":1");
+    let gateway = under(&discovery, &[entry("s0", late.address, "ready")], &told);
+    let got = gateway.client().ask(&rpc("verify", 300));
+    assert_eq!(status(&got), 503, "never written, so trying again is harmless");
+    let mut next = gateway.client();
+    next.send(&rpc("read", 20_000));
+    let got = late.open().answer().unwrap();
+    assert!(got.starts_with("GET "), "the first that reaches the server is the next one, not {got}");
+}
+
+#[test]
+fn on_sigterm_a_connection_that_comes_up_late_still_carries_its_rpc() {
+    let (late, discovery) = (Late::default(), watch());
+    let mut gateway = under(&discovery, &[entry("s0", late.address, "ready")], &patient_settings());
+    let mut client = gateway.client();
+    client.send(&rpc("verify", 20_000));
+    caught_up(&gateway);
+    gateway.signal("-TERM");
+    gateway.line("\"stopping\"");
+    let mut server = late.open();
+    assert!(server.answer().unwrap().starts_with("POST "));
+    server.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate");
+    assert!(client.answer().unwrap().ends_with("late"));
+    drop(client);
+    assert!(gateway.child.wait().unwrap().success());
+}
+
+// ---- Ends of connections to servers: only a close in good order ends an answer that tells no length.
+
+/// Speaks this on a message, and the test ends the connection.
+fn says(text: &'static str) -> impl Fn(usize, &str) -> Reply {
+    move |_, _| say(text)
+}
+
+#[test]
+fn an_answer_without_a_length_is_whole_only_once_its_connection_is_closed_in_good_order() {
+    let server = Peer::new(says("HTTP/1.1 200 OK\r\n\r\nhalf of it"));
+    let discovery = watch();
+    let gateway = under(&discovery, &[entry("s0", server.address, "ready")], &settings(""));
+    for (method, told) in [("verify", 502), ("submit", 502)] {
+        let mut client = gateway.client();
+        client.send(&rpc(method, 2000));
+        // `submit` may be repeated once; both attempts meet the same.
+        for _ in 0..if method == "submit" { 2 } else { 1 } {
+            server.reset(server.next().0);
+        }
+        let got = client.answer().unwrap();
+        assert!(matches!(status(&got), 429 | 503) && method == "submit" || status(&got) == told, "{got}");
+        assert!(!got.contains("half"), "{got}");
+    }
+    let mut client = gateway.client();
+    client.send(&rpc("verify", 2000));
+    server.close(server.next().0);
+    let got = client.answer().unwrap();
+    assert!(status(&got) == 200 && got.ends_with("half of it"), "a close in good order is its end: {got}");
+    assert!(server.nothing_came(), "what may have run and must not run twice was not sent again");
+}
+
+#[test]
+fn a_turned_away_without_a_length_that_is_reset_proves_nothing() {
+    let server = Peer::new(says("HTTP/1.1 503 X\r\nX-Turned-Away: 1\r\n\r\nqueue"));
+    let discovery = watch();
+    let gateway = under(&discovery, &[entry("s0", server.address, "ready")], &settings(""));
+    let mut client = gateway.client();
+    client.send(&rpc("verify", 2000));
+    server.reset(server.next().0);
+    assert_eq!(status(&client.answer().unwrap()), 502);
+    assert!(server.nothing_came());
+}
+
+#[test]
+fn half_a_line_that_comes_on_a_resting_connection_is_never_part_of_the_next_answer() {
+    let server = Peer::new(|number, _| answer(200, "", if number == 0 { "one" } else { "two" }));
+    let discovery = watch();
+    let gateway = under(&discovery, &[entry("s0", server.address, "ready")], &settings(""));
+    let mut client = gateway.client();
+    assert!(client.ask(&rpc("verify", 2000)).ends_with("one"));
+    assert_eq!(server.next().0, 0);
+    // In one turn of the gateway: the next RPC is read first, then the half line lies there.
+    stop(&gateway);
+    client.send(&rpc("verify", 2000));
+    server.tell(0, "HTTP/1.1 200 OK\r\nConte");
+    gateway.signal("-CONT");
+    assert!(client.answer().unwrap().ends_with("two"));
+    assert_eq!(server.next().0, 1);
+}
+
+// ---- Clients that leave or send on at the wrong moment.
+
+#[test]
+fn a_client_whose_leaving_lies_behind_a_flood_of_its_own_is_seen_to_leave() {
+    let discovery = watch();
+    // No server: the RPC waits for one.
+    let gateway = under(&discovery, &[entry("s0", nowhere(), "draining")], &patient_settings());
+    let mut client = gateway.client();
+    client.send(&rpc("verify", 20_000));
+    let flood = rpc("read", 20_000).repeat(20_000); // five megabytes, far more than any buffer on the way holds
+    client.send(&flood);
+    drop(client);
+    gateway.line("left-before-answer");
+    // What waits for a server finds one now: nothing of the flood and nothing of the RPC is sent on.
+    let server = Peer::new(|_, _| answer(200, "", "on"));
+    discovery.tell(0, &chunk(&list(4, false, &[entry("s1", server.address, "ready")])));
+    assert!(gateway.client().ask(&rpc("read", 20_000)).ends_with("on"));
+    assert!(server.next().1.starts_with("GET ") && server.nothing_came());
+}
+
+#[test]
+fn a_client_that_sends_on_before_its_answer_gets_it_and_is_closed() {
+    let server = Peer::new(|_, _| (Vec::new(), false));
+    let discovery = watch();
+    let gateway = under(&discovery, &[entry("s0", server.address, "ready")], &patient_settings());
+    let mut client = gateway.client();
+    client.send(&rpc("verify", 20_000));
+    assert_eq!(server.next().0, 0);
+    client.send(&"x".repeat(1 << 20));
+    caught_up(&gateway);
+    server.tell(0, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown");
+    let got = client.answer().unwrap();
+    assert!(got.ends_with("own") && got.contains("Connection: close"), "{got}");
+    assert!(gateway.line("\"client\"").contains("sends-on-before-its-answer") || client.is_closed());
+}
+
+#[test]
+fn a_client_that_resets_while_its_rpc_waits_is_seen_to_leave() {
+    let discovery = watch();
+    let gateway = under(&discovery, &[entry("s0", nowhere(), "draining")], &patient_settings());
+    let mut client = gateway.client();
+    client.send(&rpc("verify", 20_000));
+    caught_up(&gateway);
+    client.send("GET /api/"); // and half a message more
+    client.reset();
+    gateway.line("left-before-answer");
+    let server = Peer::new(|_, _| answer(200, "", "on"));
+    discovery.tell(0, &chunk(&list(4, false, &[entry("s1", server.address, "ready")])));
+    assert!(gateway.client().ask(&rpc("read", 20_000)).ends_with("on"));
+    assert!(server.next().1.starts_with("GET ") && server.nothing_came());
+}
+
+#[test]
+fn a_refused_client_that_sent_more_is_closed_without_a_reset() {
+    let discovery = watch();
+    let gateway = under(&discovery, &[entry("s0", nowhere(), "ready")], &settings(""));
+    let mut client = gateway.client();
+    client.send(&format!("nonsense\r\n\r\n{}", "x".repeat(200 << 10)));
+    // It reads nothing until its connection is closed; unread bytes would have made a reset of that.
+    assert!(gateway.line("\"client\"").contains("bad-head"));
+    assert!(client.error().is_none(), "closed over unread bytes");
+    assert_eq!(status(&client.answer().unwrap()), 400);
+    assert!(client.is_closed());
+}
+
+// ---- The end of this side.
+
+#[test]
+fn what_had_arrived_on_resting_connections_by_the_last_call_is_served() {
+    let server = Peer::new(|_, _| answer(200, "", "served"));
+    let discovery = watch();
+    let mut gateway = under(&discovery, &[entry("s0", server.address, "ready")], &patient_settings());
+    // More than one look at the sockets brings to light at once (256), so that the last call comes before the rest is read.
+    let mut resting: Vec<_> = (0..400).map(|_| gateway.client()).collect();
+    for client in &mut resting {
+        assert_eq!(status(&client.ask("GET /-/healthy HTTP/1.1\r\n\r\n")), 200);
+    }
+    gateway.signal("-TERM");
+    gateway.line("\"stopping\"");
+    stop(&gateway);
+    for (number, client) in resting.iter_mut().enumerate() {
+        client
+            .send(&rpc("read", 20_000).replace("X-Txn: 0123456789abcdef", &format!("X-Txn: {number:016x}")));
+    }
+    std::thread::sleep(Duration::from_millis(700)); // the stay of half a second passes: that is what is tested
+    gateway.signal("-CONT");
+    let served = resting.iter_mut().filter_map(|client| client.answer());
+    assert_eq!(served.filter(|got| matches!(status(got), 200 | 429 | 503)).count(), 400);
+    drop(resting);
+    assert!(gateway.child.wait().unwrap().success());
+}
+
+#[test]
+fn a_connection_taken_just_before_the_last_call_may_still_say_something() {
+    let server = Peer::new(|_, _| answer(200, "", "served"));
+    let discovery = watch();
+    let mut gateway = under(&discovery, &[entry("s0", server.address, "ready")], &settings(""));
+    let mut rests = gateway.client();
+    assert_eq!(status(&rests.ask("GET /-/healthy HTTP/1.1\r\n\r\n")), 200);
+    gateway.signal("-TERM");
+    gateway.line("\"stopping\"");
+    let mut fresh = gateway.client();
+    caught_up(&gateway); // it is taken
+    assert!(rests.is_closed(), "the last call for resting connections");
+    assert!(fresh.ask(&rpc("read", 2000)).ends_with("served"));
+    drop(fresh);
+    assert!(gateway.child.wait().unwrap().success());
+}
+
+#[test]
+fn half_a_message_at_the_end_is_pushed_back_and_not_left_without_a_word() {
+    let server = Peer::new(|_, _| answer(200, "", "served"));
+    let discovery = watch();
+    let mut gateway = under(&discovery, &[entry("s0", server.address, "ready")], &settings(""));
+    let mut client = gateway.client();
+    client.send(&rpc("submit", 2000)[..150]);
+    caught_up(&gateway);
+    gateway.signal("-TERM");
+    assert_eq!(status(&client.answer().unwrap()), 503);
+    client.try_send(&rpc("submit", 2000)[150..]); // read after this side ended: never sent on
+    drop(client);
+    assert!(gateway.child.wait().unwrap().success());
+    assert!(server.nothing_came());
+}
+
+#[test]
+fn sigterm_twice_and_sighup_between_lose_nothing() {
+    let server = Peer::new(|_, _| (Vec::new(), false));
+    let (discovery, next) = (watch(), watch());
+    let known = [entry("s0", server.address, "ready")];
+    let mut gateway = under(&discovery, &known, &patient_settings());
+    let mut client = gateway.client();
+    client.send(&rpc("verify", 20_000));
+    assert_eq!(server.next().0, 0);
+    gateway.rewrite(&gateway.config(next.address, "", &patient_settings()));
+    gateway.signal("-TERM");
+    gateway.line("\"stopping\"");
+    gateway.signal("-HUP");
+    assert!(next.next().1.contains("from=3"));
+    gateway.signal("-TERM");
+    server.tell(0, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nheld");
+    assert!(client.answer().unwrap().ends_with("held"));
+    drop(client);
+    assert!(gateway.child.wait().unwrap().success());
+}
+
+#[test]
+fn sigterm_before_the_first_list_answers_what_waits() {
+    let discovery = Peer::new(|_, _| (Vec::new(), false));
+    let mut gateway = Program::start(BIN, discovery.address, "", &settings(""));
+    let mut client = gateway.client();
+    client.send(&rpc("verify", 2000));
+    caught_up(&gateway);
+    gateway.signal("-TERM");
+    assert_eq!(status(&client.answer().unwrap()), 503);
+    drop(client);
+    assert!(gateway.child.wait().unwrap().success());
+}
+
+#[test]
+fn an_answer_that_its_client_reads_slowly_outlives_the_process() {
+    let body = "y".repeat(60 << 10);
+    let server = Peer::new(move |_, _| answer(200, "", &body));
+    let discovery = watch();
+    let mut gateway = under(&discovery, &[entry("s0", server.address, "ready")], &settings(""));
+    let mut client = gateway.client();
+    client.send(&rpc("verify", 2000));
+    server.next();
+    gateway.signal("-TERM");
+    assert!(gateway.child.wait().unwrap().success()); // it waits for the client's close for a while only
+    assert!(client.answer().unwrap().ends_with(&"y".repeat(60 << 10)));
+}
+
+// ---- The watch on discovery's list.
+
+#[test]
+fn a_watch_that_falls_silent_and_one_that_never_speaks_are_replaced_within_8_s() {
+    let server = Peer::new(|_, _| answer(200, "", "ok"));
+    let drained = chunk(&list(9, false, &[entry("s0", server.address, "draining")]));
+    // The first falls silent, the second is taken and says nothing, the third speaks.
+    let discovery = Peer::new(move |number, _| match number {
+        0 => say(WATCH),
+        1 => (Vec::new(), false),
+        _ => say(&format!("{WATCH}{drained}")),
+    });
+    let gateway = under(&discovery, &[entry("s0", server.address, "ready")], &patient_settings());
+    let silent = Instant::now();
+    assert_eq!((discovery.next().0, discovery.next().0), (1, 2));
+    // 6 s after it fell silent all counts as told, and 2 s later nothing new may go to what drains.
+    assert!(silent.elapsed() < Duration::from_secs(8), "{:?}", silent.elapsed());
+    caught_up(&gateway);
+    assert!(matches!(status(&gateway.client().ask(&rpc("read", 300))), 429 | 503));
+    assert!(server.nothing_came(), "it stays up, and gets nothing new");
+}
+
+#[test]
+fn a_watch_reset_just_before_a_drain_is_opened_anew_at_once_where_lists_are_pushed() {
+    let server = Peer::new(|_, _| answer(200, "", "ok"));
+    let discovery = watch();
+    let gateway = under(&discovery, &[entry("s0", server.address, "ready")], &patient_settings());
+    for round in 1..6 {
+        let start = Instant::now();
+        discovery.reset(round - 1);
+        assert_eq!(discovery.next().0, round);
+        assert!(
+            start.elapsed() < Duration::from_secs(1),
+            "also after the {round}th break: {:?}",
+            start.elapsed()
+        );
+    }
+    discovery.tell(5, &chunk(&list(4, false, &[entry("s0", server.address, "draining")])));
+    caught_up(&gateway);
+    assert!(matches!(status(&gateway.client().ask(&rpc("read", 300))), 429 | 503));
+    assert!(server.nothing_came());
+}
+
+#[test]
+fn a_moved_watch_that_never_answers_leaves_the_old_one_heeded_and_is_asked_for_again() {
+    let server = Peer::new(|_, _| answer(200, "", "ok"));
+    let (old, new) =
+        (watch(), Peer::new(|number, _| if number == 0 { (Vec::new(), false) } else { say(WATCH) }));
+    let gateway = under(&old, &[entry("s0", server.address, "ready")], &patient_settings());
+    gateway.rewrite(&gateway.config(new.address, "", &patient_settings()));
+    gateway.signal("-HUP");
+    let moved = Instant::now();
+    assert_eq!(new.next().0, 0);
+    old.tell(0, &chunk(&list(4, false, &[entry("s0", server.address, "draining")])));
+    caught_up(&gateway);
+    assert!(matches!(status(&gateway.client().ask(&rpc("read", 300))), 429 | 503));
+    let (number, asked) = new.next();
+    assert!(number == 1 && asked.contains("from=4"), "{asked}");
+    assert!(moved.elapsed() < Duration::from_secs(4), "what the new one has counts 4 s after the move");
+    assert!(server.nothing_came());
+}
+
+#[test]
+fn lists_are_read_whatever_white_space_and_chunks_they_come_in() {
+    let (one, two) = (Peer::new(|_, _| answer(200, "", "one")), Peer::new(|_, _| answer(200, "", "two")));
+    let discovery = watch();
+    let gateway = under(&discovery, &[entry("s0", one.address, "ready")], &patient_settings());
+    let wide =
+        list(4, true, &[entry("s1", two.address, "ready")]).replace(",", ",\r\n\t ").replace(":{", ": {");
+    for piece in format!("\n\n  {wide}\n").as_bytes().chunks(7) {
+        let piece = std::str::from_utf8(piece).unwrap();
+        discovery.tell(0, &format!("{:x}\r\n{piece}\r\n", piece.len()));
+    }
+    caught_up(&gateway);
+    assert!(gateway.client().ask(&rpc("read", 2000)).ends_with("two"));
+    // Half an object is not taken, whatever empty lines follow.
+    let half = list(5, true, &[entry("s0", one.address, "ready")]);
+    discovery.tell(0, &chunk(half.rsplit_once(',').unwrap().0));
+    discovery.tell(0, "1\r\n\n\r\n");
+    caught_up(&gateway);
+    assert!(gateway.client().ask(&rpc("read", 2000)).ends_with("two"));
+    assert!(discovery.next().1.contains("from=4"), "what does not end is a break");
+}
+
+#[test]
+fn with_discovery_down_at_the_start_it_is_ready_at_once_with_the_list_from_before_and_drains_count() {
+    let server = Peer::new(|_, _| answer(200, "", "ok"));
+    let known = list(3, true, &[entry("s0", server.address, "draining")]);
+    let start = Instant::now();
+    let gateway = Program::start(BIN, nowhere(), &format!("\"known\":{known},"), &settings(""));
+    assert_eq!(status(&gateway.client().ask("GET /-/ready HTTP/1.1\r\n\r\n")), 200);
+    assert!(start.elapsed() < PATIENCE / 2);
+    assert!(matches!(status(&gateway.client().ask(&rpc("read", 300))), 429 | 503));
+    assert!(server.nothing_came(), "from the first moment on");
+}
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -76,7 +76,7 @@
     assert!(discovery.next().1.contains("from=0"));
     discovery.tell(0, &chunk("{\"index\":6,\"snap"));
     assert!(discovery.next().1.contains("from=5"), "after a garbled line");
-    assert!(gateway.line("\"garbled-line\"").contains("\"list\""));
+    assert!(gateway.line("\"garbled-object\"").contains("\"list\""));
     discovery.close(1);
     assert!(discovery.next().1.contains("from=5"), "after a cut");
     let mut client = gateway.client();
--- a/crates/lab/src/gates.rs
+++ b/crates/lab/src/gates.rs
@@ -53,7 +53,7 @@
 pub struct Wishes(pub Vec<Wish>);
 
 impl Host for Wishes {
-    fn call_out(&mut self, rpc: u32, server: u32, limit: Nanos) {
+    fn call_out(&mut self, rpc: u32, server: u32, limit: Nanos, _before: Nanos) {
         self.0.push(Wish::CallOut { rpc, server, limit });
     }
     fn push_back(&mut self, rpc: u32, come_back: Nanos) {
@@ -243,7 +243,7 @@
                 if let Some(rpc) = self.rpcs.get_mut(&id) {
                     (rpc.server, rpc.tries) = (Some(server), rpc.tries + 1);
                 }
-                host.call_out(id, server, 0);
+                host.call_out(id, server, 0, Nanos::MAX);
             }
             None => {
                 self.rpcs.remove(&id);
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -68,11 +68,51 @@
         (&self.streams.lock().unwrap()[number]).write_all(text.as_bytes()).unwrap();
     }
 
+    /// Resets a connection, with nothing more said on it.
+    pub fn reset(&self, number: usize) {
+        rustix::net::connect_unspec(&self.streams.lock().unwrap()[number]).unwrap();
+    }
+
     pub fn close(&self, number: usize) {
         let _ = self.streams.lock().unwrap()[number].shutdown(std::net::Shutdown::Both);
     }
 }
 
+/// A server whose connections come up late: the system takes none until `open`, since its line of connections that wait to
+/// be accepted is one long and full.
+pub struct Late {
+    pub address: SocketAddr,
+    listener: TcpListener,
+    _filler: TcpStream,
+}
+
+impl Default for Late {
+    fn default() -> Late {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener = TcpListener::from(socket);
+        let address = listener.local_addr().unwrap();
+        let filler = TcpStream::connect(address).unwrap();
+        Late { address, listener, _filler: filler }
+    }
+}
+
+impl Late {
+    /// Lets connections come up, and gives the first that does: the one that was asked for in the meantime comes within
+    /// about a second, when the system asks again.
+    pub fn open(self) -> Client {
+        let (tell, came) = channel();
+        std::thread::spawn(move || {
+            let _filler = self.listener.accept().unwrap();
+            let _ = tell.send(self.listener.accept().unwrap().0);
+        });
+        let stream = came.recv_timeout(PATIENCE).expect("no connection came up");
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Client(BufReader::new(stream))
+    }
+}
+
 fn converse(
     number: usize,
     stream: TcpStream,
@@ -156,6 +196,24 @@
         self.answer()
     }
 
+    /// Whether nothing has come by now.
+    pub fn nothing_came(&mut self) -> bool {
+        self.0.get_ref().set_nonblocking(true).unwrap();
+        let got = self.0.get_ref().peek(&mut [0]);
+        self.0.get_ref().set_nonblocking(false).unwrap();
+        got.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
+    }
+
+    /// The error that the connection has met, such as a reset.
+    pub fn error(&self) -> Option<std::io::Error> {
+        self.0.get_ref().take_error().unwrap()
+    }
+
+    /// Resets it.
+    pub fn reset(self) {
+        rustix::net::connect_unspec(self.0.get_ref()).unwrap();
+    }
+
     pub fn is_closed(&mut self) -> bool {
         matches!(self.0.get_mut().read(&mut [0]), Ok(0) | Err(_))
     }
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -169,7 +169,7 @@
 }
 
 impl Host for Reply {
-    fn call_out(&mut self, rpc: u32, server: u32, limit: Nanos) {
+    fn call_out(&mut self, rpc: u32, server: u32, limit: Nanos, _before: Nanos) {
         let limit = seconds(limit).to_be_bytes();
         self.record(21, &[&rpc.to_be_bytes(), &server.to_be_bytes(), &limit]);
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -61,6 +61,13 @@
     fn is(&self, name: &str, value: &str) -> bool {
         self.rules.get(&format!("classes.{}.{name}", self.method)).is_some_and(|text| text == value)
     }
+
+    /// Before when it may run once more: only after proof that nothing ran, or as the method allows.
+    fn repeats_before(&self) -> Nanos {
+        let ran = self.ran.filter(|_| !self.is("idempotency", "free"));
+        let window = span(number(&self.rules, &format!("classes.{}.window", self.method), 0.0));
+        ran.map_or(Nanos::MAX, |ran| if self.is("idempotency", "guarded") { ran.0 + window } else { 0 })
+    }
 }
 
 #[derive(Clone, Default)]
@@ -361,7 +368,7 @@
         let Rpc { customer: key, units, soft, patient, drawn, .. } = *rpc;
         // Too little time left for an answer in time, or no further call-out allowed: it ends here.
         let latest = self.latest(now, rpc);
-        if now >= latest || self.tries_left(rpc) == 0 || !self.may_repeat(now, rpc) {
+        if now >= latest || self.tries_left(rpc) == 0 || now >= rpc.repeats_before() {
             return self.finish(host, now, id, 0);
         }
         // Room: the customer's store, down to the reserve line if the RPC is patient.
@@ -407,7 +414,7 @@
         self.shift(id, State::Out);
         let limit = self.patience_with(now, id);
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
-        let (nth, key) = (rpc.tries as u16, rpc.customer);
+        let (nth, key, before) = (rpc.tries as u16, rpc.customer, rpc.repeats_before());
         rpc.tries += 1;
         let soft = if rpc.patient { Nanos::MAX } else { rpc.soft_deadline };
         self.customer(now, key).open += 1;
@@ -417,7 +424,7 @@
         }
         self.spread.took(chosen);
         self.open.insert((id, nth), (chosen, key, now, soft));
-        host.call_out(id, chosen, limit);
+        host.call_out(id, chosen, limit, before);
         self.wait.0 = 0;
         self.share_count(host, now, key);
     }
@@ -478,8 +485,8 @@
     fn finish(&mut self, host: &mut dyn Host, now: Nanos, id: u32, room_in: Nanos) -> Nanos {
         let Some(rpc) = self.rpcs.get(&id) else { return Nanos::MAX };
         let all = rpc.is("group", "all");
-        let harmless =
-            self.may_repeat(now, rpc) && (all || rpc.ran.is_none() || rpc.is("idempotency", "free"));
+        let again = all || rpc.ran.is_none() || rpc.is("idempotency", "free");
+        let harmless = again && now < rpc.repeats_before();
         let key = rpc.customer;
         if !rpc.patient && room_in > 0 {
             keep(&mut self.customer(now, key).urgent, (now, true), 2 * KEPT);
@@ -494,13 +501,6 @@
         Nanos::MAX
     }
 
-    /// Whether an RPC may run once more: only after proof that nothing ran, or as the method allows.
-    fn may_repeat(&self, now: Nanos, rpc: &Rpc) -> bool {
-        let Some((sent, ..)) = rpc.ran else { return true };
-        let known = now < sent + span(number(&rpc.rules, &format!("classes.{}.window", rpc.method), 0.0));
-        rpc.is("idempotency", "free") || rpc.is("idempotency", "guarded") && known
-    }
-
     fn tries_left(&self, rpc: &Rpc) -> u64 {
         (number(&rpc.rules, "ceilings.attemptsCap", 1.0) as u64).saturating_sub(rpc.tries)
     }
--- a/src/host.rs
+++ b/src/host.rs
@@ -10,8 +10,9 @@
 
 /// What the module can ask of its host. A wish takes effect at the time of the event being answered.
 pub trait Host {
-    /// Sends the RPC to a server; call-outs of an RPC are numbered from 0. A `limit` of 0 means until the deadline.
-    fn call_out(&mut self, rpc: u32, server: u32, limit: Nanos);
+    /// Sends the RPC to a server; attempts of an RPC are numbered from 0. A `limit` of 0 means until the deadline. An attempt
+    /// that can't be written `before` this time, since its connection comes up late, must not be written at all.
+    fn call_out(&mut self, rpc: u32, server: u32, limit: Nanos, before: Nanos);
     /// Final answer: trying again does no harm; `come_back` of 0 gives no advice.
     fn push_back(&mut self, rpc: u32, come_back: Nanos);
     /// Final answer: nothing is promised.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,7 +11,7 @@
 //! #[derive(Default)]
 //! struct Printer(Vec<String>);
 //! impl Host for Printer {
-//!     fn call_out(&mut self, rpc: u32, server: u32, _limit: Nanos) { self.0.push(format!("{rpc} to {server}")); }
+//!     fn call_out(&mut self, rpc: u32, server: u32, _limit: Nanos, _before: Nanos) { self.0.push(format!("{rpc} to {server}")); }
 //!     fn push_back(&mut self, rpc: u32, _come_back: Nanos) { self.0.push(format!("{rpc} pushed back")); }
 //!     fn abort(&mut self, rpc: u32) { self.0.push(format!("{rpc} aborted")); }
 //!     fn wake(&mut self, _after: Nanos, _token: u32) {}
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -13,6 +13,8 @@
     pub now: Nanos,
     /// RPC, server, time-out, when.
     pub out: Vec<(u32, u32, Nanos, Nanos)>,
+    /// Before when each has to be written.
+    pub before: Vec<Nanos>,
     pub pushed: Vec<(u32, Nanos, Nanos)>,
     pub aborted: Vec<u32>,
     pub counts: Vec<(u64, f64)>,
@@ -20,7 +22,8 @@
 }
 
 impl Host for Notes {
-    fn call_out(&mut self, rpc: u32, server: u32, limit: Nanos) {
+    fn call_out(&mut self, rpc: u32, server: u32, limit: Nanos, before: Nanos) {
+        self.before.push(before);
         self.out.push((rpc, server, limit, self.now));
     }
     fn push_back(&mut self, rpc: u32, come_back: Nanos) {
