The customer's quota as a gateway knows it is a module of its own, src/quota.rs

Change: the store's view (levels, ledgers, calls out, refill, taking on a plan, what a total tells) moves from src/brain.rs to Quota, which decides nothing; the brake, the reserve line, what is asked and what passes stay. Nothing behaves otherwise.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -2,6 +2,7 @@
 //! answers through the `Host` it is given. Start reading at `advance`, the path of an RPC.
 
 use crate::host::{Arrival, End, Ended, Host, Listed, Nanos, Settings};
+use crate::quota::Quota;
 use crate::samples::{SEC, answered, keep, median, number, secs, span};
 use crate::spread::{Member, Spread};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -21,6 +22,7 @@
 const URGENT_SHARE: f64 = 0.45;
 const RECHECK: Nanos = 25 * MS; // until an RPC held for want of a server, or by the brake, is looked at again
 const COUNT: u64 = u64::MAX;
+const WINDOW_BITS: u64 = 0x7fff_ffff; // of a count's name, below the customer
 const COUNTS_KEPT: usize = 8; // ends of count calls
 const SILENT_AFTER: usize = 3; // of them, the last without an answer
 /// A gateway's part of the servers: each is met about so often, and by so many gateways at the least.
@@ -72,69 +74,20 @@
 
 #[derive(Clone, Default)]
 struct Customer {
-    width: f64,
-    rate: f64, // the plan's; its ceiling and call-outs open at once (0 is no cap) are this gateway's part
-    burst: f64,
-    ceiling_rate: f64,
-    ceiling_burst: f64,
-    most_open: u64,
+    quota: Quota,
+    most_open: u64, // call-outs open at once, this gateway's part of the cap; 0 is none
     soft: bool,
-    window: Nanos,
-    /// As of `at`: the store as seen here, this gateway's even split of it, and its part of the ceiling.
-    level: f64,
-    split: f64,
-    ceiling: f64,
-    at: Nanos,
-    /// When the last total was read, what the others drew a second by then, and when one last showed the
-    /// store short; 0 is never.
-    read_at: Nanos,
-    others: f64,
-    short_at: Nanos,
     open: u64,
     queue: Vec<u32>, // ids of held and claiming RPCs, most urgent first, then as they came
     wake_at: Nanos,
-    pending: f64, // units not yet added to the count
-    /// The last two windows of the count: which, own adds that counted (or may have), and others'.
-    ledgers: VecDeque<(u64, f64, f64)>,
-    /// Count calls without answer: window, amount, serial. Answers for a name come in the order of calls.
-    calls: VecDeque<(u64, f64, u64)>,
-    serial: u64,
-    counted_at: Nanos,
     urgent: VecDeque<(Nanos, bool)>, // outcomes: when, and whether pushed back for lack of quota
 }
 
 impl Customer {
     /// The reserve line: patient RPCs leave this much of the burst.
     fn line(&self, now: Nanos, patient: bool) -> f64 {
-        let left = 1.0 - (now % self.window) as f64 / self.window as f64;
-        if patient { RESERVE * self.burst * left } else { 0.0 }
-    }
-
-    /// Takes on a changed plan: what is drawn stays drawn; with other windows the count is read anew.
-    fn follow(&mut self, plan: Customer) {
-        let more = plan.burst - self.burst;
-        self.level += if self.read_at == 0 { more / self.width } else { more };
-        self.split += more / self.width;
-        self.ceiling += plan.ceiling_burst - self.ceiling_burst;
-        if self.window != plan.window {
-            (self.window, self.read_at, self.ledgers) = (plan.window, 0, VecDeque::new());
-        }
-        (self.rate, self.burst, self.most_open, self.soft) =
-            (plan.rate, plan.burst, plan.most_open, plan.soft);
-        (self.ceiling_rate, self.ceiling_burst) = (plan.ceiling_rate, plan.ceiling_burst);
-    }
-
-    /// Units for a first call-out, or (below 0) given back.
-    fn take(&mut self, units: f64) {
-        self.draw(units);
-        self.ceiling -= units;
-    }
-
-    /// The ceiling goes by the guess, so units settled afterwards leave it alone.
-    fn draw(&mut self, units: f64) {
-        self.level -= units;
-        self.split -= units;
-        self.pending += units;
+        let left = 1.0 - (now % self.quota.window) as f64 / self.quota.window as f64;
+        if patient { RESERVE * self.quota.burst * left } else { 0.0 }
     }
 }
 
@@ -261,22 +214,13 @@
 
     pub fn rpc(&mut self, host: &mut dyn Host, now: Nanos, arrival: &Arrival) {
         let plan = |name: &str, default| self.setting(&format!("tariffs.{}.{name}", arrival.plan), default);
-        let width = f64::from(arrival.width.max(1));
-        let (rate, burst) = (plan("perSecond", 0.0), plan("depth", 0.0));
+        let (width, store) = (f64::from(arrival.width.max(1)), (plan("perSecond", 0.0), plan("depth", 0.0)));
+        let ceiling = (plan("ceilingRate", 0.0), plan("hardBurst", 0.0));
         let made = Customer {
-            width,
-            rate,
-            burst,
-            ceiling_rate: plan("ceilingRate", 0.0) / width,
-            ceiling_burst: plan("hardBurst", 0.0) / width,
+            quota: Quota::new(now, self.born.unwrap_or(now), width, store, ceiling),
             most_open: (plan("maxOut", 0.0) / width).ceil() as u64,
             // Soft plans, where use beyond the quota earns more than it costs, may borrow a burst while calm.
             soft: plan("overWorth", 0.0) > plan("beyondCosts", 1.0),
-            window: span((burst / rate.max(1e-6)).clamp(1.0, 25.0)),
-            level: burst / width,
-            split: burst / width,
-            at: self.born.unwrap_or(now),
-            counted_at: now,
             wake_at: Nanos::MAX,
             ..Customer::default()
         };
@@ -284,7 +228,9 @@
             self.forget(now);
         }
         self.customers.entry(arrival.customer).or_insert_with(|| made.clone());
-        self.customer(now, arrival.customer).follow(made);
+        let customer = self.customer(now, arrival.customer);
+        customer.quota.follow(&made.quota);
+        (customer.most_open, customer.soft) = (made.most_open, made.soft);
         let methods = self.setting("classes.count", 1.0) as u16;
         let most_urgent = (0..methods).map(|method| self.urgency(method)).fold(0.0, f64::max);
         let urgency = self.urgency(arrival.method);
@@ -309,13 +255,9 @@
     fn forget(&mut self, now: Nanos) {
         let (counts, to_count) = (self.is_true("extra.hasCounter"), &self.to_count);
         self.customers.retain(|key, at| {
-            let passed = now.saturating_sub(at.at);
-            let least = at.level.min(at.split * at.width) + secs(passed) * at.rate;
-            let ceiling = at.ceiling + secs(passed) * at.ceiling_rate;
-            let full = least >= at.burst && (ceiling >= at.ceiling_burst || at.ceiling_rate == 0.0);
-            let rests = at.open == 0 && at.queue.is_empty() && at.calls.is_empty() && !to_count.contains(key);
-            let told = at.pending == 0.0 || !counts;
-            !(full && rests && told && passed > BRAKE_SPAN + 2 * at.window)
+            let rests = at.open == 0 && at.queue.is_empty() && !to_count.contains(key);
+            let long = at.quota.rested(now) > BRAKE_SPAN + 2 * at.quota.window;
+            !(rests && long && at.quota.is_as_new(now, counts))
         });
         self.customers_most = 2 * self.customers.len().max(32);
     }
@@ -348,7 +290,7 @@
         let (urgency, units) = (rpc.urgency, rpc.units);
         let Some(customer) = self.customers.get_mut(&rpc.customer) else { return };
         if to == State::Ended && rpc.drawn && rpc.tries == 0 {
-            customer.take(-units); // never sent, so not counted by anybody
+            customer.quota.take(-units); // never sent, so not counted by anybody
         }
         if queued(was) && !queued(to) {
             customer.queue.retain(|other| *other != id);
@@ -380,7 +322,7 @@
                 if room_at > latest {
                     // With this gateway's part of a ceiling spent, another of the set may have room now.
                     let own = &self.customers[&key];
-                    let part = own.ceiling_rate > 0.0 && own.ceiling < units && own.width > 1.0;
+                    let part = own.quota.ceiling_rate > 0.0 && own.quota.ceiling < units && own.quota.width > 1.0;
                     return self.finish(host, now, id, if part { RECHECK } else { room_at - now });
                 }
                 return room_at;
@@ -397,8 +339,8 @@
         // Units are taken; where another gateway could take the same last ones, the counter is asked first.
         if !drawn {
             let customer = self.customer(now, key);
-            customer.take(units);
-            let claim = customer.serial + 1;
+            customer.quota.take(units);
+            let claim = customer.quota.serial + 1;
             self.rpcs.entry(id).and_modify(|rpc| (rpc.drawn, rpc.claim) = (true, claim));
             if thin {
                 self.shift(id, State::Claiming);
@@ -460,7 +402,7 @@
                 keep(&mut customer.urgent, (now, false), 2 * KEPT);
             }
             if ended.settled > 0.0 {
-                customer.draw(ended.settled - units); // the guess is put right with what it really counted
+                customer.quota.draw(ended.settled - units); // the guess is put right with what it really counted
             }
             self.shift(ended.rpc, if ended.closed { State::Ended } else { State::Held });
         }
@@ -552,17 +494,11 @@
         median(self.ends.iter().filter(|end| now - end.0 < SEC).map(|end| end.1).collect())
     }
 
-    /// The customer with its stores brought up to now; a part that holds no whole RPC may owe one.
+    /// The customer with its stores brought up to now.
     fn customer(&mut self, now: Nanos, key: u64) -> &mut Customer {
         let largest = self.setting("extra.largest", 1.0);
         let customer = self.customers.entry(key).or_default();
-        let (passed, width) = (secs(now.saturating_sub(customer.at)), customer.width);
-        customer.at = now;
-        customer.level = (customer.level + passed * customer.rate).min(customer.burst);
-        let least = if customer.burst / width < largest { -largest } else { 0.0 };
-        let split = customer.split.max(least) + passed * customer.rate / width;
-        customer.split = split.min(customer.burst / width);
-        customer.ceiling = (customer.ceiling + passed * customer.ceiling_rate).min(customer.ceiling_burst);
+        customer.quota.refill(now, largest);
         customer
     }
 
@@ -571,27 +507,24 @@
         // Nothing is known of the others' use: the even split decides.
         let alone = self.silent() || !self.is_true("extra.hasCounter");
         let borrows = self.customer(now, key).soft && !self.braked(now, key);
-        let customer = &self.customers[&key];
+        let (customer, quota) = (&self.customers[&key], &self.customers[&key].quota);
         let mut at = now;
         // Never read, the counter is asked (a claim): with many gateways the even split is less than an RPC.
-        if customer.rate > 0.0 && (alone || customer.read_at > 0) {
-            let part = if alone { 1.0 / customer.width } else { 1.0 };
-            // Since the last total the others are taken to have gone on drawing, for a window at the most.
-            let age = Some(now - customer.read_at.min(now)).filter(|age| *age < customer.window);
-            let level = customer.level - customer.others * secs(age.unwrap_or(0));
-            let level = if alone { customer.split } else { level };
+        if quota.rate > 0.0 && (alone || quota.read_at > 0) {
+            let part = if alone { 1.0 / quota.width } else { 1.0 };
+            let level = if alone { quota.split } else { quota.seen(now) };
             let line = customer.line(now, patient) * part;
             // An RPC larger than the part passes when that is full.
-            let floor = if borrows { -customer.burst * part } else { 0.0 };
-            let short = floor + line + ahead + units.min(customer.burst * part - line) - level;
+            let floor = if borrows { -quota.burst * part } else { 0.0 };
+            let short = floor + line + ahead + units.min(quota.burst * part - line) - level;
             if short > 0.0 {
                 // The line falls while the store fills; at the window's end it starts over.
-                let falls = if patient { RESERVE * customer.burst / secs(customer.window) } else { 0.0 };
-                at = now + span(short / (customer.rate + falls) / part).max(MS);
+                let falls = if patient { RESERVE * quota.burst / secs(quota.window) } else { 0.0 };
+                at = now + span(short / (quota.rate + falls) / part).max(MS);
             }
         }
-        if customer.ceiling_rate > 0.0 && customer.ceiling < units + ahead {
-            at = at.max(now + span((units + ahead - customer.ceiling) / customer.ceiling_rate).max(MS));
+        if quota.ceiling_rate > 0.0 && quota.ceiling < units + ahead {
+            at = at.max(now + span((units + ahead - quota.ceiling) / quota.ceiling_rate).max(MS));
         }
         if customer.most_open > 0 && customer.open >= customer.most_open {
             at = at.max(now + RECHECK);
@@ -602,18 +535,18 @@
     /// Whether others could draw the store now, or have since the last total; with no call free only what the
     /// split does not cover. Guards against late totals that show all the same room. Harm: a little time.
     fn is_thin(&self, now: Nanos, key: u64, units: f64, patient: bool) -> bool {
-        let customer = &self.customers[&key];
-        let spare = customer.level - units - customer.line(now, patient);
+        let (customer, quota) = (&self.customers[&key], &self.customers[&key].quota);
+        let spare = quota.level - units - customer.line(now, patient);
         let free = self.counter_rest <= now + RECHECK && self.to_count.len() < COUNTS_KEPT;
-        let age = if free { secs(now.saturating_sub(customer.read_at)) } else { 0.0 };
+        let age = if free { secs(now.saturating_sub(quota.read_at)) } else { 0.0 };
         // Since the last call the others are taken to have drawn as this gateway did.
-        let refill = customer.rate * secs(now.saturating_sub(customer.counted_at));
-        let others = ((customer.width - 1.0) * customer.pending - refill).max(0.0);
-        let known = if customer.read_at == 0 { customer.burst - customer.pending - units } else { spare };
-        let short = customer.short_at > 0 && now - customer.short_at < customer.window || known <= others;
-        let asks = free || short && customer.split < units.min(customer.burst / customer.width);
-        let answers = self.is_true("extra.hasCounter") && !self.silent() && customer.rate > 0.0;
-        answers && asks && spare < (customer.width - 1.0) * units + customer.rate * age
+        let refill = quota.rate * secs(now.saturating_sub(quota.counted_at));
+        let others = ((quota.width - 1.0) * quota.pending - refill).max(0.0);
+        let known = if quota.read_at == 0 { quota.burst - quota.pending - units } else { spare };
+        let short = quota.short_at > 0 && now - quota.short_at < quota.window || known <= others;
+        let asks = free || short && quota.split < units.min(quota.burst / quota.width);
+        let answers = self.is_true("extra.hasCounter") && !self.silent() && quota.rate > 0.0;
+        answers && asks && spare < (quota.width - 1.0) * units + quota.rate * age
     }
 
     /// The brake on patient RPCs: urgent ones pushed back for lack of this customer's quota (over once the
@@ -623,7 +556,8 @@
         let customer = &self.customers[&key];
         let outcomes = customer.urgent.iter().filter(|sample| fresh(sample.0));
         let (count, pushed) = (outcomes.clone().count(), outcomes.filter(|sample| sample.1).count());
-        let lack = customer.level.min(customer.split * customer.width) < 2.0 * RESERVE * customer.burst;
+        let quota = &customer.quota;
+        let lack = quota.level.min(quota.split * quota.width) < 2.0 * RESERVE * quota.burst;
         let short = lack && count >= BRAKE_SAMPLES && pushed as f64 > BRAKE_QUOTA_SHARE * count as f64;
         if self.brake.0 != now {
             let samples = self.urgent.iter().filter(|sample| fresh(sample.0));
@@ -645,12 +579,12 @@
     /// Adds a customer's units if a few have gathered or a while has passed; the less room, the sooner.
     fn share_count(&mut self, host: &mut dyn Host, now: Nanos, key: u64) {
         let counter = self.is_true("extra.hasCounter");
-        let customer = self.customer(now, key);
-        let full = (customer.level / customer.burst.max(1e-6)).clamp(0.02, 1.0);
-        let due = customer.counted_at + span(full);
-        let few = customer.burst * full / (2.0 * customer.width).max(8.0);
-        if customer.rate <= 0.0 || customer.pending == 0.0 || !counter {
-        } else if customer.read_at == 0 || now >= due || customer.pending.abs() >= few {
+        let quota = &self.customer(now, key).quota;
+        let full = (quota.level / quota.burst.max(1e-6)).clamp(0.02, 1.0);
+        let due = quota.counted_at + span(full);
+        let few = quota.burst * full / (2.0 * quota.width).max(8.0);
+        if quota.rate <= 0.0 || quota.pending == 0.0 || !counter {
+        } else if quota.read_at == 0 || now >= due || quota.pending.abs() >= few {
             self.count(host, now, key);
         } else {
             self.wake_customer(host, now, key, due);
@@ -664,7 +598,7 @@
             let some: Vec<_> = (0..8).map(|_| self.chance.usize(..self.to_count.len())).chain([0]).collect();
             let most = |place: &usize| match &self.customers[&self.to_count[*place]] {
                 customer if *place == 0 && !customer.queue.is_empty() => f64::MAX,
-                customer => customer.pending.abs() / customer.burst.max(1e-6),
+                customer => customer.quota.pending.abs() / customer.quota.burst.max(1e-6),
             };
             let best = some.into_iter().max_by(|one, two| most(one).total_cmp(&most(two)));
             let Some(next) = best.and_then(|best| self.to_count.remove(best)) else { return };
@@ -683,22 +617,8 @@
             self.to_count.insert(if waits { 0 } else { self.to_count.len() }, key);
             return self.count_next(host, now);
         }
-        let customer = self.customer(now, key);
-        let window = now / customer.window;
-        let old = customer.ledgers.back().map(|ledger| ledger.0);
-        if old != Some(window) {
-            keep(&mut customer.ledgers, (window, 0.0, 0.0), 2);
-        }
-        // What the others added to the last window since it was read here would be lost with it.
-        let old = old.filter(|old| old + 1 == window && customer.level < customer.burst / 2.0);
-        customer.serial += 1;
-        customer.counted_at = now;
-        let call = (window, std::mem::take(&mut customer.pending), customer.serial);
-        let forget = (2 * customer.window + SEC).min(60 * SEC);
-        for call in old.map(|old| (old, 0.0, 0)).into_iter().chain([call]) {
-            customer.calls.push_back(call);
-            host.count(key << 31 | (call.0 & 0x7fff_ffff), call.1, forget);
-        }
+        let (calls, forget) = self.customer(now, key).quota.call(now);
+        calls.iter().for_each(|call| host.count(key << 31 | (call.0 & WINDOW_BITS), call.1, forget));
         self.counter_rest = now + self.counter_gap;
     }
 
@@ -711,65 +631,28 @@
         let (gap, wait) = (self.counter_gap, span(self.setting("extra.countWait", 0.05)));
         let wider = (gap * 5 / 4 + wait / 4).min(wait + 4 * MS * self.gateways() as u64);
         self.counter_gap = if how == End::Ok { gap * 19 / 20 } else { wider };
-        let same = |call: &(u64, f64, u64)| call.0 & 0x7fff_ffff == name & 0x7fff_ffff;
-        let place = self.customers.get(&key).and_then(|customer| customer.calls.iter().position(same));
-        let Some(place) = place else { return };
         let largest = self.setting("extra.largest", 1.0);
-        let customer = self.customer(now, key);
-        let Some((window, add, serial)) = customer.calls.remove(place) else { return };
-        let unread = !customer.ledgers.iter().any(|ledger| ledger.0 + 1 == window);
-        let ledger = customer.ledgers.iter_mut().find(|ledger| ledger.0 == window);
-        match (how, ledger) {
-            (End::Ok, Some((_, own, others))) if total.is_finite() => {
-                let first = unread && *others == 0.0;
-                *own += add;
-                if total + 0.01 + 1e-5 * total.abs() < *own {
-                    // Guards against a counter that came back empty and timed-out adds that did not count:
-                    // this total says nothing of the others' use and is only where to count on from.
-                    (*own, *others) = (add, total - add);
-                }
-                let since = secs((now % customer.window).max(customer.window / 4));
-                let more = total - *own - *others;
-                *others += more;
-                customer.level -= more;
-                let theirs = (total - *own).max(0.0);
-                // Less what chance adds.
-                customer.others = (theirs - (theirs * largest).sqrt()).max(0.0) / since;
-                if std::mem::replace(&mut customer.read_at, now) == 0 {
-                    customer.level = customer.burst - total - customer.pending;
-                }
-                // Guards against a store that looks full where a customer is met less than once a window:
-                // nothing is known of the use before this window, so it is taken to be as in this one.
-                if first {
-                    let more = (customer.others - customer.rate).max(0.0);
-                    let before = more * (since + secs(customer.window));
-                    customer.level = customer.level.min(customer.burst - before - customer.pending);
-                }
-                if customer.level < customer.burst / 4.0 {
-                    customer.short_at = now;
-                }
-            }
-            // Nothing was added: the units are still to be told.
-            (End::Full | End::NoConnection | End::NotSent, _) => customer.pending += add,
-            // It may have counted; taken as counted, so that the others' use is never seen too large.
-            (_, Some((_, own, _))) => *own += add,
-            _ => {}
+        if !self.customers.contains_key(&key) {
+            return;
         }
+        let customer = self.customer(now, key);
+        let serial = customer.quota.counted(now, name, WINDOW_BITS, how, total, largest);
+        let Some(serial) = serial else { return };
         // Claims that this call carried: the last in the queue give their units back first, the others go.
         for id in customer.queue.clone().iter().rev() {
             let claims = |rpc: &&mut Rpc| rpc.state == State::Claiming && rpc.claim <= serial;
             let Some(rpc) = self.rpcs.get_mut(id).filter(claims) else { continue };
             let customer = self.customers.entry(key).or_default();
-            rpc.drawn = customer.level >= customer.line(now, rpc.patient) - 0.01;
+            rpc.drawn = customer.quota.level >= customer.line(now, rpc.patient) - 0.01;
             if !rpc.drawn {
-                customer.take(-rpc.units);
+                customer.quota.take(-rpc.units);
             }
             self.shift(*id, State::Held);
         }
         let claiming = self.customers[&key].queue.iter().filter_map(|id| self.rpcs.get(id));
         let claimed: f64 = claiming.filter(|rpc| rpc.state == State::Claiming).map(|rpc| rpc.units).sum();
-        let customer = self.customer(now, key);
-        customer.level = customer.level.max(-claimed - customer.burst / 2.0);
+        let quota = &mut self.customer(now, key).quota;
+        quota.level = quota.level.max(-claimed - quota.burst / 2.0);
         self.release(host, now, key);
         self.share_count(host, now, key);
         self.count_next(host, now);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 
 pub mod brain;
 pub mod host;
+mod quota;
 mod samples;
 pub mod settings;
 pub mod spread;
