--- /dev/null
+++ b/crates/gateway/tests/turns.rs
@@ -0,0 +1,111 @@
+//! The driver's turns, with something else than the gateway to turn: what one connection can take of them.
+
+use gateway::driver::{Driver, Net, Turned};
+use gateway::logs::Logs;
+use martenramp::host::Nanos;
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::TcpStream;
+
+const MOST: usize = 64 << 10;
+const FLOODS: usize = 4;
+const FLOOD: usize = 8 << 20;
+const MS: Nanos = 1_000_000;
+
+/// Takes all that comes and notes how much each connection had of a turn, and how often its timer rang.
+struct Taker {
+    net: Net,
+    turn: BTreeMap<usize, usize>,
+    most: usize,
+    turns: usize,
+    rings: usize,
+    due_at: Nanos,
+    taken: usize,
+    left: usize,
+}
+
+impl Turned for Taker {
+    fn net(&mut self) -> &mut Net {
+        &mut self.net
+    }
+    fn start(&mut self, now: Nanos) {
+        self.due_at = now + MS;
+    }
+    fn woke(&mut self) {
+        self.turns += 1;
+        self.turn.clear();
+    }
+    fn heard(&mut self, _: &[u8]) {}
+    fn next_turn(&mut self) -> Option<Nanos> {
+        Some(self.due_at)
+    }
+    fn stop(&mut self) {}
+    fn reload(&mut self) {}
+    fn listens(&self) -> bool {
+        true
+    }
+    fn is_over(&self) -> bool {
+        self.left == 0
+    }
+    fn has_room(&mut self) -> bool {
+        true
+    }
+    fn client_input_most(&self) -> usize {
+        MOST
+    }
+    fn accepted(&mut self, _: usize) {}
+    fn accept_later(&mut self) {}
+    fn shed(&mut self) -> bool {
+        false
+    }
+    fn up(&mut self, _: usize) {}
+    fn wrote(&mut self, _: usize) {}
+    fn came(&mut self, id: usize) {
+        let got = self.net.input(id).len();
+        self.net.used(id, got);
+        self.taken += got;
+        let had = self.turn.entry(id).or_default();
+        *had += got;
+        self.most = self.most.max(*had);
+        if self.net.ended(id).is_some() {
+            self.net.close(id);
+            self.left -= 1;
+        }
+    }
+    fn due(&mut self) -> bool {
+        if self.net.now >= self.due_at {
+            self.rings += 1;
+            self.due_at = self.net.now + MS;
+        }
+        false
+    }
+    fn settle(&mut self) {}
+    fn write_attempts(&mut self) {}
+}
+
+/// Some clients send megabytes as fast as they can, and go.
+fn flooded() -> Taker {
+    let (driver, net, address) = Driver::new("127.0.0.1:0".parse().unwrap()).unwrap();
+    let floods: Vec<_> = (0..FLOODS)
+        .map(|_| {
+            std::thread::spawn(move || {
+                let mut client = TcpStream::connect(address).unwrap();
+                let _ = client.write_all(&vec![b'x'; FLOOD]);
+            })
+        })
+        .collect();
+    let (turn, most, turns, rings, due_at, taken) = (BTreeMap::new(), 0, 0, 0, 0, 0);
+    let mut taker = Taker { net, turn, most, turns, rings, due_at, taken, left: FLOODS };
+    driver.run(&mut taker, &Logs::default()).unwrap();
+    floods.into_iter().for_each(|flood| flood.join().unwrap());
+    taker
+}
+
+#[test]
+fn a_flood_has_no_more_than_two_buffers_of_a_turn_and_the_timer_rings_on() {
+    let taker = flooded();
+    assert_eq!(taker.taken, FLOODS * FLOOD, "nothing is lost on the way");
+    // One for the event, one for what was resumed.
+    assert!(taker.most <= 2 * MOST, "{} bytes of one connection in a turn", taker.most);
+    assert!(taker.turns >= FLOOD / (2 * MOST) && taker.rings > 0, "{} turns", taker.turns);
+}
