--- a/crates/gateway/tests/races.rs
+++ b/crates/gateway/tests/races.rs
@@ -37,15 +37,6 @@
     assert_eq!(status(&gateway.client().ask("GET /-/healthy HTTP/1.1\r\n\r\n")), 200);
 }
 
-/// Returns once the program stands still.
-fn stop(gateway: &Program) {
-    gateway.signal("-STOP");
-    let state = format!("/proc/{}/stat", gateway.child.id());
-    while !std::fs::read_to_string(&state).unwrap().contains(" T ") {
-        std::thread::yield_now();
-    }
-}
-
 // ---- A connection to a server that comes up late: what was true when the attempt was asked for may not be any more.
 
 #[test]
@@ -201,7 +192,7 @@
     assert!(client.ask(&rpc("verify", 2000)).ends_with("one"));
     assert_eq!(server.next().0, 0);
     // In one turn of the gateway: the next RPC is read first, then the half line lies there.
-    stop(&gateway);
+    gateway.stand_still();
     client.send(&rpc("verify", 2000));
     server.tell(0, "HTTP/1.1 200 OK\r\nConte");
     gateway.signal("-CONT");
@@ -249,7 +240,7 @@
         client.send(&rpc("read", 20_000).replace("0123456789abcdef", &format!("{number:016x}")));
     }
     caught_up(&gateway);
-    stop(&gateway);
+    gateway.stand_still();
     // A message may pause for two seconds before its place is wanted: that is what is tested.
     std::thread::sleep(Duration::from_millis(2050).saturating_sub(begun.elapsed()));
     let _comes = gateway.client();
@@ -342,7 +333,7 @@
     }
     gateway.signal("-TERM");
     gateway.line("\"stopping\"");
-    stop(&gateway);
+    gateway.stand_still();
     for (number, client) in resting.iter_mut().enumerate() {
         client
             .send(&rpc("read", 20_000).replace("X-Txn: 0123456789abcdef", &format!("X-Txn: {number:016x}")));
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -369,7 +369,7 @@
     let mut client = gateway.client();
     assert!(client.ask(&rpc("read", 2000)).ends_with("new"));
     assert_eq!(server.next().0, 0);
-    stop(&gateway);
+    gateway.stand_still();
     client.send(&rpc("read", 2000)); // is read first
     server.tell(0, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold");
     gateway.signal("-CONT");
@@ -395,15 +395,6 @@
     assert!((0..100_000).any(served), "and there is room again");
 }
 
-/// Returns once the program stands still.
-fn stop(gateway: &Program) {
-    gateway.signal("-STOP");
-    let state = format!("/proc/{}/stat", gateway.child.id());
-    while !std::fs::read_to_string(&state).unwrap().contains(" T ") {
-        std::thread::yield_now();
-    }
-}
-
 #[test]
 fn a_log_that_nobody_reads_does_not_hold_it_up() {
     let server = Peer::new(|_, _| answer(200, "", "ok"));
@@ -425,7 +416,7 @@
     let mut client = gateway.client();
     assert_eq!(status(&client.ask(&rpc("read", 2000))), 200);
     server.next();
-    stop(&gateway);
+    gateway.stand_still();
     client.send(&rpc("verify", 2000));
     std::thread::sleep(std::time::Duration::from_millis(700)); // the time that passes is what is tested
     gateway.signal("-CONT");
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -105,6 +105,15 @@
         self.send(signal).unwrap();
     }
 
+    /// Stops the process with a signal and returns once it stands still; `-CONT` lets it go on.
+    pub fn stand_still(&self) {
+        self.signal("-STOP");
+        let state = format!("/proc/{}/stat", self.child.id());
+        while !std::fs::read_to_string(&state).unwrap().contains(" T ") {
+            std::thread::yield_now();
+        }
+    }
+
     /// Whether it has ended, and how.
     pub fn ended(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().ok().flatten()
