What others drew is not held against a customer once silence here speaks against it

At fault: Quota::seen (src/quota.rs) deducted the others' last pace times a window for as long as no new total came; a refused RPC draws nothing, so no call was made and no total came: the customer was turned away here for good.

Change: requests that this gateway would have met since the last window, had the customer gone on, are weighed as evidence that it has not (chance of the silence against prior odds of one in twenty). With few gateways that speaks within a second or so, with hundreds it says little, so that a busy fleet holds what it knew. Also: units of an RPC no byte of whose attempts was written are given back to this gateway's view of the store, whether it ends here or its client has left; open attempts are a type of their own.

Tests: stories for each side with a fake host; four of the new ones fail on the last code, the one for hundreds of gateways holds on both.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -52,8 +52,9 @@
     patient: bool,
     soft_deadline: Nanos, // by when an answer is wanted, and never later than the client's deadline
     soft: Nanos,
-    drawn: bool, // its units are taken from the store; a further call-out takes none
-    claim: u64,  // the count call that carries it
+    drawn: bool,   // its units are taken from the store; a further call-out takes none
+    written: bool, // an attempt's bytes went out, or may have
+    claim: u64,    // the count call that carries it
     tries: u64,
     ran: Option<(Nanos, u16, u16)>, // the first call-out that may have run: when sent, and where to
 }
@@ -118,6 +119,15 @@
     }
 }
 
+/// An attempt that has not ended yet.
+struct OpenAttempt {
+    server: u32,
+    customer: u64,
+    sent_at: Nanos,
+    soft_deadline: Nanos, // of an urgent RPC; the end of time for a patient one
+    refund: f64,          // units to give back if its RPC has ended by then and no byte was ever written
+}
+
 #[derive(Default)]
 pub struct Brain {
     settings: Arc<Settings>,
@@ -129,8 +139,8 @@
     customers: HashMap<u64, Customer>,
     customers_most: usize, // before those are forgotten that can be
     rpcs: HashMap<u32, Rpc>,
-    /// Call-outs open: server, customer, when sent, and the soft deadline of an urgent one.
-    open: BTreeMap<(u32, u16), (u32, u64, Nanos, Nanos)>,
+    /// Attempts without an end yet, by RPC and number.
+    open: BTreeMap<(u32, u16), OpenAttempt>,
     wakes: HashMap<u32, u64>, // for which customer, or what else
     next_wake: u32,
     ends: VecDeque<(Nanos, Nanos, bool)>, // of all that may have run: when, after how long, and whether ok
@@ -295,7 +305,7 @@
         let queued = |state| matches!(state, State::Held | State::Claiming);
         let (urgency, units) = (rpc.urgency, rpc.units);
         let Some(customer) = self.customers.get_mut(&rpc.customer) else { return };
-        if to == State::Ended && rpc.drawn && rpc.tries == 0 {
+        if to == State::Ended && rpc.drawn && !rpc.written && was != State::Out {
             customer.quota.take(-units); // never sent, so not counted by anybody
         }
         if queued(was) && !queued(to) {
@@ -370,14 +380,16 @@
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
         let (nth, key, before) = (rpc.tries as u16, rpc.customer, rpc.repeats_before());
         rpc.tries += 1;
-        let soft = if rpc.patient { Nanos::MAX } else { rpc.soft_deadline };
+        let soft_deadline = if rpc.patient { Nanos::MAX } else { rpc.soft_deadline };
+        let refund = if rpc.written { 0.0 } else { rpc.units };
         self.customer(now, key).open += 1;
         if let Some(server) = self.servers.get_mut(&chosen) {
             server.open.push_back((id, nth, now));
             server.cold = (now, 1.0);
         }
         self.spread.took(chosen);
-        self.open.insert((id, nth), (chosen, key, now, soft));
+        let attempt = OpenAttempt { server: chosen, customer: key, sent_at: now, soft_deadline, refund };
+        self.open.insert((id, nth), attempt);
         host.call_out(id, chosen, limit, before);
         self.wait.0 = 0;
         self.share_count(host, now, key);
@@ -385,8 +397,10 @@
 
     /// The end of a call-out; a closed RPC has its answer, any other goes on or is answered now.
     pub fn ended(&mut self, host: &mut dyn Host, now: Nanos, ended: &Ended) {
-        let Some((chosen, key, sent, _)) = self.open.remove(&(ended.rpc, ended.nth)) else { return };
-        let never_ran = matches!(ended.how, End::Full | End::NoConnection | End::NotSent);
+        let Some(attempt) = self.open.remove(&(ended.rpc, ended.nth)) else { return };
+        let OpenAttempt { server: chosen, customer: key, sent_at: sent, refund, .. } = attempt;
+        let unwritten = matches!(ended.how, End::NoConnection | End::NotSent);
+        let never_ran = unwritten || ended.how == End::Full;
         let mut place = (u16::MAX, u16::MAX);
         let mut columns = self.settings.get("reporting.columns").map_or("", String::as_str).split(',');
         let told = columns.position(|name| name == "busy_reqs").and_then(|at| ended.load.get(at).copied());
@@ -407,6 +421,7 @@
         if let Some(rpc) = self.rpcs.get_mut(&ended.rpc) {
             let (urgent, units, soft) = (!rpc.patient, rpc.units, secs(rpc.soft));
             rpc.ran = rpc.ran.or((!never_ran).then_some((sent, place.0, place.1)));
+            rpc.written |= !unwritten;
             if urgent && matches!(ended.how, End::Ok | End::TimedOut) {
                 keep(&mut self.urgent, (now, secs(ended.took) / soft.max(1e-3)), 2 * KEPT);
             }
@@ -418,6 +433,8 @@
                 customer.quota.draw(ended.settled - units); // the guess is put right with what it counted
             }
             self.shift(ended.rpc, if ended.closed { State::Ended } else { State::Held });
+        } else if unwritten {
+            self.customer(now, key).quota.take(-refund);
         }
         self.release(host, now, key);
     }
@@ -492,8 +509,8 @@
         if self.wait.0 != now {
             let typical = self.typical(now);
             let hangs = |id| self.servers.get(id).is_some_and(|server| server.hangs(now, typical));
-            let up = self.open.values().filter(|out| !hangs(&out.0));
-            let open: Vec<_> = up.map(|out| now - out.2).collect();
+            let up = self.open.values().filter(|attempt| !hangs(&attempt.server));
+            let open: Vec<_> = up.map(|attempt| now - attempt.sent_at).collect();
             let (count, rate) = answered(now, &self.ends, 1);
             let last = self.ends.iter().rev().take(KEPT / 2).filter(|end| now - end.0 < FRESH);
             let mut took: Vec<Nanos> = last.map(|end| end.1).collect();
@@ -534,7 +551,7 @@
         // Never read, the counter is asked (a claim): with many gateways the even split is less than an RPC.
         if quota.rate > 0.0 && (alone || quota.read_at > 0) {
             let part = if alone { 1.0 / quota.width } else { 1.0 };
-            let level = if alone { quota.split } else { quota.seen(now) };
+            let level = if alone { quota.split } else { quota.seen(now, units) };
             let line = customer.line(now, patient) * part;
             // An RPC larger than the part passes when that is full.
             let floor = if borrows { -quota.burst * part } else { 0.0 };
@@ -586,7 +603,7 @@
             let samples = self.urgent.iter().filter(|sample| fresh(sample.0));
             let mut ratios: Vec<f64> = samples.map(|sample| sample.1).collect();
             // A call-out open past its soft deadline is distress though no latency has come.
-            ratios.extend(self.open.values().filter(|out| out.3 < now).map(|_| 2.0));
+            ratios.extend(self.open.values().filter(|attempt| attempt.soft_deadline < now).map(|_| 2.0));
             ratios.sort_by(f64::total_cmp);
             let p95 = (ratios.len() * 95).div_ceil(100).max(1) - 1; // of 20 samples the 19th
             self.brake = (now, ratios.len() >= BRAKE_SAMPLES && ratios[p95] > 1.0);
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -8,6 +8,10 @@
 
 /// A window of the count is as long as the store takes to fill, within these bounds, seconds.
 const WINDOW: std::ops::RangeInclusive<f64> = 1.0..=25.0;
+/// Prior odds that what the others draw ends within the time for which it is not seen.
+const BURST_ENDS: f64 = 0.05;
+/// Units below which a request counts as this large, so that requests that cost nothing are no evidence.
+const LEAST_REQUEST: f64 = 0.01;
 /// The longest that the counter can be told to remember a name.
 const REMEMBERED: Nanos = 60 * SEC;
 
@@ -132,11 +136,18 @@
 
     /// The store as the others have left it by now: since the last total they are taken to have gone on drawing, for a
     /// window at the most. Guards against a store that looks full as soon as its total is older than a window, where
-    /// hundreds of gateways meet a customer less often than that. Harm: a burst of theirs that is over is held against the
-    /// customer until the next total.
-    pub fn seen(&self, now: Nanos) -> f64 {
-        let age = (now - self.read_at.min(now)).min(self.window);
-        self.level - self.others * secs(age)
+    /// hundreds of gateways meet a customer less often than that. Requests (of `units`) that this gateway would have met
+    /// since, had the customer gone on, are evidence that it has not: a burst that is over is not held against it.
+    /// Harm: a customer that went on at the other gateways alone finds too much room here.
+    pub fn seen(&self, now: Nanos, units: f64) -> f64 {
+        let age = now.saturating_sub(self.read_at);
+        let drawn = self.others * secs(age.min(self.window));
+        let others = (self.width - 1.0).max(1.0);
+        let unseen = secs(age.saturating_sub(self.window));
+        let expected_here = self.others * unseen / (others * units.max(LEAST_REQUEST));
+        let silence_by_chance = (-expected_here).exp();
+        let goes_on = silence_by_chance / (silence_by_chance + BURST_ENDS);
+        self.level - drawn * goes_on
     }
 
     /// The calls that add what is pending and read the total: window and amount of each, and how long their names are to be
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -48,6 +48,8 @@
     pub settled: f64,
     /// The load report of the next ends.
     pub told: Vec<f64>,
+    /// How many gateways the customers' RPCs come in through.
+    pub width: u32,
     next: u32,
 }
 
@@ -60,7 +62,14 @@
 /// The same, with a seed of its own.
 pub fn gateway(seed: u64, extra: &str) -> Story {
     let notes = Notes { now: START, ..Notes::default() };
-    Story { brain: Brain::new(seed, settings(extra)), notes, settled: 0.0, told: Vec::new(), next: 0 }
+    Story {
+        brain: Brain::new(seed, settings(extra)),
+        notes,
+        settled: 0.0,
+        told: Vec::new(),
+        width: 2,
+        next: 0,
+    }
 }
 
 pub fn settings(extra: &str) -> Settings {
@@ -105,8 +114,15 @@
     pub fn rpc_of(&mut self, customer: u64, method: u16, units: f64, left: Nanos) -> u32 {
         self.next += 1;
         let deadline = self.notes.now + left;
-        let arrival =
-            Arrival { id: self.next, method, customer, deadline, units, width: 2, ..Arrival::default() };
+        let arrival = Arrival {
+            id: self.next,
+            method,
+            customer,
+            deadline,
+            units,
+            width: self.width,
+            ..Arrival::default()
+        };
         self.brain.rpc(&mut self.notes, arrival.deadline - left, &arrival);
         self.next
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -793,3 +793,88 @@
     s.pass(40 * MS);
     assert_eq!((s.notes.out.len(), s.sent(ids[39])), (1, 1));
 }
+
+/// A customer's last total tells of 9 units that the others drew in 0.8 s: about 7 a second and chance. The plan has 10
+/// units a second and 10 at once, so a window of one second.
+fn others_drew_most(mut s: Story, width: u32) -> Story {
+    s.width = width;
+    s.pass(800 * MS);
+    let first = s.rpc(2, 1.0);
+    s.counted(0, End::Ok, 10.0);
+    s.end(first, End::Ok);
+    s
+}
+
+#[test]
+fn a_burst_of_others_that_is_over_is_not_held_against_the_customer() {
+    for rests in [5000, 60_000] {
+        let mut s = others_drew_most(story("extra.hasCounter=true").with_servers(3), 2);
+        s.pass(rests * MS);
+        let large = s.rpc(2, 4.0);
+        assert_eq!(s.sent(large), 0, "the counter is asked first: {rests}");
+        s.counted(0, End::Ok, 4.0); // nobody else drew in this window
+        assert_eq!(s.sent(large), 1, "{rests}");
+    }
+}
+
+#[test]
+fn with_no_free_call_silence_where_few_gateways_share_a_customer_tells_that_a_burst_is_over() {
+    let mut s = others_drew_most(crowded_counter(), 2);
+    s.pass(30 * SEC);
+    for customer in 60..62 {
+        s.rpc_of(customer, 2, 1.0, 4 * SEC); // the next call takes the gap after these
+        s.counted(0, End::TimedOut, 0.0);
+    }
+    let large = s.rpc(2, 8.0);
+    assert_eq!(s.sent(large), 1, "of 7 RPCs a second of one other gateway it would have met some in 30 s");
+}
+
+#[test]
+fn with_no_free_call_silence_where_hundreds_share_a_customer_tells_nothing() {
+    for rests in [1100, 5000, 10_000] {
+        let mut s = others_drew_most(crowded_counter(), 300);
+        s.pass(rests * MS);
+        for customer in 60..62 {
+            s.rpc_of(customer, 2, 1.0, 4 * SEC);
+            s.counted(0, End::TimedOut, 0.0);
+        }
+        let large = s.rpc(2, 8.0);
+        assert_eq!(s.sent(large), 0, "each of 299 others meets the customer once in 40 s: {rests}");
+    }
+}
+
+#[test]
+fn units_of_an_rpc_whose_attempts_were_never_written_are_given_back() {
+    let mut s = story("").with_servers(3);
+    let whole = s.rpc(2, 5.0); // all of this gateway's part
+    s.end(whole, End::NoConnection);
+    s.end(whole, End::NotSent);
+    s.end(whole, End::NoConnection); // the last attempt allowed
+    assert_eq!(s.notes.pushed.len(), 1, "nothing ran: pushed back");
+    let next = s.rpc(2, 5.0);
+    assert_eq!(s.sent(next), 1, "nobody counted the first");
+}
+
+#[test]
+fn units_of_an_rpc_that_its_client_left_before_a_byte_was_written_are_given_back() {
+    for (how, back) in [(End::NotSent, 1), (End::NoConnection, 1), (End::Withdrawn, 0), (End::Full, 0)] {
+        let mut s = story("").with_servers(3);
+        let whole = s.rpc(2, 5.0);
+        s.brain.client_left(whole);
+        s.end(whole, how);
+        let next = s.rpc(2, 5.0);
+        assert_eq!(s.sent(next), back, "{how:?}");
+    }
+}
+
+#[test]
+fn units_of_an_rpc_with_one_attempt_written_stay_drawn() {
+    let mut s = story("").with_servers(3);
+    let whole = s.rpc(2, 5.0);
+    s.end(whole, End::Full); // written, and turned away
+    s.end(whole, End::NoConnection);
+    s.brain.client_left(whole);
+    s.end(whole, End::NotSent);
+    let next = s.rpc(2, 5.0);
+    assert_eq!(s.sent(next), 0, "the first attempt was sent on");
+}
