--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -7,8 +7,6 @@
 //! ground of a version is, and which successor is admissible; [`lists`] what to make of lists of servers that contradict each other. Nothing here knows a socket, a file or a clock.
 
 pub mod lists;
-#[cfg(test)]
-mod model;
 pub mod rules;
 pub mod state;
 pub mod word;
--- a/crates/agreement/src/state.rs
+++ b/crates/agreement/src/state.rs
@@ -462,3 +462,6 @@
         false
     }
 }
+
+#[cfg(test)]
+mod tests;
