Agreement: a content and a lease have a module; state and word no longer need each other

state used word's messages and word used state's content and span, so neither could be read alone. Both now use lease, which uses neither; Span is Lease.

--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -6,6 +6,7 @@
 //! acted on. [`word`] is what goes between gateways, one datagram each. [`rules`] knows which settings contradict, what the
 //! ground of a version is, and which successor is admissible; [`lists`] what to make of lists of servers that contradict each other. Nothing here knows a socket, a file or a clock.
 
+pub mod lease;
 pub mod lists;
 pub mod rules;
 pub mod state;
--- a/crates/agreement/src/rules.rs
+++ b/crates/agreement/src/rules.rs
@@ -1,7 +1,7 @@
 //! Which settings contradict each other between two gateways, what the ground of a version is, and whether one version
 //! may follow another. Settings are flat (`path=value`), as the decision module reads them.
 
-use crate::state::Content;
+use crate::lease::Content;
 use martenramp::host::{Nanos, Settings};
 use std::collections::{BTreeMap, BTreeSet};
 use xxhash_rust::xxh3::xxh3_128;
--- a/crates/agreement/src/state.rs
+++ b/crates/agreement/src/state.rs
@@ -3,30 +3,10 @@
 //! its own clock for which a majority of the voters are for it, and is on its ground otherwise.
 
 use crate::Nanos;
+use crate::lease::{Content, Lease};
 use crate::word::{Says, Word};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Settings by their version and what they hold.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Content {
-    pub version: u64,
-    pub digest: u128,
-}
-
-/// A voter is for this content from `from` until just before `until`, Unix time.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Span {
-    pub content: Content,
-    pub from: Nanos,
-    pub until: Nanos,
-}
-
-impl Span {
-    fn holds(&self, at: Nanos) -> bool {
-        self.from <= at && at < self.until
-    }
-}
-
 /// What all gateways are told alike.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Terms {
@@ -135,7 +115,7 @@
     given: Nanos,
     tells_at: Nanos,
     /// What each voter said last, by what it was for: with the life that said it.
-    heard: BTreeMap<u32, Vec<(u32, Span)>>,
+    heard: BTreeMap<u32, Vec<(u32, Lease)>>,
     /// When the current content was last confirmed.
     confirmed: Nanos,
     /// The model checker's: a mistake built in, which it has to find.
@@ -281,7 +261,7 @@
         Heard::Counts
     }
 
-    fn keep(&mut self, now: Nanos, number: u32, life: u32, span: Span) {
+    fn keep(&mut self, now: Nanos, number: u32, life: u32, span: Lease) {
         let said = self.heard.entry(number).or_default();
         said.retain(|(_, old)| old.until > now);
         if said.contains(&(life, span)) {
@@ -299,8 +279,8 @@
     /// Whether a majority of the voters is for this content at this instant. A voter that was heard to be for two
     /// contents at once, or in two lives at once (two processes that go by one number), is for none.
     fn majority_for(&self, content: Content, at: Nanos) -> bool {
-        let is_for = |said: &&Vec<(u32, Span)>| {
-            let mut now = said.iter().filter(|(_, span)| span.holds(at));
+        let is_for = |said: &&Vec<(u32, Lease)>| {
+            let mut now = said.iter().filter(|(_, span)| span.covers(at));
             let Some((life, span)) = now.next() else { return false };
             span.content == content && now.all(|(other, also)| other == life && also.content == content)
         };
@@ -342,13 +322,13 @@
         self.tells_at = now + if voter { self.terms.every() } else { self.terms.lease };
         let Some(number) = self.number else { return Vec::new() };
         let life = self.life;
-        let word = |says, span: Span| Word { number, life, sent: now, says, span };
-        let holds = |content: Content| word(Says::Holds, Span { content, from: now, until: now });
+        let word = |says, span: Lease| Word { number, life, sent: now, says, span };
+        let holds = |content: Content| word(Says::Holds, Lease { content, from: now, until: now });
         let mut words = Vec::new();
         if voter {
             self.find_voice(now);
             if self.voice == Voice::Asking {
-                words.push(word(Says::Asks, Span { content: self.current.content, from: now, until: now }));
+                words.push(word(Says::Asks, Lease { content: self.current.content, from: now, until: now }));
             }
             let waiting = self.next.filter(|next| *next != self.favour).map(|next| holds(next.content));
             let span = self.give(now);
@@ -397,7 +377,7 @@
     }
 
     /// The span that this voter gives now, if any.
-    fn give(&mut self, now: Nanos) -> Option<Span> {
+    fn give(&mut self, now: Nanos) -> Option<Lease> {
         if self.voice != Voice::Speaking {
             return None;
         }
@@ -418,7 +398,7 @@
             return None;
         }
         self.given = self.given.max(until);
-        Some(Span { content: self.favour.content, from: now, until })
+        Some(Lease { content: self.favour.content, from: now, until })
     }
 
     /// Drops what can have no effect any more, so that runs that differ in it only are one to the model checker.
--- a/crates/agreement/src/state/tests.rs
+++ b/crates/agreement/src/state/tests.rs
@@ -2,7 +2,8 @@
 //! they reach, gateways stand still and restart with the older or the newer file. Time goes in steps, up to a horizon that
 //! covers the whole change of a version.
 
-use crate::state::{Agreement, Content, Stand, Terms};
+use crate::lease::Content;
+use crate::state::{Agreement, Stand, Terms};
 use crate::word::{Says, Word};
 use stateright::{Checker, Model, Property};
 use std::collections::BTreeSet;
--- a/crates/agreement/src/word.rs
+++ b/crates/agreement/src/word.rs
@@ -2,7 +2,7 @@
 //! late, doubled or overtaken at will, and is never answered.
 
 use crate::Nanos;
-use crate::state::{Content, Span};
+use crate::lease::{Content, Lease};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -33,7 +33,7 @@
     pub sent: Nanos,
     pub says: Says,
     /// The content, and over which span a voter is for it.
-    pub span: Span,
+    pub span: Lease,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -76,7 +76,7 @@
         let body: Body = serde_json::from_slice(bytes.get(..bytes.len().min(MOST + 1))?).ok()?;
         let digest = u128::from_str_radix(&body.digest, 16).ok()?;
         let content = Content { version: body.version, digest };
-        let span = Span { content, from: body.from, until: body.until };
+        let span = Lease { content, from: body.from, until: body.until };
         let word = Word { number: body.gateway, life: body.life, sent: body.sent, says: body.says, span };
         // Byte for byte as it is written here: form, sum and all.
         (word.write() == bytes).then_some(word)
--- a/crates/agreement/src/word/tests.rs
+++ b/crates/agreement/src/word/tests.rs
@@ -7,7 +7,7 @@
     let mut chance = fastrand::Rng::with_seed(7);
     for _ in 0..2000 {
         let content = Content { version: chance.u64(..), digest: chance.u128(..) };
-        let span = Span { content, from: chance.u64(..), until: chance.u64(..) };
+        let span = Lease { content, from: chance.u64(..), until: chance.u64(..) };
         let says = [Says::For, Says::Asks, Says::Holds][chance.usize(..3)];
         let word = Word { number: chance.u32(..), life: chance.u32(..), sent: chance.u64(..), says, span };
         let bytes = word.write();
@@ -23,7 +23,7 @@
         assert_eq!(Word::read(&noise), None);
     }
     let content = Content { version: 1, digest: 1 };
-    let span = Span { content, from: 1, until: 2 };
+    let span = Lease { content, from: 1, until: 2 };
     let text =
         String::from_utf8(Word { number: 1, life: 1, sent: 1, says: Says::For, span }.write()).unwrap();
     assert_eq!(
--- a/crates/gateway/src/gateway/agreeing.rs
+++ b/crates/gateway/src/gateway/agreeing.rs
@@ -4,9 +4,10 @@
 use super::*;
 use crate::config::Method;
 use crate::list::Entry;
+use agreement::lease::Content;
 use agreement::lists::{Lists, Seen};
 use agreement::rules::{Version, objections};
-use agreement::state::{Agreement, Content, Heard, Stand};
+use agreement::state::{Agreement, Heard, Stand};
 use agreement::word::{Notice, Word};
 
 /// A version with what the wire needs of it.
