Agreement: words between gateways are messages (LeaseMessage, ListNotice)

Standard terms in place of the old house style's: word is message, says is a kind (grant, query, holding), life an incarnation, write and read are encode and decode.

--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -2,14 +2,14 @@
 //! each other for longer than a stated time, whatever is cut, lost, paused or restarted. `docs/agreement-design.md` has
 //! the contract, the options weighed and what breaks if clocks lie.
 //!
-//! [`state`] is the state machine of one gateway: fed files, words from others and the time, it says which content may be
-//! acted on. [`word`] is what goes between gateways, one datagram each. [`rules`] knows which settings contradict, what the
+//! [`state`] is the state machine of one gateway: fed files, messages of others and the time, it says which content may be
+//! acted on. [`message`] is what goes between gateways, one datagram each. [`rules`] knows which settings contradict, what the
 //! ground of a version is, and which successor is admissible; [`lists`] what to make of lists of servers that contradict each other. Nothing here knows a socket, a file or a clock.
 
 pub mod lease;
 pub mod lists;
+pub mod message;
 pub mod rules;
 pub mod state;
-pub mod word;
 
 pub use martenramp::host::Nanos;
--- /dev/null
+++ b/crates/agreement/src/message/tests.rs
@@ -0,0 +1,59 @@
+//! Unit tests of `message`.
+
+use super::*;
+
+#[test]
+fn messages_decode_as_encoded_and_corrupted_ones_are_nothing() {
+    let mut chance = fastrand::Rng::with_seed(7);
+    for _ in 0..2000 {
+        let content = Content { version: chance.u64(..), digest: chance.u128(..) };
+        let lease = Lease { content, from: chance.u64(..), until: chance.u64(..) };
+        let kind = [MessageKind::Grant, MessageKind::Query, MessageKind::Holding][chance.usize(..3)];
+        let message = LeaseMessage {
+            gateway: chance.u32(..),
+            incarnation: chance.u32(..),
+            sent: chance.u64(..),
+            kind,
+            lease,
+        };
+        let bytes = message.encode();
+        assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{}", bytes.len());
+        assert_eq!(LeaseMessage::decode(&bytes), Some(message));
+        // Cut short, corrupted in a place or longer: read as nothing or as some message, never a panic.
+        assert_eq!(LeaseMessage::decode(&bytes[..chance.usize(..bytes.len())]), None);
+        let mut corrupted = bytes.clone();
+        let at = chance.usize(..corrupted.len());
+        corrupted[at] = chance.u8(..);
+        assert!(corrupted == bytes || LeaseMessage::decode(&corrupted).is_none());
+        let noise: Vec<u8> = (0..chance.usize(..300)).map(|_| chance.u8(..)).collect();
+        assert_eq!(LeaseMessage::decode(&noise), None);
+    }
+    let content = Content { version: 1, digest: 1 };
+    let lease = Lease { content, from: 1, until: 2 };
+    let text = String::from_utf8(
+        LeaseMessage { gateway: 1, incarnation: 1, sent: 1, kind: MessageKind::Grant, lease }.encode(),
+    )
+    .unwrap();
+    assert_eq!(
+        LeaseMessage::decode(text.replace("\"agreement\":1", "\"agreement\":0").as_bytes()),
+        None,
+        "an older format"
+    );
+    assert_eq!(
+        LeaseMessage::decode(text.replace('}', ",\"x\":1}").as_bytes()),
+        None,
+        "more than the format has"
+    );
+}
+
+#[test]
+fn notices_fit_and_decode_as_encoded() {
+    let removed = vec![u64::MAX; crate::lists::TOLD_MOST];
+    let notice = ListNotice { gateway: u32::MAX, index: u64::MAX, removed };
+    let bytes = notice.encode();
+    assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{}", bytes.len());
+    assert_eq!(ListNotice::decode(&bytes), Some(notice));
+    let mut corrupted = bytes.clone();
+    corrupted[30] ^= 1;
+    assert_eq!((ListNotice::decode(&corrupted), LeaseMessage::decode(&bytes)), (None, None));
+}
--- a/crates/agreement/src/state.rs
+++ b/crates/agreement/src/state.rs
@@ -4,7 +4,7 @@
 
 use crate::Nanos;
 use crate::lease::{Content, Lease};
-use crate::word::{Says, Word};
+use crate::message::{LeaseMessage, MessageKind};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What all gateways are told alike.
@@ -79,7 +79,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Heard {
     Counts,
-    /// From no voter, long over, or of an impossible span: nothing is changed by it.
+    /// From no voter, long over, or of an impossible lease: nothing is changed by it.
     Nothing,
     /// Said later than this gateway's clock can be: its clock is behind, or the speaker's ahead.
     Ahead,
@@ -231,47 +231,47 @@
     }
 
     /// A word came.
-    pub fn hear(&mut self, now: Nanos, word: &Word) -> Heard {
+    pub fn hear(&mut self, now: Nanos, message: &LeaseMessage) -> Heard {
         // Two clocks within the bound are apart by twice of it. Guards against acting on an old content for too long by a
         // clock that is behind. Harm: a speaker whose clock is ahead counts for nothing.
-        if word.sent > now.saturating_add(2 * self.terms.clock) {
+        if message.sent > now.saturating_add(2 * self.terms.clock) {
             return Heard::Ahead;
         }
-        let span = word.span;
-        if self.drop_unbegun(now, span.content) {
+        let lease = message.lease;
+        if self.drop_unbegun(now, lease.content) {
             return Heard::TwoContents;
         }
         // What was said before the last words of this voter's earlier life were over may be older than they are.
         if self.voice != Voice::Speaking
-            && self.terms.voters.contains(&word.number)
-            && word.sent >= self.silent_until()
+            && self.terms.voters.contains(&message.gateway)
+            && message.sent >= self.silent_until()
         {
-            let remembers = word.says == Says::For;
-            if word.says != Says::Holds {
-                self.asked.insert(word.number, (remembers, span.content.version));
+            let remembers = message.kind == MessageKind::Grant;
+            if message.kind != MessageKind::Holding {
+                self.asked.insert(message.gateway, (remembers, lease.content.version));
             }
         }
-        let sane = word.says == Says::For
-            && span.from < span.until
-            && span.until - span.from <= 4 * self.terms.lease;
-        if !self.terms.voters.contains(&word.number) || !sane || span.until <= now {
+        let sane = message.kind == MessageKind::Grant
+            && lease.from < lease.until
+            && lease.until - lease.from <= 4 * self.terms.lease;
+        if !self.terms.voters.contains(&message.gateway) || !sane || lease.until <= now {
             return Heard::Nothing;
         }
-        self.keep(now, word.number, word.life, span);
+        self.keep(now, message.gateway, message.incarnation, lease);
         Heard::Counts
     }
 
-    fn keep(&mut self, now: Nanos, number: u32, life: u32, span: Lease) {
+    fn keep(&mut self, now: Nanos, number: u32, life: u32, lease: Lease) {
         let said = self.heard.entry(number).or_default();
         said.retain(|(_, old)| old.until > now);
-        if said.contains(&(life, span)) {
+        if said.contains(&(life, lease)) {
             return;
         }
-        said.push((life, span));
-        said.sort_by_key(|(_, span)| (span.content, span.until, span.from));
-        let count = said.iter().filter(|(_, old)| old.content == span.content).count();
+        said.push((life, lease));
+        said.sort_by_key(|(_, lease)| (lease.content, lease.until, lease.from));
+        let count = said.iter().filter(|(_, old)| old.content == lease.content).count();
         if count > KEPT {
-            let oldest = said.iter().position(|(_, old)| old.content == span.content);
+            let oldest = said.iter().position(|(_, old)| old.content == lease.content);
             oldest.into_iter().for_each(|at| _ = said.remove(at));
         }
     }
@@ -280,9 +280,9 @@
     /// contents at once, or in two lives at once (two processes that go by one number), is for none.
     fn majority_for(&self, content: Content, at: Nanos) -> bool {
         let is_for = |said: &&Vec<(u32, Lease)>| {
-            let mut now = said.iter().filter(|(_, span)| span.covers(at));
-            let Some((life, span)) = now.next() else { return false };
-            span.content == content && now.all(|(other, also)| other == life && also.content == content)
+            let mut now = said.iter().filter(|(_, lease)| lease.covers(at));
+            let Some((life, lease)) = now.next() else { return false };
+            lease.content == content && now.all(|(other, also)| other == life && also.content == content)
         };
         let voters = self.heard.values().filter(is_for).count();
         voters >= self.terms.majority() - usize::from(self.is_flawed("half is enough"))
@@ -306,14 +306,14 @@
     /// When to ask again at the latest if nothing is heard until then: what is confirmed may end, what waits may begin,
     /// and a voter speaks.
     pub fn next_look(&self, now: Nanos) -> Nanos {
-        let ends = self.heard.values().flatten().flat_map(|(_, span)| [span.from, span.until]);
+        let ends = self.heard.values().flatten().flat_map(|(_, lease)| [lease.from, lease.until]);
         let starts = self.next.map(|next| next.start);
         let soon = ends.chain(starts).filter(|at| *at > now).min().unwrap_or(Nanos::MAX);
         soon.min(self.tells_at.max(now + 1))
     }
 
     /// What this gateway has to tell all others now.
-    pub fn tell(&mut self, now: Nanos) -> Vec<Word> {
+    pub fn tell(&mut self, now: Nanos) -> Vec<LeaseMessage> {
         if now < self.tells_at {
             return Vec::new();
         }
@@ -322,22 +322,27 @@
         self.tells_at = now + if voter { self.terms.every() } else { self.terms.lease };
         let Some(number) = self.number else { return Vec::new() };
         let life = self.life;
-        let word = |says, span: Lease| Word { number, life, sent: now, says, span };
-        let holds = |content: Content| word(Says::Holds, Lease { content, from: now, until: now });
-        let mut words = Vec::new();
+        let message =
+            |kind, lease: Lease| LeaseMessage { gateway: number, incarnation: life, sent: now, kind, lease };
+        let holds =
+            |content: Content| message(MessageKind::Holding, Lease { content, from: now, until: now });
+        let mut messages = Vec::new();
         if voter {
             self.find_voice(now);
             if self.voice == Voice::Asking {
-                words.push(word(Says::Asks, Lease { content: self.current.content, from: now, until: now }));
+                messages.push(message(
+                    MessageKind::Query,
+                    Lease { content: self.current.content, from: now, until: now },
+                ));
             }
             let waiting = self.next.filter(|next| *next != self.favour).map(|next| holds(next.content));
-            let span = self.give(now);
-            words.extend(span.map(|span| word(Says::For, span)));
-            words.extend(waiting);
-            span.into_iter().for_each(|span| self.keep(now, number, life, span));
+            let lease = self.give(now);
+            messages.extend(lease.map(|lease| message(MessageKind::Grant, lease)));
+            messages.extend(waiting);
+            lease.into_iter().for_each(|lease| self.keep(now, number, life, lease));
         }
-        words.extend(self.dropped.map(holds));
-        words
+        messages.extend(self.dropped.map(holds));
+        messages
     }
 
     fn silent_until(&self) -> Nanos {
@@ -376,7 +381,7 @@
         }
     }
 
-    /// The span that this voter gives now, if any.
+    /// The lease that this voter gives now, if any.
     fn give(&mut self, now: Nanos) -> Option<Lease> {
         if self.voice != Voice::Speaking {
             return None;
@@ -405,7 +410,7 @@
     #[cfg(test)]
     pub(crate) fn forget_the_past(&mut self, now: Nanos) {
         for said in self.heard.values_mut() {
-            said.retain(|(_, span)| span.until > now);
+            said.retain(|(_, lease)| lease.until > now);
         }
         self.heard.retain(|_, said| !said.is_empty());
         if self.voice == Voice::Speaking {
--- a/crates/agreement/src/state/tests.rs
+++ b/crates/agreement/src/state/tests.rs
@@ -3,8 +3,8 @@
 //! covers the whole change of a version.
 
 use crate::lease::Content;
+use crate::message::{LeaseMessage, MessageKind};
 use crate::state::{Agreement, Stand, Terms};
-use crate::word::{Says, Word};
 use stateright::{Checker, Model, Property};
 use std::collections::BTreeSet;
 
@@ -36,7 +36,7 @@
 struct State {
     now: u64,
     gateways: Vec<Agreement>,
-    words: BTreeSet<Word>,
+    messages: BTreeSet<LeaseMessage>,
     restarts: usize,
     lives: u32,
     /// When a gateway first acted on the new version.
@@ -48,7 +48,7 @@
     Pass,
     Give(usize),
     Speak(usize),
-    Hear(usize, Word),
+    Hear(usize, LeaseMessage),
     Restart(usize, bool),
 }
 
@@ -76,9 +76,9 @@
         }
         let slowest = self.clocks.iter().min().copied().unwrap_or(0);
         let over = now.saturating_add_signed(slowest);
-        state
-            .words
-            .retain(|word| word.span.until > over || word.span.from == word.span.until && word.sent >= over);
+        state.messages.retain(|message| {
+            message.lease.until > over || message.lease.from == message.lease.until && message.sent >= over
+        });
         let acts =
             |gateway: &Agreement| gateway.stand() == Stand::Confirmed && gateway.content().version == NEW;
         if state.new_since.is_none() && state.gateways.iter().any(acts) {
@@ -102,9 +102,9 @@
                 }
                 gateway
             };
-            let (words, lives) = (BTreeSet::new(), GATEWAYS as u32);
+            let (messages, lives) = (BTreeSet::new(), GATEWAYS as u32);
             let gateways = (0..GATEWAYS).map(gateway).collect();
-            State { now: START - self.lease, gateways, words, restarts: 0, lives, new_since: None }
+            State { now: START - self.lease, gateways, messages, restarts: 0, lives, new_since: None }
         };
         (0..1 << GATEWAYS).map(subset).collect()
     }
@@ -125,8 +125,8 @@
             if gateway.next_word() <= self.clock(state.now, at) {
                 actions.push(Action::Speak(at));
             }
-            let others = state.words.iter().filter(|word| word.number != at as u32);
-            actions.extend(others.map(|word| Action::Hear(at, *word)));
+            let others = state.messages.iter().filter(|message| message.gateway != at as u32);
+            actions.extend(others.map(|message| Action::Hear(at, *message)));
             // All are alike, so it may as well be the first that restarts.
             if state.restarts < self.restarts && at == 0 {
                 actions.extend([Action::Restart(at, false), Action::Restart(at, true)]);
@@ -144,14 +144,16 @@
             }
             Action::Speak(at) => {
                 let now = self.clock(state.now, at);
-                let words = state.gateways[at].tell(now);
+                let messages = state.gateways[at].tell(now);
                 // Who only says what it holds matters where contents differ.
                 let differ = self.files.iter().any(|file| *file != self.files[0]);
-                state.words.extend(words.into_iter().filter(|word| differ || word.says != Says::Holds));
+                state.messages.extend(
+                    messages.into_iter().filter(|message| differ || message.kind != MessageKind::Holding),
+                );
             }
-            Action::Hear(at, word) => {
+            Action::Hear(at, message) => {
                 let now = self.clock(state.now, at);
-                state.gateways[at].hear(now, &word);
+                state.gateways[at].hear(now, &message);
             }
             Action::Restart(at, newer) => {
                 let now = self.clock(state.now, at);
--- a/crates/gateway/src/gateway/agreeing.rs
+++ b/crates/gateway/src/gateway/agreeing.rs
@@ -6,9 +6,9 @@
 use crate::list::Entry;
 use agreement::lease::Content;
 use agreement::lists::{Lists, Seen};
+use agreement::message::{LeaseMessage, ListNotice};
 use agreement::rules::{Version, objections};
 use agreement::state::{Agreement, Heard, Stand};
-use agreement::word::{Notice, Word};
 
 /// A version with what the wire needs of it.
 struct Held {
@@ -116,11 +116,11 @@
         let Some(pact) = &mut self.pact else { return };
         let now = self.desk.net.now.saturating_add_signed(pact.clock_off);
         let words = pact.state.tell(now);
-        words.iter().for_each(|word| self.desk.net.tell(pact.all, &word.write()));
+        words.iter().for_each(|word| self.desk.net.tell(pact.all, &word.encode()));
         if pact.state.is_voter() && now >= pact.tells_list_at {
             pact.tells_list_at = now + pact.state.terms().every();
             if let (Some((index, out)), Some(number)) = (pact.lists.tells(now), pact.number) {
-                self.desk.net.tell(pact.all, &Notice { number, index, out }.write());
+                self.desk.net.tell(pact.all, &ListNotice { gateway: number, index, removed: out }.encode());
             }
         }
         let (was, acting) = (pact.acting, pact.state.at(now));
@@ -143,22 +143,22 @@
     pub(super) fn hear(&mut self, bytes: &[u8]) {
         let Some(pact) = &mut self.pact else { return };
         let now = self.desk.net.now.saturating_add_signed(pact.clock_off);
-        if let Some(notice) = Notice::read(bytes) {
+        if let Some(notice) = ListNotice::decode(bytes) {
             return self.hear_of_list(notice);
         }
         let Some(pact) = &mut self.pact else { return };
-        let Some(word) = Word::read(bytes) else { return };
+        let Some(word) = LeaseMessage::decode(bytes) else { return };
         match pact.state.hear(now, &word) {
             Heard::TwoContents => {
                 pact.waits = None;
-                let content = word.span.content;
+                let content = word.lease.content;
                 warn!(self.desk.log, "settings"; "why" => "two-contents", "version" => content.version, "other" => short(content));
             }
             Heard::Ahead => {
                 pact.ahead += 1;
                 if now >= pact.ahead_logged + 1000 * MS {
                     pact.ahead_logged = now;
-                    warn!(self.desk.log, "settings"; "why" => "clock", "gateway" => word.number, "ahead_ms" => (word.sent - now) / MS, "words" => pact.ahead);
+                    warn!(self.desk.log, "settings"; "why" => "clock", "gateway" => word.gateway, "ahead_ms" => (word.sent - now) / MS, "words" => pact.ahead);
                 }
             }
             Heard::Counts | Heard::Nothing => {}
@@ -167,13 +167,13 @@
     }
 
     /// A voter told of the list that it holds: what is out of work there gets nothing new here, if the list here is older.
-    fn hear_of_list(&mut self, notice: Notice) {
+    fn hear_of_list(&mut self, notice: ListNotice) {
         let Some(pact) = &mut self.pact else { return };
-        if !pact.state.terms().voters.contains(&notice.number) {
+        if !pact.state.terms().voters.contains(&notice.gateway) {
             return;
         }
         let held = pact.lists.index();
-        let keys = pact.lists.heard(notice.index, &notice.out);
+        let keys = pact.lists.heard(notice.index, &notice.removed);
         let entries: Vec<Entry> = keys.iter().filter_map(|key| pact.entries.get(key).cloned()).collect();
         if entries.is_empty() {
             return;
