A test of agreement's digest: releases have to compute the same one

The digest is over a text that holds a Debug form of a struct, so that a rename of the struct would have gateways of two releases take one file for two contents. The test writes the text out; it passes on the code before any rename.

--- a/crates/agreement/tests/rules.rs
+++ b/crates/agreement/tests/rules.rs
@@ -152,6 +152,19 @@
     assert_ne!(put("a", "b\n1:c=1:d"), put("a", "b"));
 }
 
+/// Gateways of different releases have to compute the same digest of the same content.
+#[test]
+fn the_digest_is_of_a_text_that_releases_share() {
+    let mut one = version(7, 100.0, 20.0);
+    one.start = 5;
+    one.settings = [("me", "3"), ("b", "x"), ("a", "12")]
+        .map(|(name, value)| (name.to_string(), value.to_string()))
+        .into_iter()
+        .collect();
+    let text = "7\n5\nGround { quota: 0.5, gateways: 20.0, attempts: 2.0 }\n1:a=2:12\n1:b=1:x\n";
+    assert_eq!(one.content().digest, xxhash_rust::xxh3::xxh3_128(text.as_bytes()));
+}
+
 #[test]
 fn changes_say_what_contradicts() {
     let (old, mut new) = (settings(100.0, 20.0), settings(120.0, 20.0));
