Agreement: the ground of a version is its fallback, a stand is a mode

Log lines, the X-Settings header, the configuration's key and the texts of refusals keep their words, and so does the text that digests are of.

--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -4,7 +4,7 @@
 //!
 //! [`state`] is the state machine of one gateway: fed files, messages of others and the time, it says which content may be
 //! acted on. [`message`] is what goes between gateways, one datagram each. [`rules`] knows which settings contradict, what the
-//! ground of a version is, and which successor is admissible; [`lists`] what to make of lists of servers that contradict each other. Nothing here knows a socket, a file or a clock.
+//! fallback of a version is, and which successor is admissible; [`lists`] what to make of lists of servers that contradict each other. Nothing here knows a socket, a file or a clock.
 
 pub mod lease;
 pub mod lists;
--- a/crates/agreement/src/rules.rs
+++ b/crates/agreement/src/rules.rs
@@ -1,4 +1,4 @@
-//! Which settings contradict each other between two gateways, what the ground of a version is, and whether one version
+//! Which settings contradict each other between two gateways, what the fallback of a version is, and whether one version
 //! may follow another. Settings are flat (`path=value`), as the decision module reads them.
 
 use crate::lease::Content;
@@ -8,7 +8,7 @@
 
 /// What a gateway acts on that can't confirm its version: bounds within which every successor has to stay.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Ground {
+pub struct Fallback {
     /// Of every quota, ceiling and cap, the share that is used.
     pub quota: f64,
     /// The largest fleet that a successor may tell.
@@ -23,21 +23,21 @@
     pub number: u64,
     /// When it starts to hold, Unix time; 0 is at once.
     pub start: Nanos,
-    pub ground: Ground,
+    pub fallback: Fallback,
     pub settings: Settings,
 }
 
 /// Settings that each gateway has for itself.
-const OWN: [&str; 2] = ["me", "zone"];
+const PER_GATEWAY: [&str; 2] = ["me", "zone"];
 /// What a plan lets in; where the last three are 0 or missing there is no bound.
 const QUOTAS: [&str; 5] = ["perSecond", "depth", "ceilingRate", "hardBurst", "maxOut"];
 const UNBOUNDED_AT_0: usize = 2;
 
-impl Ground {
+impl Fallback {
     /// The bounds where a file tells none: half of every quota, the fleet as it is, two call-outs.
-    pub fn of(settings: &Settings) -> Ground {
+    pub fn of(settings: &Settings) -> Fallback {
         let attempts = number(settings, "ceilings.attemptsCap", 1.0).min(2.0);
-        Ground { quota: 0.5, gateways: number(settings, "balancers", 1.0), attempts }
+        Fallback { quota: 0.5, gateways: number(settings, "balancers", 1.0), attempts }
     }
 }
 
@@ -56,11 +56,16 @@
 }
 
 impl Version {
-    /// The content by which gateways know that they hold the same: everything but what each has for itself.
+    /// The content by which gateways know that they hold the same: everything but what each has for itself. The text that
+    /// the digest is of is shared by all releases, so it never follows a rename.
     pub fn content(&self) -> Content {
         let told: BTreeMap<&String, &String> =
-            self.settings.iter().filter(|(name, _)| !OWN.contains(&name.as_str())).collect();
-        let mut text = format!("{}\n{}\n{:?}\n", self.number, self.start, self.ground);
+            self.settings.iter().filter(|(name, _)| !PER_GATEWAY.contains(&name.as_str())).collect();
+        let Fallback { quota, gateways, attempts } = self.fallback;
+        let mut text = format!(
+            "{}\n{}\nGround {{ quota: {quota:?}, gateways: {gateways:?}, attempts: {attempts:?} }}\n",
+            self.number, self.start
+        );
         for (name, value) in told {
             // Lengths first, so that no two contents run together to the same text.
             text += &format!("{}:{name}={}:{value}\n", name.len(), value.len());
@@ -69,32 +74,32 @@
     }
 
     /// The settings that a gateway acts on while it can't confirm this version.
-    pub fn on_ground(&self) -> Settings {
-        let mut ground = self.settings.clone();
-        let Ground { quota, gateways, attempts } = self.ground;
+    pub fn fallback_settings(&self) -> Settings {
+        let mut fallback = self.settings.clone();
+        let Fallback { quota, gateways, attempts } = self.fallback;
         for plan in 0..count(&self.settings, "tariffs") {
             for name in QUOTAS {
                 let name = format!("tariffs.{plan}.{name}");
                 let told = number(&self.settings, &name, 0.0);
                 if told > 0.0 {
-                    ground.insert(name, (told * quota).to_string());
+                    fallback.insert(name, (told * quota).to_string());
                 }
             }
-            ground.remove(&format!("tariffs.{plan}.overWorth")); // no borrowing
+            fallback.remove(&format!("tariffs.{plan}.overWorth")); // no borrowing
         }
         for class in 0..count(&self.settings, "classes") {
             // Repeated only after proof that nothing ran.
-            ground.insert(format!("classes.{class}.idempotency"), "single_shot".to_string());
+            fallback.insert(format!("classes.{class}.idempotency"), "single_shot".to_string());
         }
-        ground.insert("balancers".to_string(), gateways.to_string());
+        fallback.insert("balancers".to_string(), gateways.to_string());
         let cap = number(&self.settings, "ceilings.attemptsCap", 1.0).min(attempts);
-        ground.insert("ceilings.attemptsCap".to_string(), cap.to_string());
-        ground
+        fallback.insert("ceilings.attemptsCap".to_string(), cap.to_string());
+        fallback
     }
 
     /// What is wrong with this version by itself.
     pub fn faults(&self) -> Vec<String> {
-        let Ground { quota, gateways, attempts } = self.ground;
+        let Fallback { quota, gateways, attempts } = self.fallback;
         let mut faults = Vec::new();
         if !(quota > 0.0 && quota <= 1.0) {
             faults.push(format!("the ground's share of quotas is {quota}, not above 0 and at most 1"));
@@ -134,7 +139,7 @@
 }
 
 /// Why `new` may not follow `old` while gateways may still hold `old`; empty if it may. Whatever a gateway acts on that
-/// missed any number of versions has to stay consistent with the newest one, so grounds never give way.
+/// missed any number of versions has to stay consistent with the newest one, so fallbacks never give way.
 pub fn objections(old: &Version, new: &Version) -> Vec<String> {
     let mut why = new.faults();
     if new.number <= old.number {
@@ -152,43 +157,46 @@
     for plan in 0..count(&old.settings, "tariffs").min(count(&new.settings, "tariffs")) {
         for (at, name) in QUOTAS.iter().enumerate() {
             let (was, is) = (quota(&old.settings, plan, at), quota(&new.settings, plan, at));
-            let (old_ground, new_ground) = (was * old.ground.quota, is * new.ground.quota);
+            let (old_fallback, new_fallback) = (was * old.fallback.quota, is * new.fallback.quota);
             let setting = format!("tariffs.{plan}.{name}");
             // Products of the same figures may differ in their last digits.
             let below = |one: f64, two: f64| one < two - 1e-9 * two.abs().min(f64::MAX);
-            if below(is, old_ground) {
-                why.push(format!("{setting} of {is} is below the old ground of {old_ground}"));
+            if below(is, old_fallback) {
+                why.push(format!("{setting} of {is} is below the old ground of {old_fallback}"));
             }
-            if below(new_ground, old_ground) && !below(is, old_ground) {
-                why.push(format!("{setting}: the ground falls from {old_ground} to {new_ground}"));
+            if below(new_fallback, old_fallback) && !below(is, old_fallback) {
+                why.push(format!("{setting}: the ground falls from {old_fallback} to {new_fallback}"));
             }
-            if below(was, new_ground) {
-                why.push(format!("{setting}: the new ground of {new_ground} is above the old {was}"));
+            if below(was, new_fallback) {
+                why.push(format!("{setting}: the new ground of {new_fallback} is above the old {was}"));
             }
         }
     }
     let fleet = |version: &Version| number(&version.settings, "balancers", 1.0);
-    if fleet(new) > old.ground.gateways {
-        why.push(format!("a fleet of {} is beyond the old ground's {}", fleet(new), old.ground.gateways));
+    if fleet(new) > old.fallback.gateways {
+        why.push(format!("a fleet of {} is beyond the old ground's {}", fleet(new), old.fallback.gateways));
     }
-    if new.ground.gateways > old.ground.gateways {
-        why.push(format!("the ground's fleet grows from {} to {}", old.ground.gateways, new.ground.gateways));
+    if new.fallback.gateways > old.fallback.gateways {
+        why.push(format!(
+            "the ground's fleet grows from {} to {}",
+            old.fallback.gateways, new.fallback.gateways
+        ));
     }
-    if new.ground.gateways < fleet(old) {
+    if new.fallback.gateways < fleet(old) {
         why.push(format!(
             "the new ground's fleet of {} is below the old {}",
-            new.ground.gateways,
+            new.fallback.gateways,
             fleet(old)
         ));
     }
     let cap = |version: &Version| number(&version.settings, "ceilings.attemptsCap", 1.0);
-    if cap(new) < old.ground.attempts || new.ground.attempts < old.ground.attempts {
-        why.push(format!("call-outs fall below the old ground's {}", old.ground.attempts));
+    if cap(new) < old.fallback.attempts || new.fallback.attempts < old.fallback.attempts {
+        why.push(format!("call-outs fall below the old ground's {}", old.fallback.attempts));
     }
-    if new.ground.attempts > cap(old) {
+    if new.fallback.attempts > cap(old) {
         why.push(format!(
             "the new ground allows {} call-outs, the old version {}",
-            new.ground.attempts,
+            new.fallback.attempts,
             cap(old)
         ));
     }
--- a/crates/agreement/src/state.rs
+++ b/crates/agreement/src/state.rs
@@ -1,6 +1,6 @@
 //! The state machine of one gateway. A few gateways are voters. A voter says for which content it is, and from when until
 //! when; the spans that it gives for different contents never overlap. A gateway acts on a content only at instants of
-//! its own clock for which a majority of the voters are for it, and is on its ground otherwise.
+//! its own clock for which a majority of the voters are for it, and acts on its fallback otherwise.
 
 use crate::Nanos;
 use crate::lease::{Content, Lease};
@@ -39,10 +39,10 @@
     }
 }
 
-/// What a gateway acts on: all of its content, or only that content's ground.
+/// What a gateway acts on: all of its content, or only that content's fallback.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Stand {
-    Ground,
+pub enum Mode {
+    Fallback,
     Confirmed,
 }
 
@@ -101,10 +101,10 @@
     number: Option<u32>,
     life: u32,
     born: Nanos,
-    /// What is acted on, or whose ground is; and what waits for its start.
+    /// What is acted on, or whose fallback is; and what waits for its start.
     current: Held,
     next: Option<Held>,
-    stand: Stand,
+    mode: Mode,
     /// Where two contents of a version met: the one dropped here, told on until a higher version is taken.
     dropped: Option<Content>,
     voice: Voice,
@@ -145,7 +145,7 @@
             born: now,
             current: held,
             next: None,
-            stand: Stand::Ground,
+            mode: Mode::Fallback,
             dropped: None,
             voice: Voice::Silent,
             asked: BTreeMap::new(),
@@ -182,8 +182,8 @@
         self.next.map(|next| (next.content, next.start))
     }
 
-    pub fn stand(&self) -> Stand {
-        self.stand
+    pub fn mode(&self) -> Mode {
+        self.mode
     }
 
     /// When the content was last confirmed; 0 is never.
@@ -220,7 +220,7 @@
             (self.dropped, self.next) = (Some(next.content), None);
             return true;
         }
-        // Started on a file whose time has not come: there is nothing older to go on with but its ground.
+        // Started on a file whose time has not come: there is nothing older to go on with but its fallback.
         let current = self.current;
         if clashes(&current) && current.start > now && self.given == 0 && current.start < Nanos::MAX {
             self.dropped = Some(current.content);
@@ -289,18 +289,18 @@
     }
 
     /// What may be acted on at this instant of this gateway's clock. Has to be asked before anything is decided, also
-    /// after a pause. Every change of the stand goes through here.
-    pub fn at(&mut self, now: Nanos) -> (Content, Stand) {
+    /// after a pause. Every change of the mode goes through here.
+    pub fn at(&mut self, now: Nanos) -> (Content, Mode) {
         if let Some(next) = self.next.filter(|next| self.majority_for(next.content, now)) {
             (self.current, self.next) = (next, None);
         }
         let confirmed = self.majority_for(self.current.content, now)
             || self.is_flawed("never falls back") && self.confirmed > 0;
-        self.stand = if confirmed { Stand::Confirmed } else { Stand::Ground };
+        self.mode = if confirmed { Mode::Confirmed } else { Mode::Fallback };
         if confirmed {
             self.confirmed = now;
         }
-        (self.current.content, self.stand)
+        (self.current.content, self.mode)
     }
 
     /// When to ask again at the latest if nothing is heard until then: what is confirmed may end, what waits may begin,
@@ -357,7 +357,7 @@
     /// last life may have said what still holds, and may have been for a version above the file it started on. So it
     /// says nothing for a lease, and is for nothing until so many voters that remember have told what they are for that one
     /// of them was in every majority with it; or until all have told, where too few remember. Harm: where too few remember
-    /// and one is away, everybody is on the ground until that one is back.
+    /// and one is away, everybody is on the fallback until that one is back.
     fn find_voice(&mut self, now: Nanos) {
         if self.voice == Voice::Silent && now >= self.silent_until() {
             self.voice = Voice::Asking;
--- a/crates/agreement/src/state/tests.rs
+++ b/crates/agreement/src/state/tests.rs
@@ -4,7 +4,7 @@
 
 use crate::lease::Content;
 use crate::message::{LeaseMessage, MessageKind};
-use crate::state::{Agreement, Stand, Terms};
+use crate::state::{Agreement, Mode, Terms};
 use stateright::{Checker, Model, Property};
 use std::collections::BTreeSet;
 
@@ -80,7 +80,7 @@
             message.lease.until > over || message.lease.from == message.lease.until && message.sent >= over
         });
         let acts =
-            |gateway: &Agreement| gateway.stand() == Stand::Confirmed && gateway.content().version == NEW;
+            |gateway: &Agreement| gateway.mode() == Mode::Confirmed && gateway.content().version == NEW;
         if state.new_since.is_none() && state.gateways.iter().any(acts) {
             state.new_since = Some(now);
         }
@@ -173,7 +173,7 @@
                 let acted: BTreeSet<Content> = state
                     .gateways
                     .iter()
-                    .filter(|gateway| gateway.stand() == Stand::Confirmed)
+                    .filter(|gateway| gateway.mode() == Mode::Confirmed)
                     .map(Agreement::content)
                     .collect();
                 let new: BTreeSet<&Content> = acted.iter().filter(|content| content.version == NEW).collect();
@@ -184,17 +184,17 @@
             }),
             Property::sometimes("all act on the new version", |_, state: &State| {
                 let new = |gateway: &Agreement| {
-                    gateway.stand() == Stand::Confirmed && gateway.content().version == NEW
+                    gateway.mode() == Mode::Confirmed && gateway.content().version == NEW
                 };
                 state.gateways.iter().all(new)
             }),
             Property::sometimes(
-                "one is on its ground while another acts on the new version",
+                "one is on its fallback while another acts on the new version",
                 |_, state: &State| {
-                    let is = |stand| move |gateway: &Agreement| gateway.stand() == stand;
+                    let is = |mode| move |gateway: &Agreement| gateway.mode() == mode;
                     state.new_since.is_some()
-                        && state.gateways.iter().any(is(Stand::Ground))
-                        && state.gateways.iter().any(is(Stand::Confirmed))
+                        && state.gateways.iter().any(is(Mode::Fallback))
+                        && state.gateways.iter().any(is(Mode::Confirmed))
                 },
             ),
         ]
--- a/crates/agreement/tests/rules.rs
+++ b/crates/agreement/tests/rules.rs
@@ -1,7 +1,7 @@
-//! Which versions may follow: over chains of admissible ones the ground of any earlier version stays consistent with the
+//! Which versions may follow: over chains of admissible ones the fallback of any earlier version stays consistent with the
 //! newest; digests tell contents apart and nothing else.
 
-use agreement::rules::{Ground, Version, changes, contradicts, objections};
+use agreement::rules::{Fallback, Version, changes, contradicts, objections};
 use martenramp::host::Settings;
 
 fn settings(quota: f64, fleet: f64) -> Settings {
@@ -24,7 +24,7 @@
 
 fn version(number: u64, quota: f64, fleet: f64) -> Version {
     let settings = settings(quota, fleet);
-    Version { number, start: 0, ground: Ground::of(&settings), settings }
+    Version { number, start: 0, fallback: Fallback::of(&settings), settings }
 }
 
 fn of(settings: &Settings, name: &str) -> f64 {
@@ -32,48 +32,48 @@
 }
 
 #[test]
-fn the_ground_lets_in_no_more_and_repeats_nothing() {
+fn the_fallback_lets_in_no_more_and_repeats_nothing() {
     let one = version(1, 100.0, 20.0);
-    let ground = one.on_ground();
-    assert_eq!((of(&ground, "tariffs.0.perSecond"), of(&ground, "tariffs.0.depth")), (50.0, 100.0));
-    assert!(!ground.contains_key("tariffs.0.overWorth"));
+    let fallback = one.fallback_settings();
+    assert_eq!((of(&fallback, "tariffs.0.perSecond"), of(&fallback, "tariffs.0.depth")), (50.0, 100.0));
+    assert!(!fallback.contains_key("tariffs.0.overWorth"));
     assert_eq!(
-        (ground["classes.0.idempotency"].as_str(), of(&ground, "ceilings.attemptsCap")),
+        (fallback["classes.0.idempotency"].as_str(), of(&fallback, "ceilings.attemptsCap")),
         ("single_shot", 2.0)
     );
 }
 
 #[test]
-fn over_any_chain_of_admissible_versions_every_earlier_ground_stays_consistent() {
+fn over_any_chain_of_admissible_versions_every_earlier_fallback_stays_consistent() {
     let mut chance = fastrand::Rng::with_seed(11);
     let mut chains = 0;
     for _ in 0..300 {
         let mut chain = vec![version(1, 100.0, 20.0)];
-        chain[0].ground.gateways = 60.0;
+        chain[0].fallback.gateways = 60.0;
         for _ in 0..60 {
             let last = &chain[chain.len() - 1];
             let quota = of(&last.settings, "tariffs.0.perSecond") * (0.3 + 2.0 * chance.f64());
             let fleet = (1.0 + 80.0 * chance.f64()).round();
             let mut next = version(last.number + 1, quota, fleet);
-            next.ground.quota = 0.05 + 0.95 * chance.f64();
-            next.ground.gateways = (1.0 + 80.0 * chance.f64()).round();
+            next.fallback.quota = 0.05 + 0.95 * chance.f64();
+            next.fallback.gateways = (1.0 + 80.0 * chance.f64()).round();
             if objections(last, &next).is_empty() {
                 chain.push(next);
             }
         }
         chains += usize::from(chain.len() > 2);
         for (at, old) in chain.iter().enumerate() {
-            let ground = old.on_ground();
-            // A gateway on an old ground beside those on any later version, or, before the time of the next, beside the old.
+            let fallback = old.fallback_settings();
+            // A gateway on an old fallback beside those on any later version, or, before the time of the next, beside the old.
             for (later, new) in chain.iter().enumerate().filter(|(later, _)| *later + 1 >= at) {
                 for name in ["tariffs.0.perSecond", "tariffs.0.depth"] {
-                    let (low, high) = (of(&ground, name), of(&new.settings, name));
+                    let (low, high) = (of(&fallback, name), of(&new.settings, name));
                     assert!(
                         low <= high * 1.000001,
-                        "{name}: ground {at} of {low} beside version {later} of {high}"
+                        "{name}: fallback {at} of {low} beside version {later} of {high}"
                     );
                 }
-                assert!(of(&ground, "balancers") >= of(&new.settings, "balancers"));
+                assert!(of(&fallback, "balancers") >= of(&new.settings, "balancers"));
             }
         }
     }
@@ -91,7 +91,7 @@
     assert_eq!(told(&|_| ()), "");
     assert!(told(&|new| new.number = 4).contains("not above 4"));
     assert!(told(&|new| new.settings = settings(40.0, 20.0)).contains("below the old ground of 50"));
-    assert!(told(&|new| new.ground.quota = 0.1).contains("the ground falls from 50 to 10"));
+    assert!(told(&|new| new.fallback.quota = 0.1).contains("the ground falls from 50 to 10"));
     assert!(
         told(&|new| new.settings = settings(300.0, 20.0))
             .contains("the new ground of 150 is above the old 100")
@@ -108,9 +108,9 @@
         told(&|new| drop(new.settings.insert("ceilings.attemptsCap".into(), "1".into())))
             .contains("call-outs fall")
     );
-    // A cap where there was none contradicts those who have none on their ground.
+    // A cap where there was none contradicts those who have none on their fallback.
     assert!(told(&|new| drop(new.settings.insert("tariffs.0.maxOut".into(), "5".into()))).contains("maxOut"));
-    assert!(told(&|new| new.ground.quota = f64::NAN).contains("share of quotas"));
+    assert!(told(&|new| new.fallback.quota = f64::NAN).contains("share of quotas"));
 }
 
 #[test]
@@ -136,9 +136,9 @@
     }
     let mut started = one.clone();
     started.start = 5;
-    let mut grounded = one.clone();
-    grounded.ground.quota = 0.6;
-    seen.extend([started.content().digest, grounded.content().digest]);
+    let mut bounded = one.clone();
+    bounded.fallback.quota = 0.6;
+    seen.extend([started.content().digest, bounded.content().digest]);
     let count = seen.len();
     seen.sort();
     seen.dedup();
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -2,7 +2,7 @@
 
 use crate::counter;
 use agreement::Nanos;
-use agreement::rules::{Ground, Version};
+use agreement::rules::{Fallback, Version};
 use agreement::state::Terms;
 use martenramp::host::Settings;
 use serde_json::Value;
@@ -227,8 +227,8 @@
         Value::Null => Ok(default),
         told => told.as_f64().filter(|told| *told > 0.0).ok_or(format!("'{name}' is no amount above 0")),
     };
-    let usual = Ground::of(settings);
-    let ground = Ground {
+    let usual = Fallback::of(settings);
+    let ground = Fallback {
         quota: amount(&told["ground"], "quota", usual.quota)?,
         gateways: amount(&told["ground"], "gateways", usual.gateways)?,
         attempts: amount(&told["ground"], "attempts", usual.attempts)?,
@@ -249,7 +249,7 @@
     if terms.lease < 4 * terms.clock {
         return Err("'lease' is below four times 'clock'".to_string());
     }
-    let version = Version { number, start, ground, settings: settings.clone() };
+    let version = Version { number, start, fallback: ground, settings: settings.clone() };
     if let Some(fault) = version.faults().first() {
         return Err(format!("'agreement': {fault}"));
     }
--- a/crates/gateway/src/gateway/agreeing.rs
+++ b/crates/gateway/src/gateway/agreeing.rs
@@ -8,7 +8,7 @@
 use agreement::lists::{Lists, Seen};
 use agreement::message::{LeaseMessage, ListNotice};
 use agreement::rules::{Version, objections};
-use agreement::state::{Agreement, Heard, Stand};
+use agreement::state::{Agreement, Heard, Mode};
 
 /// A version with what the wire needs of it.
 struct Held {
@@ -22,7 +22,7 @@
     /// Held, and waiting for its time.
     held: Held,
     waits: Option<Held>,
-    acting: (Content, Stand),
+    acting: (Content, Mode),
     all: SocketAddr,
     /// For drills: what is added to the clock here.
     clock_off: i64,
@@ -67,7 +67,7 @@
             state.forget();
         }
         let held = Held { version: told.version, methods: Vec::new(), plans: Vec::new() };
-        let acting = (content, Stand::Ground);
+        let acting = (content, Mode::Fallback);
         info!(desk.log, "agreeing"; "peers" => %heard_at, "voter" => state.is_voter(), "bound_ms" => state.terms().bound() / MS);
         self.pact = Some(Pact {
             state,
@@ -89,7 +89,7 @@
     }
 
     /// The module acts on this from now on.
-    fn act_on(&mut self, acting: (Content, Stand), why: &'static str) {
+    fn act_on(&mut self, acting: (Content, Mode), why: &'static str) {
         let Some(pact) = &mut self.pact else { return };
         if pact.held.version.content() != acting.0
             && let Some(new) = pact.waits.take_if(|waits| waits.version.content() == acting.0)
@@ -101,12 +101,12 @@
         pact.acting = acting;
         let version = &pact.held.version;
         let settings = match acting.1 {
-            Stand::Confirmed => version.settings.clone(),
-            Stand::Ground => version.on_ground(),
+            Mode::Confirmed => version.settings.clone(),
+            Mode::Fallback => version.fallback_settings(),
         };
         let now = self.desk.net.now;
         info!(self.desk.log, "settings"; "why" => why, "version" => acting.0.version, "digest" => short(acting.0),
-            "acts_on" => if acting.1 == Stand::Confirmed { "version" } else { "ground" }, "at" => now);
+            "acts_on" => if acting.1 == Mode::Confirmed { "version" } else { "ground" }, "at" => now);
         self.desk.config.settle(settings.clone());
         self.brain.settle(now, settings);
     }
@@ -126,9 +126,9 @@
         let (was, acting) = (pact.acting, pact.state.at(now));
         if acting != was {
             let why = match (acting.0 == was.0, acting.1) {
-                (_, Stand::Ground) => "not-confirmed",
-                (true, Stand::Confirmed) => "confirmed",
-                (false, Stand::Confirmed) => "new-version",
+                (_, Mode::Fallback) => "not-confirmed",
+                (true, Mode::Confirmed) => "confirmed",
+                (false, Mode::Confirmed) => "new-version",
             };
             self.act_on(acting, why);
         }
@@ -265,7 +265,7 @@
             0 => "never".to_string(),
             at => (self.desk.net.now.saturating_sub(at) / MS).to_string(),
         };
-        let acts_on = if stand == Stand::Confirmed { "version" } else { "ground" };
+        let acts_on = if stand == Mode::Confirmed { "version" } else { "ground" };
         let waits =
             pact.state.waiting().map_or(String::new(), |waits| format!(", waits={}", waits.0.version));
         format!(
