Agreement's state in the terms of leases; the model check seeds its mistakes from outside

The state machine held the voters' leases, the terms and five cfg(test) branches for the model check. Terms and Grants are modules of their own; methods have the usual names (offer, receive, evaluate, poll_messages); outcomes are Offer, Rejection (thiserror), Receipt, Decision and ScheduledContent in place of booleans and tuples. The model check now changes a gateway's state from its test module: no production function knows a mistake, and all five are still found. Log reasons and the wire are as before.

--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod message;
 pub mod rules;
 pub mod state;
+pub mod terms;
 
 pub use martenramp::host::Nanos;
--- a/crates/agreement/src/state.rs
+++ b/crates/agreement/src/state.rs
@@ -1,452 +1,417 @@
-//! The state machine of one gateway. A few gateways are voters. A voter says for which content it is, and from when until
-//! when; the spans that it gives for different contents never overlap. A gateway acts on a content only at instants of
-//! its own clock for which a majority of the voters are for it, and acts on its fallback otherwise.
+//! The state machine of one gateway. A few gateways are voters. A voter grants leases on one content at a time: leases of one
+//! voter on different contents never overlap. A gateway acts on a content only at instants of its own clock at which a
+//! majority of the voters have it leased, and acts on its fallback otherwise.
+
+mod grants;
+#[cfg(test)]
+mod tests;
 
 use crate::Nanos;
 use crate::lease::{Content, Lease};
 use crate::message::{LeaseMessage, MessageKind};
-use std::collections::{BTreeMap, BTreeSet};
+use crate::terms::Terms;
+use grants::Grants;
+use std::collections::BTreeMap;
 
-/// What all gateways are told alike.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Terms {
-    /// Numbers of the gateways that vote.
-    pub voters: BTreeSet<u32>,
-    /// How long the spans are that a voter gives.
-    pub lease: Nanos,
-    /// How far any gateway's clock may be from true time.
-    pub clock: Nanos,
-}
-
-impl Terms {
-    /// The bound of the contract: for no longer do two gateways act on contents that contradict each other.
-    pub fn bound(&self) -> Nanos {
-        2 * self.clock
-    }
-
-    fn majority(&self) -> usize {
-        self.voters.len() / 2 + 1
-    }
-
-    /// So many voters that remember, beside one that does not, share one with every majority that it was in.
-    fn enough_to_ask(&self) -> usize {
-        self.voters.len() - self.majority() + 1
-    }
-
-    /// How often a voter speaks.
-    pub fn every(&self) -> Nanos {
-        (self.lease / 4).max(1)
-    }
-}
+/// A start that never comes.
+const NEVER: Nanos = Nanos::MAX;
+/// A version starts so many leases after it came, at the earliest.
+const NOTICE_LEASES: Nanos = 2;
+/// A lease that says to be longer than so many of the terms' is ignored.
+const LONGEST_LEASES: Nanos = 4;
 
 /// What a gateway acts on: all of its content, or only that content's fallback.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Mode {
+    /// The fallback of the content.
     Fallback,
+    /// The content itself: a majority of the voters has it leased now.
     Confirmed,
 }
 
-/// Where a voter stands after its start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum Voice {
-    /// The words of its last life may still hold: it says nothing.
-    Silent,
-    /// It asks what the others are for.
-    Asking,
-    /// It is for a content.
-    Speaking,
+/// What a gateway may act on at an instant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Decision {
+    /// The content that is held.
+    pub content: Content,
+    /// Whether it or only its fallback may be acted on.
+    pub mode: Mode,
+}
+
+/// A content that a gateway has, and when it starts to hold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ScheduledContent {
+    /// The content.
+    pub content: Content,
+    /// When it starts to hold, Unix time.
+    pub start: Nanos,
 }
 
-/// A file that was not taken, and why.
+/// What became of a content that was offered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Refused {
+pub enum Offer {
+    /// It is new, and waits for its start.
+    Scheduled,
+    /// It is held or waits already.
+    Known,
+}
+
+/// Why a content that was offered is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Rejection {
     /// A version below the one held, or below one that already waits.
-    Older,
+    #[error("a newer version is held or waits")]
+    OlderVersion,
     /// The same version with another content was held or heard of: nobody is to act on either.
+    #[error("another content goes by the same version")]
     TwoContents,
 }
 
-impl Refused {
-    pub fn why(self) -> &'static str {
+impl Rejection {
+    /// The reason by which logs name it.
+    pub fn log_reason(self) -> &'static str {
         match self {
-            Refused::Older => "older-version",
-            Refused::TwoContents => "two-contents",
+            Rejection::OlderVersion => "older-version",
+            Rejection::TwoContents => "two-contents",
         }
     }
 }
 
-/// What became of a word.
+/// What became of a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Heard {
-    Counts,
-    /// From no voter, long over, or of an impossible lease: nothing is changed by it.
-    Nothing,
-    /// Said later than this gateway's clock can be: its clock is behind, or the speaker's ahead.
-    Ahead,
+pub enum Receipt {
+    /// Its lease counts.
+    Accepted,
+    /// From no voter, of a lease that is over or impossible, or of none: it confirms nothing.
+    Ignored,
+    /// Sent later than this gateway's clock can be: its clock is behind, or the sender's ahead.
+    SentAhead,
     /// It names another content for the version that waits here, which is dropped.
     TwoContents,
 }
 
-/// A content that a gateway has, and when it starts to hold.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-struct Held {
-    content: Content,
-    start: Nanos,
+/// Where a voter stands after its start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum VoterPhase {
+    /// Leases of its last incarnation may still hold: it sends nothing.
+    Silent,
+    /// It asks what the others have granted.
+    Recovering,
+    /// It grants leases.
+    Granting,
+}
+
+/// What another voter told a recovering one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct RecoveryReport {
+    /// Whether it remembers what it granted.
+    remembers: bool,
+    /// The version that it grants leases on, or recovers with.
+    version: u64,
 }
 
 /// One gateway's part in the agreement.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Agreement {
     terms: Terms,
-    number: Option<u32>,
-    life: u32,
-    born: Nanos,
+    /// So many voters have to be for a content.
+    quorum: usize,
+    gateway: Option<u32>,
+    incarnation: u32,
+    /// Until then leases of this voter's last incarnation may hold.
+    silent_until: Nanos,
     /// What is acted on, or whose fallback is; and what waits for its start.
-    current: Held,
-    next: Option<Held>,
+    current: ScheduledContent,
+    next: Option<ScheduledContent>,
     mode: Mode,
     /// Where two contents of a version met: the one dropped here, told on until a higher version is taken.
     dropped: Option<Content>,
-    voice: Voice,
-    /// While it asks: of each other voter, whether it remembers, and the version it is for or asks with.
-    asked: BTreeMap<u32, (bool, u64)>,
-    /// What this voter is for, and until when it has said so at most.
-    favour: Held,
-    given: Nanos,
-    tells_at: Nanos,
-    /// What each voter said last, by what it was for: with the life that said it.
-    heard: BTreeMap<u32, Vec<(u32, Lease)>>,
+    phase: VoterPhase,
+    /// While it recovers: what each voter told.
+    reports: BTreeMap<u32, RecoveryReport>,
+    /// What this voter grants leases on, and when the last of them ends.
+    preferred: ScheduledContent,
+    granted_until: Nanos,
+    next_message_at: Nanos,
+    grants: Grants,
     /// When the current content was last confirmed.
-    confirmed: Nanos,
-    /// The model checker's: a mistake built in, which it has to find.
-    #[cfg(test)]
-    pub(crate) flaw: &'static str,
+    last_confirmed: Nanos,
 }
 
-/// Of what a voter said, so many spans are kept for each content.
-const KEPT: usize = 2;
-
 impl Agreement {
-    /// A gateway that starts with this content, which holds from `start` on (long past for one that has held). `number`
-    /// is none for a gateway that was not told its own; `life` is drawn anew by each process.
+    /// A gateway that starts with this content, which holds from `start` on (long past for one that has held). `gateway`
+    /// is none for one that was not told its own number; `incarnation` is drawn anew by each process.
     pub fn new(
         terms: Terms,
-        number: Option<u32>,
-        life: u32,
+        gateway: Option<u32>,
+        incarnation: u32,
         now: Nanos,
         content: Content,
         start: Nanos,
     ) -> Agreement {
-        let held = Held { content, start };
+        let scheduled = ScheduledContent { content, start };
         Agreement {
+            quorum: terms.quorum(),
+            silent_until: now.saturating_add(terms.lease).saturating_add(terms.clock_difference()),
             terms,
-            number,
-            life,
-            born: now,
-            current: held,
+            gateway,
+            incarnation,
+            current: scheduled,
             next: None,
             mode: Mode::Fallback,
             dropped: None,
-            voice: Voice::Silent,
-            asked: BTreeMap::new(),
-            favour: held,
-            given: 0,
-            tells_at: now,
-            heard: BTreeMap::new(),
-            confirmed: 0,
-            #[cfg(test)]
-            flaw: "",
+            phase: VoterPhase::Silent,
+            reports: BTreeMap::new(),
+            preferred: scheduled,
+            granted_until: 0,
+            next_message_at: now,
+            grants: Grants::default(),
+            last_confirmed: 0,
         }
     }
 
-    /// The operators' word that nothing has to be remembered (a fleet's first start, or too many voters lost for good): this
+    /// The operators say that nothing has to be remembered (a fleet's first start, or too many voters lost for good): this
     /// voter asks nobody. Harm: told to some while others remember, a version can hold again that another has followed.
-    pub fn forget(&mut self) {
-        self.asked = self.terms.voters.iter().map(|voter| (*voter, (true, 0))).collect();
+    pub fn skip_recovery(&mut self) {
+        let report = RecoveryReport { remembers: true, version: 0 };
+        self.reports = self.terms.voters.iter().map(|voter| (*voter, report)).collect();
     }
 
+    /// What the gateways are configured with.
     pub fn terms(&self) -> &Terms {
         &self.terms
     }
 
+    /// Whether this gateway grants leases.
     pub fn is_voter(&self) -> bool {
-        self.number.is_some_and(|number| self.terms.voters.contains(&number))
+        self.gateway.is_some_and(|gateway| self.terms.voters.contains(&gateway))
     }
 
+    /// The content that is held.
     pub fn content(&self) -> Content {
         self.current.content
     }
 
-    /// What waits, and when it starts.
-    pub fn waiting(&self) -> Option<(Content, Nanos)> {
-        self.next.map(|next| (next.content, next.start))
+    /// What waits for its start.
+    pub fn waiting(&self) -> Option<ScheduledContent> {
+        self.next
     }
 
+    /// What was found to be acted on last.
     pub fn mode(&self) -> Mode {
         self.mode
     }
 
     /// When the content was last confirmed; 0 is never.
-    pub fn confirmed(&self) -> Nanos {
-        self.confirmed
+    pub fn last_confirmed(&self) -> Nanos {
+        self.last_confirmed
     }
 
-    /// A file came. True if it is new and waits now, false if it is what is held or waits already. A start that is less
-    /// than two leases ahead is put off to that, so that gateways with two contents of one version can hear of it first.
-    pub fn take(&mut self, now: Nanos, content: Content, start: Nanos) -> Result<bool, Refused> {
-        let newest = self.next.unwrap_or(self.current).content;
+    /// A content came. A start that is less than two leases ahead is put off to that, so that gateways with two contents
+    /// of one version can hear of it first.
+    pub fn offer(&mut self, now: Nanos, content: Content, start: Nanos) -> Result<Offer, Rejection> {
+        let newest = self.newest().content;
         if content == newest || content == self.current.content {
-            return Ok(false);
+            return Ok(Offer::Known);
         }
         if self.dropped == Some(content) {
-            return Err(Refused::TwoContents);
+            return Err(Rejection::TwoContents);
         }
         if content.version == newest.version {
-            self.drop_unbegun(now, content);
-            return Err(Refused::TwoContents);
+            self.drop_unstarted(now, content);
+            return Err(Rejection::TwoContents);
         }
         if content.version < newest.version {
-            return Err(Refused::Older);
+            return Err(Rejection::OlderVersion);
         }
-        let start = start.max(now + 2 * self.terms.lease);
-        (self.next, self.dropped) = (Some(Held { content, start }), None);
-        Ok(true)
+        let start = start.max(now + NOTICE_LEASES * self.terms.lease);
+        self.next = Some(ScheduledContent { content, start });
+        self.dropped = None;
+        Ok(Offer::Scheduled)
+    }
+
+    fn newest(&self) -> ScheduledContent {
+        self.next.unwrap_or(self.current)
     }
 
     /// Two contents of one version have met: the one here is dropped if it has not begun to hold.
-    fn drop_unbegun(&mut self, now: Nanos, other: Content) -> bool {
-        let clashes = |held: &Held| held.content.version == other.version && held.content != other;
-        if let Some(next) = self.next.filter(|next| clashes(next) && self.favour != *next) {
+    fn drop_unstarted(&mut self, now: Nanos, other: Content) -> bool {
+        let conflicts =
+            |held: &ScheduledContent| held.content.version == other.version && held.content != other;
+        if let Some(next) = self.next.filter(|next| conflicts(next) && self.preferred != *next) {
             (self.dropped, self.next) = (Some(next.content), None);
             return true;
         }
         // Started on a file whose time has not come: there is nothing older to go on with but its fallback.
         let current = self.current;
-        if clashes(&current) && current.start > now && self.given == 0 && current.start < Nanos::MAX {
+        if conflicts(&current) && current.start > now && self.granted_until == 0 && current.start < NEVER {
             self.dropped = Some(current.content);
-            (self.current.start, self.favour.start) = (Nanos::MAX, Nanos::MAX);
+            (self.current.start, self.preferred.start) = (NEVER, NEVER);
             return true;
         }
         false
     }
 
-    /// A word came.
-    pub fn hear(&mut self, now: Nanos, message: &LeaseMessage) -> Heard {
+    /// A message came.
+    pub fn receive(&mut self, now: Nanos, message: &LeaseMessage) -> Receipt {
         // Two clocks within the bound are apart by twice of it. Guards against acting on an old content for too long by a
-        // clock that is behind. Harm: a speaker whose clock is ahead counts for nothing.
-        if message.sent > now.saturating_add(2 * self.terms.clock) {
-            return Heard::Ahead;
+        // clock that is behind. Harm: a sender whose clock is ahead counts for nothing.
+        if message.sent > now.saturating_add(self.terms.clock_difference()) {
+            return Receipt::SentAhead;
         }
         let lease = message.lease;
-        if self.drop_unbegun(now, lease.content) {
-            return Heard::TwoContents;
+        if self.drop_unstarted(now, lease.content) {
+            return Receipt::TwoContents;
         }
-        // What was said before the last words of this voter's earlier life were over may be older than they are.
-        if self.voice != Voice::Speaking
-            && self.terms.voters.contains(&message.gateway)
-            && message.sent >= self.silent_until()
-        {
-            let remembers = message.kind == MessageKind::Grant;
-            if message.kind != MessageKind::Holding {
-                self.asked.insert(message.gateway, (remembers, lease.content.version));
-            }
+        let from_voter = self.terms.voters.contains(&message.gateway);
+        if from_voter {
+            self.note_report(message);
         }
-        let sane = message.kind == MessageKind::Grant
+        let plausible = message.kind == MessageKind::Grant
             && lease.from < lease.until
-            && lease.until - lease.from <= 4 * self.terms.lease;
-        if !self.terms.voters.contains(&message.gateway) || !sane || lease.until <= now {
-            return Heard::Nothing;
+            && lease.until - lease.from <= LONGEST_LEASES * self.terms.lease;
+        if !from_voter || !plausible || lease.until <= now {
+            return Receipt::Ignored;
         }
-        self.keep(now, message.gateway, message.incarnation, lease);
-        Heard::Counts
+        self.grants.record(now, message.gateway, message.incarnation, lease);
+        Receipt::Accepted
     }
 
-    fn keep(&mut self, now: Nanos, number: u32, life: u32, lease: Lease) {
-        let said = self.heard.entry(number).or_default();
-        said.retain(|(_, old)| old.until > now);
-        if said.contains(&(life, lease)) {
+    /// Keeps what a voter tells a recovering one.
+    fn note_report(&mut self, message: &LeaseMessage) {
+        // What was sent before the last leases of this voter's earlier incarnation were over may be older than they are.
+        if self.phase == VoterPhase::Granting
+            || message.sent < self.silent_until
+            || message.kind == MessageKind::Holding
+        {
             return;
         }
-        said.push((life, lease));
-        said.sort_by_key(|(_, lease)| (lease.content, lease.until, lease.from));
-        let count = said.iter().filter(|(_, old)| old.content == lease.content).count();
-        if count > KEPT {
-            let oldest = said.iter().position(|(_, old)| old.content == lease.content);
-            oldest.into_iter().for_each(|at| _ = said.remove(at));
-        }
+        let report = RecoveryReport {
+            remembers: message.kind == MessageKind::Grant,
+            version: message.lease.content.version,
+        };
+        self.reports.insert(message.gateway, report);
     }
 
-    /// Whether a majority of the voters is for this content at this instant. A voter that was heard to be for two
-    /// contents at once, or in two lives at once (two processes that go by one number), is for none.
-    fn majority_for(&self, content: Content, at: Nanos) -> bool {
-        let is_for = |said: &&Vec<(u32, Lease)>| {
-            let mut now = said.iter().filter(|(_, lease)| lease.covers(at));
-            let Some((life, lease)) = now.next() else { return false };
-            lease.content == content && now.all(|(other, also)| other == life && also.content == content)
-        };
-        let voters = self.heard.values().filter(is_for).count();
-        voters >= self.terms.majority() - usize::from(self.is_flawed("half is enough"))
+    fn has_majority(&self, content: Content, at: Nanos) -> bool {
+        self.grants.votes_for(content, at) >= self.quorum
     }
 
     /// What may be acted on at this instant of this gateway's clock. Has to be asked before anything is decided, also
     /// after a pause. Every change of the mode goes through here.
-    pub fn at(&mut self, now: Nanos) -> (Content, Mode) {
-        if let Some(next) = self.next.filter(|next| self.majority_for(next.content, now)) {
+    pub fn evaluate(&mut self, now: Nanos) -> Decision {
+        if let Some(next) = self.next.filter(|next| self.has_majority(next.content, now)) {
             (self.current, self.next) = (next, None);
         }
-        let confirmed = self.majority_for(self.current.content, now)
-            || self.is_flawed("never falls back") && self.confirmed > 0;
-        self.mode = if confirmed { Mode::Confirmed } else { Mode::Fallback };
-        if confirmed {
-            self.confirmed = now;
+        let content = self.current.content;
+        if self.has_majority(content, now) {
+            self.mode = Mode::Confirmed;
+            self.last_confirmed = now;
+        } else {
+            self.mode = Mode::Fallback;
         }
-        (self.current.content, self.mode)
+        Decision { content, mode: self.mode }
     }
 
-    /// When to ask again at the latest if nothing is heard until then: what is confirmed may end, what waits may begin,
-    /// and a voter speaks.
-    pub fn next_look(&self, now: Nanos) -> Nanos {
-        let ends = self.heard.values().flatten().flat_map(|(_, lease)| [lease.from, lease.until]);
-        let starts = self.next.map(|next| next.start);
-        let soon = ends.chain(starts).filter(|at| *at > now).min().unwrap_or(Nanos::MAX);
-        soon.min(self.tells_at.max(now + 1))
+    /// When to evaluate again at the latest if nothing is received until then: what is confirmed may end, what waits may
+    /// begin, and a voter sends.
+    pub fn next_evaluation(&self, now: Nanos) -> Nanos {
+        let start = self.next.map(|next| next.start);
+        let changes = self.grants.boundaries().chain(start);
+        let next_change = changes.filter(|at| *at > now).min().unwrap_or(NEVER);
+        next_change.min(self.next_message_at.max(now + 1))
     }
 
-    /// What this gateway has to tell all others now.
-    pub fn tell(&mut self, now: Nanos) -> Vec<LeaseMessage> {
-        if now < self.tells_at {
+    /// What this gateway has to send to all others now.
+    pub fn poll_messages(&mut self, now: Nanos) -> Vec<LeaseMessage> {
+        if now < self.next_message_at {
             return Vec::new();
         }
-        let voter = self.is_voter();
-        // Who does not vote speaks only where two contents met, and seldom.
-        self.tells_at = now + if voter { self.terms.every() } else { self.terms.lease };
-        let Some(number) = self.number else { return Vec::new() };
-        let life = self.life;
-        let message =
-            |kind, lease: Lease| LeaseMessage { gateway: number, incarnation: life, sent: now, kind, lease };
-        let holds =
-            |content: Content| message(MessageKind::Holding, Lease { content, from: now, until: now });
+        let is_voter = self.is_voter();
+        // Who does not vote sends only where two contents met, and seldom.
+        let interval = if is_voter { self.terms.renewal_interval() } else { self.terms.lease };
+        self.next_message_at = now + interval;
+        let Some(gateway) = self.gateway else { return Vec::new() };
+        let mut messages = if is_voter { self.voter_messages(now, gateway) } else { Vec::new() };
+        messages
+            .extend(self.dropped.map(|content| self.ungranted(now, gateway, MessageKind::Holding, content)));
+        messages
+    }
+
+    fn voter_messages(&mut self, now: Nanos, gateway: u32) -> Vec<LeaseMessage> {
         let mut messages = Vec::new();
-        if voter {
-            self.find_voice(now);
-            if self.voice == Voice::Asking {
-                messages.push(message(
-                    MessageKind::Query,
-                    Lease { content: self.current.content, from: now, until: now },
-                ));
-            }
-            let waiting = self.next.filter(|next| *next != self.favour).map(|next| holds(next.content));
-            let lease = self.give(now);
-            messages.extend(lease.map(|lease| message(MessageKind::Grant, lease)));
-            messages.extend(waiting);
-            lease.into_iter().for_each(|lease| self.keep(now, number, life, lease));
+        self.advance_phase(now);
+        if self.phase == VoterPhase::Recovering {
+            messages.push(self.ungranted(now, gateway, MessageKind::Query, self.current.content));
+        }
+        let waiting = self.next.filter(|next| *next != self.preferred);
+        if let Some(lease) = self.grant(now) {
+            let (incarnation, kind) = (self.incarnation, MessageKind::Grant);
+            messages.push(LeaseMessage { gateway, incarnation, sent: now, kind, lease });
+            self.grants.record(now, gateway, incarnation, lease);
         }
-        messages.extend(self.dropped.map(holds));
+        let holding =
+            |next: ScheduledContent| self.ungranted(now, gateway, MessageKind::Holding, next.content);
+        messages.extend(waiting.map(holding));
         messages
     }
 
-    fn silent_until(&self) -> Nanos {
-        if self.is_flawed("speaks at once") {
-            return self.born;
-        }
-        // Clocks of two lives, or of two gateways, are apart by twice the bound.
-        self.born.saturating_add(self.terms.lease).saturating_add(2 * self.terms.clock)
+    /// A message that grants nothing: its lease is empty.
+    fn ungranted(&self, now: Nanos, gateway: u32, kind: MessageKind, content: Content) -> LeaseMessage {
+        let lease = Lease { content, from: now, until: now };
+        LeaseMessage { gateway, incarnation: self.incarnation, sent: now, kind, lease }
     }
 
-    /// Every change of the voice goes through here. Guards against a restart, after which a voter remembers nothing: its
-    /// last life may have said what still holds, and may have been for a version above the file it started on. So it
-    /// says nothing for a lease, and is for nothing until so many voters that remember have told what they are for that one
-    /// of them was in every majority with it; or until all have told, where too few remember. Harm: where too few remember
+    /// Every change of the phase goes through here. Guards against a restart, after which a voter remembers nothing: leases
+    /// of its last incarnation may still hold, and may have been on a version above the one it started on. So it
+    /// is silent for a lease, and grants nothing until so many voters that remember have reported that one of them
+    /// was in every majority with it; or until all have, where too few remember. Harm: where too few remember
     /// and one is away, everybody is on the fallback until that one is back.
-    fn find_voice(&mut self, now: Nanos) {
-        if self.voice == Voice::Silent && now >= self.silent_until() {
-            self.voice = Voice::Asking;
+    fn advance_phase(&mut self, now: Nanos) {
+        if self.phase == VoterPhase::Silent && now >= self.silent_until {
+            self.phase = VoterPhase::Recovering;
         }
-        if self.voice != Voice::Asking {
+        if self.phase != VoterPhase::Recovering {
             return;
         }
-        let own = self.number;
-        let others = self.asked.iter().filter(|(number, _)| Some(**number) != own);
-        let (heard, highest) =
-            others.clone().fold((0, 0), |(heard, highest), (_, said)| (heard + 1, said.1.max(highest)));
-        let remember = others.filter(|(_, said)| said.0).count();
-        let enough = remember >= self.terms.enough_to_ask() || heard + 1 >= self.terms.voters.len();
-        let newest = self.next.unwrap_or(self.current);
-        if (enough && highest <= newest.content.version) || self.is_flawed("asks nobody") {
-            self.voice = Voice::Speaking;
-            self.asked.clear();
+        let others = self.reports.iter().filter(|(voter, _)| Some(**voter) != self.gateway);
+        let others: Vec<&RecoveryReport> = others.map(|(_, report)| report).collect();
+        let highest = others.iter().map(|report| report.version).max().unwrap_or(0);
+        let remembering = others.iter().filter(|report| report.remembers).count();
+        let enough =
+            remembering >= self.terms.recovery_quorum() || others.len() + 1 >= self.terms.voters.len();
+        let newest = self.newest();
+        if enough && highest <= newest.content.version {
+            self.phase = VoterPhase::Granting;
+            self.reports.clear();
             if highest > self.current.content.version {
-                self.favour = newest;
+                self.preferred = newest;
             }
         }
     }
 
-    /// The lease that this voter gives now, if any.
-    fn give(&mut self, now: Nanos) -> Option<Lease> {
-        if self.voice != Voice::Speaking {
+    /// The lease that this voter grants now, if any.
+    fn grant(&mut self, now: Nanos) -> Option<Lease> {
+        if self.phase != VoterPhase::Granting {
             return None;
         }
-        let over = now >= self.given || self.is_flawed("overlaps");
-        if let Some(next) = self.next.filter(|next| now >= next.start && over) {
-            self.favour = next;
+        let leases_over = now >= self.granted_until;
+        if let Some(next) = self.next.filter(|next| now >= next.start && leases_over) {
+            self.preferred = next;
         }
         // Others have moved on before this voter's own time for it.
-        let behind = self.current.content.version > self.favour.content.version;
-        if behind && over {
-            self.favour = self.current;
-        } else if behind {
-            return None;
+        if self.current.content.version > self.preferred.content.version {
+            if !leases_over {
+                return None;
+            }
+            self.preferred = self.current;
         }
-        let waits = self.next.filter(|next| *next != self.favour && !self.is_flawed("overlaps"));
-        let until = waits.map_or(Nanos::MAX, |next| next.start).min(now + self.terms.lease);
-        if now < self.favour.start || until <= now {
+        let waiting = self.next.filter(|next| *next != self.preferred);
+        let until = waiting.map_or(NEVER, |next| next.start).min(now + self.terms.lease);
+        if now < self.preferred.start || until <= now {
             return None;
         }
-        self.given = self.given.max(until);
-        Some(Lease { content: self.favour.content, from: now, until })
-    }
-
-    /// Drops what can have no effect any more, so that runs that differ in it only are one to the model checker.
-    #[cfg(test)]
-    pub(crate) fn forget_the_past(&mut self, now: Nanos) {
-        for said in self.heard.values_mut() {
-            said.retain(|(_, lease)| lease.until > now);
-        }
-        self.heard.retain(|_, said| !said.is_empty());
-        if self.voice == Voice::Speaking {
-            self.born = 0;
-        }
-        self.confirmed = self.confirmed.min(1);
-        self.given = if self.given > now { self.given } else { self.given.min(1) };
-    }
-
-    /// As after a long time in service.
-    #[cfg(test)]
-    pub(crate) fn served(mut self) -> Agreement {
-        self.voice = Voice::Speaking;
-        self
-    }
-
-    #[cfg(test)]
-    pub(crate) fn next_word(&self) -> Nanos {
-        self.tells_at
-    }
-
-    #[cfg(test)]
-    pub(crate) fn has_dropped(&self) -> bool {
-        self.dropped.is_some()
-    }
-
-    #[cfg(test)]
-    fn is_flawed(&self, flaw: &str) -> bool {
-        self.flaw == flaw
-    }
-
-    #[cfg(not(test))]
-    fn is_flawed(&self, _flaw: &str) -> bool {
-        false
+        self.granted_until = self.granted_until.max(until);
+        Some(Lease { content: self.preferred.content, from: now, until })
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/agreement/src/state/tests.rs
+++ b/crates/agreement/src/state/tests.rs
@@ -1,10 +1,11 @@
-//! Every run of three gateways, all of them voters, checked: any word is lost, late, doubled or overtaken, files reach who
-//! they reach, gateways stand still and restart with the older or the newer file. Time goes in steps, up to a horizon that
-//! covers the whole change of a version.
+//! Model check of every run of three gateways, all of them voters: any message is lost, late, duplicated or reordered, files
+//! reach who they reach, gateways stand still and restart with the older or the newer file. Time goes in steps, up to a horizon
+//! that covers the whole change of a version. Mistakes seeded by changing a gateway's state from here have to be found.
 
+use super::{Agreement, Mode, VoterPhase};
 use crate::lease::Content;
 use crate::message::{LeaseMessage, MessageKind};
-use crate::state::{Agreement, Mode, Terms};
+use crate::terms::Terms;
 use stateright::{Checker, Model, Property};
 use std::collections::BTreeSet;
 
@@ -29,7 +30,22 @@
     files: [u128; GATEWAYS],
     clocks: [i64; GATEWAYS],
     clock: u64,
-    flaw: &'static str,
+    mistake: Option<Mistake>,
+}
+
+/// A seeded mistake: what a wrong implementation would do, played by changing the state of a right one.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Mistake {
+    /// Half of the voters count as a majority.
+    SmallQuorum,
+    /// What was confirmed once is acted on for good.
+    NeverFallsBack,
+    /// A voter's leases on two contents overlap.
+    OverlappingLeases,
+    /// A restarted voter does not wait until the leases of its last incarnation are over.
+    NoSilence,
+    /// A restarted voter grants leases without a report of the others.
+    NoRecovery,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -63,16 +79,46 @@
 
     fn gateway(&self, number: usize, life: u32, born: u64, content: Content, start: u64) -> Agreement {
         let mut gateway = Agreement::new(self.terms(), Some(number as u32), life, born, content, start);
-        gateway.flaw = self.flaw;
+        match self.mistake {
+            Some(Mistake::SmallQuorum) => gateway.quorum -= 1,
+            Some(Mistake::NoSilence) => gateway.silent_until = born,
+            _ => {}
+        }
         gateway
     }
 
-    fn settled(&self, state: &mut State) {
+    fn evaluate(&self, gateway: &mut Agreement, now: u64) {
+        gateway.evaluate(now);
+        if self.mistake == Some(Mistake::NeverFallsBack) && gateway.last_confirmed > 0 {
+            (gateway.mode, gateway.last_confirmed) = (Mode::Confirmed, now);
+        }
+    }
+
+    fn poll_messages(&self, gateway: &mut Agreement, now: u64) -> Vec<LeaseMessage> {
+        match self.mistake {
+            Some(Mistake::NoRecovery) if now >= gateway.silent_until => {
+                gateway.phase = VoterPhase::Granting;
+                gateway.reports.clear();
+                gateway.poll_messages(now)
+            }
+            Some(Mistake::OverlappingLeases) => {
+                // The voter forgets its last lease, and does not see what waits before its start.
+                gateway.granted_until = 0;
+                let waiting = gateway.next.take_if(|next| now < next.start);
+                let messages = gateway.poll_messages(now);
+                gateway.next = gateway.next.or(waiting);
+                messages
+            }
+            _ => gateway.poll_messages(now),
+        }
+    }
+
+    fn settle(&self, state: &mut State) {
         let now = state.now;
         for (at, gateway) in state.gateways.iter_mut().enumerate() {
             let own = self.clock(now, at);
-            gateway.at(own);
-            gateway.forget_the_past(own);
+            self.evaluate(gateway, own);
+            discard_past(gateway, own);
         }
         let slowest = self.clocks.iter().min().copied().unwrap_or(0);
         let over = now.saturating_add_signed(slowest);
@@ -95,10 +141,11 @@
         // The file has come to some of them two leases ahead. What was said before one lease ahead is over by the start.
         let subset = |told: usize| {
             let gateway = |at: usize| {
-                let mut gateway = self.gateway(at, at as u32, 0, content(OLD, 1), 0).served();
+                let mut gateway = self.gateway(at, at as u32, 0, content(OLD, 1), 0);
+                gateway.phase = VoterPhase::Granting; // as after a long time in service
                 if told & 1 << at != 0 {
                     let now = self.clock(START - 2 * self.lease, at);
-                    let _ = gateway.take(now, content(NEW, self.files[at]), START);
+                    let _ = gateway.offer(now, content(NEW, self.files[at]), START);
                 }
                 gateway
             };
@@ -118,11 +165,11 @@
             if comes
                 && gateway.content().version == OLD
                 && gateway.waiting().is_none()
-                && !gateway.has_dropped()
+                && gateway.dropped.is_none()
             {
                 actions.push(Action::Give(at));
             }
-            if gateway.next_word() <= self.clock(state.now, at) {
+            if gateway.next_message_at <= self.clock(state.now, at) {
                 actions.push(Action::Speak(at));
             }
             let others = state.messages.iter().filter(|message| message.gateway != at as u32);
@@ -140,11 +187,11 @@
             Action::Pass => state.now += 1,
             Action::Give(at) => {
                 let now = self.clock(state.now, at);
-                let _ = state.gateways[at].take(now, content(NEW, self.files[at]), START);
+                let _ = state.gateways[at].offer(now, content(NEW, self.files[at]), START);
             }
             Action::Speak(at) => {
                 let now = self.clock(state.now, at);
-                let messages = state.gateways[at].tell(now);
+                let messages = self.poll_messages(&mut state.gateways[at], now);
                 // Who only says what it holds matters where contents differ.
                 let differ = self.files.iter().any(|file| *file != self.files[0]);
                 state.messages.extend(
@@ -153,7 +200,7 @@
             }
             Action::Hear(at, message) => {
                 let now = self.clock(state.now, at);
-                state.gateways[at].hear(now, &message);
+                state.gateways[at].receive(now, &message);
             }
             Action::Restart(at, newer) => {
                 let now = self.clock(state.now, at);
@@ -163,7 +210,7 @@
                 state.lives += 1;
             }
         }
-        self.settled(&mut state);
+        self.settle(&mut state);
         (state != *last).then_some(state)
     }
 
@@ -201,6 +248,21 @@
     }
 }
 
+/// Drops what can have no effect any more, so that runs that differ in it only are one state.
+fn discard_past(gateway: &mut Agreement, now: u64) {
+    for grants in gateway.grants.by_voter.values_mut() {
+        grants.retain(|grant| grant.lease.until > now);
+    }
+    gateway.grants.by_voter.retain(|_, grants| !grants.is_empty());
+    if gateway.phase == VoterPhase::Granting {
+        gateway.silent_until = 0;
+    }
+    gateway.last_confirmed = gateway.last_confirmed.min(1);
+    if gateway.granted_until <= now {
+        gateway.granted_until = gateway.granted_until.min(1);
+    }
+}
+
 fn world() -> World {
     World {
         lease: 2,
@@ -210,7 +272,7 @@
         files: [1; 3],
         clocks: [0; 3],
         clock: 0,
-        flaw: "",
+        mistake: None,
     }
 }
 
@@ -260,11 +322,12 @@
 
 #[test]
 fn each_mistake_built_in_is_found() {
-    for flaw in ["half is enough", "never falls back", "overlaps"] {
-        assert!(!check(flaw, World { flaw, ..world() }).0, "{flaw} is not found");
+    for mistake in [Mistake::SmallQuorum, Mistake::NeverFallsBack, Mistake::OverlappingLeases] {
+        let world = World { mistake: Some(mistake), ..world() };
+        assert!(!check(&format!("{mistake:?}"), world).0, "{mistake:?} is not found");
     }
-    for flaw in ["speaks at once", "asks nobody"] {
-        let restarts = World { flaw, lease: 1, steps: 3, restarts: 1, ..world() };
-        assert!(!check(flaw, restarts).0, "{flaw} is not found");
+    for mistake in [Mistake::NoSilence, Mistake::NoRecovery] {
+        let restarts = World { mistake: Some(mistake), lease: 1, steps: 3, restarts: 1, ..world() };
+        assert!(!check(&format!("{mistake:?}"), restarts).0, "{mistake:?} is not found");
     }
 }
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -3,7 +3,7 @@
 use crate::counter;
 use agreement::Nanos;
 use agreement::rules::{Fallback, Version};
-use agreement::state::Terms;
+use agreement::terms::Terms;
 use martenramp::host::Settings;
 use serde_json::Value;
 use std::net::SocketAddr;
--- a/crates/gateway/src/gateway/agreeing.rs
+++ b/crates/gateway/src/gateway/agreeing.rs
@@ -8,7 +8,7 @@
 use agreement::lists::{Lists, Seen};
 use agreement::message::{LeaseMessage, ListNotice};
 use agreement::rules::{Version, objections};
-use agreement::state::{Agreement, Heard, Mode};
+use agreement::state::{Agreement, Decision, Mode, Offer, Receipt};
 
 /// A version with what the wire needs of it.
 struct Held {
@@ -22,7 +22,7 @@
     /// Held, and waiting for its time.
     held: Held,
     waits: Option<Held>,
-    acting: (Content, Mode),
+    acting: Decision,
     all: SocketAddr,
     /// For drills: what is added to the clock here.
     clock_off: i64,
@@ -64,10 +64,10 @@
         let mut state =
             Agreement::new(told.terms, number, desk.chance.u32(..), now, content, told.version.start);
         if told.fresh {
-            state.forget();
+            state.skip_recovery();
         }
         let held = Held { version: told.version, methods: Vec::new(), plans: Vec::new() };
-        let acting = (content, Mode::Fallback);
+        let acting = Decision { content, mode: Mode::Fallback };
         info!(desk.log, "agreeing"; "peers" => %heard_at, "voter" => state.is_voter(), "bound_ms" => state.terms().bound() / MS);
         self.pact = Some(Pact {
             state,
@@ -89,10 +89,10 @@
     }
 
     /// The module acts on this from now on.
-    fn act_on(&mut self, acting: (Content, Mode), why: &'static str) {
+    fn act_on(&mut self, acting: Decision, why: &'static str) {
         let Some(pact) = &mut self.pact else { return };
-        if pact.held.version.content() != acting.0
-            && let Some(new) = pact.waits.take_if(|waits| waits.version.content() == acting.0)
+        if pact.held.version.content() != acting.content
+            && let Some(new) = pact.waits.take_if(|waits| waits.version.content() == acting.content)
         {
             pact.held = new;
             self.desk.config.methods = std::mem::take(&mut pact.held.methods);
@@ -100,13 +100,13 @@
         }
         pact.acting = acting;
         let version = &pact.held.version;
-        let settings = match acting.1 {
+        let settings = match acting.mode {
             Mode::Confirmed => version.settings.clone(),
             Mode::Fallback => version.fallback_settings(),
         };
         let now = self.desk.net.now;
-        info!(self.desk.log, "settings"; "why" => why, "version" => acting.0.version, "digest" => short(acting.0),
-            "acts_on" => if acting.1 == Mode::Confirmed { "version" } else { "ground" }, "at" => now);
+        info!(self.desk.log, "settings"; "why" => why, "version" => acting.content.version, "digest" => short(acting.content),
+            "acts_on" => if acting.mode == Mode::Confirmed { "version" } else { "ground" }, "at" => now);
         self.desk.config.settle(settings.clone());
         self.brain.settle(now, settings);
     }
@@ -115,17 +115,17 @@
     pub(super) fn agree(&mut self) {
         let Some(pact) = &mut self.pact else { return };
         let now = self.desk.net.now.saturating_add_signed(pact.clock_off);
-        let words = pact.state.tell(now);
+        let words = pact.state.poll_messages(now);
         words.iter().for_each(|word| self.desk.net.tell(pact.all, &word.encode()));
         if pact.state.is_voter() && now >= pact.tells_list_at {
-            pact.tells_list_at = now + pact.state.terms().every();
+            pact.tells_list_at = now + pact.state.terms().renewal_interval();
             if let (Some((index, out)), Some(number)) = (pact.lists.tells(now), pact.number) {
                 self.desk.net.tell(pact.all, &ListNotice { gateway: number, index, removed: out }.encode());
             }
         }
-        let (was, acting) = (pact.acting, pact.state.at(now));
+        let (was, acting) = (pact.acting, pact.state.evaluate(now));
         if acting != was {
-            let why = match (acting.0 == was.0, acting.1) {
+            let why = match (acting.content == was.content, acting.mode) {
                 (_, Mode::Fallback) => "not-confirmed",
                 (true, Mode::Confirmed) => "confirmed",
                 (false, Mode::Confirmed) => "new-version",
@@ -133,7 +133,7 @@
             self.act_on(acting, why);
         }
         let Some(pact) = &mut self.pact else { return };
-        let next = pact.state.next_look(now);
+        let next = pact.state.next_evaluation(now);
         if pact.looks_at <= now || next < pact.looks_at {
             pact.looks_at = next;
             self.desk.timers.set(next.saturating_add_signed(-pact.clock_off), What::Agree);
@@ -148,20 +148,20 @@
         }
         let Some(pact) = &mut self.pact else { return };
         let Some(word) = LeaseMessage::decode(bytes) else { return };
-        match pact.state.hear(now, &word) {
-            Heard::TwoContents => {
+        match pact.state.receive(now, &word) {
+            Receipt::TwoContents => {
                 pact.waits = None;
                 let content = word.lease.content;
                 warn!(self.desk.log, "settings"; "why" => "two-contents", "version" => content.version, "other" => short(content));
             }
-            Heard::Ahead => {
+            Receipt::SentAhead => {
                 pact.ahead += 1;
                 if now >= pact.ahead_logged + 1000 * MS {
                     pact.ahead_logged = now;
                     warn!(self.desk.log, "settings"; "why" => "clock", "gateway" => word.gateway, "ahead_ms" => (word.sent - now) / MS, "words" => pact.ahead);
                 }
             }
-            Heard::Counts | Heard::Nothing => {}
+            Receipt::Accepted | Receipt::Ignored => {}
         }
         self.agree();
     }
@@ -236,21 +236,21 @@
         if !why.is_empty() {
             return warn!(log, "settings"; "why" => "not-admissible", "version" => number, "error" => why.join("; "));
         }
-        match pact.state.take(now, content, version.start) {
-            Ok(true) => {
-                let start = pact.state.waiting().map_or(0, |waits| waits.1);
+        match pact.state.offer(now, content, version.start) {
+            Ok(Offer::Scheduled) => {
+                let start = pact.state.waiting().map_or(0, |waits| waits.start);
                 info!(log, "settings"; "why" => "waits", "version" => number, "digest" => short(content),
                     "starts_in_ms" => start.saturating_sub(now) / MS);
                 pact.waits = Some(Held { version, methods, plans });
             }
-            Ok(false) => {
+            Ok(Offer::Known) => {
                 info!(log, "settings"; "why" => "held-already", "version" => number, "digest" => short(content))
             }
             Err(refused) => {
                 if pact.state.waiting().is_none() {
                     pact.waits = None;
                 }
-                warn!(log, "settings"; "why" => refused.why(), "version" => number, "digest" => short(content),
+                warn!(log, "settings"; "why" => refused.log_reason(), "version" => number, "digest" => short(content),
                     "held" => pact.held.version.number);
             }
         }
@@ -260,14 +260,14 @@
     /// The header line by which operators see what is acted on; empty where settings have no version.
     pub(super) fn shows(&self) -> String {
         let Some(pact) = &self.pact else { return String::new() };
-        let (content, stand) = pact.acting;
-        let age = match pact.state.confirmed() {
+        let Decision { content, mode } = pact.acting;
+        let age = match pact.state.last_confirmed() {
             0 => "never".to_string(),
             at => (self.desk.net.now.saturating_sub(at) / MS).to_string(),
         };
-        let acts_on = if stand == Mode::Confirmed { "version" } else { "ground" };
+        let acts_on = if mode == Mode::Confirmed { "version" } else { "ground" };
         let waits =
-            pact.state.waiting().map_or(String::new(), |waits| format!(", waits={}", waits.0.version));
+            pact.state.waiting().map_or(String::new(), |waits| format!(", waits={}", waits.content.version));
         format!(
             "X-Settings: version={}, digest={}, acts-on={acts_on}, confirmed-ms-ago={age}{waits}\n",
             content.version,
