Agreement: objections to a version are an enum (thiserror), a version has its own module

Why a version may not follow was a list of strings and a changed setting a tuple of four. Objection and VersionFault are enums with the texts as before, SettingChange is a struct, and objections() is cut into quota, fleet and attempts.

--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod rules;
 pub mod state;
 pub mod terms;
+pub mod version;
 
 pub use martenramp::host::Nanos;
--- a/crates/agreement/src/rules.rs
+++ b/crates/agreement/src/rules.rs
@@ -1,129 +1,123 @@
-//! Which settings contradict each other between two gateways, what the fallback of a version is, and whether one version
-//! may follow another. Settings are flat (`path=value`), as the decision module reads them.
+//! Which settings contradict each other between two gateways, and whether one version may follow another.
 
-use crate::lease::Content;
-use martenramp::host::{Nanos, Settings};
-use std::collections::{BTreeMap, BTreeSet};
-use xxhash_rust::xxh3::xxh3_128;
+use crate::version::{QUOTAS, Version, VersionFault, attempts_cap, count, fleet, quota};
+use martenramp::host::Settings;
+use std::collections::BTreeSet;
 
-/// What a gateway acts on that can't confirm its version: bounds within which every successor has to stay.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Fallback {
-    /// Of every quota, ceiling and cap, the share that is used.
-    pub quota: f64,
-    /// The largest fleet that a successor may tell.
-    pub gateways: f64,
-    /// The fewest call-outs for an RPC that a successor may allow.
-    pub attempts: f64,
-}
-
-/// A version of the settings.
-#[derive(Clone, Debug)]
-pub struct Version {
-    pub number: u64,
-    /// When it starts to hold, Unix time; 0 is at once.
-    pub start: Nanos,
-    pub fallback: Fallback,
-    pub settings: Settings,
-}
-
-/// Settings that each gateway has for itself.
-const PER_GATEWAY: [&str; 2] = ["me", "zone"];
-/// What a plan lets in; where the last three are 0 or missing there is no bound.
-const QUOTAS: [&str; 5] = ["perSecond", "depth", "ceilingRate", "hardBurst", "maxOut"];
-const UNBOUNDED_AT_0: usize = 2;
-
-impl Fallback {
-    /// The bounds where a file tells none: half of every quota, the fleet as it is, two call-outs.
-    pub fn of(settings: &Settings) -> Fallback {
-        let attempts = number(settings, "ceilings.attemptsCap", 1.0).min(2.0);
-        Fallback { quota: 0.5, gateways: number(settings, "balancers", 1.0), attempts }
-    }
-}
-
-fn number(settings: &Settings, name: &str, default: f64) -> f64 {
-    settings.get(name).and_then(|text| text.parse().ok()).unwrap_or(default)
-}
+/// Lists of the settings whose entries are known by their place.
+const ORDERED_LISTS: [&str; 2] = ["tariffs", "classes"];
 
-fn count(settings: &Settings, list: &str) -> usize {
-    number(settings, &format!("{list}.count"), 0.0) as usize
+/// A setting that differs between two versions.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingChange {
+    /// The setting's path.
+    pub name: String,
+    /// Its value in the older version, if it has one there.
+    pub old: Option<String>,
+    /// Its value in the newer version, if it has one there.
+    pub new: Option<String>,
+    /// Whether gateways that act on the one contradict those that act on the other.
+    pub contradicts: bool,
 }
 
-/// A plan's quota; what is not bounded is infinite.
-fn quota(settings: &Settings, plan: usize, at: usize) -> f64 {
-    let told = number(settings, &format!("tariffs.{plan}.{}", QUOTAS[at]), 0.0);
-    if at >= UNBOUNDED_AT_0 && told == 0.0 { f64::INFINITY } else { told }
-}
-
-impl Version {
-    /// The content by which gateways know that they hold the same: everything but what each has for itself. The text that
-    /// the digest is of is shared by all releases, so it never follows a rename.
-    pub fn content(&self) -> Content {
-        let told: BTreeMap<&String, &String> =
-            self.settings.iter().filter(|(name, _)| !PER_GATEWAY.contains(&name.as_str())).collect();
-        let Fallback { quota, gateways, attempts } = self.fallback;
-        let mut text = format!(
-            "{}\n{}\nGround {{ quota: {quota:?}, gateways: {gateways:?}, attempts: {attempts:?} }}\n",
-            self.number, self.start
-        );
-        for (name, value) in told {
-            // Lengths first, so that no two contents run together to the same text.
-            text += &format!("{}:{name}={}:{value}\n", name.len(), value.len());
-        }
-        Content { version: self.number, digest: xxh3_128(text.as_bytes()) }
-    }
-
-    /// The settings that a gateway acts on while it can't confirm this version.
-    pub fn fallback_settings(&self) -> Settings {
-        let mut fallback = self.settings.clone();
-        let Fallback { quota, gateways, attempts } = self.fallback;
-        for plan in 0..count(&self.settings, "tariffs") {
-            for name in QUOTAS {
-                let name = format!("tariffs.{plan}.{name}");
-                let told = number(&self.settings, &name, 0.0);
-                if told > 0.0 {
-                    fallback.insert(name, (told * quota).to_string());
-                }
-            }
-            fallback.remove(&format!("tariffs.{plan}.overWorth")); // no borrowing
-        }
-        for class in 0..count(&self.settings, "classes") {
-            // Repeated only after proof that nothing ran.
-            fallback.insert(format!("classes.{class}.idempotency"), "single_shot".to_string());
-        }
-        fallback.insert("balancers".to_string(), gateways.to_string());
-        let cap = number(&self.settings, "ceilings.attemptsCap", 1.0).min(attempts);
-        fallback.insert("ceilings.attemptsCap".to_string(), cap.to_string());
-        fallback
-    }
-
-    /// What is wrong with this version by itself.
-    pub fn faults(&self) -> Vec<String> {
-        let Fallback { quota, gateways, attempts } = self.fallback;
-        let mut faults = Vec::new();
-        if !(quota > 0.0 && quota <= 1.0) {
-            faults.push(format!("the ground's share of quotas is {quota}, not above 0 and at most 1"));
-        }
-        let fleet = number(&self.settings, "balancers", 1.0);
-        if !gateways.is_finite() || gateways < fleet {
-            faults
-                .push(format!("the ground's fleet is {gateways}, below the {fleet} that the version tells"));
-        }
-        if !attempts.is_finite() || attempts < 1.0 {
-            faults.push(format!("the ground allows {attempts} call-outs, below 1"));
-        }
-        faults
-    }
+/// Why a version may not follow another while gateways may still hold that one.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum Objection {
+    /// The new version is wrong by itself.
+    #[error(transparent)]
+    Fault(#[from] VersionFault),
+    /// Its number does not rise.
+    #[error("version {new} is not above {old}")]
+    NotNewer {
+        /// The new version's number.
+        new: u64,
+        /// The old version's number.
+        old: u64,
+    },
+    /// Entries of a list that are known by their place have another place.
+    #[error("{0} are taken away or reordered; they can only be added behind")]
+    Reordered(&'static str),
+    /// A quota is below what gateways let in that are on the old fallback.
+    #[error("{setting} of {quota} is below the old ground of {fallback}")]
+    QuotaBelowFallback {
+        /// The quota's path.
+        setting: String,
+        /// The new quota.
+        quota: f64,
+        /// What the old fallback lets in.
+        fallback: f64,
+    },
+    /// The fallback of a quota falls.
+    #[error("{setting}: the ground falls from {old} to {new}")]
+    FallbackQuotaFalls {
+        /// The quota's path.
+        setting: String,
+        /// What the old fallback lets in.
+        old: f64,
+        /// What the new fallback lets in.
+        new: f64,
+    },
+    /// A gateway on the new fallback lets in more than the old version does.
+    #[error("{setting}: the new ground of {fallback} is above the old {old}")]
+    FallbackAboveQuota {
+        /// The quota's path.
+        setting: String,
+        /// What the new fallback lets in.
+        fallback: f64,
+        /// The old quota.
+        old: f64,
+    },
+    /// The fleet is larger than the old fallback allows.
+    #[error("a fleet of {fleet} is beyond the old ground's {fallback}")]
+    FleetBeyondFallback {
+        /// The new fleet.
+        fleet: f64,
+        /// The old fallback's fleet.
+        fallback: f64,
+    },
+    /// The fallback's fleet grows.
+    #[error("the ground's fleet grows from {old} to {new}")]
+    FallbackFleetGrows {
+        /// The old fallback's fleet.
+        old: f64,
+        /// The new fallback's fleet.
+        new: f64,
+    },
+    /// The fallback's fleet is smaller than the old one.
+    #[error("the new ground's fleet of {fallback} is below the old {fleet}")]
+    FallbackFleetTooSmall {
+        /// The new fallback's fleet.
+        fallback: f64,
+        /// The old version's fleet.
+        fleet: f64,
+    },
+    /// Fewer attempts are allowed than on the old fallback.
+    #[error("call-outs fall below the old ground's {0}")]
+    AttemptsBelowFallback(f64),
+    /// The fallback allows more attempts than the old version.
+    #[error("the new ground allows {fallback} call-outs, the old version {old}")]
+    FallbackAttemptsAboveCap {
+        /// What the new fallback allows.
+        fallback: f64,
+        /// What the old version allows.
+        old: f64,
+    },
+    /// A rule of the service differs.
+    #[error("{0} can't change while gateways run")]
+    FixedSetting(String),
 }
 
-/// What differs between two versions, by name: the old value and the new (none where there is none), and whether gateways
-/// that act on the one contradict those that act on the other.
-pub fn changes(old: &Settings, new: &Settings) -> Vec<(String, Option<String>, Option<String>, bool)> {
+/// What differs between two versions, by name.
+pub fn changes(old: &Settings, new: &Settings) -> Vec<SettingChange> {
     let names: BTreeSet<&String> = old.keys().chain(new.keys()).collect();
-    let differ = names.into_iter().filter(|name| old.get(*name) != new.get(*name));
-    let told =
-        |name: &String| (name.clone(), old.get(name).cloned(), new.get(name).cloned(), contradicts(name));
-    differ.map(told).collect()
+    let differing = names.into_iter().filter(|name| old.get(*name) != new.get(*name));
+    let change = |name: &String| SettingChange {
+        name: name.clone(),
+        old: old.get(name).cloned(),
+        new: new.get(name).cloned(),
+        contradicts: contradicts(name),
+    };
+    differing.map(change).collect()
 }
 
 /// Whether two gateways contradict each other that have this setting differently.
@@ -140,68 +134,78 @@
 
 /// Why `new` may not follow `old` while gateways may still hold `old`; empty if it may. Whatever a gateway acts on that
 /// missed any number of versions has to stay consistent with the newest one, so fallbacks never give way.
-pub fn objections(old: &Version, new: &Version) -> Vec<String> {
-    let mut why = new.faults();
+pub fn objections(old: &Version, new: &Version) -> Vec<Objection> {
+    let mut objections: Vec<Objection> = new.faults().into_iter().map(Objection::Fault).collect();
     if new.number <= old.number {
-        why.push(format!("version {} is not above {}", new.number, old.number));
-    }
-    for list in ["tariffs", "classes"] {
-        let names = |version: &Version| -> Vec<Option<String>> {
-            let name = |at| version.settings.get(&format!("{list}.{at}.name")).cloned();
-            (0..count(&version.settings, list)).map(name).collect()
-        };
-        if !names(new).starts_with(&names(old)) {
-            why.push(format!("{list} are taken away or reordered; they can only be added behind"));
-        }
+        objections.push(Objection::NotNewer { new: new.number, old: old.number });
     }
+    let is_reordered = |list: &&str| !names(new, list).starts_with(&names(old, list));
+    objections.extend(ORDERED_LISTS.into_iter().filter(is_reordered).map(Objection::Reordered));
+    objections.extend(quota_objections(old, new));
+    objections.extend(fleet_objections(old, new));
+    objections.extend(attempts_objections(old, new));
+    let rules = changes(&old.settings, &new.settings).into_iter().map(|change| change.name);
+    objections.extend(rules.filter(|name| name.starts_with("rules.")).map(Objection::FixedSetting));
+    objections
+}
+
+/// The names of a list's entries, in their order.
+fn names(version: &Version, list: &str) -> Vec<Option<String>> {
+    let name = |at| version.settings.get(&format!("{list}.{at}.name")).cloned();
+    (0..count(&version.settings, list)).map(name).collect()
+}
+
+fn quota_objections(old: &Version, new: &Version) -> Vec<Objection> {
+    // Products of the same figures may differ in their last digits.
+    let below = |one: f64, two: f64| one < two - 1e-9 * two.abs().min(f64::MAX);
+    let mut objections = Vec::new();
     for plan in 0..count(&old.settings, "tariffs").min(count(&new.settings, "tariffs")) {
         for (at, name) in QUOTAS.iter().enumerate() {
-            let (was, is) = (quota(&old.settings, plan, at), quota(&new.settings, plan, at));
-            let (old_fallback, new_fallback) = (was * old.fallback.quota, is * new.fallback.quota);
             let setting = format!("tariffs.{plan}.{name}");
-            // Products of the same figures may differ in their last digits.
-            let below = |one: f64, two: f64| one < two - 1e-9 * two.abs().min(f64::MAX);
-            if below(is, old_fallback) {
-                why.push(format!("{setting} of {is} is below the old ground of {old_fallback}"));
-            }
-            if below(new_fallback, old_fallback) && !below(is, old_fallback) {
-                why.push(format!("{setting}: the ground falls from {old_fallback} to {new_fallback}"));
+            let (old_quota, new_quota) = (quota(&old.settings, plan, at), quota(&new.settings, plan, at));
+            let old_fallback = old_quota * old.fallback.quota;
+            let new_fallback = new_quota * new.fallback.quota;
+            if below(new_quota, old_fallback) {
+                let (setting, quota, fallback) = (setting.clone(), new_quota, old_fallback);
+                objections.push(Objection::QuotaBelowFallback { setting, quota, fallback });
+            } else if below(new_fallback, old_fallback) {
+                let (setting, old, new) = (setting.clone(), old_fallback, new_fallback);
+                objections.push(Objection::FallbackQuotaFalls { setting, old, new });
             }
-            if below(was, new_fallback) {
-                why.push(format!("{setting}: the new ground of {new_fallback} is above the old {was}"));
+            if below(old_quota, new_fallback) {
+                let (fallback, old) = (new_fallback, old_quota);
+                objections.push(Objection::FallbackAboveQuota { setting, fallback, old });
             }
         }
     }
-    let fleet = |version: &Version| number(&version.settings, "balancers", 1.0);
-    if fleet(new) > old.fallback.gateways {
-        why.push(format!("a fleet of {} is beyond the old ground's {}", fleet(new), old.fallback.gateways));
+    objections
+}
+
+fn fleet_objections(old: &Version, new: &Version) -> Vec<Objection> {
+    let (old_fleet, new_fleet) = (fleet(&old.settings), fleet(&new.settings));
+    let (old_fallback, new_fallback) = (old.fallback.gateways, new.fallback.gateways);
+    let mut objections = Vec::new();
+    if new_fleet > old_fallback {
+        objections.push(Objection::FleetBeyondFallback { fleet: new_fleet, fallback: old_fallback });
     }
-    if new.fallback.gateways > old.fallback.gateways {
-        why.push(format!(
-            "the ground's fleet grows from {} to {}",
-            old.fallback.gateways, new.fallback.gateways
-        ));
+    if new_fallback > old_fallback {
+        objections.push(Objection::FallbackFleetGrows { old: old_fallback, new: new_fallback });
     }
-    if new.fallback.gateways < fleet(old) {
-        why.push(format!(
-            "the new ground's fleet of {} is below the old {}",
-            new.fallback.gateways,
-            fleet(old)
-        ));
+    if new_fallback < old_fleet {
+        objections.push(Objection::FallbackFleetTooSmall { fallback: new_fallback, fleet: old_fleet });
     }
-    let cap = |version: &Version| number(&version.settings, "ceilings.attemptsCap", 1.0);
-    if cap(new) < old.fallback.attempts || new.fallback.attempts < old.fallback.attempts {
-        why.push(format!("call-outs fall below the old ground's {}", old.fallback.attempts));
+    objections
+}
+
+fn attempts_objections(old: &Version, new: &Version) -> Vec<Objection> {
+    let (old_cap, new_cap) = (attempts_cap(&old.settings), attempts_cap(&new.settings));
+    let (old_fallback, new_fallback) = (old.fallback.attempts, new.fallback.attempts);
+    let mut objections = Vec::new();
+    if new_cap < old_fallback || new_fallback < old_fallback {
+        objections.push(Objection::AttemptsBelowFallback(old_fallback));
     }
-    if new.fallback.attempts > cap(old) {
-        why.push(format!(
-            "the new ground allows {} call-outs, the old version {}",
-            new.fallback.attempts,
-            cap(old)
-        ));
+    if new_fallback > old_cap {
+        objections.push(Objection::FallbackAttemptsAboveCap { fallback: new_fallback, old: old_cap });
     }
-    let rules =
-        changes(&old.settings, &new.settings).into_iter().filter(|change| change.0.starts_with("rules."));
-    why.extend(rules.map(|change| format!("{} can't change while gateways run", change.0)));
-    why
+    objections
 }
--- a/crates/agreement/tests/rules.rs
+++ b/crates/agreement/tests/rules.rs
@@ -1,7 +1,8 @@
 //! Which versions may follow: over chains of admissible ones the fallback of any earlier version stays consistent with the
 //! newest; digests tell contents apart and nothing else.
 
-use agreement::rules::{Fallback, Version, changes, contradicts, objections};
+use agreement::rules::{changes, contradicts, objections};
+use agreement::version::{Fallback, Version};
 use martenramp::host::Settings;
 
 fn settings(quota: f64, fleet: f64) -> Settings {
@@ -86,7 +87,7 @@
     let told = |change: &dyn Fn(&mut Version)| {
         let mut new = version(5, 100.0, 20.0);
         change(&mut new);
-        objections(&old, &new).join("; ")
+        objections(&old, &new).iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")
     };
     assert_eq!(told(&|_| ()), "");
     assert!(told(&|new| new.number = 4).contains("not above 4"));
@@ -170,7 +171,7 @@
     let (old, mut new) = (settings(100.0, 20.0), settings(120.0, 20.0));
     new.insert("classes.0.credit".into(), "2".into());
     let told: Vec<(String, bool)> =
-        changes(&old, &new).into_iter().map(|change| (change.0, change.3)).collect();
+        changes(&old, &new).into_iter().map(|change| (change.name, change.contradicts)).collect();
     let want = [("classes.0.credit", false), ("tariffs.0.depth", true), ("tariffs.0.perSecond", true)];
     assert_eq!(told, want.map(|(name, contradicts)| (name.to_string(), contradicts)));
     assert!(!contradicts("me") && !contradicts("classes.1.onTime") && contradicts("balancers"));
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -2,8 +2,8 @@
 
 use crate::counter;
 use agreement::Nanos;
-use agreement::rules::{Fallback, Version};
 use agreement::terms::Terms;
+use agreement::version::{Fallback, Version};
 use martenramp::host::Settings;
 use serde_json::Value;
 use std::net::SocketAddr;
--- a/crates/gateway/src/gateway/agreeing.rs
+++ b/crates/gateway/src/gateway/agreeing.rs
@@ -7,8 +7,9 @@
 use agreement::lease::Content;
 use agreement::lists::{Lists, Seen};
 use agreement::message::{LeaseMessage, ListNotice};
-use agreement::rules::{Version, objections};
+use agreement::rules::objections;
 use agreement::state::{Agreement, Decision, Mode, Offer, Receipt};
+use agreement::version::Version;
 
 /// A version with what the wire needs of it.
 struct Held {
@@ -232,7 +233,10 @@
         // What is not newer than what is held the state machine judges.
         let newer = [Some(&pact.held), pact.waits.as_ref()].into_iter().flatten().map(|held| &held.version);
         let newer = newer.filter(|held| number > held.number);
-        let why: Vec<String> = newer.flat_map(|held| objections(held, &version)).collect();
+        let why: Vec<String> = newer
+            .flat_map(|held| objections(held, &version))
+            .map(|objection| objection.to_string())
+            .collect();
         if !why.is_empty() {
             return warn!(log, "settings"; "why" => "not-admissible", "version" => number, "error" => why.join("; "));
         }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -88,10 +88,10 @@
 
 /// Says what changes from one configuration to the next; an error if the next may not follow while gateways run.
 fn compare(old: &Config, new: &Config) -> Result<(), String> {
-    for (name, old, new, contradicts) in agreement::rules::changes(&old.settings, &new.settings) {
+    for change in agreement::rules::changes(&old.settings, &new.settings) {
         let shown = |value: Option<String>| value.unwrap_or_else(|| "nothing".to_string());
-        let mark = if contradicts { "contradicts" } else { "harmless" };
-        println!("{mark:11} {name}: {} to {}", shown(old), shown(new));
+        let mark = if change.contradicts { "contradicts" } else { "harmless" };
+        println!("{mark:11} {}: {} to {}", change.name, shown(change.old), shown(change.new));
     }
     let (Some(old), Some(new)) = (&old.agreement, &new.agreement) else {
         return Err(
@@ -101,7 +101,7 @@
     let why = agreement::rules::objections(&old.version, &new.version);
     let (number, after) = (new.version.number, old.version.number);
     if !why.is_empty() {
-        let why = why.join("\n  ");
+        let why = why.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n  ");
         return Err(format!("version {number} may not follow {after} while gateways run:\n  {why}"));
     }
     println!("version {number} may follow {after}");
