--- a/crates/gateway/src/gateway/agreeing.rs
+++ b/crates/gateway/src/gateway/agreeing.rs
@@ -5,7 +5,7 @@
 use crate::config::Method;
 use crate::list::Entry;
 use agreement::lease::Content;
-use agreement::lists::{Lists, Seen};
+use agreement::lists::{Announcement, ListedServer, Lists};
 use agreement::message::{LeaseMessage, ListNotice};
 use agreement::rules::objections;
 use agreement::state::{Agreement, Decision, Mode, Offer, Receipt};
@@ -41,7 +41,7 @@
 
 impl Pact {
     pub(super) fn source_moved(&mut self) {
-        self.lists.moved();
+        self.lists.change_source();
     }
 }
 
@@ -120,8 +120,10 @@
         words.iter().for_each(|word| self.desk.net.tell(pact.all, &word.encode()));
         if pact.state.is_voter() && now >= pact.tells_list_at {
             pact.tells_list_at = now + pact.state.terms().renewal_interval();
-            if let (Some((index, out)), Some(number)) = (pact.lists.tells(now), pact.number) {
-                self.desk.net.tell(pact.all, &ListNotice { gateway: number, index, removed: out }.encode());
+            if let (Some(Announcement { index, removed }), Some(gateway)) =
+                (pact.lists.announcement(now), pact.number)
+            {
+                self.desk.net.tell(pact.all, &ListNotice { gateway, index, removed }.encode());
             }
         }
         let (was, acting) = (pact.acting, pact.state.evaluate(now));
@@ -174,7 +176,7 @@
             return;
         }
         let held = pact.lists.index();
-        let keys = pact.lists.heard(notice.index, &notice.removed);
+        let keys = pact.lists.apply_notice(notice.index, &notice.removed);
         let entries: Vec<Entry> = keys.iter().filter_map(|key| pact.entries.get(key).cloned()).collect();
         if entries.is_empty() {
             return;
@@ -190,25 +192,25 @@
     pub(super) fn judge_list(&mut self, told: &mut Told) -> Option<Told> {
         let mut more = Told { index: told.index, whole: false, entries: Vec::new() };
         let Some(pact) = &mut self.pact else { return Some(more) };
-        let seen = |entry: &Entry| Seen {
+        let seen = |entry: &Entry| ListedServer {
             key: martenramp::spread::key(&entry.name),
             ready: entry.ready,
             since: entry.since_ms.saturating_mul(MS),
         };
-        let list: Vec<Seen> = told.entries.iter().map(seen).collect();
-        let verdict = pact.lists.told(self.desk.net.now, told.index, told.whole, &list);
+        let list: Vec<ListedServer> = told.entries.iter().map(seen).collect();
+        let verdict = pact.lists.apply(self.desk.net.now, told.index, told.whole, &list);
         let count = verdict.held_back.len();
-        if verdict.empties || verdict.older || count > 0 {
-            let why = if verdict.empties {
+        if verdict.is_empty || verdict.is_older || count > 0 {
+            let why = if verdict.is_empty {
                 "empty"
-            } else if verdict.older {
+            } else if verdict.is_older {
                 "went-back"
             } else {
                 "held-back"
             };
             warn!(self.desk.log, "list"; "why" => why, "index" => told.index, "held" => pact.lists.index(), "held_back" => count);
         }
-        if verdict.empties {
+        if verdict.is_empty {
             return None;
         }
         for (entry, seen) in told.entries.iter_mut().zip(&list) {
@@ -216,7 +218,7 @@
             entry.ready &= !verdict.held_back.contains(&seen.key);
         }
         // What an older list lacks stays: its changes are taken, not its gaps.
-        told.whole &= !verdict.older;
+        told.whole &= !verdict.is_older;
         more.entries = verdict.released.iter().filter_map(|key| pact.entries.get(key).cloned()).collect();
         if told.whole && pact.entries.len() > 2 * list.len().max(64) {
             let named: Vec<u64> = list.iter().map(|seen| seen.key).collect();
