--- /dev/null
+++ b/crates/lab/src/world/discovery.rs
@@ -0,0 +1,48 @@
+//! Discovery: changes of the fleet of servers come to the gateways with a delay.
+
+use super::{Event, World};
+use crate::servers::CallRef;
+use crate::{Nanos, nanos};
+use martenramp::host::{End, Listed};
+
+impl World {
+    pub(super) fn list_changed(&mut self) {
+        if !self.list_due {
+            self.list_due = true;
+            let delay = nanos(self.scenario.discovery.delay_ms / 1e3) + self.list_late;
+            self.queue.after(delay, Event::List);
+        }
+    }
+
+    pub(super) fn list(&mut self, now: Nanos) {
+        self.list_due = false;
+        let list: Vec<Listed> = self.servers.listed();
+        for gateway in &mut self.gateways {
+            if let Some(gate) = gateway.gate.as_deref_mut() {
+                gate.listed(now, true, &list);
+            }
+        }
+    }
+
+    /// Call-outs open on servers that are gone end as reset, a moment later. `servers` is in order.
+    pub(super) fn reset_calls_to(&mut self, servers: &[u32]) {
+        let mut reset = Vec::new();
+        for (number, gateway) in self.gateways.iter().enumerate() {
+            for (&(rpc, nth), out) in &gateway.calls {
+                let on = self.servers.all[out.server as usize].life == out.server_life;
+                if on && servers.binary_search(&out.server).is_ok() {
+                    reset.push(CallRef { gateway: number as u32, life: gateway.life.life, rpc, nth });
+                }
+            }
+        }
+        for call in reset {
+            self.queue.after(self.network.refuse, Event::Back { call, how: End::Reset });
+        }
+    }
+
+    pub(super) fn replace(&mut self, now: Nanos, server: u32) {
+        self.reset_calls_to(&[server]);
+        self.servers.replace(server, now);
+        self.list_changed();
+    }
+}
--- /dev/null
+++ b/crates/lab/src/world/gateways.rs
@@ -0,0 +1,97 @@
+//! Gateways: what their policies ask for is carried out, and they start, drain, stop and are killed.
+
+use super::{Event, Stand, World};
+use crate::gates::{self, Gate, Wish, Wishes};
+use crate::lifecycle::Phase;
+use crate::{Nanos, chance};
+use std::collections::BTreeMap;
+
+impl World {
+    pub(super) fn with_gate<T>(
+        &mut self,
+        gateway: u32,
+        call: impl FnOnce(&mut dyn Gate, &mut Wishes) -> T,
+    ) -> Option<T> {
+        let gate = self.gateways[gateway as usize].gate.as_deref_mut()?;
+        Some(call(gate, &mut self.wishes))
+    }
+
+    /// Carries out what a gate wished during its last call, in order.
+    pub(super) fn carry(&mut self, now: Nanos, gateway: u32) {
+        // Nothing carried out here calls a gate, so the buffer can be taken and given back with its room.
+        let mut wishes = std::mem::take(&mut self.wishes.0);
+        for wish in wishes.drain(..) {
+            match wish {
+                Wish::CallOut { rpc, server, limit } => self.call_out(now, gateway, rpc, server, limit),
+                Wish::PushBack { rpc, come_back } => self.final_answer(now, rpc, true, come_back),
+                Wish::Abort { rpc } => self.final_answer(now, rpc, false, 0),
+                Wish::Wake { after, token } => {
+                    let life = self.gateways[gateway as usize].life.life;
+                    self.queue.after(after.max(1), Event::Wake { gateway, life, token });
+                }
+                Wish::Count { name, add, forget } => self.count(now, gateway, name, add, forget),
+            }
+        }
+        self.wishes.0 = wishes;
+    }
+
+    pub(super) fn wake(&mut self, now: Nanos, gateway: u32, life: u32, token: u32) {
+        if self.gateways[gateway as usize].life.life == life {
+            self.with_gate(gateway, |gate, wishes| gate.woke(wishes, now, token));
+            self.carry(now, gateway);
+        }
+    }
+
+    pub(super) fn start_gate(&mut self, gateway: u32) {
+        let life = self.gateways[gateway as usize].life.life;
+        let seed = chance::gateway_seed(self.scenario.seed, gateway, life);
+        let gate = gates::make(self.kind, gateway, seed, &self.settings, &self.ledger);
+        self.gateways[gateway as usize].gate = Some(gate);
+    }
+
+    /// Gateways gone at once: what they held is cut, and the clients may come again elsewhere.
+    pub(super) fn cut(&mut self, now: Nanos, gone: &[u32]) {
+        let mut down = vec![false; self.gateways.len()];
+        for &gateway in gone {
+            down[gateway as usize] = true;
+            let at = &mut self.gateways[gateway as usize];
+            at.life.kill();
+            (at.gate, at.calls, at.counts) = (None, BTreeMap::new(), BTreeMap::new());
+        }
+        let held: Vec<(u32, u32, u32)> = (self.rpcs.iter())
+            .filter(|(_, live)| down[live.gateway as usize] && matches!(live.stand, Stand::Held | Stand::Out))
+            .map(|(rpc, live)| (*rpc, live.stream, live.tries))
+            .collect();
+        for (rpc, stream, tries) in held {
+            self.shift(rpc, Stand::Gone);
+            self.record.add(now, |counts| counts.cut += 1);
+            self.come_again(stream, tries, 0);
+        }
+    }
+
+    pub(super) fn stop(&mut self, now: Nanos, gateway: u32, life: u32) {
+        let at = &self.gateways[gateway as usize];
+        if at.life.life != life || !matches!(at.life.phase, Phase::Draining { .. }) {
+            return;
+        }
+        let held: Vec<u32> = (self.rpcs.iter())
+            .filter(|(_, live)| live.gateway == gateway && matches!(live.stand, Stand::Held | Stand::Out))
+            .map(|(rpc, _)| *rpc)
+            .collect();
+        for rpc in held {
+            self.final_answer(now, rpc, true, 0);
+        }
+        self.gateways[gateway as usize].life.stop();
+        self.cut(now, &[gateway]);
+    }
+
+    pub(super) fn start(&mut self, now: Nanos, gateway: u32) {
+        if self.gateways[gateway as usize].life.phase != Phase::Down {
+            return;
+        }
+        self.gateways[gateway as usize].life.start();
+        self.start_gate(gateway);
+        let list = self.servers.listed();
+        self.with_gate(gateway, |gate, _| gate.listed(now, true, &list));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/world/rpcs.rs
@@ -0,0 +1,112 @@
+//! RPCs from their arrival to their final answer, and the clients that send them again.
+
+use super::{Event, GRACE, Live, Stand, World};
+use crate::{MS, Nanos};
+use martenramp::host::Arrival;
+
+/// What the gateway takes off a client's deadline before telling the module, as `martenramp serve` does.
+const MARGIN: Nanos = MS;
+
+impl World {
+    pub(super) fn shift(&mut self, rpc: u32, to: Stand) {
+        if let Some(live) = self.rpcs.get_mut(&rpc) {
+            live.stand = to;
+        }
+    }
+
+    pub(super) fn arrive(&mut self, now: Nanos, stream: u32, tries: u32, fresh: bool) {
+        if let Some(gap) = (fresh && now < self.end).then(|| self.clients.gap(stream as usize)).flatten() {
+            self.queue.after(gap, Event::Arrive { stream });
+        }
+        if now >= self.end {
+            return;
+        }
+        let at = &self.clients.streams[stream as usize];
+        let method = &self.methods[at.method as usize];
+        let (credit, deadline) = (method.credit, now + method.deadline);
+        let (customer, method_number, plan, units, width, first) =
+            (at.customer, at.method, at.plan, at.units, at.width, at.first);
+        self.record.add(now, |counts| {
+            counts.arrived += 1;
+            counts.asked += credit;
+        });
+        let (gateways, lives) = (self.scenario.gateways, &self.gateways);
+        let Some(gateway) =
+            self.clients.gateway(stream as usize, |at| lives[at as usize].life.takes_clients(), gateways)
+        else {
+            self.record.add(now, |counts| counts.cut += 1);
+            return self.come_again(stream, tries, 0);
+        };
+        let rpc = self.next_rpc;
+        self.next_rpc = self.next_rpc.wrapping_add(1).max(1);
+        let life = self.gateways[gateway as usize].life.life;
+        let live = Live { gateway, life, stream, arrived: now, deadline, tries, nth: 0, stand: Stand::Held };
+        self.rpcs.insert(rpc, live);
+        self.queue.at(deadline + GRACE, Event::Overdue { rpc });
+        if let Some(after) = self.clients.leaves_after(deadline - now) {
+            self.queue.after(after, Event::Leave { rpc });
+        }
+        let arrival = Arrival {
+            id: rpc,
+            method: method_number,
+            plan,
+            customer,
+            deadline: deadline.saturating_sub(MARGIN),
+            units,
+            width,
+            first,
+        };
+        self.with_gate(gateway, |gate, wishes| gate.rpc(wishes, now, &arrival));
+        self.carry(now, gateway);
+    }
+
+    /// The client leaves early: the gateway is told, and the RPC counts as left if it had no answer.
+    pub(super) fn leave(&mut self, rpc: u32) {
+        let Some(live) = self.rpcs.get(&rpc) else { return };
+        if matches!(live.stand, Stand::Held | Stand::Out) {
+            let (gateway, life, now) = (live.gateway, live.life, self.queue.now());
+            self.record.add(now, |counts| counts.left += 1);
+            self.shift(rpc, Stand::Gone);
+            if self.gateways[gateway as usize].life.life == life {
+                self.with_gate(gateway, |gate, _| gate.client_left(rpc));
+            }
+        }
+    }
+
+    /// The deadline and the grace are over: an RPC still without an answer is lost; all are forgotten.
+    pub(super) fn overdue(&mut self, rpc: u32) {
+        let Some(live) = self.rpcs.remove(&rpc) else { return };
+        if matches!(live.stand, Stand::Held | Stand::Out) {
+            let now = self.queue.now();
+            self.record.add(now, |counts| counts.lost += 1);
+            if self.gateways[live.gateway as usize].life.life == live.life {
+                self.with_gate(live.gateway, |gate, _| gate.client_left(rpc));
+            }
+        }
+    }
+
+    /// A final answer other than ok, from the gateway.
+    pub(super) fn final_answer(&mut self, now: Nanos, rpc: u32, pushed_back: bool, come_back: Nanos) {
+        let Some(live) = self.rpcs.get(&rpc) else { return };
+        match live.stand {
+            Stand::Held | Stand::Out => {}
+            Stand::Answered => return self.record.add(now, |counts| counts.twice += 1),
+            Stand::Gone => return,
+        }
+        let (stream, tries) = (live.stream, live.tries);
+        self.shift(rpc, Stand::Answered);
+        match pushed_back {
+            true => self.record.add(now, |counts| counts.pushed_back += 1),
+            false => self.record.add(now, |counts| counts.aborted += 1),
+        }
+        if pushed_back {
+            self.come_again(stream, tries, come_back);
+        }
+    }
+
+    pub(super) fn come_again(&mut self, stream: u32, tries: u32, come_back: Nanos) {
+        if let Some(after) = self.clients.again_after(tries, come_back) {
+            self.queue.after(after, Event::Again { stream, tries: tries + 1 });
+        }
+    }
+}
