--- a/crates/lab/src/chance.rs
+++ b/crates/lab/src/chance.rs
@@ -19,8 +19,9 @@
     chance
 }
 
-/// A seed for one life of one gateway's module, drawn from the scenario's seed alone.
-pub fn gateway_seed(seed: u64, gateway: u32, life: u32) -> u64 {
-    let mixed = seed ^ (u64::from(gateway) << 32 | u64::from(life)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+/// A seed for one incarnation of one gateway's module, drawn from the scenario's seed alone.
+pub fn gateway_seed(seed: u64, gateway: u32, incarnation: u32) -> u64 {
+    let mixed =
+        seed ^ (u64::from(gateway) << 32 | u64::from(incarnation)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     mixed.rotate_left(29).wrapping_mul(0xbf58_476d_1ce4_e5b9)
 }
--- a/crates/lab/src/lifecycle.rs
+++ b/crates/lab/src/lifecycle.rs
@@ -1,9 +1,9 @@
-//! Gateways' lives: up, draining after SIGTERM, down. Each change of state is one function; a new life starts a
+//! The lifecycle of a gateway: up, draining after SIGTERM, down. Each change of state is one function; a new incarnation starts a
 //! new module with nothing of the old. Free of I/O.
 
 use crate::Nanos;
 
-/// Where a gateway stands.
+/// The phases of a gateway.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
     Up,
@@ -15,19 +15,19 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-pub struct Life {
+pub struct Lifecycle {
     pub phase: Phase,
-    /// Counts from 0; events of an earlier life are passed over.
-    pub life: u32,
+    /// Counts from 0; events of an earlier incarnation are ignored.
+    pub incarnation: u32,
     pub zone: u32,
 }
 
 /// What a drain gives the gateway to answer what it holds, as `martenramp serve` does.
 pub const DRAIN: Nanos = 500_000_000;
 
-impl Life {
-    pub fn new(zone: u32) -> Life {
-        Life { phase: Phase::Up, life: 0, zone }
+impl Lifecycle {
+    pub fn new(zone: u32) -> Lifecycle {
+        Lifecycle { phase: Phase::Up, incarnation: 0, zone }
     }
 
     pub fn takes_clients(&self) -> bool {
@@ -54,10 +54,10 @@
         self.phase = Phase::Down;
     }
 
-    /// Started again: a new life.
+    /// Started again: a new incarnation.
     pub fn start(&mut self) {
         if self.phase == Phase::Down {
-            (self.phase, self.life) = (Phase::Up, self.life + 1);
+            (self.phase, self.incarnation) = (Phase::Up, self.incarnation + 1);
         }
     }
 }
--- a/crates/lab/src/servers.rs
+++ b/crates/lab/src/servers.rs
@@ -12,7 +12,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallRef {
     pub gateway: u32,
-    pub life: u32,
+    pub incarnation: u32,
     pub rpc: u32,
     pub nth: u16,
 }
@@ -33,8 +33,8 @@
 pub struct Server {
     pub id: u32,
     pub zone: u32,
-    /// Each replacement is a new life, with its own start time.
-    pub life: u32,
+    /// Each replacement is a new incarnation, with its own start time.
+    pub incarnation: u32,
     pub came_up: Nanos,
     pub up: bool,
     busy: u32,
@@ -57,7 +57,7 @@
             .map(|id| Server {
                 id,
                 zone: id % model.zones,
-                life: 0,
+                incarnation: 0,
                 came_up: 0,
                 up: true,
                 busy: 0,
@@ -73,23 +73,23 @@
         Servers { all, model: model.clone(), service, chance }
     }
 
-    /// Slots a server bears now: a share after its start, rising to all once warm. A first life is warm.
+    /// Slots a server bears now: a share after its start, rising to all once warm. A first incarnation is warm.
     pub fn slots(&self, server: u32, now: Nanos) -> u32 {
         let server = &self.all[server as usize];
         let warm = nanos(self.model.cold_seconds);
         let since = now.saturating_sub(server.came_up);
-        if server.life == 0 || warm == 0 || since >= warm {
+        if server.incarnation == 0 || warm == 0 || since >= warm {
             return self.model.slots;
         }
         let share = self.model.cold_share + (1.0 - self.model.cold_share) * since as f64 / warm as f64;
         ((f64::from(self.model.slots) * share).floor() as u32).max(1)
     }
 
-    /// A call-out of server life `life` reaches the server.
-    pub fn take(&mut self, now: Nanos, server: u32, life: u32, call: CallRef) -> Take {
+    /// A call-out of this incarnation of a server reaches the server.
+    pub fn take(&mut self, now: Nanos, server: u32, incarnation: u32, call: CallRef) -> Take {
         let slots = self.slots(server, now);
         let at = &mut self.all[server as usize];
-        if !at.up || at.life != life {
+        if !at.up || at.incarnation != incarnation {
             return Take::Refused;
         }
         if at.busy >= slots {
@@ -109,18 +109,18 @@
         Take::Serving { after, ok: self.chance.random::<f64>() >= errors }
     }
 
-    /// A call-out is over at the server; one of an earlier life frees nothing.
-    pub fn free(&mut self, server: u32, life: u32) {
+    /// A call-out is over at the server; one of an earlier incarnation frees nothing.
+    pub fn free(&mut self, server: u32, incarnation: u32) {
         let at = &mut self.all[server as usize];
-        if at.life == life {
+        if at.incarnation == incarnation {
             at.busy = at.busy.saturating_sub(1);
         }
     }
 
-    /// A new life: the server starts again cold; what it held is gone.
+    /// A new incarnation: the server starts again cold; what it held is gone.
     pub fn replace(&mut self, server: u32, now: Nanos) {
         let at = &mut self.all[server as usize];
-        (at.life, at.came_up, at.up, at.busy, at.paused) = (at.life + 1, now, true, 0, false);
+        (at.incarnation, at.came_up, at.up, at.busy, at.paused) = (at.incarnation + 1, now, true, 0, false);
         at.held.clear();
     }
 
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -12,7 +12,7 @@
 use crate::clients::Clients;
 use crate::counter::Counter;
 use crate::gates::{Gate, Kind, Ledger, Wishes};
-use crate::lifecycle::Life;
+use crate::lifecycle::Lifecycle;
 use crate::network::Network;
 use crate::queue::Queue;
 use crate::record::Record;
@@ -43,7 +43,7 @@
 
 struct Live {
     gateway: u32,
-    life: u32,
+    incarnation: u32,
     stream: u32,
     arrived: Nanos,
     deadline: Nanos,
@@ -54,12 +54,12 @@
 
 struct CallOut {
     server: u32,
-    server_life: u32,
+    server_incarnation: u32,
     sent: Nanos,
 }
 
 struct Gateway {
-    life: Life,
+    lifecycle: Lifecycle,
     gate: Option<Box<dyn Gate>>,
     calls: BTreeMap<(u32, u16), CallOut>,
     /// Count calls out, by serial: the name each was for.
@@ -72,18 +72,18 @@
     Again { stream: u32, tries: u32 },
     Leave { rpc: u32 },
     Overdue { rpc: u32 },
-    Wake { gateway: u32, life: u32, token: u32 },
-    AtServer { call: CallRef, server: u32, server_life: u32 },
+    Wake { gateway: u32, incarnation: u32, token: u32 },
+    AtServer { call: CallRef, server: u32, server_incarnation: u32 },
     Back { call: CallRef, how: End },
     Limit { call: CallRef },
-    Freed { server: u32, server_life: u32 },
-    CountAt { gateway: u32, serial: u64, life: u32, name: u64, add: f64, forget: Nanos },
-    CountBack { gateway: u32, life: u32, serial: u64, total: f64 },
-    CountLimit { gateway: u32, life: u32, serial: u64 },
+    Freed { server: u32, server_incarnation: u32 },
+    CountAt { gateway: u32, serial: u64, incarnation: u32, name: u64, add: f64, forget: Nanos },
+    CountBack { gateway: u32, incarnation: u32, serial: u64, total: f64 },
+    CountLimit { gateway: u32, incarnation: u32, serial: u64 },
     List,
     Trouble { index: usize, starts: bool },
     Replace { server: u32 },
-    Stop { gateway: u32, life: u32 },
+    Stop { gateway: u32, incarnation: u32 },
     Start { gateway: u32 },
     Tick,
 }
@@ -137,7 +137,7 @@
         let zones = scenario.servers.zones;
         let gateways = (0..scenario.gateways)
             .map(|at| Gateway {
-                life: Life::new(at % zones),
+                lifecycle: Lifecycle::new(at % zones),
                 gate: None,
                 calls: BTreeMap::new(),
                 counts: BTreeMap::new(),
@@ -222,31 +222,33 @@
             Event::Again { stream, tries } => self.arrive(now, stream, tries, false),
             Event::Leave { rpc } => self.leave(rpc),
             Event::Overdue { rpc } => self.overdue(rpc),
-            Event::Wake { gateway, life, token } => self.wake(now, gateway, life, token),
-            Event::AtServer { call, server, server_life } => self.at_server(now, call, server, server_life),
+            Event::Wake { gateway, incarnation, token } => self.wake(now, gateway, incarnation, token),
+            Event::AtServer { call, server, server_incarnation } => {
+                self.at_server(now, call, server, server_incarnation)
+            }
             Event::Back { call, how } => self.call_ended(now, call, how),
             Event::Limit { call } => self.call_ended(now, call, End::TimedOut),
-            Event::Freed { server, server_life } => self.servers.free(server, server_life),
-            Event::CountAt { gateway, life, serial, name, add, forget } => {
-                self.count_at(now, gateway, life, serial, name, add, forget)
+            Event::Freed { server, server_incarnation } => self.servers.free(server, server_incarnation),
+            Event::CountAt { gateway, incarnation, serial, name, add, forget } => {
+                self.count_at(now, gateway, incarnation, serial, name, add, forget)
             }
-            Event::CountBack { gateway, life, serial, total } => {
-                self.counted(now, gateway, life, serial, End::Ok, total)
+            Event::CountBack { gateway, incarnation, serial, total } => {
+                self.counted(now, gateway, incarnation, serial, End::Ok, total)
             }
-            Event::CountLimit { gateway, life, serial } => {
-                self.counted(now, gateway, life, serial, End::TimedOut, 0.0)
+            Event::CountLimit { gateway, incarnation, serial } => {
+                self.counted(now, gateway, incarnation, serial, End::TimedOut, 0.0)
             }
             Event::List => self.list(now),
             Event::Trouble { index, starts } => self.trouble(now, index, starts),
             Event::Replace { server } => self.replace(now, server),
-            Event::Stop { gateway, life } => self.stop(now, gateway, life),
+            Event::Stop { gateway, incarnation } => self.stop(now, gateway, incarnation),
             Event::Start { gateway } => self.start(now, gateway),
             Event::Tick => self.tick(now),
         }
     }
 
     fn tick(&mut self, now: Nanos) {
-        let up = self.gateways.iter().filter(|gateway| gateway.life.takes_clients()).count() as u32;
+        let up = self.gateways.iter().filter(|gateway| gateway.lifecycle.takes_clients()).count() as u32;
         self.record.gauge(now, up, self.rpcs.len() as u64);
         if now < self.end {
             self.queue.after(nanos(self.scenario.bucket_seconds), Event::Tick);
--- a/crates/lab/src/world/attempts.rs
+++ b/crates/lab/src/world/attempts.rs
@@ -13,8 +13,8 @@
         if live.stand == Stand::Held {
             live.stand = Stand::Out;
         }
-        let life = self.gateways[gateway as usize].life.life;
-        let call = CallRef { gateway, life, rpc, nth };
+        let incarnation = self.gateways[gateway as usize].lifecycle.incarnation;
+        let call = CallRef { gateway, incarnation, rpc, nth };
         self.record.add(now, |counts| counts.call_outs += 1);
         if first {
             let at = &self.clients.streams[stream as usize];
@@ -26,24 +26,26 @@
         let Some(at) = self.servers.all.get(server as usize) else {
             return self.queue.after(self.network.refuse, Event::Back { call, how: End::NoConnection });
         };
-        let (zone, server_life) = (self.gateways[gateway as usize].life.zone, at.life);
-        self.gateways[gateway as usize].calls.insert((rpc, nth), CallOut { server, server_life, sent: now });
+        let (zone, server_incarnation) = (self.gateways[gateway as usize].lifecycle.zone, at.incarnation);
+        self.gateways[gateway as usize]
+            .calls
+            .insert((rpc, nth), CallOut { server, server_incarnation, sent: now });
         if !self.network.reaches(zone, at.zone) {
             return self.queue.after(self.dial, Event::Back { call, how: End::NoConnection });
         }
         if let Some(hop) = self.network.hop() {
-            self.queue.after(hop, Event::AtServer { call, server, server_life });
+            self.queue.after(hop, Event::AtServer { call, server, server_incarnation });
         }
     }
 
-    pub(super) fn at_server(&mut self, now: Nanos, call: CallRef, server: u32, server_life: u32) {
-        match self.servers.take(now, server, server_life, call) {
+    pub(super) fn at_server(&mut self, now: Nanos, call: CallRef, server: u32, server_incarnation: u32) {
+        match self.servers.take(now, server, server_incarnation, call) {
             Take::Refused => {
                 self.queue.after(self.network.refuse, Event::Back { call, how: End::NoConnection })
             }
             Take::Full => self.answer(call, 0, End::Full),
             Take::Serving { after, ok } => {
-                self.queue.after(after, Event::Freed { server, server_life });
+                self.queue.after(after, Event::Freed { server, server_incarnation });
                 self.answer(call, after, if ok { End::Ok } else { End::Error });
             }
             Take::Held => {}
@@ -59,13 +61,15 @@
     /// A call-out ended at its gateway: answered, failed, or its time over. One that ended before is passed over.
     pub(super) fn call_ended(&mut self, now: Nanos, call: CallRef, how: End) {
         let gateway = &mut self.gateways[call.gateway as usize];
-        if gateway.life.life != call.life || !gateway.life.runs() {
+        if gateway.lifecycle.incarnation != call.incarnation || !gateway.lifecycle.runs() {
             return;
         }
         let Some(out) = gateway.calls.remove(&(call.rpc, call.nth)) else { return };
         let took = now - out.sent;
-        let live =
-            self.rpcs.get(&call.rpc).filter(|live| live.gateway == call.gateway && live.life == call.life);
+        let live = self
+            .rpcs
+            .get(&call.rpc)
+            .filter(|live| live.gateway == call.gateway && live.incarnation == call.incarnation);
         let open = live.is_some_and(|live| matches!(live.stand, Stand::Held | Stand::Out));
         if let Some(live) = live.filter(|_| open) {
             let (arrived, deadline, stream) = (live.arrived, live.deadline, live.stream);
--- a/crates/lab/src/world/counting.rs
+++ b/crates/lab/src/world/counting.rs
@@ -9,14 +9,14 @@
         self.serial += 1;
         let serial = self.serial;
         let at = &mut self.gateways[gateway as usize];
-        let (life, zone) = (at.life.life, at.life.zone);
+        let (incarnation, zone) = (at.lifecycle.incarnation, at.lifecycle.zone);
         at.counts.insert(serial, name);
-        self.queue.at(now + self.count_wait.max(1), Event::CountLimit { gateway, life, serial });
+        self.queue.at(now + self.count_wait.max(1), Event::CountLimit { gateway, incarnation, serial });
         if !(self.counter.enabled && self.network.reaches_counter(zone)) {
             return;
         }
         if let Some(hop) = self.network.hop() {
-            self.queue.after(hop, Event::CountAt { gateway, life, serial, name, add, forget });
+            self.queue.after(hop, Event::CountAt { gateway, incarnation, serial, name, add, forget });
         }
     }
 
@@ -25,7 +25,7 @@
         &mut self,
         now: Nanos,
         gateway: u32,
-        life: u32,
+        incarnation: u32,
         serial: u64,
         name: u64,
         add: f64,
@@ -34,13 +34,21 @@
         let Some(total) = self.counter.add(now, gateway, name, add, forget) else { return };
         let latency = nanos(self.scenario.counter.latency_ms / 1e3);
         if let Some(hop) = self.network.hop() {
-            self.queue.after(latency + hop, Event::CountBack { gateway, life, serial, total });
+            self.queue.after(latency + hop, Event::CountBack { gateway, incarnation, serial, total });
         }
     }
 
-    pub(super) fn counted(&mut self, now: Nanos, gateway: u32, life: u32, serial: u64, how: End, total: f64) {
+    pub(super) fn counted(
+        &mut self,
+        now: Nanos,
+        gateway: u32,
+        incarnation: u32,
+        serial: u64,
+        how: End,
+        total: f64,
+    ) {
         let at = &mut self.gateways[gateway as usize];
-        if at.life.life != life {
+        if at.lifecycle.incarnation != incarnation {
             return;
         }
         let Some(name) = at.counts.remove(&serial) else { return };
--- a/crates/lab/src/world/discovery.rs
+++ b/crates/lab/src/world/discovery.rs
@@ -29,9 +29,14 @@
         let mut reset = Vec::new();
         for (number, gateway) in self.gateways.iter().enumerate() {
             for (&(rpc, nth), out) in &gateway.calls {
-                let on = self.servers.all[out.server as usize].life == out.server_life;
+                let on = self.servers.all[out.server as usize].incarnation == out.server_incarnation;
                 if on && servers.binary_search(&out.server).is_ok() {
-                    reset.push(CallRef { gateway: number as u32, life: gateway.life.life, rpc, nth });
+                    reset.push(CallRef {
+                        gateway: number as u32,
+                        incarnation: gateway.lifecycle.incarnation,
+                        rpc,
+                        nth,
+                    });
                 }
             }
         }
--- a/crates/lab/src/world/gateways.rs
+++ b/crates/lab/src/world/gateways.rs
@@ -26,8 +26,8 @@
                 Wish::PushBack { rpc, come_back } => self.final_answer(now, rpc, true, come_back),
                 Wish::Abort { rpc } => self.final_answer(now, rpc, false, 0),
                 Wish::Wake { after, token } => {
-                    let life = self.gateways[gateway as usize].life.life;
-                    self.queue.after(after.max(1), Event::Wake { gateway, life, token });
+                    let incarnation = self.gateways[gateway as usize].lifecycle.incarnation;
+                    self.queue.after(after.max(1), Event::Wake { gateway, incarnation, token });
                 }
                 Wish::Count { name, add, forget } => self.count(now, gateway, name, add, forget),
             }
@@ -35,16 +35,16 @@
         self.wishes.0 = wishes;
     }
 
-    pub(super) fn wake(&mut self, now: Nanos, gateway: u32, life: u32, token: u32) {
-        if self.gateways[gateway as usize].life.life == life {
+    pub(super) fn wake(&mut self, now: Nanos, gateway: u32, incarnation: u32, token: u32) {
+        if self.gateways[gateway as usize].lifecycle.incarnation == incarnation {
             self.with_gate(gateway, |gate, wishes| gate.woke(wishes, now, token));
             self.carry(now, gateway);
         }
     }
 
     pub(super) fn start_gate(&mut self, gateway: u32) {
-        let life = self.gateways[gateway as usize].life.life;
-        let seed = chance::gateway_seed(self.scenario.seed, gateway, life);
+        let incarnation = self.gateways[gateway as usize].lifecycle.incarnation;
+        let seed = chance::gateway_seed(self.scenario.seed, gateway, incarnation);
         let gate = gates::make(self.kind, gateway, seed, &self.settings, &self.ledger);
         self.gateways[gateway as usize].gate = Some(gate);
     }
@@ -55,7 +55,7 @@
         for &gateway in gone {
             down[gateway as usize] = true;
             let at = &mut self.gateways[gateway as usize];
-            at.life.kill();
+            at.lifecycle.kill();
             (at.gate, at.calls, at.counts) = (None, BTreeMap::new(), BTreeMap::new());
         }
         let held: Vec<(u32, u32, u32)> = (self.rpcs.iter())
@@ -69,9 +69,9 @@
         }
     }
 
-    pub(super) fn stop(&mut self, now: Nanos, gateway: u32, life: u32) {
+    pub(super) fn stop(&mut self, now: Nanos, gateway: u32, incarnation: u32) {
         let at = &self.gateways[gateway as usize];
-        if at.life.life != life || !matches!(at.life.phase, Phase::Draining { .. }) {
+        if at.lifecycle.incarnation != incarnation || !matches!(at.lifecycle.phase, Phase::Draining { .. }) {
             return;
         }
         let held: Vec<u32> = (self.rpcs.iter())
@@ -81,15 +81,15 @@
         for rpc in held {
             self.final_answer(now, rpc, true, 0);
         }
-        self.gateways[gateway as usize].life.stop();
+        self.gateways[gateway as usize].lifecycle.stop();
         self.cut(now, &[gateway]);
     }
 
     pub(super) fn start(&mut self, now: Nanos, gateway: u32) {
-        if self.gateways[gateway as usize].life.phase != Phase::Down {
+        if self.gateways[gateway as usize].lifecycle.phase != Phase::Down {
             return;
         }
-        self.gateways[gateway as usize].life.start();
+        self.gateways[gateway as usize].lifecycle.start();
         self.start_gate(gateway);
         let list = self.servers.listed();
         self.with_gate(gateway, |gate, _| gate.listed(now, true, &list));
--- a/crates/lab/src/world/rpcs.rs
+++ b/crates/lab/src/world/rpcs.rs
@@ -31,16 +31,19 @@
             counts.asked += credit;
         });
         let (gateways, lives) = (self.scenario.gateways, &self.gateways);
-        let Some(gateway) =
-            self.clients.gateway(stream as usize, |at| lives[at as usize].life.takes_clients(), gateways)
-        else {
+        let Some(gateway) = self.clients.gateway(
+            stream as usize,
+            |at| lives[at as usize].lifecycle.takes_clients(),
+            gateways,
+        ) else {
             self.record.add(now, |counts| counts.cut += 1);
             return self.come_again(stream, tries, 0);
         };
         let rpc = self.next_rpc;
         self.next_rpc = self.next_rpc.wrapping_add(1).max(1);
-        let life = self.gateways[gateway as usize].life.life;
-        let live = Live { gateway, life, stream, arrived: now, deadline, tries, nth: 0, stand: Stand::Held };
+        let incarnation = self.gateways[gateway as usize].lifecycle.incarnation;
+        let live =
+            Live { gateway, incarnation, stream, arrived: now, deadline, tries, nth: 0, stand: Stand::Held };
         self.rpcs.insert(rpc, live);
         self.queue.at(deadline + GRACE, Event::Overdue { rpc });
         if let Some(after) = self.clients.leaves_after(deadline - now) {
@@ -64,10 +67,10 @@
     pub(super) fn leave(&mut self, rpc: u32) {
         let Some(live) = self.rpcs.get(&rpc) else { return };
         if matches!(live.stand, Stand::Held | Stand::Out) {
-            let (gateway, life, now) = (live.gateway, live.life, self.queue.now());
+            let (gateway, incarnation, now) = (live.gateway, live.incarnation, self.queue.now());
             self.record.add(now, |counts| counts.left += 1);
             self.shift(rpc, Stand::Gone);
-            if self.gateways[gateway as usize].life.life == life {
+            if self.gateways[gateway as usize].lifecycle.incarnation == incarnation {
                 self.with_gate(gateway, |gate, _| gate.client_left(rpc));
             }
         }
@@ -79,7 +82,7 @@
         if matches!(live.stand, Stand::Held | Stand::Out) {
             let now = self.queue.now();
             self.record.add(now, |counts| counts.lost += 1);
-            if self.gateways[live.gateway as usize].life.life == live.life {
+            if self.gateways[live.gateway as usize].lifecycle.incarnation == live.incarnation {
                 self.with_gate(live.gateway, |gate, _| gate.client_left(rpc));
             }
         }
--- a/crates/lab/src/world/troubles.rs
+++ b/crates/lab/src/world/troubles.rs
@@ -31,10 +31,10 @@
             }
             Trouble::Drain { share, back_after, .. } => {
                 for gateway in self.pick_running(index, share) {
-                    let at = &mut self.gateways[gateway as usize].life;
+                    let at = &mut self.gateways[gateway as usize].lifecycle;
                     at.drain(now);
-                    let life = at.life;
-                    self.queue.after(lifecycle::DRAIN, Event::Stop { gateway, life });
+                    let incarnation = at.incarnation;
+                    self.queue.after(lifecycle::DRAIN, Event::Stop { gateway, incarnation });
                     if let Some(back) = back_after {
                         self.queue.after(lifecycle::DRAIN + nanos(back), Event::Start { gateway });
                     }
@@ -69,10 +69,10 @@
             }
             Trouble::Pause { .. } => {
                 for server in earlier {
-                    let server_life = self.servers.all[server as usize].life;
+                    let server_incarnation = self.servers.all[server as usize].incarnation;
                     for (call, take) in self.servers.resume(server) {
                         if let Take::Serving { after, ok } = take {
-                            self.queue.after(after, Event::Freed { server, server_life });
+                            self.queue.after(after, Event::Freed { server, server_incarnation });
                             self.answer(call, after, if ok { End::Ok } else { End::Error });
                         }
                     }
@@ -95,7 +95,7 @@
 
     fn pick_running(&mut self, index: usize, share: f64) -> Vec<u32> {
         let running: Vec<u32> =
-            (0..self.scenario.gateways).filter(|at| self.gateways[*at as usize].life.runs()).collect();
+            (0..self.scenario.gateways).filter(|at| self.gateways[*at as usize].lifecycle.runs()).collect();
         let picked = self.pick(index, running.len() as u32, share);
         picked.into_iter().map(|at| running[at as usize]).collect()
     }
