--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -1,5 +1,5 @@
 //! The emulation: clients, gateways, servers, discovery, the counter and the network on one clock. Each RPC is a
-//! state machine (`Stand`) changed by `shift` alone; each event is handled by one function.
+//! state machine (`RpcState`) changed by `set_state` alone; each event is handled by one function.
 
 mod attempts;
 mod counting;
@@ -28,20 +28,28 @@
 /// Past its deadline an RPC's client waits so long for an answer before the RPC counts as lost.
 pub const GRACE: Nanos = 500 * MS;
 
-/// Where an RPC stands, as the client and the gateway see it.
+/// The states of an RPC, as the client and the gateway see it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stand {
-    /// At its gateway, with no call-out open.
-    Held,
-    /// A call-out is open.
-    Out,
+enum RpcState {
+    /// At its gateway, with no attempt open.
+    Waiting,
+    /// An attempt is open.
+    Attempting,
     /// It has its final answer; kept until its deadline so that a second one is seen.
     Answered,
     /// Its client left, or its gateway was killed.
-    Gone,
+    Abandoned,
 }
 
-struct Live {
+impl RpcState {
+    /// Whether the RPC still has to get its final answer.
+    fn is_open(self) -> bool {
+        matches!(self, RpcState::Waiting | RpcState::Attempting)
+    }
+}
+
+/// An RPC from its arrival until it is overdue.
+struct LiveRpc {
     gateway: u32,
     incarnation: u32,
     stream: u32,
@@ -49,7 +57,7 @@
     deadline: Nanos,
     tries: u32,
     nth: u16,
-    stand: Stand,
+    state: RpcState,
 }
 
 struct CallOut {
@@ -100,7 +108,7 @@
     counter: Counter,
     network: Network,
     gateways: Vec<Gateway>,
-    rpcs: BTreeMap<u32, Live>,
+    rpcs: BTreeMap<u32, LiveRpc>,
     next_rpc: u32,
     pub record: Record,
     ledger: Rc<RefCell<Ledger>>,
--- a/crates/lab/src/world/attempts.rs
+++ b/crates/lab/src/world/attempts.rs
@@ -1,6 +1,6 @@
 //! Attempts at servers, from the gateway to the server and back.
 
-use super::{CallOut, Event, Stand, World, utility};
+use super::{CallOut, Event, RpcState, World, utility};
 use crate::Nanos;
 use crate::servers::{CallRef, Take};
 use martenramp::host::{End, Ended};
@@ -8,15 +8,15 @@
 impl World {
     pub(super) fn call_out(&mut self, now: Nanos, gateway: u32, rpc: u32, server: u32, limit: Nanos) {
         let Some(live) = self.rpcs.get_mut(&rpc).filter(|live| live.gateway == gateway) else { return };
-        let (nth, deadline, stream, first) = (live.nth, live.deadline, live.stream, live.nth == 0);
+        let (nth, deadline, stream) = (live.nth, live.deadline, live.stream);
         live.nth += 1;
-        if live.stand == Stand::Held {
-            live.stand = Stand::Out;
+        if live.state == RpcState::Waiting {
+            self.set_state(rpc, RpcState::Attempting);
         }
         let incarnation = self.gateways[gateway as usize].lifecycle.incarnation;
         let call = CallRef { gateway, incarnation, rpc, nth };
         self.record.add(now, |counts| counts.call_outs += 1);
-        if first {
+        if nth == 0 {
             let at = &self.clients.streams[stream as usize];
             let plan = &self.plans[at.plan as usize];
             self.record.sent(now, at.customer, at.units, plan.rate, plan.burst);
@@ -70,7 +70,7 @@
             .rpcs
             .get(&call.rpc)
             .filter(|live| live.gateway == call.gateway && live.incarnation == call.incarnation);
-        let open = live.is_some_and(|live| matches!(live.stand, Stand::Held | Stand::Out));
+        let open = live.is_some_and(|live| live.state.is_open());
         if let Some(live) = live.filter(|_| open) {
             let (arrived, deadline, stream) = (live.arrived, live.deadline, live.stream);
             if how == End::Ok {
@@ -81,9 +81,9 @@
                     counts.served += earned;
                 });
                 self.record.ok_took(now, now - arrived);
-                self.shift(call.rpc, Stand::Answered);
+                self.set_state(call.rpc, RpcState::Answered);
             } else {
-                self.shift(call.rpc, Stand::Held);
+                self.set_state(call.rpc, RpcState::Waiting);
             }
         }
         let closed = !open || how == End::Ok;
--- a/crates/lab/src/world/gateways.rs
+++ b/crates/lab/src/world/gateways.rs
@@ -1,6 +1,6 @@
 //! Gateways: what their policies ask for is carried out, and they start, drain, stop and are killed.
 
-use super::{Event, Stand, World};
+use super::{Event, RpcState, World};
 use crate::gates::{self, Gate, Wish, Wishes};
 use crate::lifecycle::Phase;
 use crate::{Nanos, chance};
@@ -59,11 +59,11 @@
             (at.gate, at.calls, at.counts) = (None, BTreeMap::new(), BTreeMap::new());
         }
         let held: Vec<(u32, u32, u32)> = (self.rpcs.iter())
-            .filter(|(_, live)| down[live.gateway as usize] && matches!(live.stand, Stand::Held | Stand::Out))
+            .filter(|(_, live)| down[live.gateway as usize] && live.state.is_open())
             .map(|(rpc, live)| (*rpc, live.stream, live.tries))
             .collect();
         for (rpc, stream, tries) in held {
-            self.shift(rpc, Stand::Gone);
+            self.set_state(rpc, RpcState::Abandoned);
             self.record.add(now, |counts| counts.cut += 1);
             self.come_again(stream, tries, 0);
         }
@@ -75,7 +75,7 @@
             return;
         }
         let held: Vec<u32> = (self.rpcs.iter())
-            .filter(|(_, live)| live.gateway == gateway && matches!(live.stand, Stand::Held | Stand::Out))
+            .filter(|(_, live)| live.gateway == gateway && live.state.is_open())
             .map(|(rpc, _)| *rpc)
             .collect();
         for rpc in held {
--- a/crates/lab/src/world/rpcs.rs
+++ b/crates/lab/src/world/rpcs.rs
@@ -1,6 +1,6 @@
 //! RPCs from their arrival to their final answer, and the clients that send them again.
 
-use super::{Event, GRACE, Live, Stand, World};
+use super::{Event, GRACE, LiveRpc, RpcState, World};
 use crate::{MS, Nanos};
 use martenramp::host::Arrival;
 
@@ -8,9 +8,9 @@
 const MARGIN: Nanos = MS;
 
 impl World {
-    pub(super) fn shift(&mut self, rpc: u32, to: Stand) {
+    pub(super) fn set_state(&mut self, rpc: u32, to: RpcState) {
         if let Some(live) = self.rpcs.get_mut(&rpc) {
-            live.stand = to;
+            live.state = to;
         }
     }
 
@@ -42,8 +42,16 @@
         let rpc = self.next_rpc;
         self.next_rpc = self.next_rpc.wrapping_add(1).max(1);
         let incarnation = self.gateways[gateway as usize].lifecycle.incarnation;
-        let live =
-            Live { gateway, incarnation, stream, arrived: now, deadline, tries, nth: 0, stand: Stand::Held };
+        let live = LiveRpc {
+            gateway,
+            incarnation,
+            stream,
+            arrived: now,
+            deadline,
+            tries,
+            nth: 0,
+            state: RpcState::Waiting,
+        };
         self.rpcs.insert(rpc, live);
         self.queue.at(deadline + GRACE, Event::Overdue { rpc });
         if let Some(after) = self.clients.leaves_after(deadline - now) {
@@ -66,10 +74,10 @@
     /// The client leaves early: the gateway is told, and the RPC counts as left if it had no answer.
     pub(super) fn leave(&mut self, rpc: u32) {
         let Some(live) = self.rpcs.get(&rpc) else { return };
-        if matches!(live.stand, Stand::Held | Stand::Out) {
+        if live.state.is_open() {
             let (gateway, incarnation, now) = (live.gateway, live.incarnation, self.queue.now());
             self.record.add(now, |counts| counts.left += 1);
-            self.shift(rpc, Stand::Gone);
+            self.set_state(rpc, RpcState::Abandoned);
             if self.gateways[gateway as usize].lifecycle.incarnation == incarnation {
                 self.with_gate(gateway, |gate, _| gate.client_left(rpc));
             }
@@ -79,7 +87,7 @@
     /// The deadline and the grace are over: an RPC still without an answer is lost; all are forgotten.
     pub(super) fn overdue(&mut self, rpc: u32) {
         let Some(live) = self.rpcs.remove(&rpc) else { return };
-        if matches!(live.stand, Stand::Held | Stand::Out) {
+        if live.state.is_open() {
             let now = self.queue.now();
             self.record.add(now, |counts| counts.lost += 1);
             if self.gateways[live.gateway as usize].lifecycle.incarnation == live.incarnation {
@@ -91,13 +99,13 @@
     /// A final answer other than ok, from the gateway.
     pub(super) fn final_answer(&mut self, now: Nanos, rpc: u32, pushed_back: bool, come_back: Nanos) {
         let Some(live) = self.rpcs.get(&rpc) else { return };
-        match live.stand {
-            Stand::Held | Stand::Out => {}
-            Stand::Answered => return self.record.add(now, |counts| counts.twice += 1),
-            Stand::Gone => return,
+        match live.state {
+            RpcState::Waiting | RpcState::Attempting => {}
+            RpcState::Answered => return self.record.add(now, |counts| counts.twice += 1),
+            RpcState::Abandoned => return,
         }
         let (stream, tries) = (live.stream, live.tries);
-        self.shift(rpc, Stand::Answered);
+        self.set_state(rpc, RpcState::Answered);
         match pushed_back {
             true => self.record.add(now, |counts| counts.pushed_back += 1),
             false => self.record.add(now, |counts| counts.aborted += 1),
