--- a/crates/lab/src/servers.rs
+++ b/crates/lab/src/servers.rs
@@ -8,18 +8,18 @@
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, LogNormal};
 
-/// A call-out as a server holds it: whose it is, so that its end finds its way back.
+/// An attempt as a server holds it: whose it is, so that its end finds its way back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct CallRef {
+pub struct AttemptRef {
     pub gateway: u32,
     pub incarnation: u32,
     pub rpc: u32,
     pub nth: u16,
 }
 
-/// What a server does with a call-out that reaches it.
+/// What a server does with an attempt that reaches it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Take {
+pub enum Disposition {
     /// Nobody is there: the connection fails.
     Refused,
     /// All slots it bears now are taken.
@@ -41,7 +41,7 @@
     slow: f64,
     errors: f64,
     paused: bool,
-    held: Vec<CallRef>,
+    held: Vec<AttemptRef>,
 }
 
 pub struct Servers {
@@ -85,31 +85,31 @@
         ((f64::from(self.model.slots) * share).floor() as u32).max(1)
     }
 
-    /// A call-out of this incarnation of a server reaches the server.
-    pub fn take(&mut self, now: Nanos, server: u32, incarnation: u32, call: CallRef) -> Take {
+    /// An attempt of this incarnation of a server reaches the server.
+    pub fn accept(&mut self, now: Nanos, server: u32, incarnation: u32, attempt: AttemptRef) -> Disposition {
         let slots = self.slots(server, now);
         let at = &mut self.all[server as usize];
         if !at.up || at.incarnation != incarnation {
-            return Take::Refused;
+            return Disposition::Refused;
         }
         if at.busy >= slots {
-            return Take::Full;
+            return Disposition::Full;
         }
         at.busy += 1;
         if at.paused {
-            at.held.push(call);
-            return Take::Held;
+            at.held.push(attempt);
+            return Disposition::Held;
         }
         let (slow, errors) = (at.slow, at.errors);
         self.serve(slow, errors)
     }
 
-    fn serve(&mut self, slow: f64, errors: f64) -> Take {
+    fn serve(&mut self, slow: f64, errors: f64) -> Disposition {
         let after = (self.service.sample(&mut self.chance) * slow).max(1.0) as Nanos;
-        Take::Serving { after, ok: self.chance.random::<f64>() >= errors }
+        Disposition::Serving { after, ok: self.chance.random::<f64>() >= errors }
     }
 
-    /// A call-out is over at the server; one of an earlier incarnation frees nothing.
+    /// An attempt is over at the server; one of an earlier incarnation frees nothing.
     pub fn free(&mut self, server: u32, incarnation: u32) {
         let at = &mut self.all[server as usize];
         if at.incarnation == incarnation {
@@ -147,11 +147,11 @@
     }
 
     /// The pause is over: what was held is served now, each with when it ends.
-    pub fn resume(&mut self, server: u32) -> Vec<(CallRef, Take)> {
+    pub fn resume(&mut self, server: u32) -> Vec<(AttemptRef, Disposition)> {
         let at = &mut self.all[server as usize];
         at.paused = false;
         let (held, slow, errors) = (std::mem::take(&mut at.held), at.slow, at.errors);
-        held.into_iter().map(|call| (call, self.serve(slow, errors))).collect()
+        held.into_iter().map(|attempt| (attempt, self.serve(slow, errors))).collect()
     }
 
     /// The list as discovery has it now.
--- a/crates/lab/src/servers/tests.rs
+++ b/crates/lab/src/servers/tests.rs
@@ -18,12 +18,12 @@
 #[test]
 fn a_cold_server_bears_only_its_share_and_a_paused_one_holds() {
     let mut servers = Servers::new(&model(), crate::chance::stream(1, crate::chance::Stream::Servers));
-    let call = CallRef { gateway: 0, incarnation: 0, rpc: 1, nth: 0 };
+    let attempt = AttemptRef { gateway: 0, incarnation: 0, rpc: 1, nth: 0 };
     servers.replace(0, 0);
-    assert_eq!(servers.take(1, 0, 1, call), Take::Serving { after: 10_000_000, ok: true });
-    assert_eq!(servers.take(1, 0, 1, call), Take::Full, "a quarter of four slots, cold");
-    assert_eq!(servers.take(1, 0, 0, call), Take::Refused, "a call-out for the old incarnation");
+    assert_eq!(servers.accept(1, 0, 1, attempt), Disposition::Serving { after: 10_000_000, ok: true });
+    assert_eq!(servers.accept(1, 0, 1, attempt), Disposition::Full, "a quarter of four slots, cold");
+    assert_eq!(servers.accept(1, 0, 0, attempt), Disposition::Refused, "an attempt at the old incarnation");
     servers.pause(1);
-    assert_eq!(servers.take(1, 1, 0, call), Take::Held);
+    assert_eq!(servers.accept(1, 1, 0, attempt), Disposition::Held);
     assert_eq!(servers.resume(1).len(), 1);
 }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -17,7 +17,7 @@
 use crate::queue::Queue;
 use crate::record::Record;
 use crate::scenario::{Method, Plan, Scenario};
-use crate::servers::{CallRef, Servers};
+use crate::servers::{AttemptRef, Servers};
 use crate::{MS, Nanos, SEC, nanos};
 use martenramp::host::{End, Settings};
 use rand_chacha::ChaCha8Rng;
@@ -60,7 +60,7 @@
     state: RpcState,
 }
 
-struct CallOut {
+struct Attempt {
     server: u32,
     server_incarnation: u32,
     sent: Nanos,
@@ -69,7 +69,7 @@
 struct Gateway {
     lifecycle: Lifecycle,
     gate: Option<Box<dyn Gate>>,
-    calls: BTreeMap<(u32, u16), CallOut>,
+    attempts: BTreeMap<(u32, u16), Attempt>,
     /// Count calls out, by serial: the name each was for.
     counts: BTreeMap<u64, u64>,
 }
@@ -81,9 +81,9 @@
     Leave { rpc: u32 },
     Overdue { rpc: u32 },
     Wake { gateway: u32, incarnation: u32, token: u32 },
-    AtServer { call: CallRef, server: u32, server_incarnation: u32 },
-    Back { call: CallRef, how: End },
-    Limit { call: CallRef },
+    AtServer { attempt: AttemptRef, server: u32, server_incarnation: u32 },
+    Back { attempt: AttemptRef, how: End },
+    Limit { attempt: AttemptRef },
     Freed { server: u32, server_incarnation: u32 },
     CountAt { gateway: u32, serial: u64, incarnation: u32, name: u64, add: f64, forget: Nanos },
     CountBack { gateway: u32, incarnation: u32, serial: u64, total: f64 },
@@ -147,7 +147,7 @@
             .map(|at| Gateway {
                 lifecycle: Lifecycle::new(at % zones),
                 gate: None,
-                calls: BTreeMap::new(),
+                attempts: BTreeMap::new(),
                 counts: BTreeMap::new(),
             })
             .collect();
@@ -231,11 +231,11 @@
             Event::Leave { rpc } => self.leave(rpc),
             Event::Overdue { rpc } => self.overdue(rpc),
             Event::Wake { gateway, incarnation, token } => self.wake(now, gateway, incarnation, token),
-            Event::AtServer { call, server, server_incarnation } => {
-                self.at_server(now, call, server, server_incarnation)
+            Event::AtServer { attempt, server, server_incarnation } => {
+                self.at_server(now, attempt, server, server_incarnation)
             }
-            Event::Back { call, how } => self.call_ended(now, call, how),
-            Event::Limit { call } => self.call_ended(now, call, End::TimedOut),
+            Event::Back { attempt, how } => self.attempt_ended(now, attempt, how),
+            Event::Limit { attempt } => self.attempt_ended(now, attempt, End::TimedOut),
             Event::Freed { server, server_incarnation } => self.servers.free(server, server_incarnation),
             Event::CountAt { gateway, incarnation, serial, name, add, forget } => {
                 self.count_at(now, gateway, incarnation, serial, name, add, forget)
--- a/crates/lab/src/world/discovery.rs
+++ b/crates/lab/src/world/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery: changes of the fleet of servers come to the gateways with a delay.
 
 use super::{Event, World};
-use crate::servers::CallRef;
+use crate::servers::AttemptRef;
 use crate::{Nanos, nanos};
 use martenramp::host::{End, Listed};
 
@@ -24,14 +24,14 @@
         }
     }
 
-    /// Call-outs open on servers that are gone end as reset, a moment later. `servers` is in order.
-    pub(super) fn reset_calls_to(&mut self, servers: &[u32]) {
+    /// Attempts open on servers that are gone end as reset, a moment later. `servers` is in order.
+    pub(super) fn reset_attempts_on(&mut self, servers: &[u32]) {
         let mut reset = Vec::new();
         for (number, gateway) in self.gateways.iter().enumerate() {
-            for (&(rpc, nth), out) in &gateway.calls {
+            for (&(rpc, nth), out) in &gateway.attempts {
                 let on = self.servers.all[out.server as usize].incarnation == out.server_incarnation;
                 if on && servers.binary_search(&out.server).is_ok() {
-                    reset.push(CallRef {
+                    reset.push(AttemptRef {
                         gateway: number as u32,
                         incarnation: gateway.lifecycle.incarnation,
                         rpc,
@@ -40,13 +40,13 @@
                 }
             }
         }
-        for call in reset {
-            self.queue.after(self.network.refuse, Event::Back { call, how: End::Reset });
+        for attempt in reset {
+            self.queue.after(self.network.refuse, Event::Back { attempt, how: End::Reset });
         }
     }
 
     pub(super) fn replace(&mut self, now: Nanos, server: u32) {
-        self.reset_calls_to(&[server]);
+        self.reset_attempts_on(&[server]);
         self.servers.replace(server, now);
         self.list_changed();
     }
--- a/crates/lab/src/world/gateways.rs
+++ b/crates/lab/src/world/gateways.rs
@@ -22,7 +22,7 @@
         let mut wishes = std::mem::take(&mut self.wishes.0);
         for wish in wishes.drain(..) {
             match wish {
-                Wish::CallOut { rpc, server, limit } => self.call_out(now, gateway, rpc, server, limit),
+                Wish::CallOut { rpc, server, limit } => self.send_attempt(now, gateway, rpc, server, limit),
                 Wish::PushBack { rpc, come_back } => self.final_answer(now, rpc, true, come_back),
                 Wish::Abort { rpc } => self.final_answer(now, rpc, false, 0),
                 Wish::Wake { after, token } => {
@@ -56,7 +56,7 @@
             down[gateway as usize] = true;
             let at = &mut self.gateways[gateway as usize];
             at.lifecycle.kill();
-            (at.gate, at.calls, at.counts) = (None, BTreeMap::new(), BTreeMap::new());
+            (at.gate, at.attempts, at.counts) = (None, BTreeMap::new(), BTreeMap::new());
         }
         let held: Vec<(u32, u32, u32)> = (self.rpcs.iter())
             .filter(|(_, live)| down[live.gateway as usize] && live.state.is_open())
--- a/crates/lab/src/world/troubles.rs
+++ b/crates/lab/src/world/troubles.rs
@@ -2,7 +2,7 @@
 
 use super::{Event, World};
 use crate::scenario::Trouble;
-use crate::servers::Take;
+use crate::servers::Disposition;
 use crate::{Nanos, lifecycle, nanos};
 use martenramp::host::End;
 
@@ -44,7 +44,7 @@
                 let in_zone: Vec<u32> =
                     (0..servers).filter(|server| server % self.scenario.servers.zones == zone).collect();
                 if starts {
-                    self.reset_calls_to(&in_zone);
+                    self.reset_attempts_on(&in_zone);
                     in_zone.iter().for_each(|&server| self.servers.down(server));
                 } else {
                     in_zone.iter().for_each(|&server| self.servers.replace(server, now));
@@ -70,10 +70,10 @@
             Trouble::Pause { .. } => {
                 for server in earlier {
                     let server_incarnation = self.servers.all[server as usize].incarnation;
-                    for (call, take) in self.servers.resume(server) {
-                        if let Take::Serving { after, ok } = take {
+                    for (attempt, disposition) in self.servers.resume(server) {
+                        if let Disposition::Serving { after, ok } = disposition {
                             self.queue.after(after, Event::Freed { server, server_incarnation });
-                            self.answer(call, after, if ok { End::Ok } else { End::Error });
+                            self.answer(attempt, after, if ok { End::Ok } else { End::Error });
                         }
                     }
                 }
