The lab: counter calls and refusals are types, events have the field's names

A call to the counter went through seven arguments and a refusal through a boolean; CounterCall and Refusal hold them. Again is Retry, Back AttemptEnd, Limit AttemptTimeout.

--- a/crates/lab/src/clients.rs
+++ b/crates/lab/src/clients.rs
@@ -63,15 +63,15 @@
     }
 
     /// When a client leaves before its deadline, if this one does.
-    pub fn leaves_after(&mut self, deadline: Nanos) -> Option<Nanos> {
+    pub fn leave_delay(&mut self, deadline: Nanos) -> Option<Nanos> {
         let leaves = self.model.give_up_share > 0.0 && self.chance.random::<f64>() < self.model.give_up_share;
         leaves.then(|| self.chance.random_range(deadline / 10..=deadline / 2))
     }
 
     /// After a push-back or a cut: whether the client sends the RPC again, and after how long.
-    pub fn again_after(&mut self, tries: u32, come_back: Nanos) -> Option<Nanos> {
+    pub fn retry_delay(&mut self, tries: u32, retry_after: Nanos) -> Option<Nanos> {
         let again = tries < self.model.retries_most && self.chance.random::<f64>() < self.model.retry_share;
-        let after = if self.model.retry_at_once { nanos(0.001) } else { come_back.max(nanos(0.05)) };
+        let after = if self.model.retry_at_once { nanos(0.001) } else { retry_after.max(nanos(0.05)) };
         again.then_some(after)
     }
 }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -2,7 +2,7 @@
 //! state machine (`RpcState`) changed by `set_state` alone; each event is handled by one function.
 
 mod attempts;
-mod counting;
+mod counter_calls;
 mod discovery;
 mod gateways;
 mod rpcs;
@@ -22,7 +22,7 @@
 use martenramp::host::{End, Settings};
 use rand_chacha::ChaCha8Rng;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 /// Past its deadline an RPC's client waits so long for an answer before the RPC counts as lost.
@@ -70,24 +70,44 @@
     lifecycle: Lifecycle,
     gate: Option<Box<dyn Gate>>,
     attempts: BTreeMap<(u32, u16), Attempt>,
-    /// Count calls out, by serial: the name each was for.
-    counts: BTreeMap<u64, u64>,
+    /// Serials of the calls to the counter that are open.
+    counter_calls: BTreeSet<u64>,
+}
+
+/// A call of a gateway to the shared counter.
+#[derive(Clone, Copy, Debug)]
+struct CounterCall {
+    gateway: u32,
+    incarnation: u32,
+    serial: u64,
+    name: u64,
+    add: f64,
+    forget: Nanos,
+}
+
+/// A final answer of a gateway other than ok.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Refusal {
+    /// The client may send the RPC again after this time.
+    Rejected { retry_after: Nanos },
+    /// The client is not to send it again.
+    Aborted,
 }
 
 #[derive(Debug)]
 enum Event {
     Arrive { stream: u32 },
-    Again { stream: u32, tries: u32 },
+    Retry { stream: u32, tries: u32 },
     Leave { rpc: u32 },
     Overdue { rpc: u32 },
     Wake { gateway: u32, incarnation: u32, token: u32 },
-    AtServer { attempt: AttemptRef, server: u32, server_incarnation: u32 },
-    Back { attempt: AttemptRef, how: End },
-    Limit { attempt: AttemptRef },
-    Freed { server: u32, server_incarnation: u32 },
-    CountAt { gateway: u32, serial: u64, incarnation: u32, name: u64, add: f64, forget: Nanos },
-    CountBack { gateway: u32, incarnation: u32, serial: u64, total: f64 },
-    CountLimit { gateway: u32, incarnation: u32, serial: u64 },
+    AttemptAtServer { attempt: AttemptRef, server: u32, server_incarnation: u32 },
+    AttemptEnd { attempt: AttemptRef, how: End },
+    AttemptTimeout { attempt: AttemptRef },
+    ServerFreed { server: u32, server_incarnation: u32 },
+    CounterRequest(CounterCall),
+    CounterReply { call: CounterCall, total: f64 },
+    CounterTimeout(CounterCall),
     List,
     Trouble { index: usize, starts: bool },
     Replace { server: u32 },
@@ -118,9 +138,9 @@
     list_late: Nanos,
     end: Nanos,
     horizon: Nanos,
-    count_wait: Nanos,
-    dial: Nanos,
-    serial: u64,
+    counter_timeout: Nanos,
+    dial_timeout: Nanos,
+    next_serial: u64,
     wishes: Wishes,
 }
 
@@ -140,7 +160,7 @@
         let number = |name: &str, default: f64| {
             settings.get(name).and_then(|text| text.parse().ok()).unwrap_or(default)
         };
-        let (count_wait, dial) =
+        let (counter_timeout, dial_timeout) =
             (nanos(number("extra.countWait", 0.05)), nanos(number("ceilings.dialTimeout", 0.25)));
         let zones = scenario.servers.zones;
         let gateways = (0..scenario.gateways)
@@ -148,7 +168,7 @@
                 lifecycle: Lifecycle::new(at % zones),
                 gate: None,
                 attempts: BTreeMap::new(),
-                counts: BTreeMap::new(),
+                counter_calls: BTreeSet::new(),
             })
             .collect();
         let end = nanos(scenario.seconds);
@@ -172,9 +192,9 @@
             list_late: 0,
             end,
             horizon: end + longest + GRACE + SEC,
-            count_wait,
-            dial,
-            serial: 0,
+            counter_timeout,
+            dial_timeout,
+            next_serial: 0,
             wishes: Wishes::default(),
             settings,
             methods,
@@ -227,25 +247,21 @@
     fn handle(&mut self, now: Nanos, event: Event) {
         match event {
             Event::Arrive { stream } => self.arrive(now, stream, 0, true),
-            Event::Again { stream, tries } => self.arrive(now, stream, tries, false),
+            Event::Retry { stream, tries } => self.arrive(now, stream, tries, false),
             Event::Leave { rpc } => self.leave(rpc),
             Event::Overdue { rpc } => self.overdue(rpc),
             Event::Wake { gateway, incarnation, token } => self.wake(now, gateway, incarnation, token),
-            Event::AtServer { attempt, server, server_incarnation } => {
+            Event::AttemptAtServer { attempt, server, server_incarnation } => {
                 self.at_server(now, attempt, server, server_incarnation)
             }
-            Event::Back { attempt, how } => self.attempt_ended(now, attempt, how),
-            Event::Limit { attempt } => self.attempt_ended(now, attempt, End::TimedOut),
-            Event::Freed { server, server_incarnation } => self.servers.free(server, server_incarnation),
-            Event::CountAt { gateway, incarnation, serial, name, add, forget } => {
-                self.count_at(now, gateway, incarnation, serial, name, add, forget)
-            }
-            Event::CountBack { gateway, incarnation, serial, total } => {
-                self.counted(now, gateway, incarnation, serial, End::Ok, total)
-            }
-            Event::CountLimit { gateway, incarnation, serial } => {
-                self.counted(now, gateway, incarnation, serial, End::TimedOut, 0.0)
+            Event::AttemptEnd { attempt, how } => self.attempt_ended(now, attempt, how),
+            Event::AttemptTimeout { attempt } => self.attempt_ended(now, attempt, End::TimedOut),
+            Event::ServerFreed { server, server_incarnation } => {
+                self.servers.free(server, server_incarnation)
             }
+            Event::CounterRequest(call) => self.counter_request(now, call),
+            Event::CounterReply { call, total } => self.counter_call_ended(now, call, End::Ok, total),
+            Event::CounterTimeout(call) => self.counter_call_ended(now, call, End::TimedOut, 0.0),
             Event::List => self.list(now),
             Event::Trouble { index, starts } => self.trouble(now, index, starts),
             Event::Replace { server } => self.replace(now, server),
--- a/crates/lab/src/world/attempts.rs
+++ b/crates/lab/src/world/attempts.rs
@@ -22,19 +22,23 @@
             self.record.sent(now, at.customer, at.units, plan.rate, plan.burst);
         }
         let ends = if limit > 0 { (now + limit).min(deadline) } else { deadline };
-        self.queue.at(ends.max(now + 1), Event::Limit { attempt });
+        self.queue.at(ends.max(now + 1), Event::AttemptTimeout { attempt });
         let Some(at) = self.servers.all.get(server as usize) else {
-            return self.queue.after(self.network.refuse, Event::Back { attempt, how: End::NoConnection });
+            return self
+                .queue
+                .after(self.network.refuse, Event::AttemptEnd { attempt, how: End::NoConnection });
         };
         let (zone, server_incarnation) = (self.gateways[gateway as usize].lifecycle.zone, at.incarnation);
         self.gateways[gateway as usize]
             .attempts
             .insert((rpc, nth), Attempt { server, server_incarnation, sent: now });
         if !self.network.reaches(zone, at.zone) {
-            return self.queue.after(self.dial, Event::Back { attempt, how: End::NoConnection });
+            return self
+                .queue
+                .after(self.dial_timeout, Event::AttemptEnd { attempt, how: End::NoConnection });
         }
         if let Some(hop) = self.network.hop() {
-            self.queue.after(hop, Event::AtServer { attempt, server, server_incarnation });
+            self.queue.after(hop, Event::AttemptAtServer { attempt, server, server_incarnation });
         }
     }
 
@@ -47,11 +51,11 @@
     ) {
         match self.servers.accept(now, server, server_incarnation, attempt) {
             Disposition::Refused => {
-                self.queue.after(self.network.refuse, Event::Back { attempt, how: End::NoConnection })
+                self.queue.after(self.network.refuse, Event::AttemptEnd { attempt, how: End::NoConnection })
             }
             Disposition::Full => self.answer(attempt, 0, End::Full),
             Disposition::Serving { after, ok } => {
-                self.queue.after(after, Event::Freed { server, server_incarnation });
+                self.queue.after(after, Event::ServerFreed { server, server_incarnation });
                 self.answer(attempt, after, if ok { End::Ok } else { End::Error });
             }
             Disposition::Held => {}
@@ -60,7 +64,7 @@
 
     pub(super) fn answer(&mut self, attempt: AttemptRef, after: Nanos, how: End) {
         if let Some(hop) = self.network.hop() {
-            self.queue.after(after + hop, Event::Back { attempt, how });
+            self.queue.after(after + hop, Event::AttemptEnd { attempt, how });
         }
     }
 
--- a/crates/lab/src/world/discovery.rs
+++ b/crates/lab/src/world/discovery.rs
@@ -41,7 +41,7 @@
             }
         }
         for attempt in reset {
-            self.queue.after(self.network.refuse, Event::Back { attempt, how: End::Reset });
+            self.queue.after(self.network.refuse, Event::AttemptEnd { attempt, how: End::Reset });
         }
     }
 
--- a/crates/lab/src/world/gateways.rs
+++ b/crates/lab/src/world/gateways.rs
@@ -1,10 +1,10 @@
 //! Gateways: what their policies ask for is carried out, and they start, drain, stop and are killed.
 
-use super::{Event, RpcState, World};
+use super::{Event, Refusal, RpcState, World};
 use crate::gates::{self, Gate, Wish, Wishes};
 use crate::lifecycle::Phase;
 use crate::{Nanos, chance};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 impl World {
     pub(super) fn with_gate<T>(
@@ -23,13 +23,15 @@
         for wish in wishes.drain(..) {
             match wish {
                 Wish::CallOut { rpc, server, limit } => self.send_attempt(now, gateway, rpc, server, limit),
-                Wish::PushBack { rpc, come_back } => self.final_answer(now, rpc, true, come_back),
-                Wish::Abort { rpc } => self.final_answer(now, rpc, false, 0),
+                Wish::PushBack { rpc, come_back } => {
+                    self.refuse(now, rpc, Refusal::Rejected { retry_after: come_back })
+                }
+                Wish::Abort { rpc } => self.refuse(now, rpc, Refusal::Aborted),
                 Wish::Wake { after, token } => {
                     let incarnation = self.gateways[gateway as usize].lifecycle.incarnation;
                     self.queue.after(after.max(1), Event::Wake { gateway, incarnation, token });
                 }
-                Wish::Count { name, add, forget } => self.count(now, gateway, name, add, forget),
+                Wish::Count { name, add, forget } => self.call_counter(now, gateway, name, add, forget),
             }
         }
         self.wishes.0 = wishes;
@@ -56,7 +58,7 @@
             down[gateway as usize] = true;
             let at = &mut self.gateways[gateway as usize];
             at.lifecycle.kill();
-            (at.gate, at.attempts, at.counts) = (None, BTreeMap::new(), BTreeMap::new());
+            (at.gate, at.attempts, at.counter_calls) = (None, BTreeMap::new(), BTreeSet::new());
         }
         let held: Vec<(u32, u32, u32)> = (self.rpcs.iter())
             .filter(|(_, live)| down[live.gateway as usize] && live.state.is_open())
@@ -65,7 +67,7 @@
         for (rpc, stream, tries) in held {
             self.set_state(rpc, RpcState::Abandoned);
             self.record.add(now, |counts| counts.cut += 1);
-            self.come_again(stream, tries, 0);
+            self.schedule_retry(stream, tries, 0);
         }
     }
 
@@ -79,7 +81,7 @@
             .map(|(rpc, _)| *rpc)
             .collect();
         for rpc in held {
-            self.final_answer(now, rpc, true, 0);
+            self.refuse(now, rpc, Refusal::Rejected { retry_after: 0 });
         }
         self.gateways[gateway as usize].lifecycle.stop();
         self.cut(now, &[gateway]);
--- a/crates/lab/src/world/rpcs.rs
+++ b/crates/lab/src/world/rpcs.rs
@@ -1,6 +1,6 @@
 //! RPCs from their arrival to their final answer, and the clients that send them again.
 
-use super::{Event, GRACE, LiveRpc, RpcState, World};
+use super::{Event, GRACE, LiveRpc, Refusal, RpcState, World};
 use crate::{MS, Nanos};
 use martenramp::host::Arrival;
 
@@ -8,6 +8,7 @@
 const MARGIN: Nanos = MS;
 
 impl World {
+    /// Every change of an RPC's state goes through here.
     pub(super) fn set_state(&mut self, rpc: u32, to: RpcState) {
         if let Some(live) = self.rpcs.get_mut(&rpc) {
             live.state = to;
@@ -37,7 +38,7 @@
             gateways,
         ) else {
             self.record.add(now, |counts| counts.cut += 1);
-            return self.come_again(stream, tries, 0);
+            return self.schedule_retry(stream, tries, 0);
         };
         let rpc = self.next_rpc;
         self.next_rpc = self.next_rpc.wrapping_add(1).max(1);
@@ -54,7 +55,7 @@
         };
         self.rpcs.insert(rpc, live);
         self.queue.at(deadline + GRACE, Event::Overdue { rpc });
-        if let Some(after) = self.clients.leaves_after(deadline - now) {
+        if let Some(after) = self.clients.leave_delay(deadline - now) {
             self.queue.after(after, Event::Leave { rpc });
         }
         let arrival = Arrival {
@@ -97,7 +98,7 @@
     }
 
     /// A final answer other than ok, from the gateway.
-    pub(super) fn final_answer(&mut self, now: Nanos, rpc: u32, pushed_back: bool, come_back: Nanos) {
+    pub(super) fn refuse(&mut self, now: Nanos, rpc: u32, refusal: Refusal) {
         let Some(live) = self.rpcs.get(&rpc) else { return };
         match live.state {
             RpcState::Waiting | RpcState::Attempting => {}
@@ -106,18 +107,18 @@
         }
         let (stream, tries) = (live.stream, live.tries);
         self.set_state(rpc, RpcState::Answered);
-        match pushed_back {
-            true => self.record.add(now, |counts| counts.pushed_back += 1),
-            false => self.record.add(now, |counts| counts.aborted += 1),
-        }
-        if pushed_back {
-            self.come_again(stream, tries, come_back);
+        match refusal {
+            Refusal::Rejected { retry_after } => {
+                self.record.add(now, |counts| counts.pushed_back += 1);
+                self.schedule_retry(stream, tries, retry_after);
+            }
+            Refusal::Aborted => self.record.add(now, |counts| counts.aborted += 1),
         }
     }
 
-    pub(super) fn come_again(&mut self, stream: u32, tries: u32, come_back: Nanos) {
-        if let Some(after) = self.clients.again_after(tries, come_back) {
-            self.queue.after(after, Event::Again { stream, tries: tries + 1 });
+    pub(super) fn schedule_retry(&mut self, stream: u32, tries: u32, retry_after: Nanos) {
+        if let Some(after) = self.clients.retry_delay(tries, retry_after) {
+            self.queue.after(after, Event::Retry { stream, tries: tries + 1 });
         }
     }
 }
--- a/crates/lab/src/world/troubles.rs
+++ b/crates/lab/src/world/troubles.rs
@@ -72,7 +72,7 @@
                     let server_incarnation = self.servers.all[server as usize].incarnation;
                     for (attempt, disposition) in self.servers.resume(server) {
                         if let Disposition::Serving { after, ok } = disposition {
-                            self.queue.after(after, Event::Freed { server, server_incarnation });
+                            self.queue.after(after, Event::ServerFreed { server, server_incarnation });
                             self.answer(attempt, after, if ok { End::Ok } else { End::Error });
                         }
                     }
