--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -74,6 +74,17 @@
     counter_calls: BTreeSet<u64>,
 }
 
+impl Gateway {
+    fn new(zone: u32) -> Gateway {
+        Gateway {
+            lifecycle: Lifecycle::new(zone),
+            gate: None,
+            attempts: BTreeMap::new(),
+            counter_calls: BTreeSet::new(),
+        }
+    }
+}
+
 /// A call of a gateway to the shared counter.
 #[derive(Clone, Copy, Debug)]
 struct CounterCall {
@@ -163,14 +174,7 @@
         let (counter_timeout, dial_timeout) =
             (nanos(number("extra.countWait", 0.05)), nanos(number("ceilings.dialTimeout", 0.25)));
         let zones = scenario.servers.zones;
-        let gateways = (0..scenario.gateways)
-            .map(|at| Gateway {
-                lifecycle: Lifecycle::new(at % zones),
-                gate: None,
-                attempts: BTreeMap::new(),
-                counter_calls: BTreeSet::new(),
-            })
-            .collect();
+        let gateways = (0..scenario.gateways).map(|at| Gateway::new(at % zones)).collect();
         let end = nanos(scenario.seconds);
         let longest = methods.iter().map(|method| method.deadline).max().unwrap_or(SEC);
         let window = nanos(60.0).min(end.max(1));
@@ -201,24 +205,28 @@
             plans,
             scenario: scenario.clone(),
         };
-        for gateway in 0..scenario.gateways {
-            world.start_gate(gateway);
+        world.schedule_first_events();
+        world
+    }
+
+    fn schedule_first_events(&mut self) {
+        for gateway in 0..self.scenario.gateways {
+            self.start_gate(gateway);
         }
-        world.queue.at(0, Event::List);
-        world.queue.at(0, Event::Tick);
-        for stream in 0..world.clients.streams.len() {
-            if let Some(gap) = world.clients.gap(stream) {
-                world.queue.at(gap, Event::Arrive { stream: stream as u32 });
+        self.queue.at(0, Event::List);
+        self.queue.at(0, Event::Tick);
+        for stream in 0..self.clients.streams.len() {
+            if let Some(gap) = self.clients.gap(stream) {
+                self.queue.at(gap, Event::Arrive { stream: stream as u32 });
             }
         }
-        for (index, trouble) in scenario.troubles.iter().enumerate() {
+        for (index, trouble) in self.scenario.troubles.iter().enumerate() {
             let (starts, ends) = trouble.span();
-            world.queue.at(starts, Event::Trouble { index, starts: true });
+            self.queue.at(starts, Event::Trouble { index, starts: true });
             if let Some(ends) = ends {
-                world.queue.at(ends, Event::Trouble { index, starts: false });
+                self.queue.at(ends, Event::Trouble { index, starts: false });
             }
         }
-        world
     }
 
     /// Handles events until the horizon: arrivals stop at the scenario's end, and every RPC then has until its
