--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -1,26 +1,30 @@
 //! Plays a scenario: starts the stand-ins and the processes, runs the script of faults against the clock, and brings
 //! back what the servers, the front and the log lines hold. Every process started here is ended here.
 
+mod gateways;
+mod links;
+mod script;
+mod servers;
+mod steps;
+
 use crate::front::{Call, Customer, Front, Method, Plan};
 use crate::measure::Server;
-use crate::scenario::{Fault, Place, Scenario, Servers as Group, Wire};
+use crate::scenario::Scenario;
 use crate::{MS, Nanos, SEC, Stream, chance, nanos};
 use rand::Rng;
-use rand::seq::SliceRandom;
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, LogNormal};
 use rustix::process::Signal;
-use serde_json::{Value, json};
-use standins::counter::{Counter, State};
-use standins::discovery::{Discovery, Entry, Mode};
+use script::Step;
+use standins::counter::Counter;
+use standins::discovery::{Discovery, Entry};
 use standins::process::Program;
 use standins::reactor::{Clock, Handle};
-use standins::relay::{Faults, Gate, Path as Way, Relays};
-use standins::servers::{Health, Row, Servers, Spec};
+use standins::relay::Relays;
+use standins::servers::{Row, Servers};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::process::Command;
 use std::time::Duration;
 
 /// How long the whole fleet may take to become ready.
@@ -73,25 +77,6 @@
     lines: Vec<String>,
 }
 
-/// A thing to do at a time.
-enum Step {
-    Signal(Vec<usize>, Signal),
-    Start(Vec<usize>),
-    Grow(usize, f64),
-    Place,
-    Replace(usize, Nanos),
-    Join,
-    Leave,
-    Gone(usize),
-    Health(Vec<usize>, Health),
-    List(Vec<usize>, &'static str),
-    Agents(Vec<usize>, Mode, u64),
-    Counter(State),
-    Empty,
-    Burst(f64),
-    Wire(Vec<usize>, Faults),
-}
-
 struct Fleet<'a> {
     scenario: &'a Scenario,
     program: &'a Path,
@@ -197,181 +182,6 @@
         Ok(fleet)
     }
 
-    /// A server more, not yet told to anybody.
-    fn add_server(&mut self, group: &Group, warm: bool) -> std::io::Result<usize> {
-        let number = self.listed.len();
-        let zones = &self.scenario.zones;
-        let spec = Spec {
-            name: format!("s{number:04}"),
-            zone: group.zone.clone().unwrap_or_else(|| zones[number % zones.len()].clone()),
-            weight: group.weight,
-            cores: group.cores,
-            queue: group.queue,
-            connections: group.connections,
-            service: nanos(group.service_ms / 1e3),
-            spread: group.spread,
-            cold_share: group.cold_share,
-            cold_for: nanos(group.cold_seconds),
-            reports: group.reports,
-            address: address(4),
-        };
-        let (name, zone, weight) = (spec.name.clone(), spec.zone.clone(), spec.weight);
-        let (_, at) = self.servers.with(move |servers, io| servers.add(io, spec, warm))?;
-        let since_ms = if warm { 0 } else { self.clock.unix_ms(self.clock.now()) };
-        self.listed.push(Entry { name, address: at, zone, status: "gone", weight, since_ms });
-        self.weights.push(Server { weight, ready: Vec::new() });
-        Ok(number)
-    }
-
-    /// Lists a server anew, and notes since when it is ready, or no longer.
-    fn list(&mut self, number: usize, status: &'static str) {
-        let entry = &mut self.listed[number];
-        entry.status = status;
-        let entry = entry.clone();
-        self.discovery.with(move |discovery, io| discovery.change(io, entry));
-        self.mark(number, status == "ready");
-    }
-
-    fn mark(&mut self, number: usize, ready: bool) {
-        let (now, spans) = (self.clock.now(), &mut self.weights[number].ready);
-        let open = spans.last_mut().filter(|span| span.1 == Nanos::MAX);
-        match (open, ready) {
-            (None, true) => spans.push((now, Nanos::MAX)),
-            (Some(span), false) => span.1 = now,
-            _ => {}
-        }
-    }
-
-    fn zone(&self, gateway: usize) -> &str {
-        &self.scenario.zones[gateway % self.scenario.zones.len()]
-    }
-
-    /// The faults whose links stand between a gateway and someone.
-    fn faults_between(&self, gateway: usize, covers: impl Fn(&Place) -> bool) -> Vec<usize> {
-        let is_mine = |place: &Place| match place {
-            Place::Gateways(range) => range.contains(&gateway),
-            Place::Zone(zone) => self.zone(gateway) == zone,
-            _ => false,
-        };
-        let between = |fault: &Fault| match fault {
-            Fault::Link { from, to, .. } => match (Place::parse(from), Place::parse(to)) {
-                (Ok(Place::Front), Ok(to)) => is_mine(&to) && covers(&Place::Front),
-                (Ok(from), Ok(to)) => is_mine(&from) && covers(&to),
-                _ => false,
-            },
-            _ => false,
-        };
-        (0..self.scenario.faults.len()).filter(|at| between(&self.scenario.faults[*at])).collect()
-    }
-
-    /// Where to come to instead of `target`: a link that those faults are put on, shared by all who have the same.
-    fn through(&mut self, faults: Vec<usize>, whom: &str, target: SocketAddr) -> std::io::Result<SocketAddr> {
-        if faults.is_empty() {
-            return Ok(target);
-        }
-        let key = (faults, whom.to_string());
-        if let Some(link) = self.links.get(&key) {
-            return Ok(link.1);
-        }
-        let link = self.relays.with(move |relays, io| relays.link(io, address(7), target))?;
-        key.0.iter().for_each(|fault| self.links_of.entry(*fault).or_default().push(link.0));
-        self.links.insert(key, link);
-        Ok(link.1)
-    }
-
-    /// A gateway more, told that the fleet has so many; not yet started.
-    fn add_gateway(&mut self, number: usize, fleet: usize) -> std::io::Result<()> {
-        let mut seen_at = BTreeMap::new();
-        for (server, entry) in self.listed.clone().into_iter().enumerate() {
-            let faults = self.faults_between(number, |place| match place {
-                Place::Servers(range) => range.contains(&server),
-                Place::Zone(zone) => entry.zone == *zone,
-                _ => false,
-            });
-            let at = self.through(faults, &entry.name, entry.address)?;
-            if at != entry.address {
-                seen_at.insert(entry.name, at);
-            }
-        }
-        let agent = self.discovery.with(move |discovery, io| discovery.agent(io, address(5), seen_at))?;
-        let faults = self.faults_between(number, |place| *place == Place::Discovery);
-        let discovery = self.through(faults, &format!("discovery of {number}"), agent)?;
-        let faults = self.faults_between(number, |place| *place == Place::Counter);
-        let counter = self.through(faults, "counter", self.at_counter)?;
-        let listen = address(3);
-        let (_, all) = self.relays.with(|relays, io| relays.member(io, address(8)))?;
-        self.gateways.push(Gateway {
-            number,
-            fleet,
-            discovery,
-            counter,
-            listen,
-            all,
-            version: 1,
-            starts_ms: 0,
-            program: None,
-            starts: 0,
-            lines: Vec::new(),
-        });
-        Ok(())
-    }
-
-    fn configuration(&mut self, gateway: usize) -> String {
-        let at = &self.gateways[gateway];
-        let mut settings = serde_json::to_value(&self.scenario.settings).unwrap_or_default();
-        let twin = self.scenario.same_number.iter().find(|pair| pair.1 == at.number);
-        settings["balancers"] = json!(at.fleet);
-        settings["me"] = json!(twin.map_or(at.number, |pair| pair.0));
-        settings["zone"] = json!(at.number % self.scenario.zones.len());
-        settings["localities"] = json!(self.scenario.zones);
-        let number = at.number;
-        let known = self.discovery.with(move |discovery, _| discovery.known(number));
-        let mut told = json!({"name": format!("n{}", at.number), "listen": at.listen.to_string(),
-            "discovery": at.discovery.to_string(), "counter": at.counter.to_string(),
-            "seed": format!("{:016x}", self.seeds.random::<u64>()),
-            "limits": {"sockets": SOCKETS, "memory_mb": MEMORY_MB},
-            "known": serde_json::from_str::<Value>(&known).unwrap_or_default(), "settings": settings});
-        if let Some(terms) = &self.scenario.agreement {
-            let grows = |fault: &Fault| if let Fault::Grow { count, .. } = fault { *count } else { 0 };
-            let largest = self.scenario.gateways + self.scenario.faults.iter().map(grows).sum::<usize>();
-            told["peer_listen"] = json!(address(9).to_string());
-            told["peers_all"] = json!(at.all.to_string());
-            told["agreement"] = json!({"version": at.version, "starts_ms": at.starts_ms, "lease": terms.lease,
-                "clock": terms.clock, "ground": {"gateways": largest}});
-        }
-        told.to_string()
-    }
-
-    /// Starts processes and waits until each says that it has; new ones are shown to the front.
-    fn start(&mut self, which: &[usize]) -> Result<(), String> {
-        for gateway in which {
-            let text = self.configuration(*gateway);
-            let program = Program::spawn(&mut Command::new(self.program), &text);
-            let program = program.map_err(|e| format!("can't start {}: {e}", self.program.display()))?;
-            let at = &mut self.gateways[*gateway];
-            (at.program, at.starts) = (Some(program), at.starts + 1);
-        }
-        for gateway in which {
-            let fresh = self.gateways[*gateway].listen.port() == 0;
-            let Some(program) = &mut self.gateways[*gateway].program else { continue };
-            let lines = program.wait_started();
-            let listen = program.address;
-            let hears = lines
-                .iter()
-                .find_map(|line| line.split("\"peers\":\"").nth(1)?.split('"').next()?.parse().ok());
-            let member = *gateway;
-            self.relays.with(move |relays, _| relays.hears_at(member, hears));
-            self.gateways[*gateway].listen = listen;
-            if fresh {
-                let faults = self.faults_between(*gateway, |place| *place == Place::Front);
-                let at = self.through(faults, &format!("gateway {gateway}"), listen);
-                let at = at.map_err(|e| format!("can't set a link up: {e}"))?;
-                self.front.with(move |front, io| front.add(io, at));
-            }
-        }
-        Ok(())
-    }
-
     fn wait_ready(&mut self, count: usize) -> Result<(), String> {
         let until = self.clock.now() + READY_WITHIN;
         while self.front.with(|front, _| front.admitted()) < count {
@@ -388,226 +198,6 @@
         std::thread::sleep(Duration::from_nanos(at.saturating_sub(self.clock.now())));
     }
 
-    /// What a fault asks for, with times after the warm-up.
-    fn steps(&self, fault: &Fault, number: usize, draws: &mut ChaCha8Rng) -> Vec<(Nanos, Step)> {
-        let mut some = |count: usize, share: f64| -> Vec<usize> {
-            let mut all: Vec<usize> = (0..count).collect();
-            all.shuffle(draws);
-            all.truncate((count as f64 * share).round() as usize);
-            all.sort_unstable();
-            all
-        };
-        let (gateways, servers) = (self.gateways.len(), self.listed.len());
-        let health = |which: Vec<usize>, at: f64, seconds: f64, health: Health| {
-            vec![
-                (nanos(at), Step::Health(which.clone(), health)),
-                (nanos(at + seconds), Step::Health(which, Health::Well)),
-            ]
-        };
-        let agents = |which: Vec<usize>, at: f64, seconds: f64, mode: Mode, back: u64| {
-            vec![
-                (nanos(at), Step::Agents(which.clone(), mode, back)),
-                (nanos(at + seconds), Step::Agents(which, Mode::Late(0), 0)),
-            ]
-        };
-        match fault {
-            Fault::Kill { at, share, back_after } | Fault::Term { at, share, back_after } => {
-                let kills = matches!(fault, Fault::Kill { .. });
-                let which = some(gateways, *share);
-                let signal = if kills { Signal::KILL } else { Signal::TERM };
-                let mut steps = vec![(nanos(*at), Step::Signal(which.clone(), signal))];
-                steps.extend(back_after.map(|after| (nanos(at + after), Step::Start(which))));
-                steps
-            }
-            Fault::Pause { at, share, seconds } => {
-                let which = some(gateways, *share);
-                vec![
-                    (nanos(*at), Step::Signal(which.clone(), Signal::STOP)),
-                    (nanos(at + seconds), Step::Signal(which, Signal::CONT)),
-                ]
-            }
-            Fault::Grow { at, count, share } => vec![(nanos(*at), Step::Grow(*count, *share))],
-            Fault::Replace { at, share, seconds, drain } => {
-                let which = some(servers, *share);
-                let gap = seconds / which.len().max(1) as f64;
-                let each = which.into_iter().enumerate();
-                each.map(|(nth, which)| (nanos(at + gap * nth as f64), Step::Replace(which, nanos(*drain))))
-                    .collect()
-            }
-            Fault::Join { at } => vec![(nanos(*at), Step::Join)],
-            Fault::Leave { at } => vec![(nanos(*at), Step::Leave)],
-            Fault::ZoneDown { at, zone, seconds, told_after } => {
-                let which: Vec<usize> = (0..servers).filter(|at| self.listed[*at].zone == *zone).collect();
-                let mut steps = health(which.clone(), *at, *seconds, Health::Down);
-                let told = told_after.filter(|after| after < seconds);
-                steps.extend(told.map(|after| (nanos(at + after), Step::List(which.clone(), "gone"))));
-                steps.push((nanos(at + seconds), Step::List(which, "ready")));
-                steps
-            }
-            Fault::Slow { at, share, factor, seconds } => {
-                health(some(servers, *share), *at, *seconds, Health::Slow(*factor))
-            }
-            Fault::FailsFast { at, share, seconds } => {
-                health(some(servers, *share), *at, *seconds, Health::FailsFast)
-            }
-            Fault::Silent { at, share, seconds } => {
-                health(some(servers, *share), *at, *seconds, Health::Silent)
-            }
-            Fault::ListLate { at, share, seconds, late } => {
-                agents(some(gateways, *share), *at, *seconds, Mode::Late(nanos(*late)), 0)
-            }
-            Fault::ListStill { at, share, seconds } => {
-                agents(some(gateways, *share), *at, *seconds, Mode::Still, 0)
-            }
-            Fault::ListBack { at, share, seconds, versions } => {
-                agents(some(gateways, *share), *at, *seconds, Mode::Still, *versions)
-            }
-            Fault::DiscoveryDown { at, share, seconds } => {
-                agents(some(gateways, *share), *at, *seconds, Mode::Down, 0)
-            }
-            Fault::CounterStall { at, seconds } | Fault::CounterDown { at, seconds } => {
-                let stalls = matches!(fault, Fault::CounterStall { .. });
-                let state = if stalls { State::Stalls } else { State::Down };
-                vec![(nanos(*at), Step::Counter(state)), (nanos(at + seconds), Step::Counter(State::Serves))]
-            }
-            Fault::CounterEmpty { at } => vec![(nanos(*at), Step::Empty)],
-            Fault::Burst { at, factor, seconds } => {
-                vec![(nanos(*at), Step::Burst(*factor)), (nanos(at + seconds), Step::Burst(1.0))]
-            }
-            Fault::Link { at, seconds, wire, .. } => {
-                let links = self.links_of.get(&number).cloned().unwrap_or_default();
-                vec![
-                    (nanos(*at), Step::Wire(links.clone(), faults(wire))),
-                    (nanos(at + seconds), Step::Wire(links, Faults::default())),
-                ]
-            }
-        }
-    }
-
-    /// Does one thing; what it puts off comes back with its time.
-    fn carry_out(&mut self, step: Step) -> Result<Vec<(Nanos, Step)>, String> {
-        let fail = |e: std::io::Error| format!("a step of the script failed: {e}");
-        match step {
-            Step::Signal(which, signal) => {
-                for gateway in which {
-                    let Some(program) = &self.gateways[gateway].program else { continue };
-                    program.send(signal).map_err(fail)?;
-                    if signal == Signal::KILL {
-                        self.end(gateway, false);
-                    }
-                }
-            }
-            Step::Start(which) => {
-                which.iter().for_each(|gateway| self.end(*gateway, true));
-                self.start(&which)?;
-            }
-            Step::Grow(count, share) => {
-                let was = self.gateways.len();
-                for number in was..was + count {
-                    self.add_gateway(number, was + count).map_err(fail)?;
-                }
-                // With versions the new one holds for all at once, and the front follows then.
-                let lead = self.scenario.agreement.as_ref().map(|terms| nanos(3.0 * terms.lease));
-                let starts_ms = lead.map_or(0, |lead| self.clock.unix_ms(self.clock.now() + lead));
-                let told = (0..(was as f64 * share).round() as usize).chain(was..was + count);
-                let told: Vec<usize> = told.collect();
-                for gateway in &told {
-                    (self.gateways[*gateway].version, self.gateways[*gateway].starts_ms) = (2, starts_ms);
-                }
-                for gateway in told.into_iter().filter(|gateway| *gateway < was) {
-                    self.gateways[gateway].fleet = was + count;
-                    let text = self.configuration(gateway);
-                    if let Some(program) = &self.gateways[gateway].program {
-                        program.rewrite(&text);
-                        program.send(Signal::HUP).map_err(fail)?;
-                    }
-                }
-                self.start(&(was..was + count).collect::<Vec<_>>())?;
-                return Ok(vec![(self.clock.now() + lead.map_or(0, |lead| 2 * lead), Step::Place)]);
-            }
-            Step::Place => {
-                let customers = customers(self.scenario, self.gateways.len());
-                self.front.with(move |front, _| front.place(customers));
-            }
-            Step::Replace(server, drain) => {
-                self.list(server, "draining");
-                self.join()?;
-                return Ok(vec![(self.clock.now() + drain, Step::Gone(server))]);
-            }
-            Step::Join => self.join()?,
-            Step::Leave => {
-                let last = (0..self.listed.len()).rfind(|at| self.listed[*at].status == "ready");
-                if let Some(last) = last {
-                    self.list(last, "draining");
-                    return Ok(vec![(self.clock.now() + SEC, Step::Gone(last))]);
-                }
-            }
-            Step::Gone(server) => {
-                self.list(server, "gone");
-                self.servers
-                    .with(move |servers, io| servers.become_(io, server, Health::Down))
-                    .map_err(fail)?;
-            }
-            Step::Health(which, health) => {
-                for server in which {
-                    self.servers
-                        .with(move |servers, io| servers.become_(io, server, health))
-                        .map_err(fail)?;
-                    self.mark(server, health != Health::Down && health != Health::Silent);
-                    if health == Health::Well {
-                        let since = self.servers.with(move |servers, _| servers.since(server));
-                        let since_ms = if since == 0 { 0 } else { self.clock.unix_ms(since) };
-                        self.listed[server].since_ms = since_ms;
-                    }
-                }
-            }
-            Step::List(which, status) => which.into_iter().for_each(|server| self.list(server, status)),
-            Step::Agents(which, mode, back) => {
-                for agent in which {
-                    let set = self.discovery.with(move |discovery, io| {
-                        let to = (back > 0).then(|| discovery.index().saturating_sub(back));
-                        discovery.set(io, agent, mode, to)
-                    });
-                    set.map_err(fail)?;
-                }
-            }
-            Step::Counter(state) => {
-                self.counter.with(move |counter, io| counter.become_(io, state)).map_err(fail)?;
-            }
-            Step::Empty => self.counter.with(|counter, _| counter.empty()),
-            Step::Burst(factor) => self.front.with(move |front, _| front.burst(factor)),
-            Step::Wire(links, faults) => {
-                self.relays.with(move |relays, io| {
-                    links.into_iter().for_each(|link| relays.set(io, link, faults));
-                });
-            }
-        }
-        Ok(Vec::new())
-    }
-
-    fn join(&mut self) -> Result<(), String> {
-        let group = self.scenario.servers[0].clone();
-        let added = self.add_server(&group, false);
-        let number = added.map_err(|e| format!("can't add a server: {e}"))?;
-        self.list(number, "ready");
-        Ok(())
-    }
-
-    /// Waits for a process that was told to end (`asked`: by SIGTERM, so with 0) and keeps its log lines.
-    fn end(&mut self, gateway: usize, asked: bool) {
-        let at = &mut self.gateways[gateway];
-        let Some(mut program) = at.program.take() else { return };
-        let until = self.clock.now() + LINGER;
-        while program.ended().is_none() && self.clock.now() < until {
-            std::thread::sleep(Duration::from_millis(5));
-        }
-        let how = program.ended();
-        if asked && how.is_none_or(|how| !how.success()) {
-            self.crashed.push(format!("n{} ended with {how:?} after SIGTERM", at.number));
-        }
-        at.lines.extend(program.lines_now());
-    }
-
     fn finish(mut self, from: Nanos, to: Nanos) -> Outcome {
         for gateway in 0..self.gateways.len() {
             let at = &mut self.gateways[gateway];
@@ -658,13 +248,3 @@
     };
     (0..scenario.load.customers).map(one).collect()
 }
-
-fn faults(wire: &Wire) -> Faults {
-    let way = |cut: bool| Way { cut, delay: nanos(wire.delay_ms / 1e3), lose: wire.lose, ..Way::default() };
-    let gate = match (wire.reset, wire.silent) {
-        (true, _) => Gate::Resets,
-        (_, true) => Gate::Silent,
-        _ => Gate::Passes,
-    };
-    Faults { gate, there: way(wire.cut_there), back: way(wire.cut_back) }
-}
