--- /dev/null
+++ b/crates/rig/src/rollouts/fleet.rs
@@ -0,0 +1,355 @@
+//! The processes of rollouts, the stand-in discovery and the links between the gateways.
+
+use super::{Plan, Record, unix};
+use crate::{MS, Nanos, SEC, Stream, chance};
+use rand::Rng;
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use standins::discovery::{Discovery, Entry, Mode};
+use standins::process::Program;
+use standins::reactor::{Clock, Handle};
+use standins::relay::{Path as Way, Relays};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::time::Duration;
+
+/// How long anything that is waited for may take.
+const PATIENCE: Nanos = 30 * SEC;
+
+pub(super) struct Gateway {
+    program: Option<Program>,
+    all: SocketAddr,
+    discovery: SocketAddr,
+    /// Its file as it stands: the version, its content, and when it starts (Unix ms).
+    file: (u64, u64, u64),
+    clock_off_ms: i64,
+    /// The list that it is started on.
+    known: Value,
+    pub(super) records: Vec<Record>,
+    lines: Vec<String>,
+    /// Spans in which it stood still or was gone, as it can't have acted then.
+    pub(super) away: Vec<(Nanos, Nanos)>,
+}
+
+/// A fleet with a discovery, and links between any two of its gateways.
+pub struct Fleet {
+    pub(super) plan: Plan,
+    program: PathBuf,
+    discovery: Handle<Discovery>,
+    relays: Handle<Relays>,
+    pub(super) gateways: Vec<Gateway>,
+    started: Nanos,
+}
+
+fn address(last: u8) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, last], 0))
+}
+
+impl Fleet {
+    /// Starts all gateways on version 1, and waits until each has it confirmed.
+    pub fn start(plan: Plan, program: &Path) -> Result<Fleet, String> {
+        let fail = |e: std::io::Error| format!("can't set the stand-ins up: {e}");
+        let clock = Clock::start();
+        let relays = Handle::start(Relays::new(chance(plan.seed, Stream::Links)), clock).map_err(fail)?;
+        let discovery = Handle::start(Discovery::default(), clock).map_err(fail)?;
+        let mut fleet = Fleet {
+            plan,
+            program: program.to_path_buf(),
+            discovery,
+            relays,
+            gateways: Vec::new(),
+            started: unix(),
+        };
+        let (mut clocks, skew) = (chance(fleet.plan.seed, Stream::Seeds), fleet.plan.skew_ms as i64);
+        for _ in 0..fleet.plan.gateways {
+            let (_, all) = fleet.relays.with(|relays, io| relays.member(io, address(8))).map_err(fail)?;
+            let agent =
+                fleet.discovery.with(|discovery, io| discovery.agent(io, address(5), Default::default()));
+            let discovery = agent.map_err(fail)?;
+            fleet.gateways.push(Gateway {
+                program: None,
+                all,
+                discovery,
+                file: (1, 1, 0),
+                clock_off_ms: clocks.random_range(-skew..=skew),
+                known: Value::Null,
+                records: Vec::new(),
+                lines: Vec::new(),
+                away: Vec::new(),
+            });
+        }
+        let all: Vec<usize> = (0..fleet.plan.gateways).collect();
+        fleet.spawn(&all)?;
+        fleet.wait(&all, |record| record.version == 1 && record.whole)?;
+        Ok(fleet)
+    }
+
+    pub fn count(&self) -> usize {
+        self.gateways.len()
+    }
+
+    /// The configuration of a gateway as its file stands. Contents differ in their quotas.
+    fn configuration(&self, gateway: usize) -> String {
+        let at = &self.gateways[gateway];
+        let (version, content, starts_ms) = at.file;
+        let quota = 100.0 + content as f64;
+        json!({"name": format!("n{gateway}"), "listen": "127.0.0.3:0", "discovery": at.discovery.to_string(), "known": at.known,
+            "seed": format!("{:016x}", self.plan.seed.wrapping_add(gateway as u64 * 7919)),
+            "peer_listen": "127.0.0.9:0", "peers_all": at.all.to_string(),
+            "agreement": {"version": version, "starts_ms": starts_ms, "lease": self.plan.lease, "clock": self.plan.clock,
+                "clock_off_ms": at.clock_off_ms, "ground": {"quota": 100.0 / quota * 0.5}},
+            "settings": {"balancers": self.gateways.len(), "me": gateway,
+                "classes": [{"name": "read", "credit": 1, "onTime": 1.5, "deadline": 3.0, "idempotency": "free"}],
+                "tariffs": [{"name": "team", "perSecond": quota, "depth": quota, "beyondCosts": 1.0}],
+                "ceilings": {"attemptsCap": 2}}})
+        .to_string()
+    }
+
+    fn spawn(&mut self, which: &[usize]) -> Result<(), String> {
+        for gateway in which {
+            let text = self.configuration(*gateway);
+            let program = Program::spawn(&mut Command::new(&self.program), &text);
+            let program = program.map_err(|e| format!("can't start {}: {e}", self.program.display()))?;
+            if let Some(gone) = self.gateways[*gateway].away.last_mut().filter(|gone| gone.1 == Nanos::MAX) {
+                gone.1 = unix();
+            }
+            self.gateways[*gateway].program = Some(program);
+        }
+        for gateway in which {
+            let Some(program) = &mut self.gateways[*gateway].program else { continue };
+            let lines = program.wait_started();
+            let mut hears =
+                lines.iter().filter_map(|line| line.split("\"peers\":\"").nth(1)?.split('"').next());
+            let hears =
+                hears.next().and_then(|hears| hears.parse().ok()).ok_or("a gateway tells no address")?;
+            let at = &mut self.gateways[*gateway];
+            at.records.extend(lines.iter().filter_map(|line| record(line)));
+            at.lines.extend(lines);
+            let number = *gateway;
+            self.relays.with(move |relays, _| relays.hears_at(number, Some(hears)));
+        }
+        Ok(())
+    }
+
+    /// Takes in what the gateways have written since.
+    pub(super) fn read(&mut self) {
+        for gateway in &mut self.gateways {
+            let lines = gateway.program.as_ref().map(|program| program.lines_now()).unwrap_or_default();
+            gateway.records.extend(lines.iter().filter_map(|line| record(line)));
+            gateway.lines.extend(lines);
+        }
+    }
+
+    /// Waits until the last record of each of these is as wanted.
+    pub fn wait(&mut self, which: &[usize], is: impl Fn(&Record) -> bool) -> Result<(), String> {
+        let until = unix() + PATIENCE;
+        loop {
+            self.read();
+            let not = |gateway: &&usize| !self.gateways[**gateway].records.last().is_some_and(&is);
+            let Some(missing) = which.iter().find(not) else { return Ok(()) };
+            if unix() > until {
+                let last: Vec<String> =
+                    self.gateways.iter().map(|at| format!("{:?}", at.records.last())).collect();
+                return Err(format!("gateway {missing} never got there: {last:#?}"));
+            }
+            self.pass(5 * MS);
+        }
+    }
+
+    /// Waits until one of these has written a line that holds this, from the start of the fleet on.
+    pub fn wait_line(&mut self, gateway: usize, part: &str) -> Result<(), String> {
+        let until = unix() + PATIENCE;
+        loop {
+            self.read();
+            if self.gateways[gateway].lines.iter().any(|line| line.contains(part)) {
+                return Ok(());
+            }
+            if unix() > until {
+                return Err(format!(
+                    "gateway {gateway} never wrote {part}: {:#?}",
+                    self.gateways[gateway].lines
+                ));
+            }
+            self.pass(5 * MS);
+        }
+    }
+
+    pub fn pass(&self, time: Nanos) {
+        std::thread::sleep(Duration::from_nanos(time));
+    }
+
+    pub fn pass_until(&self, at: Nanos) {
+        self.pass(at.saturating_sub(unix()));
+    }
+
+    /// Writes a file without telling the process.
+    pub fn write(&mut self, which: &[usize], version: u64, content: u64, start: Nanos) {
+        for gateway in which {
+            self.gateways[*gateway].file = (version, content, start / MS);
+            let text = self.configuration(*gateway);
+            if let Some(program) = &self.gateways[*gateway].program {
+                program.rewrite(&text);
+            }
+        }
+    }
+
+    /// Gives a version to these gateways; the same number with another `content` is another content.
+    pub fn give(&mut self, which: &[usize], version: u64, content: u64, start: Nanos) {
+        self.write(which, version, content, start);
+        self.signal(which, Signal::HUP);
+    }
+
+    /// The time at which a version starts, as it was given last.
+    pub fn start_of(&self, version: u64) -> Nanos {
+        let files = self.gateways.iter().filter(|gateway| gateway.file.0 == version);
+        files.map(|gateway| gateway.file.2 * MS).max().unwrap_or(0)
+    }
+
+    /// Where a gateway listens for clients.
+    pub fn address(&self, gateway: usize) -> Option<SocketAddr> {
+        self.gateways[gateway].program.as_ref().map(|program| program.address)
+    }
+
+    /// Gives a version with this quota and a ground of half of it.
+    pub fn give_quota(&mut self, which: &[usize], version: u64, quota: f64, start: Nanos) {
+        for gateway in which {
+            let file = std::mem::replace(&mut self.gateways[*gateway].file, (version, 0, start / MS));
+            let mut told: Value = serde_json::from_str(&self.configuration(*gateway)).unwrap_or_default();
+            told["settings"]["tariffs"][0]["perSecond"] = json!(quota);
+            told["agreement"]["ground"]["quota"] = json!(0.5);
+            self.gateways[*gateway].file = file;
+            if let Some(program) = &self.gateways[*gateway].program {
+                program.rewrite(&told.to_string());
+            }
+        }
+        self.signal(which, Signal::HUP);
+    }
+
+    /// Overwrites files with what is no configuration, and tells the processes.
+    pub fn spoil(&mut self, which: &[usize]) {
+        let programs = which.iter().filter_map(|gateway| self.gateways[*gateway].program.as_ref());
+        programs.for_each(|program| program.rewrite("{\"agreement\": {\"version\": 2,"));
+        self.signal(which, Signal::HUP);
+    }
+
+    fn signal(&mut self, which: &[usize], signal: Signal) {
+        for gateway in which {
+            let at = &mut self.gateways[*gateway];
+            let Some(program) = &at.program else { continue };
+            // While it is away it can't act; the record after the stop tells what it did on waking.
+            if signal == Signal::CONT {
+                at.away
+                    .last_mut()
+                    .filter(|gone| gone.1 == Nanos::MAX)
+                    .into_iter()
+                    .for_each(|gone| gone.1 = unix());
+            }
+            let _ = program.send(signal);
+            if signal == Signal::STOP {
+                at.away.push((unix(), Nanos::MAX));
+            }
+        }
+    }
+
+    pub fn pause(&mut self, which: &[usize]) {
+        self.signal(which, Signal::STOP);
+    }
+
+    pub fn wake(&mut self, which: &[usize]) {
+        self.signal(which, Signal::CONT);
+    }
+
+    pub fn kill(&mut self, which: &[usize]) {
+        self.read();
+        for gateway in which {
+            let number = *gateway;
+            self.relays.with(move |relays, _| relays.hears_at(number, None));
+            let at = &mut self.gateways[number];
+            if let Some(mut program) = at.program.take() {
+                let _ = program.child.kill();
+                let _ = program.child.wait();
+                let lines = program.lines_now();
+                at.records.extend(lines.iter().filter_map(|line| record(line)));
+                at.lines.extend(lines);
+                if at.away.last().is_none_or(|gone| gone.1 != Nanos::MAX) {
+                    at.away.push((unix(), Nanos::MAX));
+                }
+            }
+        }
+    }
+
+    /// Starts gateways again that were killed, on the file as it stands.
+    pub fn start_again(&mut self, which: &[usize]) -> Result<(), String> {
+        self.spawn(which)
+    }
+
+    /// From its next file or start on a gateway takes its clock to be so far ahead.
+    pub fn clock_off(&mut self, gateway: usize, ms: i64) {
+        self.gateways[gateway].clock_off_ms = ms;
+    }
+
+    /// Lists a server, or changes it, at discovery.
+    pub fn list(&mut self, name: &str, address: SocketAddr, status: &'static str) {
+        let (name, zone) = (name.to_string(), "a".to_string());
+        let entry = Entry { name, address, zone, status, weight: 1.0, since_ms: 0 };
+        self.discovery.with(move |discovery, io| discovery.change(io, entry));
+    }
+
+    /// What a gateway's agent of discovery does, and an older version it is thrown back to.
+    pub fn agent(&mut self, gateway: usize, mode: Mode, back_to: Option<u64>) -> Result<(), String> {
+        let set = self.discovery.with(move |discovery, io| discovery.set(io, gateway, mode, back_to));
+        set.map_err(|e| format!("can't set an agent: {e}"))
+    }
+
+    /// The newest version of discovery's list.
+    pub fn index(&self) -> u64 {
+        self.discovery.with(|discovery, _| discovery.index())
+    }
+
+    /// From its next start on a gateway begins with the list that its agent tells now.
+    pub fn keep_known(&mut self, gateway: usize) {
+        let known = self.discovery.with(move |discovery, _| discovery.known(gateway));
+        self.gateways[gateway].known = serde_json::from_str(&known).unwrap_or_default();
+    }
+
+    /// Sets the ways from some gateways to others.
+    pub fn ways(&mut self, from: &[usize], to: &[usize], way: Way) {
+        for from in from.iter().copied() {
+            for to in to.iter().copied().filter(|to| *to != from) {
+                self.relays.with(move |relays, _| relays.between(from, to, way));
+            }
+        }
+    }
+
+    /// All ways whole again.
+    pub fn heal(&mut self) {
+        let all: Vec<usize> = (0..self.count()).collect();
+        self.ways(&all, &all, Way::default());
+    }
+
+    /// Datagrams that were sent so far, each once.
+    pub fn datagrams(&self) -> u64 {
+        self.relays.with(|relays, _| relays.came)
+    }
+
+    pub fn records(&mut self, gateway: usize) -> Vec<Record> {
+        self.read();
+        self.gateways[gateway].records.clone()
+    }
+
+    pub fn age(&self) -> Nanos {
+        unix() - self.started
+    }
+}
+
+fn record(line: &str) -> Option<Record> {
+    let line: Value = serde_json::from_str(line).ok()?;
+    Some(Record {
+        at: line["at"].as_u64()?,
+        version: line["version"].as_u64()?,
+        digest: line["digest"].as_str()?.to_string(),
+        whole: line["acts_on"].as_str()? == "version",
+        why: line["why"].as_str()?.to_string(),
+    })
+}
