Rollouts: the faults are an enum, a rollout is a type whose parts are functions

Faults were strings compared in three places of a function of 75 lines. The draws come in the order as before; the lines shown are as before.

--- a/crates/rig/src/rollouts.rs
+++ b/crates/rig/src/rollouts.rs
@@ -6,7 +6,7 @@
 
 pub use fleet::Fleet;
 
-use crate::{Nanos, Stream, chance};
+use crate::{MS, Nanos, SEC, Stream, chance};
 use rand::Rng;
 use rand::seq::SliceRandom;
 use rand_chacha::ChaCha8Rng;
@@ -42,9 +42,59 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_nanos() as Nanos)
 }
 
-/// The faults that rollouts are played under, one of them each time by turns.
-pub const TROUBLES: [&str; 8] =
-    ["none", "third-never", "halves-cut", "one-way", "paused", "killed-older", "noise", "voters-killed"];
+/// A fault that a rollout is played under.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    /// No fault.
+    None,
+    /// A third of the gateways does not get the file until all is over.
+    ThirdNeverTold,
+    /// Two halves of the fleet don't hear each other.
+    HalvesCut,
+    /// A half of the fleet is not heard by the other.
+    OneWay,
+    /// A third of the gateways stands still over the version's start.
+    Paused,
+    /// A third of the gateways is killed and comes back with the older file.
+    KilledOlder,
+    /// Datagrams are lost, doubled, reordered and spoilt.
+    Noise,
+    /// Four of the voters are killed and come back with the older file.
+    VotersKilled,
+}
+
+/// So many voters are killed by [`Trouble::VotersKilled`].
+const KILLED_VOTERS: usize = 4;
+/// A file comes to the gateways in so many groups, one after the other.
+const GROUPS: usize = 3;
+
+impl Trouble {
+    /// All of them, in the order in which rollouts are played under them by turns.
+    pub const ALL: [Trouble; 8] = [
+        Trouble::None,
+        Trouble::ThirdNeverTold,
+        Trouble::HalvesCut,
+        Trouble::OneWay,
+        Trouble::Paused,
+        Trouble::KilledOlder,
+        Trouble::Noise,
+        Trouble::VotersKilled,
+    ];
+
+    /// Its name in the figures shown.
+    pub fn name(self) -> &'static str {
+        match self {
+            Trouble::None => "none",
+            Trouble::ThirdNeverTold => "third-never",
+            Trouble::HalvesCut => "halves-cut",
+            Trouble::OneWay => "one-way",
+            Trouble::Paused => "paused",
+            Trouble::KilledOlder => "killed-older",
+            Trouble::Noise => "noise",
+            Trouble::VotersKilled => "voters-killed",
+        }
+    }
+}
 
 /// Plays rollouts and shows what came of them, by the fault they were played under.
 pub fn run(plan: &Plan, count: usize, program: &Path) -> Result<String, String> {
@@ -58,31 +108,12 @@
         plan.skew_ms,
         "fault"
     );
-    for trouble in TROUBLES.iter().copied().chain(["all"]) {
-        let of: Vec<&Played> =
-            played.iter().filter(|one| one.trouble == trouble || trouble == "all").collect();
-        let sorted = |value: fn(&Played) -> Nanos| {
-            let mut some: Vec<f64> = of.iter().map(|one| value(one) as f64 / 1e6).collect();
-            some.sort_by(f64::total_cmp);
-            some
-        };
-        let at = |some: &[f64], share: f64| {
-            let place = ((some.len() as f64 * share).ceil() as usize).clamp(1, some.len().max(1)) - 1;
-            some.get(place).copied().unwrap_or(0.0)
-        };
-        let (both, settled) = (sorted(|one| one.contradicted), sorted(|one| one.settled));
-        let ground = of.iter().map(|one| one.ground_seconds).sum::<f64>() / of.len().max(1) as f64;
-        shown += &format!(
-            "{trouble:14} {:8} | {:.1}, {:.1}, {:.1} | {ground:.2} | {:.0}, {:.0}\n",
-            of.len(),
-            at(&both, 0.5),
-            at(&both, 0.99),
-            at(&both, 1.0),
-            at(&settled, 0.5),
-            at(&settled, 1.0)
-        );
+    for trouble in Trouble::ALL {
+        let under: Vec<&Played> = played.iter().filter(|one| one.trouble == trouble).collect();
+        shown += &figures(trouble.name(), &under);
     }
-    let seconds = fleet.age() as f64 / 1e9;
+    shown += &figures("all", &played.iter().collect::<Vec<_>>());
+    let seconds = fleet.age() as f64 / SEC as f64;
     shown += &format!(
         "{:.1} datagrams a second in all, over {seconds:.0} s\n",
         fleet.datagrams() as f64 / seconds
@@ -90,92 +121,156 @@
     Ok(shown)
 }
 
+/// A line of figures over some rollouts.
+fn figures(name: &str, played: &[&Played]) -> String {
+    let sorted_ms = |value: fn(&Played) -> Nanos| {
+        let mut values: Vec<f64> = played.iter().map(|one| value(one) as f64 / MS as f64).collect();
+        values.sort_by(f64::total_cmp);
+        values
+    };
+    let (contradicted, settled) = (sorted_ms(|one| one.contradicted), sorted_ms(|one| one.settled));
+    let fallback = played.iter().map(|one| one.fallback_seconds).sum::<f64>() / played.len().max(1) as f64;
+    format!(
+        "{name:14} {:8} | {:.1}, {:.1}, {:.1} | {fallback:.2} | {:.0}, {:.0}\n",
+        played.len(),
+        quantile(&contradicted, 0.5),
+        quantile(&contradicted, 0.99),
+        quantile(&contradicted, 1.0),
+        quantile(&settled, 0.5),
+        quantile(&settled, 1.0)
+    )
+}
+
+/// The quantile of sorted values by nearest rank; 0 of none.
+fn quantile(sorted: &[f64], share: f64) -> f64 {
+    let rank = ((sorted.len() as f64 * share).ceil() as usize).clamp(1, sorted.len().max(1));
+    sorted.get(rank - 1).copied().unwrap_or(0.0)
+}
+
 /// A rollout and what it did.
 #[derive(Clone, Debug)]
 pub struct Played {
-    pub trouble: &'static str,
-    /// The longest that two gateways contradicted each other, and how long gateways were on a ground (summed).
+    /// The fault that it was played under.
+    pub trouble: Trouble,
+    /// The longest that two gateways contradicted each other.
     pub contradicted: Nanos,
-    pub ground_seconds: f64,
-    /// From the start time until every gateway acted on the new version, after the faults were over.
+    /// How long gateways were on a fallback, summed.
+    pub fallback_seconds: f64,
+    /// From the end of the faults until every gateway acted on the new version.
     pub settled: Nanos,
 }
 
 /// Plays so many rollouts one after another, each under a fault drawn by turns; every fault is over before the next.
 pub fn play(fleet: &mut Fleet, count: usize) -> Result<Vec<Played>, String> {
     let mut draws = chance(fleet.plan.seed, Stream::Script);
-    let all: Vec<usize> = (0..fleet.count()).collect();
-    let lease = (fleet.plan.lease * 1e9) as Nanos;
     let (mut played, mut last_start) = (Vec::new(), 0);
     for at in 0..count {
-        let (version, trouble) = (at as u64 + 2, TROUBLES[at % TROUBLES.len()]);
+        let rollout = Rollout::draw(fleet, at, last_start, &mut draws);
+        last_start = rollout.start;
+        played.push(rollout.play(fleet, &mut draws)?);
+    }
+    Ok(played)
+}
+
+/// One rollout as it is planned.
+struct Rollout {
+    trouble: Trouble,
+    version: u64,
+    began: Nanos,
+    start: Nanos,
+    /// When the version before it started.
+    last_start: Nanos,
+    lease: Nanos,
+    /// All gateways, in a drawn order.
+    order: Vec<usize>,
+}
+
+impl Rollout {
+    fn draw(fleet: &Fleet, at: usize, last_start: Nanos, draws: &mut ChaCha8Rng) -> Rollout {
+        let lease = (fleet.plan.lease * SEC as f64) as Nanos;
         let began = unix();
         let start = began + 2 * lease + draws.random_range(0..lease);
-        let some = shuffled(&all, &mut draws);
-        let (third, half) = (some[..all.len() / 3].to_vec(), some[..all.len() / 2].to_vec());
-        let rest: Vec<usize> = some[all.len() / 2..].to_vec();
-        let mut told = some.clone();
-        match trouble {
-            "third-never" => told = some[third.len()..].to_vec(),
-            "halves-cut" => {
-                let cut = Way { cut: true, ..Way::default() };
-                fleet.ways(&half, &rest, cut);
-                fleet.ways(&rest, &half, cut);
-            }
-            "one-way" => fleet.ways(&half, &rest, Way { cut: true, ..Way::default() }),
-            "noise" => {
-                let way = Way { lose: 0.3, double: 0.3, reorder: 0.3, spoil: 0.1, ..Way::default() };
-                fleet.ways(&all, &all, way);
-            }
-            _ => {}
-        }
-        // Files come to the gateways over a while, not at once.
-        for part in told.chunks(told.len().div_ceil(3).max(1)) {
-            fleet.give(part, version, version, start);
-            fleet.pass(draws.random_range(0..lease / 4));
+        let mut order: Vec<usize> = (0..fleet.count()).collect();
+        order.shuffle(draws);
+        let (trouble, version) = (Trouble::ALL[at % Trouble::ALL.len()], at as u64 + 2);
+        Rollout { trouble, version, began, start, last_start, lease, order }
+    }
+
+    fn third(&self) -> &[usize] {
+        &self.order[..self.order.len() / 3]
+    }
+
+    fn halves(&self) -> (&[usize], &[usize]) {
+        self.order.split_at(self.order.len() / 2)
+    }
+
+    fn play(&self, fleet: &mut Fleet, draws: &mut ChaCha8Rng) -> Result<Played, String> {
+        self.disturb_links(fleet);
+        self.hand_out(fleet, draws);
+        let killed = self.disturb_processes(fleet, draws)?;
+        fleet.pass_until(self.start + 2 * self.lease);
+        // All is well again, and who did not get the file gets it now.
+        fleet.heal();
+        let late: &[usize] = if self.trouble == Trouble::ThirdNeverTold { self.third() } else { &killed };
+        fleet.give(late, self.version, self.version, self.start);
+        let healed = unix();
+        let all: Vec<usize> = (0..fleet.count()).collect();
+        fleet.wait(&all, |record| record.version == self.version && record.whole)?;
+        let (contradicted, who) = fleet.contradicted(self.began);
+        if contradicted > 0 {
+            let (name, version) = (self.trouble.name(), self.version);
+            println!("{name}, version {version}: {:.1} ms, {who}", contradicted as f64 / MS as f64);
         }
-        let mut gone = Vec::new();
-        match trouble {
-            "paused" => {
-                fleet.pass_until(start - lease / 2);
-                fleet.pause(&third);
-                fleet.pass_until(start + lease);
-                fleet.wake(&third);
+        let fallback_seconds = fleet.on_ground(self.began);
+        let settled = unix() - healed;
+        Ok(Played { trouble: self.trouble, contradicted, fallback_seconds, settled })
+    }
+
+    fn disturb_links(&self, fleet: &mut Fleet) {
+        let (half, rest) = self.halves();
+        let cut = Way { cut: true, ..Way::default() };
+        match self.trouble {
+            Trouble::HalvesCut => {
+                fleet.ways(half, rest, cut);
+                fleet.ways(rest, half, cut);
             }
-            "killed-older" | "voters-killed" => {
-                gone =
-                    if trouble == "killed-older" { third.clone() } else { (0..all.len().min(4)).collect() };
-                fleet.pass_until(start - draws.random_range(0..lease));
-                fleet.kill(&gone);
-                fleet.write(&gone, version - 1, version - 1, last_start);
-                fleet.start_again(&gone)?;
+            Trouble::OneWay => fleet.ways(half, rest, cut),
+            Trouble::Noise => {
+                let noise = Way { lose: 0.3, double: 0.3, reorder: 0.3, spoil: 0.1, ..Way::default() };
+                fleet.ways(&self.order, &self.order, noise);
             }
             _ => {}
         }
-        fleet.pass_until(start + 2 * lease);
-        // All is well again, and who did not get the file gets it now.
-        fleet.heal();
-        let late: Vec<usize> = if trouble == "third-never" { third } else { gone };
-        fleet.give(&late, version, version, start);
-        let healed = unix();
-        last_start = start;
-        fleet.wait(&all, |record| record.version == version && record.whole)?;
-        let (contradicted, who) = fleet.contradicted(began);
-        if contradicted > 0 {
-            println!("{trouble}, version {version}: {:.1} ms, {who}", contradicted as f64 / 1e6);
+    }
+
+    /// Files come to the gateways over a while, not at once.
+    fn hand_out(&self, fleet: &mut Fleet, draws: &mut ChaCha8Rng) {
+        let skipped = if self.trouble == Trouble::ThirdNeverTold { self.third().len() } else { 0 };
+        let told = &self.order[skipped..];
+        for group in told.chunks(told.len().div_ceil(GROUPS).max(1)) {
+            fleet.give(group, self.version, self.version, self.start);
+            fleet.pass(draws.random_range(0..self.lease / 4));
         }
-        played.push(Played {
-            trouble,
-            contradicted,
-            ground_seconds: fleet.on_ground(began),
-            settled: unix() - healed,
-        });
     }
-    Ok(played)
-}
 
-fn shuffled(all: &[usize], draws: &mut ChaCha8Rng) -> Vec<usize> {
-    let mut some = all.to_vec();
-    some.shuffle(draws);
-    some
+    /// Pauses or kills gateways round the version's start; brings back those that were killed.
+    fn disturb_processes(&self, fleet: &mut Fleet, draws: &mut ChaCha8Rng) -> Result<Vec<usize>, String> {
+        let killed = match self.trouble {
+            Trouble::Paused => {
+                fleet.pass_until(self.start - self.lease / 2);
+                fleet.pause(self.third());
+                fleet.pass_until(self.start + self.lease);
+                fleet.wake(self.third());
+                return Ok(Vec::new());
+            }
+            Trouble::KilledOlder => self.third().to_vec(),
+            Trouble::VotersKilled => (0..fleet.count().min(KILLED_VOTERS)).collect(),
+            _ => return Ok(Vec::new()),
+        };
+        fleet.pass_until(self.start - draws.random_range(0..self.lease));
+        fleet.kill(&killed);
+        fleet.write(&killed, self.version - 1, self.version - 1, self.last_start);
+        fleet.start_again(&killed)?;
+        Ok(killed)
+    }
 }
