--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -15,7 +15,7 @@
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, LogNormal};
 use rustix::process::Signal;
-use script::Step;
+use script::TimedStep;
 use standins::counter::Counter;
 use standins::discovery::{Discovery, Entry};
 use standins::process::Program;
@@ -113,19 +113,20 @@
     let from = start + nanos(scenario.warm_seconds);
     let to = from + nanos(scenario.seconds);
     let mut draws = chance(scenario.seed, Stream::Script);
-    let mut steps: Vec<(Nanos, Step)> = Vec::new();
-    for (at, fault) in scenario.faults.iter().enumerate() {
-        steps.extend(fleet.steps(fault, at, &mut draws).into_iter().map(|(when, step)| (from + when, step)));
+    let mut steps: Vec<TimedStep> = Vec::new();
+    for (number, fault) in scenario.faults.iter().enumerate() {
+        let planned = fleet.steps(fault, number, &mut draws).into_iter();
+        steps.extend(planned.map(|step| TimedStep { at: from + step.at, ..step }));
     }
     // What a step puts off (a drained server that goes) joins the queue; equal times keep their order.
     while !steps.is_empty() {
-        steps.sort_by_key(|step| step.0);
-        let (at, step) = steps.remove(0);
-        if at >= to {
+        steps.sort_by_key(|step| step.at);
+        let next = steps.remove(0);
+        if next.at >= to {
             break;
         }
-        fleet.sleep_until(at);
-        steps.extend(fleet.carry_out(step)?);
+        fleet.sleep_until(next.at);
+        steps.extend(fleet.carry_out(next.step)?);
     }
     fleet.sleep_until(to);
     fleet.front.with(|front, io| front.run(io, false));
--- a/crates/rig/src/fleet/script.rs
+++ b/crates/rig/src/fleet/script.rs
@@ -11,123 +11,183 @@
 use standins::relay::{Faults, Gate, Path as Way};
 use standins::servers::Health;
 
-/// A thing to do at a time.
+/// A thing to do to the fleet or to who it speaks with. Gateways, servers and links go by their numbers.
 pub(super) enum Step {
-    Signal(Vec<usize>, Signal),
-    Start(Vec<usize>),
-    Grow(usize, f64),
-    Place,
-    Replace(usize, Nanos),
-    Join,
-    Leave,
-    Gone(usize),
-    Health(Vec<usize>, Health),
-    List(Vec<usize>, &'static str),
-    Agents(Vec<usize>, Mode, u64),
-    Counter(State),
-    Empty,
-    Burst(f64),
-    Wire(Vec<usize>, Faults),
+    Signal { gateways: Vec<usize>, signal: Signal },
+    Start { gateways: Vec<usize> },
+    Grow { count: usize, share: f64 },
+    PlaceCustomers,
+    ReplaceServer { server: usize, drain: Nanos },
+    JoinServer,
+    LeaveServer,
+    ServerGone { server: usize },
+    ServerHealth { servers: Vec<usize>, health: Health },
+    ListServers { servers: Vec<usize>, status: &'static str },
+    Agents { agents: Vec<usize>, mode: Mode, versions_back: u64 },
+    CounterState(State),
+    EmptyCounter,
+    Burst { factor: f64 },
+    Links { links: Vec<usize>, faults: Faults },
+}
+
+/// A step and its time.
+pub(super) struct TimedStep {
+    pub(super) at: Nanos,
+    pub(super) step: Step,
+}
+
+/// A step at so many seconds after the warm-up.
+fn step_at(seconds: f64, step: Step) -> TimedStep {
+    TimedStep { at: nanos(seconds), step }
+}
+
+/// The time over which a fault holds, seconds after the warm-up.
+#[derive(Clone, Copy)]
+struct Span {
+    from: f64,
+    until: f64,
+}
+
+impl Span {
+    fn new(at: f64, seconds: f64) -> Span {
+        Span { from: at, until: at + seconds }
+    }
+
+    /// One step at the beginning, another at the end.
+    fn steps(self, begin: Step, end: Step) -> Vec<TimedStep> {
+        vec![step_at(self.from, begin), step_at(self.until, end)]
+    }
+
+    fn health(self, servers: Vec<usize>, health: Health) -> Vec<TimedStep> {
+        let begin = Step::ServerHealth { servers: servers.clone(), health };
+        self.steps(begin, Step::ServerHealth { servers, health: Health::Well })
+    }
+
+    fn agents(self, agents: Vec<usize>, mode: Mode, versions_back: u64) -> Vec<TimedStep> {
+        let begin = Step::Agents { agents: agents.clone(), mode, versions_back };
+        self.steps(begin, Step::Agents { agents, mode: Mode::Late(0), versions_back: 0 })
+    }
+
+    fn counter(self, state: State) -> Vec<TimedStep> {
+        self.steps(Step::CounterState(state), Step::CounterState(State::Serves))
+    }
+}
+
+/// A share of so many, drawn; in order of number.
+fn drawn(count: usize, share: f64, draws: &mut ChaCha8Rng) -> Vec<usize> {
+    let mut all: Vec<usize> = (0..count).collect();
+    all.shuffle(draws);
+    all.truncate((count as f64 * share).round() as usize);
+    all.sort_unstable();
+    all
 }
 
 impl Fleet<'_> {
     /// What a fault asks for, with times after the warm-up.
-    pub(super) fn steps(&self, fault: &Fault, number: usize, draws: &mut ChaCha8Rng) -> Vec<(Nanos, Step)> {
-        let mut some = |count: usize, share: f64| -> Vec<usize> {
-            let mut all: Vec<usize> = (0..count).collect();
-            all.shuffle(draws);
-            all.truncate((count as f64 * share).round() as usize);
-            all.sort_unstable();
-            all
-        };
-        let (gateways, servers) = (self.gateways.len(), self.listed.len());
-        let health = |which: Vec<usize>, at: f64, seconds: f64, health: Health| {
-            vec![
-                (nanos(at), Step::Health(which.clone(), health)),
-                (nanos(at + seconds), Step::Health(which, Health::Well)),
-            ]
-        };
-        let agents = |which: Vec<usize>, at: f64, seconds: f64, mode: Mode, back: u64| {
-            vec![
-                (nanos(at), Step::Agents(which.clone(), mode, back)),
-                (nanos(at + seconds), Step::Agents(which, Mode::Late(0), 0)),
-            ]
-        };
+    pub(super) fn steps(&self, fault: &Fault, number: usize, draws: &mut ChaCha8Rng) -> Vec<TimedStep> {
+        let gateways = self.gateways.len();
         match fault {
-            Fault::Kill { at, share, back_after } | Fault::Term { at, share, back_after } => {
-                let kills = matches!(fault, Fault::Kill { .. });
-                let which = some(gateways, *share);
-                let signal = if kills { Signal::KILL } else { Signal::TERM };
-                let mut steps = vec![(nanos(*at), Step::Signal(which.clone(), signal))];
-                steps.extend(back_after.map(|after| (nanos(at + after), Step::Start(which))));
-                steps
+            Fault::Kill { at, share, back_after } => {
+                end_gateways(drawn(gateways, *share, draws), Signal::KILL, *at, *back_after)
+            }
+            Fault::Term { at, share, back_after } => {
+                end_gateways(drawn(gateways, *share, draws), Signal::TERM, *at, *back_after)
             }
             Fault::Pause { at, share, seconds } => {
-                let which = some(gateways, *share);
-                vec![
-                    (nanos(*at), Step::Signal(which.clone(), Signal::STOP)),
-                    (nanos(at + seconds), Step::Signal(which, Signal::CONT)),
-                ]
+                let gateways = drawn(gateways, *share, draws);
+                let stop = Step::Signal { gateways: gateways.clone(), signal: Signal::STOP };
+                let resume = Step::Signal { gateways, signal: Signal::CONT };
+                Span::new(*at, *seconds).steps(stop, resume)
+            }
+            Fault::Grow { at, count, share } => {
+                vec![step_at(*at, Step::Grow { count: *count, share: *share })]
             }
-            Fault::Grow { at, count, share } => vec![(nanos(*at), Step::Grow(*count, *share))],
+            Fault::Burst { at, factor, seconds } => {
+                Span::new(*at, *seconds).steps(Step::Burst { factor: *factor }, Step::Burst { factor: 1.0 })
+            }
+            Fault::Link { at, seconds, wire, .. } => {
+                let links = self.links_of.get(&number).cloned().unwrap_or_default();
+                let begin = Step::Links { links: links.clone(), faults: faults(wire) };
+                let end = Step::Links { links, faults: Faults::default() };
+                Span::new(*at, *seconds).steps(begin, end)
+            }
+            Fault::CounterStall { at, seconds } => Span::new(*at, *seconds).counter(State::Stalls),
+            Fault::CounterDown { at, seconds } => Span::new(*at, *seconds).counter(State::Down),
+            Fault::CounterEmpty { at } => vec![step_at(*at, Step::EmptyCounter)],
+            Fault::ListLate { .. }
+            | Fault::ListStill { .. }
+            | Fault::ListBack { .. }
+            | Fault::DiscoveryDown { .. } => self.discovery_steps(fault, draws),
+            Fault::Replace { .. }
+            | Fault::Join { .. }
+            | Fault::Leave { .. }
+            | Fault::ZoneDown { .. }
+            | Fault::Slow { .. }
+            | Fault::FailsFast { .. }
+            | Fault::Silent { .. } => self.server_steps(fault, draws),
+        }
+    }
+
+    /// What a fault of discovery asks for.
+    fn discovery_steps(&self, fault: &Fault, draws: &mut ChaCha8Rng) -> Vec<TimedStep> {
+        let (at, share, seconds, mode, versions_back) = match fault {
+            Fault::ListLate { at, share, seconds, late } => {
+                (*at, *share, *seconds, Mode::Late(nanos(*late)), 0)
+            }
+            Fault::ListStill { at, share, seconds } => (*at, *share, *seconds, Mode::Still, 0),
+            Fault::ListBack { at, share, seconds, versions } => {
+                (*at, *share, *seconds, Mode::Still, *versions)
+            }
+            Fault::DiscoveryDown { at, share, seconds } => (*at, *share, *seconds, Mode::Down, 0),
+            _ => return Vec::new(),
+        };
+        let agents = drawn(self.gateways.len(), share, draws);
+        Span::new(at, seconds).agents(agents, mode, versions_back)
+    }
+
+    /// What a fault of the servers asks for.
+    fn server_steps(&self, fault: &Fault, draws: &mut ChaCha8Rng) -> Vec<TimedStep> {
+        let servers = self.listed.len();
+        match fault {
             Fault::Replace { at, share, seconds, drain } => {
-                let which = some(servers, *share);
-                let gap = seconds / which.len().max(1) as f64;
-                let each = which.into_iter().enumerate();
-                each.map(|(nth, which)| (nanos(at + gap * nth as f64), Step::Replace(which, nanos(*drain))))
-                    .collect()
+                let replaced = drawn(servers, *share, draws);
+                let gap = seconds / replaced.len().max(1) as f64;
+                let replace = |server| Step::ReplaceServer { server, drain: nanos(*drain) };
+                let each = replaced.into_iter().enumerate();
+                each.map(|(nth, server)| step_at(at + gap * nth as f64, replace(server))).collect()
             }
-            Fault::Join { at } => vec![(nanos(*at), Step::Join)],
-            Fault::Leave { at } => vec![(nanos(*at), Step::Leave)],
+            Fault::Join { at } => vec![step_at(*at, Step::JoinServer)],
+            Fault::Leave { at } => vec![step_at(*at, Step::LeaveServer)],
             Fault::ZoneDown { at, zone, seconds, told_after } => {
-                let which: Vec<usize> = (0..servers).filter(|at| self.listed[*at].zone == *zone).collect();
-                let mut steps = health(which.clone(), *at, *seconds, Health::Down);
+                let servers: Vec<usize> = (0..servers).filter(|at| self.listed[*at].zone == *zone).collect();
+                let list = |status| Step::ListServers { servers: servers.clone(), status };
+                let mut steps = Span::new(*at, *seconds).health(servers.clone(), Health::Down);
                 let told = told_after.filter(|after| after < seconds);
-                steps.extend(told.map(|after| (nanos(at + after), Step::List(which.clone(), "gone"))));
-                steps.push((nanos(at + seconds), Step::List(which, "ready")));
+                steps.extend(told.map(|after| step_at(at + after, list("gone"))));
+                steps.push(step_at(at + seconds, list("ready")));
                 steps
             }
             Fault::Slow { at, share, factor, seconds } => {
-                health(some(servers, *share), *at, *seconds, Health::Slow(*factor))
+                Span::new(*at, *seconds).health(drawn(servers, *share, draws), Health::Slow(*factor))
             }
             Fault::FailsFast { at, share, seconds } => {
-                health(some(servers, *share), *at, *seconds, Health::FailsFast)
+                Span::new(*at, *seconds).health(drawn(servers, *share, draws), Health::FailsFast)
             }
             Fault::Silent { at, share, seconds } => {
-                health(some(servers, *share), *at, *seconds, Health::Silent)
-            }
-            Fault::ListLate { at, share, seconds, late } => {
-                agents(some(gateways, *share), *at, *seconds, Mode::Late(nanos(*late)), 0)
-            }
-            Fault::ListStill { at, share, seconds } => {
-                agents(some(gateways, *share), *at, *seconds, Mode::Still, 0)
-            }
-            Fault::ListBack { at, share, seconds, versions } => {
-                agents(some(gateways, *share), *at, *seconds, Mode::Still, *versions)
-            }
-            Fault::DiscoveryDown { at, share, seconds } => {
-                agents(some(gateways, *share), *at, *seconds, Mode::Down, 0)
-            }
-            Fault::CounterStall { at, seconds } | Fault::CounterDown { at, seconds } => {
-                let stalls = matches!(fault, Fault::CounterStall { .. });
-                let state = if stalls { State::Stalls } else { State::Down };
-                vec![(nanos(*at), Step::Counter(state)), (nanos(at + seconds), Step::Counter(State::Serves))]
-            }
-            Fault::CounterEmpty { at } => vec![(nanos(*at), Step::Empty)],
-            Fault::Burst { at, factor, seconds } => {
-                vec![(nanos(*at), Step::Burst(*factor)), (nanos(at + seconds), Step::Burst(1.0))]
-            }
-            Fault::Link { at, seconds, wire, .. } => {
-                let links = self.links_of.get(&number).cloned().unwrap_or_default();
-                vec![
-                    (nanos(*at), Step::Wire(links.clone(), faults(wire))),
-                    (nanos(at + seconds), Step::Wire(links, Faults::default())),
-                ]
+                Span::new(*at, *seconds).health(drawn(servers, *share, draws), Health::Silent)
             }
+            _ => Vec::new(),
         }
     }
 }
 
+fn end_gateways(gateways: Vec<usize>, signal: Signal, at: f64, back_after: Option<f64>) -> Vec<TimedStep> {
+    let mut steps = vec![step_at(at, Step::Signal { gateways: gateways.clone(), signal })];
+    steps.extend(back_after.map(|after| step_at(at + after, Step::Start { gateways })));
+    steps
+}
+
+/// The faults that a link of the scenario puts on what passes it.
 fn faults(wire: &Wire) -> Faults {
     let way = |cut: bool| Way { cut, delay: nanos(wire.delay_ms / 1e3), lose: wire.lose, ..Way::default() };
     let gate = match (wire.reset, wire.silent) {
--- a/crates/rig/src/fleet/steps.rs
+++ b/crates/rig/src/fleet/steps.rs
@@ -1,111 +1,111 @@
 //! The steps of the script, carried out.
 
-use super::script::Step;
+use super::script::{Step, TimedStep};
 use super::{Fleet, customers};
 use crate::{Nanos, SEC, nanos};
 use rustix::process::Signal;
+use standins::discovery::Mode;
 use standins::servers::Health;
 
+/// How long a server that leaves drains.
+const LEAVE_DRAIN: Nanos = SEC;
+/// A grown fleet's settings are the second version, and start so many leases after they are told.
+const GROWN_VERSION: u64 = 2;
+const GROWN_LEAD_LEASES: f64 = 3.0;
+
+fn failed(e: std::io::Error) -> String {
+    format!("a step of the script failed: {e}")
+}
+
 impl Fleet<'_> {
-    /// Does one thing; what it puts off comes back with its time.
-    pub(super) fn carry_out(&mut self, step: Step) -> Result<Vec<(Nanos, Step)>, String> {
-        let fail = |e: std::io::Error| format!("a step of the script failed: {e}");
+    /// Carries a step out; what it puts off comes back with its time.
+    pub(super) fn carry_out(&mut self, step: Step) -> Result<Option<TimedStep>, String> {
         match step {
-            Step::Signal(which, signal) => {
-                for gateway in which {
-                    let Some(program) = &self.gateways[gateway].program else { continue };
-                    program.send(signal).map_err(fail)?;
-                    if signal == Signal::KILL {
-                        self.end(gateway, false);
-                    }
-                }
-            }
-            Step::Start(which) => {
-                which.iter().for_each(|gateway| self.end(*gateway, true));
-                self.start(&which)?;
+            Step::Signal { gateways, signal } => self.signal(gateways, signal)?,
+            Step::Start { gateways } => {
+                gateways.iter().for_each(|gateway| self.end(*gateway, true));
+                self.start(&gateways)?;
             }
-            Step::Grow(count, share) => {
-                let was = self.gateways.len();
-                for number in was..was + count {
-                    self.add_gateway(number, was + count).map_err(fail)?;
-                }
-                // With versions the new one holds for all at once, and the front follows then.
-                let lead = self.scenario.agreement.as_ref().map(|terms| nanos(3.0 * terms.lease));
-                let starts_ms = lead.map_or(0, |lead| self.clock.unix_ms(self.clock.now() + lead));
-                let told = (0..(was as f64 * share).round() as usize).chain(was..was + count);
-                let told: Vec<usize> = told.collect();
-                for gateway in &told {
-                    (self.gateways[*gateway].version, self.gateways[*gateway].starts_ms) = (2, starts_ms);
-                }
-                for gateway in told.into_iter().filter(|gateway| *gateway < was) {
-                    self.gateways[gateway].fleet = was + count;
-                    let text = self.configuration(gateway);
-                    if let Some(program) = &self.gateways[gateway].program {
-                        program.rewrite(&text);
-                        program.send(Signal::HUP).map_err(fail)?;
-                    }
-                }
-                self.start(&(was..was + count).collect::<Vec<_>>())?;
-                return Ok(vec![(self.clock.now() + lead.map_or(0, |lead| 2 * lead), Step::Place)]);
-            }
-            Step::Place => {
+            Step::Grow { count, share } => return self.grow(count, share).map(Some),
+            Step::PlaceCustomers => {
                 let customers = customers(self.scenario, self.gateways.len());
                 self.front.with(move |front, _| front.place(customers));
             }
-            Step::Replace(server, drain) => {
-                self.list(server, "draining");
+            Step::ReplaceServer { server, drain } => {
+                let gone = self.drain_server(server, drain);
                 self.join()?;
-                return Ok(vec![(self.clock.now() + drain, Step::Gone(server))]);
+                return Ok(Some(TimedStep { at: self.clock.now() + drain, ..gone }));
             }
-            Step::Join => self.join()?,
-            Step::Leave => {
+            Step::JoinServer => self.join()?,
+            Step::LeaveServer => {
                 let last = (0..self.listed.len()).rfind(|at| self.listed[*at].status == "ready");
-                if let Some(last) = last {
-                    self.list(last, "draining");
-                    return Ok(vec![(self.clock.now() + SEC, Step::Gone(last))]);
-                }
+                return Ok(last.map(|last| self.drain_server(last, LEAVE_DRAIN)));
             }
-            Step::Gone(server) => {
+            Step::ServerGone { server } => {
                 self.list(server, "gone");
-                self.servers
-                    .with(move |servers, io| servers.become_(io, server, Health::Down))
-                    .map_err(fail)?;
-            }
-            Step::Health(which, health) => {
-                for server in which {
-                    self.servers
-                        .with(move |servers, io| servers.become_(io, server, health))
-                        .map_err(fail)?;
-                    self.mark(server, health != Health::Down && health != Health::Silent);
-                    if health == Health::Well {
-                        let since = self.servers.with(move |servers, _| servers.since(server));
-                        let since_ms = if since == 0 { 0 } else { self.clock.unix_ms(since) };
-                        self.listed[server].since_ms = since_ms;
-                    }
-                }
+                self.set_health(server, Health::Down)?;
             }
-            Step::List(which, status) => which.into_iter().for_each(|server| self.list(server, status)),
-            Step::Agents(which, mode, back) => {
-                for agent in which {
-                    let set = self.discovery.with(move |discovery, io| {
-                        let to = (back > 0).then(|| discovery.index().saturating_sub(back));
-                        discovery.set(io, agent, mode, to)
-                    });
-                    set.map_err(fail)?;
-                }
+            Step::ServerHealth { servers, health } => self.change_health(servers, health)?,
+            Step::ListServers { servers, status } => {
+                servers.into_iter().for_each(|server| self.list(server, status));
             }
-            Step::Counter(state) => {
-                self.counter.with(move |counter, io| counter.become_(io, state)).map_err(fail)?;
+            Step::Agents { agents, mode, versions_back } => self.set_agents(agents, mode, versions_back)?,
+            Step::CounterState(state) => {
+                self.counter.with(move |counter, io| counter.become_(io, state)).map_err(failed)?;
             }
-            Step::Empty => self.counter.with(|counter, _| counter.empty()),
-            Step::Burst(factor) => self.front.with(move |front, _| front.burst(factor)),
-            Step::Wire(links, faults) => {
+            Step::EmptyCounter => self.counter.with(|counter, _| counter.empty()),
+            Step::Burst { factor } => self.front.with(move |front, _| front.burst(factor)),
+            Step::Links { links, faults } => {
                 self.relays.with(move |relays, io| {
                     links.into_iter().for_each(|link| relays.set(io, link, faults));
                 });
             }
         }
-        Ok(Vec::new())
+        Ok(None)
+    }
+
+    fn signal(&mut self, gateways: Vec<usize>, signal: Signal) -> Result<(), String> {
+        for gateway in gateways {
+            let Some(program) = &self.gateways[gateway].program else { continue };
+            program.send(signal).map_err(failed)?;
+            if signal == Signal::KILL {
+                self.end(gateway, false);
+            }
+        }
+        Ok(())
+    }
+
+    /// Starts so many more gateways, and tells a share of the old ones of the larger fleet; the customers follow later.
+    fn grow(&mut self, count: usize, share: f64) -> Result<TimedStep, String> {
+        let was = self.gateways.len();
+        let fleet = was + count;
+        for number in was..fleet {
+            self.add_gateway(number, fleet).map_err(failed)?;
+        }
+        // With versions the new one holds for all at once, and the front follows then.
+        let lead = self.scenario.agreement.as_ref().map(|terms| nanos(GROWN_LEAD_LEASES * terms.lease));
+        let starts_ms = lead.map_or(0, |lead| self.clock.unix_ms(self.clock.now() + lead));
+        let told_old = (was as f64 * share).round() as usize;
+        for gateway in (0..told_old).chain(was..fleet) {
+            (self.gateways[gateway].version, self.gateways[gateway].starts_ms) = (GROWN_VERSION, starts_ms);
+        }
+        for gateway in (0..told_old).filter(|gateway| *gateway < was) {
+            self.gateways[gateway].fleet = fleet;
+            let text = self.configuration(gateway);
+            if let Some(program) = &self.gateways[gateway].program {
+                program.rewrite(&text);
+                program.send(Signal::HUP).map_err(failed)?;
+            }
+        }
+        self.start(&(was..fleet).collect::<Vec<_>>())?;
+        let at = self.clock.now() + lead.map_or(0, |lead| 2 * lead);
+        Ok(TimedStep { at, step: Step::PlaceCustomers })
+    }
+
+    /// Lists a server as draining; it is gone after that long.
+    fn drain_server(&mut self, server: usize, drain: Nanos) -> TimedStep {
+        self.list(server, "draining");
+        TimedStep { at: self.clock.now() + drain, step: Step::ServerGone { server } }
     }
 
     fn join(&mut self) -> Result<(), String> {
@@ -115,4 +115,33 @@
         self.list(number, "ready");
         Ok(())
     }
+
+    fn set_health(&mut self, server: usize, health: Health) -> Result<(), String> {
+        self.servers.with(move |servers, io| servers.become_(io, server, health)).map_err(failed)
+    }
+
+    fn change_health(&mut self, servers: Vec<usize>, health: Health) -> Result<(), String> {
+        for server in servers {
+            self.set_health(server, health)?;
+            self.mark(server, health != Health::Down && health != Health::Silent);
+            if health == Health::Well {
+                let since = self.servers.with(move |servers, _| servers.since(server));
+                let since_ms = if since == 0 { 0 } else { self.clock.unix_ms(since) };
+                self.listed[server].since_ms = since_ms;
+            }
+        }
+        Ok(())
+    }
+
+    /// Sets what agents of discovery do, and throws their lists back by so many versions.
+    fn set_agents(&mut self, agents: Vec<usize>, mode: Mode, versions_back: u64) -> Result<(), String> {
+        for agent in agents {
+            let set = self.discovery.with(move |discovery, io| {
+                let to = (versions_back > 0).then(|| discovery.index().saturating_sub(versions_back));
+                discovery.set(io, agent, mode, to)
+            });
+            set.map_err(failed)?;
+        }
+        Ok(())
+    }
 }
