--- a/crates/lab/src/chance.rs
+++ b/crates/lab/src/chance.rs
@@ -6,9 +6,13 @@
 /// The models that draw, each from its own stream of the scenario's seed.
 #[derive(Clone, Copy, Debug)]
 pub enum Stream {
+    /// Arrivals and clients.
     Arrivals = 1,
+    /// Service times and errors.
     Servers = 3,
+    /// Delays and losses.
     Network = 4,
+    /// Whom a trouble hits.
     Troubles = 5,
 }
 
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -6,6 +6,7 @@
 use lexopt::prelude::*;
 use std::path::PathBuf;
 
+/// The text of `martenramp lab --help`.
 pub const HELP: &str = "\
 martenramp lab: the project's own emulator; its figures are emulated
 
--- a/crates/lab/src/clients.rs
+++ b/crates/lab/src/clients.rs
@@ -10,17 +10,25 @@
 /// One customer's arrivals of one method.
 #[derive(Clone, Debug)]
 pub struct Stream {
+    /// The customer.
     pub customer: u64,
+    /// By its place in the settings.
     pub method: u16,
+    /// By its place in the settings.
     pub plan: u16,
+    /// Units of the plan's quota for each RPC.
     pub units: f64,
+    /// RPCs a second.
     pub rate: f64,
     /// The customer's gateways: `width` of them from `first` on, round the fleet.
     pub first: u32,
+    /// Of how many gateways.
     pub width: u32,
 }
 
+/// All clients, and the chance that they draw from.
 pub struct Clients {
+    /// Each customer's arrivals of each method.
     pub streams: Vec<Stream>,
     model: scenario::Clients,
     /// All arrivals come so many times as often: 1 but in bursts.
@@ -29,6 +37,7 @@
 }
 
 impl Clients {
+    /// The clients of a scenario; each customer's gateways are drawn here.
     pub fn new(scenario: &Scenario, methods: &[Method], plans: &[Plan], mut chance: ChaCha8Rng) -> Clients {
         let mut streams = Vec::new();
         let mut customer = 0u64;
--- a/crates/lab/src/counter.rs
+++ b/crates/lab/src/counter.rs
@@ -10,17 +10,22 @@
     forget_at: Nanos,
 }
 
+/// The shared counter.
 #[derive(Default)]
 pub struct Counter {
     /// One copy; two while split.
     sides: [BTreeMap<u64, Count>; 2],
+    /// Each half of the gateways reaches its own copy.
     pub split: bool,
+    /// It answers nothing.
     pub stalled: bool,
+    /// Whether there is one at all.
     pub enabled: bool,
     adds: u64,
 }
 
 impl Counter {
+    /// A counter without counts.
     pub fn new(enabled: bool) -> Counter {
         Counter { enabled, ..Counter::default() }
     }
--- a/crates/lab/src/gates.rs
+++ b/crates/lab/src/gates.rs
@@ -23,8 +23,10 @@
 }
 
 impl Kind {
+    /// All policies.
     pub const ALL: [Kind; 3] = [Kind::Design, Kind::Plain, Kind::Late];
 
+    /// Its name on the command line and in tables.
     pub fn name(self) -> &'static str {
         match self {
             Kind::Design => "design",
@@ -33,6 +35,7 @@
         }
     }
 
+    /// The policy of that name.
     pub fn parse(text: &str) -> Result<Kind, String> {
         Kind::ALL.into_iter().find(|kind| kind.name() == text).ok_or_else(|| format!("no policy '{text}'"))
     }
@@ -41,11 +44,43 @@
 /// One thing a gate asked of its host, kept until the gate's call is over so that it is never entered twice.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Wish {
-    CallOut { rpc: u32, server: u32, limit: Nanos },
-    PushBack { rpc: u32, come_back: Nanos },
-    Abort { rpc: u32 },
-    Wake { after: Nanos, token: u32 },
-    Count { name: u64, add: f64, forget: Nanos },
+    /// Send an attempt of an RPC to a server.
+    CallOut {
+        /// The RPC.
+        rpc: u32,
+        /// The server.
+        server: u32,
+        /// How long the attempt may take; 0 is until the deadline.
+        limit: Nanos,
+    },
+    /// Reject an RPC.
+    PushBack {
+        /// The RPC.
+        rpc: u32,
+        /// When the client may send it again, from now.
+        come_back: Nanos,
+    },
+    /// Abort an RPC: its client is not to send it again.
+    Abort {
+        /// The RPC.
+        rpc: u32,
+    },
+    /// Call the gate again later.
+    Wake {
+        /// When, from now.
+        after: Nanos,
+        /// Handed back then.
+        token: u32,
+    },
+    /// Add to a count of the shared counter.
+    Count {
+        /// The name of the count.
+        name: u64,
+        /// What is added.
+        add: f64,
+        /// How long the counter keeps a new count.
+        forget: Nanos,
+    },
 }
 
 /// The host side of a gate: it only collects.
@@ -72,11 +107,17 @@
 
 /// What an emulated gateway is told, as the real gateway tells the module.
 pub trait Gate {
+    /// Discovery sent a list, whole or only what changed.
     fn listed(&mut self, now: Nanos, whole: bool, list: &[Listed]);
+    /// An RPC arrived.
     fn rpc(&mut self, host: &mut Wishes, now: Nanos, arrival: &Arrival);
+    /// A time that was asked for has come.
     fn woke(&mut self, host: &mut Wishes, now: Nanos, token: u32);
+    /// An attempt ended.
     fn ended(&mut self, host: &mut Wishes, now: Nanos, ended: &Ended);
+    /// A call to the counter ended.
     fn counted(&mut self, host: &mut Wishes, now: Nanos, name: u64, how: End, total: f64);
+    /// A client gave its RPC up.
     fn client_left(&mut self, id: u32);
 }
 
@@ -122,6 +163,7 @@
 }
 
 impl Ledger {
+    /// A ledger whose draws are seen this late by other gateways.
     pub fn shared(late: Nanos) -> Rc<RefCell<Ledger>> {
         Rc::new(RefCell::new(Ledger { late, ..Ledger::default() }))
     }
@@ -185,6 +227,7 @@
 }
 
 impl Baseline {
+    /// A baseline policy for one gateway.
     pub fn new(kind: Kind, gateway: u32, settings: Settings, ledger: Rc<RefCell<Ledger>>) -> Baseline {
         let (parts, rpcs, open) = (HashMap::new(), HashMap::new(), BTreeMap::new());
         Baseline { kind, gateway, settings, ledger, parts, rpcs, ready: Vec::new(), open, turn: 0 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,26 +13,29 @@
 //! assert!(record.total.arrived > 0);
 //! assert_eq!(record.total.arrived, record.total.finals() + record.total.left + record.total.cut);
 //! ```
+#![deny(missing_docs)]
 
-pub mod chance;
+mod chance;
 pub mod cli;
-pub mod clients;
+mod clients;
 pub mod counter;
 pub mod gates;
-pub mod lifecycle;
-pub mod network;
-pub mod queue;
+mod lifecycle;
+mod network;
+mod queue;
 pub mod record;
 pub mod report;
 pub mod scenario;
-pub mod servers;
+mod servers;
 pub mod sweep;
 pub mod world;
 
 /// A time or a span in whole nanoseconds, as everywhere in martenramp.
 pub use martenramp::host::Nanos;
 
+/// A millisecond.
 pub const MS: Nanos = 1_000_000;
+/// A second.
 pub const SEC: Nanos = 1_000 * MS;
 
 /// Seconds as given in scenarios, to nanoseconds; negative and non-finite values are nought.
--- a/crates/lab/src/lifecycle.rs
+++ b/crates/lab/src/lifecycle.rs
@@ -6,19 +6,22 @@
 /// The phases of a gateway.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
+    /// It takes clients.
     Up,
     /// SIGTERM: no new clients; what it holds is answered until `until`, then it is gone.
-    Draining {
-        until: Nanos,
-    },
+    Draining { until: Nanos },
+    /// It is gone.
     Down,
 }
 
 #[derive(Clone, Copy, Debug)]
+/// A gateway's phase, and which incarnation of it this is.
 pub struct Lifecycle {
+    /// The phase now.
     pub phase: Phase,
     /// Counts from 0; events of an earlier incarnation are ignored.
     pub incarnation: u32,
+    /// The gateway's zone.
     pub zone: u32,
 }
 
@@ -26,14 +29,17 @@
 pub const DRAIN: Nanos = 500_000_000;
 
 impl Lifecycle {
+    /// A gateway that is up for the first time.
     pub fn new(zone: u32) -> Lifecycle {
         Lifecycle { phase: Phase::Up, incarnation: 0, zone }
     }
 
+    /// Whether new clients reach it.
     pub fn takes_clients(&self) -> bool {
         self.phase == Phase::Up
     }
 
+    /// Whether it is there at all.
     pub fn runs(&self) -> bool {
         self.phase != Phase::Down
     }
@@ -43,6 +49,7 @@
         self.phase = Phase::Down;
     }
 
+    /// SIGTERM: it takes no new clients from now on.
     pub fn drain(&mut self, now: Nanos) {
         if self.phase == Phase::Up {
             self.phase = Phase::Draining { until: now + DRAIN };
--- a/crates/lab/src/network.rs
+++ b/crates/lab/src/network.rs
@@ -5,6 +5,7 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
+/// The network's delays, losses and partitions.
 pub struct Network {
     delay: Nanos,
     loss: f64,
@@ -16,6 +17,7 @@
 }
 
 impl Network {
+    /// A network that is whole.
     pub fn new(model: &scenario::Network, zones: u32, chance: ChaCha8Rng) -> Network {
         let (delay, refuse) = (nanos(model.delay_ms / 1e3), nanos(model.refuse_ms.max(0.1) / 1e3));
         Network { delay, loss: model.loss, refuse, cut: vec![false; zones as usize], chance }
@@ -30,6 +32,7 @@
         Some(self.delay + jitter)
     }
 
+    /// Cuts a zone off from the others, or heals the cut.
     pub fn cut_off(&mut self, zone: u32, cut: bool) {
         if let Some(at) = self.cut.get_mut(zone as usize) {
             *at = cut;
@@ -41,6 +44,7 @@
         gateway_zone == server_zone || !(self.is_cut(gateway_zone) || self.is_cut(server_zone))
     }
 
+    /// Whether a gateway of this zone reaches the counter.
     pub fn reaches_counter(&self, gateway_zone: u32) -> bool {
         !self.is_cut(gateway_zone)
     }
--- a/crates/lab/src/queue.rs
+++ b/crates/lab/src/queue.rs
@@ -44,18 +44,11 @@
 }
 
 impl<E> Queue<E> {
+    /// The time of the last event taken.
     pub fn now(&self) -> Nanos {
         self.now
     }
 
-    pub fn len(&self) -> usize {
-        self.heap.len()
-    }
-
-    pub fn is_empty(&self) -> bool {
-        self.heap.is_empty()
-    }
-
     /// Puts an event in at clock time `at`.
     pub fn at(&mut self, at: Nanos, event: E) {
         self.serial += 1;
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -10,25 +10,36 @@
 /// and half a second; `left` were given up by their clients first; `cut` were at a gateway that was killed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 pub struct Counts {
+    /// RPCs that arrived.
     pub arrived: u64,
+    /// Answered ok.
     pub ok: u64,
+    /// Rejected.
     pub pushed_back: u64,
+    /// Aborted.
     pub aborted: u64,
+    /// Without an answer.
     pub lost: u64,
+    /// Given up by their clients.
     pub left: u64,
+    /// At a gateway that was killed, or with no gateway to reach.
     pub cut: u64,
     /// Final answers given to an RPC that had one already: must be nought.
     pub twice: u64,
+    /// Attempts at servers.
     pub call_outs: u64,
     /// Calls to the shared counter, and those of them that got no answer in time.
     pub count_calls: u64,
+    /// Calls to the counter without an answer in time.
     pub count_missed: u64,
     /// Utility asked for (every RPC's credit) and served (earned by ok answers in time).
     pub asked: f64,
+    /// Utility earned by ok answers in time.
     pub served: f64,
 }
 
 impl Counts {
+    /// RPCs that ended other than by their client or a killed gateway.
     pub fn finals(&self) -> u64 {
         self.ok + self.pushed_back + self.aborted + self.lost
     }
@@ -41,10 +52,15 @@
 
 /// One row of the table over time.
 pub struct Row {
+    /// When the row begins.
     pub start: Nanos,
+    /// How RPCs ended.
     pub counts: Counts,
+    /// Latencies of ok answers, microseconds.
     pub latency: Histogram<u64>,
+    /// Gateways that take clients, at the end of the row.
     pub gateways_up: u32,
+    /// RPCs that are kept, at the end of the row.
     pub live: u64,
 }
 
@@ -52,9 +68,11 @@
 /// the window plus its burst), as a share of that allowance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 pub struct Overshoot {
+    /// Windows in which a customer sent on anything.
     pub windows: u64,
     /// Windows over 5% of the allowance.
     pub over_5: u64,
+    /// The largest overshoot.
     pub largest: f64,
     /// All units sent on beyond allowances, over all units sent on.
     pub beyond: f64,
@@ -66,13 +84,19 @@
     units: f64,
 }
 
+/// What a run measured.
 pub struct Record {
+    /// The table over time.
     pub rows: Vec<Row>,
+    /// Counts over the whole run.
     pub total: Counts,
+    /// Latencies of ok answers, microseconds.
     pub latency: Histogram<u64>,
+    /// Quota overshoot.
     pub overshoot: Overshoot,
     /// Emulated events handled, and the most RPCs live at once.
     pub events: u64,
+    /// The most RPCs kept at once.
     pub live_most: u64,
     bucket: Nanos,
     window: Nanos,
@@ -86,6 +110,7 @@
 }
 
 impl Record {
+    /// An empty record with rows of `bucket` and overshoot by `window`.
     pub fn new(bucket: Nanos, window: Nanos) -> Record {
         Record {
             rows: Vec::new(),
@@ -124,6 +149,7 @@
         change(&mut self.total);
     }
 
+    /// An ok answer came after this long.
     pub fn ok_took(&mut self, now: Nanos, took: Nanos) {
         let micros = (took / 1_000).max(1);
         self.row(now);
@@ -132,6 +158,7 @@
         let _ = self.latency.record(micros);
     }
 
+    /// Gateways that are up and RPCs that are kept now.
     pub fn gauge(&mut self, now: Nanos, gateways_up: u32, live: u64) {
         self.row(now);
         let at = (now / self.bucket) as usize;
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -10,24 +10,43 @@
 /// One row of a run's table over time.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct TimeRow {
+    /// When the row begins, seconds.
     pub t_s: f64,
+    /// RPCs that arrived.
     pub arrived: u64,
+    /// Answered ok.
     pub ok: u64,
+    /// Rejected.
     pub pushed_back: u64,
+    /// Aborted.
     pub aborted: u64,
+    /// Without an answer.
     pub lost: u64,
+    /// Given up by their clients.
     pub left: u64,
+    /// At a gateway that was killed, or with no gateway to reach.
     pub cut: u64,
+    /// Attempts at servers.
     pub call_outs: u64,
+    /// Calls to the counter.
     pub count_calls: u64,
+    /// Calls to the counter without an answer in time.
     pub count_missed: u64,
+    /// Utility asked for.
     pub asked: f64,
+    /// Utility served.
     pub served: f64,
+    /// Utility served over utility asked.
     pub service: f64,
+    /// Median latency of ok answers, milliseconds.
     pub p50_ms: f64,
+    /// 95th percentile of it.
     pub p95_ms: f64,
+    /// 99th percentile of it.
     pub p99_ms: f64,
+    /// Gateways that take clients.
     pub gateways_up: u32,
+    /// RPCs that are kept.
     pub live: u64,
 }
 
@@ -36,33 +55,61 @@
 /// the run took on this machine; a single run leaves them empty and nought.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Summary {
+    /// The parameter of a sweep.
     pub parameter: String,
+    /// The parameter's value.
     pub value: String,
+    /// The scenario's name.
     pub scenario: String,
+    /// The policy's name.
     pub policy: String,
+    /// The scenario's seed.
     pub seed: u64,
+    /// Gateways of the fleet.
     pub gateways: u32,
+    /// Servers of the fleet.
     pub servers: u32,
+    /// RPCs that arrived.
     pub arrived: u64,
+    /// Answered ok.
     pub ok: u64,
+    /// Rejected.
     pub pushed_back: u64,
+    /// Aborted.
     pub aborted: u64,
+    /// Without an answer.
     pub lost: u64,
+    /// Given up by their clients.
     pub left: u64,
+    /// At a gateway that was killed, or with no gateway to reach.
     pub cut: u64,
+    /// Final answers beyond the first.
     pub twice: u64,
+    /// Attempts at servers.
     pub call_outs: u64,
+    /// Utility served over utility asked.
     pub service: f64,
+    /// Median latency of ok answers, milliseconds.
     pub p50_ms: f64,
+    /// 95th percentile of it.
     pub p95_ms: f64,
+    /// 99th percentile of it.
     pub p99_ms: f64,
+    /// Windows in which a customer sent on anything.
     pub overshoot_windows: u64,
+    /// Windows over 5% of the allowance.
     pub overshoot_over_5: u64,
+    /// The largest overshoot.
     pub overshoot_largest: f64,
+    /// Units beyond allowances, over all units.
     pub beyond_share: f64,
+    /// Emulated events.
     pub events: u64,
+    /// The most RPCs kept at once.
     pub live_most: u64,
+    /// What the run took, milliseconds.
     pub wall_ms: u64,
+    /// Emulated events per second of wall time.
     pub events_per_s: u64,
 }
 
@@ -71,6 +118,7 @@
 }
 
 impl Summary {
+    /// The summary of a run.
     pub fn of(scenario: &crate::scenario::Scenario, kind: Kind, record: &Record) -> Summary {
         let Counts { arrived, ok, pushed_back, aborted, lost, left, cut, twice, call_outs, .. } =
             record.total;
@@ -146,6 +194,7 @@
     writer.flush().map_err(|e| format!("{shown}: {e}"))
 }
 
+/// Reads a table that was written before.
 pub fn read_csv<T: for<'de> Deserialize<'de>>(path: &Path) -> Result<Vec<T>, String> {
     let shown = path.display();
     let mut reader = csv::Reader::from_path(path).map_err(|e| format!("{shown}: {e}"))?;
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -45,29 +45,40 @@
     /// A scenario file this one starts from, relative to this one; its fields are overridden table by table.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub extends: Option<String>,
+    /// Names the tables.
     pub name: String,
+    /// The seed of all chance.
     #[serde(default = "one")]
     pub seed: u64,
     /// Emulated time, seconds.
     pub seconds: f64,
+    /// How many gateways the fleet has.
     pub gateways: u32,
     /// Width of a row of the tables over time, seconds.
     #[serde(default = "one_f")]
     pub bucket_seconds: f64,
     /// The service's settings in the gateway's nested form (classes, tariffs, ceilings, extra, rules).
     pub settings: toml::Table,
+    /// Groups of customers.
     pub customers: Vec<Customers>,
+    /// The servers.
     pub servers: Servers,
+    /// The network.
     #[serde(default)]
     pub network: Network,
+    /// The shared counter.
     #[serde(default)]
     pub counter: Counter,
+    /// Discovery.
     #[serde(default)]
     pub discovery: Discovery,
+    /// What clients do.
     #[serde(default)]
     pub clients: Clients,
+    /// The baseline policies.
     #[serde(default)]
     pub baselines: Baselines,
+    /// What goes wrong.
     #[serde(default)]
     pub troubles: Vec<Trouble>,
 }
@@ -76,12 +87,14 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Customers {
+    /// How many customers.
     pub count: u32,
     /// A tariff's name from the settings.
     pub plan: String,
     /// Through how many gateways each customer's RPCs come in.
     #[serde(default = "one_u")]
     pub width: u32,
+    /// What each sends.
     pub load: Vec<Load>,
 }
 
@@ -93,14 +106,18 @@
     pub method: String,
     /// RPCs a second, for each customer (Poisson).
     pub rate: f64,
+    /// Units of the plan's quota for each RPC.
     #[serde(default = "one_f")]
     pub units: f64,
 }
 
+/// The servers, all alike.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Servers {
+    /// How many servers.
     pub count: u32,
+    /// Servers and gateways are in so many zones, by turns.
     #[serde(default = "one_u")]
     pub zones: u32,
     /// Call-outs served at once; beyond them a server answers full.
@@ -113,6 +130,7 @@
     /// After a start, a server bears `cold_share` of its slots, rising to all of them over `cold_seconds`.
     #[serde(default)]
     pub cold_seconds: f64,
+    /// The share of its slots that a server bears at its start.
     #[serde(default = "one_f")]
     pub cold_share: f64,
     /// Share of call-outs that end in an error when nothing else is wrong.
@@ -120,6 +138,7 @@
     pub error_share: f64,
 }
 
+/// The network between gateways, servers and the counter.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Network {
@@ -131,6 +150,7 @@
     pub refuse_ms: f64,
 }
 
+/// The shared counter.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Counter {
@@ -146,6 +166,7 @@
     }
 }
 
+/// Discovery.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Discovery {
@@ -159,6 +180,7 @@
     }
 }
 
+/// What clients do of their own.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Clients {
@@ -172,6 +194,7 @@
     pub retries_most: u32,
 }
 
+/// Parameters of the baseline policies.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Baselines {
@@ -190,31 +213,118 @@
 #[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
 pub enum Trouble {
     /// The counter answers nothing.
-    CounterStall { at: f64, seconds: f64 },
+    CounterStall {
+        /// When it begins, seconds.
+        at: f64,
+        /// How long it holds, seconds.
+        seconds: f64,
+    },
     /// Each half of the gateways sees a counter of its own, copied at the split; afterwards the larger total wins.
-    CounterSplit { at: f64, seconds: f64 },
+    CounterSplit {
+        /// When it begins, seconds.
+        at: f64,
+        /// How long it holds, seconds.
+        seconds: f64,
+    },
     /// The counter is replaced by one that starts at nought.
-    CounterReplace { at: f64 },
+    CounterReplace {
+        /// When it begins, seconds.
+        at: f64,
+    },
     /// A share of the gateways is killed at once, and started again after `back_after` seconds if given.
-    Kill { at: f64, share: f64, back_after: Option<f64> },
+    Kill {
+        /// When it begins, seconds.
+        at: f64,
+        /// The share of them that it hits.
+        share: f64,
+        /// They start again so many seconds later, if told.
+        back_after: Option<f64>,
+    },
     /// A share of the gateways gets SIGTERM: no new clients, half a second to answer what it holds, then gone.
-    Drain { at: f64, share: f64, back_after: Option<f64> },
+    Drain {
+        /// When it begins, seconds.
+        at: f64,
+        /// The share of them that it hits.
+        share: f64,
+        /// They start again so many seconds later, if told.
+        back_after: Option<f64>,
+    },
     /// The servers of a zone are gone, and come back cold.
-    ZoneDown { at: f64, zone: u32, seconds: f64 },
+    ZoneDown {
+        /// When it begins, seconds.
+        at: f64,
+        /// The zone.
+        zone: u32,
+        /// How long it holds, seconds.
+        seconds: f64,
+    },
     /// The gateways of a zone reach neither other zones' servers nor the counter.
-    Partition { at: f64, zone: u32, seconds: f64 },
+    Partition {
+        /// When it begins, seconds.
+        at: f64,
+        /// The zone.
+        zone: u32,
+        /// How long it holds, seconds.
+        seconds: f64,
+    },
     /// A share of the servers serves `factor` times slower.
-    Slow { at: f64, share: f64, factor: f64, seconds: f64 },
+    Slow {
+        /// When it begins, seconds.
+        at: f64,
+        /// The share of them that it hits.
+        share: f64,
+        /// How many times.
+        factor: f64,
+        /// How long it holds, seconds.
+        seconds: f64,
+    },
     /// A share of the servers ends `error_share` of its call-outs in errors.
-    Fail { at: f64, share: f64, error_share: f64, seconds: f64 },
+    Fail {
+        /// When it begins, seconds.
+        at: f64,
+        /// The share of them that it hits.
+        share: f64,
+        /// The share of attempts that ends in errors.
+        error_share: f64,
+        /// How long it holds, seconds.
+        seconds: f64,
+    },
     /// A share of the servers holds every call-out until the pause is over.
-    Pause { at: f64, share: f64, seconds: f64 },
+    Pause {
+        /// When it begins, seconds.
+        at: f64,
+        /// The share of them that it hits.
+        share: f64,
+        /// How long it holds, seconds.
+        seconds: f64,
+    },
     /// A share of the servers is replaced by new, cold ones, evenly over `seconds`.
-    Replace { at: f64, share: f64, seconds: f64 },
+    Replace {
+        /// When it begins, seconds.
+        at: f64,
+        /// The share of them that it hits.
+        share: f64,
+        /// How long it holds, seconds.
+        seconds: f64,
+    },
     /// All arrivals come `factor` times as often.
-    Burst { at: f64, factor: f64, seconds: f64 },
+    Burst {
+        /// When it begins, seconds.
+        at: f64,
+        /// How many times.
+        factor: f64,
+        /// How long it holds, seconds.
+        seconds: f64,
+    },
     /// Changes of the fleet reach the gateways `delay_ms` late.
-    ListLate { at: f64, seconds: f64, delay_ms: f64 },
+    ListLate {
+        /// When it begins, seconds.
+        at: f64,
+        /// How long it holds, seconds.
+        seconds: f64,
+        /// How late, milliseconds.
+        delay_ms: f64,
+    },
 }
 
 impl Trouble {
@@ -252,18 +362,26 @@
 /// A method as the lab needs it, from the settings.
 #[derive(Clone, Debug)]
 pub struct Method {
+    /// Its name.
     pub name: String,
+    /// What an ok answer in good time earns.
     pub credit: f64,
+    /// Until then after its arrival an answer earns all.
     pub soft: Nanos,
+    /// From then after its arrival an answer earns nothing.
     pub deadline: Nanos,
+    /// Whether it may run twice.
     pub idempotent: bool,
 }
 
 /// A plan as the lab needs it, from the settings.
 #[derive(Clone, Debug)]
 pub struct Plan {
+    /// Its name.
     pub name: String,
+    /// Units a second.
     pub rate: f64,
+    /// Units at once.
     pub burst: f64,
 }
 
@@ -407,6 +525,7 @@
         flat
     }
 
+    /// The methods of the settings.
     pub fn methods(&self) -> Result<Vec<Method>, String> {
         self.listed("classes", |entry, name| {
             let number = |field: &str, default: f64| entry.get(field).and_then(as_f64).unwrap_or(default);
@@ -421,6 +540,7 @@
         })
     }
 
+    /// The plans of the settings.
     pub fn plans(&self) -> Result<Vec<Plan>, String> {
         self.listed("tariffs", |entry, name| {
             let number = |field: &str| entry.get(field).and_then(as_f64).unwrap_or(0.0);
--- a/crates/lab/src/servers.rs
+++ b/crates/lab/src/servers.rs
@@ -11,9 +11,13 @@
 /// An attempt as a server holds it: whose it is, so that its end finds its way back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AttemptRef {
+    /// The gateway that sent it.
     pub gateway: u32,
+    /// That gateway's incarnation.
     pub incarnation: u32,
+    /// The RPC.
     pub rpc: u32,
+    /// Which attempt of that RPC, from 0.
     pub nth: u16,
 }
 
@@ -25,17 +29,26 @@
     /// All slots it bears now are taken.
     Full,
     /// Taken; done `after` from now, well or in an error.
-    Serving { after: Nanos, ok: bool },
+    Serving {
+        after: Nanos,
+        /// Answered ok.
+        ok: bool,
+    },
     /// Taken but paused: it starts when the pause is over.
     Held,
 }
 
+/// A server as it stands.
 pub struct Server {
+    /// Its number.
     pub id: u32,
+    /// Its zone.
     pub zone: u32,
     /// Each replacement is a new incarnation, with its own start time.
     pub incarnation: u32,
+    /// When this incarnation started.
     pub came_up: Nanos,
+    /// Whether it is there.
     pub up: bool,
     busy: u32,
     slow: f64,
@@ -44,7 +57,9 @@
     held: Vec<AttemptRef>,
 }
 
+/// All servers, and the chance that they draw from.
 pub struct Servers {
+    /// By their numbers.
     pub all: Vec<Server>,
     model: scenario::Servers,
     service: LogNormal<f64>,
@@ -52,6 +67,7 @@
 }
 
 impl Servers {
+    /// Servers that are all up and warm.
     pub fn new(model: &scenario::Servers, chance: ChaCha8Rng) -> Servers {
         let all = (0..model.count)
             .map(|id| Server {
@@ -124,24 +140,29 @@
         at.held.clear();
     }
 
+    /// The server is gone with all that it held.
     pub fn down(&mut self, server: u32) {
         let at = &mut self.all[server as usize];
         (at.up, at.busy) = (false, 0);
         at.held.clear();
     }
 
+    /// From now on it serves so many times slower.
     pub fn set_slow(&mut self, server: u32, factor: f64) {
         self.all[server as usize].slow = factor.max(0.0);
     }
 
+    /// From now on this share of its attempts ends in errors.
     pub fn set_errors(&mut self, server: u32, share: f64) {
         self.all[server as usize].errors = share.clamp(0.0, 1.0);
     }
 
+    /// The share of attempts that ends in errors when nothing is wrong.
     pub fn usual_errors(&self) -> f64 {
         self.model.error_share
     }
 
+    /// From now on it holds what comes and serves nothing.
     pub fn pause(&mut self, server: u32) {
         self.all[server as usize].paused = true;
     }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -127,6 +127,7 @@
     Tick,
 }
 
+/// The state of an emulation.
 pub struct World {
     scenario: Scenario,
     kind: Kind,
@@ -141,6 +142,7 @@
     gateways: Vec<Gateway>,
     rpcs: BTreeMap<u32, LiveRpc>,
     next_rpc: u32,
+    /// What was measured so far.
     pub record: Record,
     ledger: Rc<RefCell<Ledger>>,
     troubles: ChaCha8Rng,
@@ -163,6 +165,7 @@
 }
 
 impl World {
+    /// A world in which nothing has happened yet.
     pub fn new(scenario: &Scenario, kind: Kind) -> World {
         let seed = scenario.seed;
         let methods = scenario.methods().unwrap_or_default();
