--- a/crates/etcd-standin/src/client.rs
+++ b/crates/etcd-standin/src/client.rs
@@ -43,6 +43,7 @@
     }
 }
 
+/// An open watch stream.
 pub struct Watch {
     stream: TcpStream,
     chunks: Chunks,
@@ -51,6 +52,7 @@
 }
 
 impl Watch {
+    /// Opens a watch with this request.
     pub fn open(standin: &Standin, body: &str) -> Option<Watch> {
         let (stream, pending) = request(standin, "/v3/watch", body)?;
         Some(Watch { stream, chunks: Chunks::default(), messages: Stream::default(), pending })
@@ -81,20 +83,26 @@
 
 /// The membership watcher with its members and its open watch, driven over blocking sockets.
 pub struct Follower {
+    /// The state machine that is driven.
     pub watcher: Watcher,
+    /// The node lists merged.
     pub members: Members,
+    /// When it started.
     pub start: Instant,
+    /// What is to be done next.
     pub next: Next,
     watch: Option<Watch>,
 }
 
 impl Follower {
+    /// A follower of this prefix.
     pub fn new(prefix: &[u8]) -> Follower {
         let mut watcher = Watcher::new(prefix, 1);
         let next = watcher.read();
         Follower { watcher, members: Members::default(), start: Instant::now(), next, watch: None }
     }
 
+    /// Nanoseconds since its start.
     pub fn now(&self) -> u64 {
         now(self.start)
     }
--- a/crates/etcd-standin/src/lib.rs
+++ b/crates/etcd-standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! with revisions, a history for watches from a revision, compaction and leases. A [`Standin`] can be scripted:
 //! taken down and up (connections cut, new ones refused at once), its streams slowed, its store rolled back to an
 //! older revision as a restored member would be. Written from etcd's public API documentation; test use only.
+#![deny(missing_docs)]
 
 pub mod client;
 mod store;
@@ -28,11 +29,13 @@
     progress_ms: AtomicU64,
     /// Watch messages written, and their bytes.
     pub messages: AtomicU64,
+    /// Bytes of watch messages written.
     pub bytes: AtomicU64,
 }
 
 /// A running stand-in; it stops when dropped.
 pub struct Standin {
+    /// Where it listens.
     pub address: SocketAddr,
     shared: Arc<Shared>,
 }
@@ -84,10 +87,12 @@
         self.shared.changed.notify_all();
     }
 
+    /// Each watch message waits so long first, milliseconds.
     pub fn set_slow(&self, millis: u64) {
         self.shared.slow_ms.store(millis, Ordering::SeqCst);
     }
 
+    /// A watch with nothing to say sends a progress notification so often, milliseconds.
     pub fn set_progress(&self, millis: u64) {
         self.shared.progress_ms.store(millis.max(1), Ordering::SeqCst);
     }
--- a/crates/etcd-standin/src/store.rs
+++ b/crates/etcd-standin/src/store.rs
@@ -31,9 +31,12 @@
     keys: BTreeSet<Vec<u8>>,
 }
 
+/// Keys with revisions, a history and leases.
 #[derive(Clone, Debug, Default)]
 pub struct Store {
+    /// The revision of the last change.
     pub revision: i64,
+    /// Revisions up to this one are compacted.
     pub compacted: i64,
     keys: BTreeMap<Vec<u8>, Kv>,
     history: Vec<Change>,
@@ -50,6 +53,7 @@
 }
 
 impl Store {
+    /// The header of every answer.
     pub fn header(&self) -> Value {
         json!({"cluster_id": "1", "member_id": "1", "revision": self.revision.to_string(), "raft_term": "1"})
     }
@@ -60,6 +64,7 @@
             "version": kv.version.to_string(), "lease": kv.lease.to_string()})
     }
 
+    /// The answer to a range request.
     pub fn range_json(&self, from: &[u8], end: &[u8]) -> Value {
         let kvs: Vec<Value> = (self.keys.iter())
             .filter(|(key, _)| within(key, from, end))
@@ -81,6 +86,7 @@
             .collect()
     }
 
+    /// Sets a key; an error names a lease that there is not.
     pub fn put(&mut self, key: &[u8], value: &[u8], lease: i64) -> Result<(), String> {
         if lease != 0 && !self.leases.contains_key(&lease) {
             return Err("etcdserver: requested lease not found".into());
@@ -129,6 +135,7 @@
         Ok(())
     }
 
+    /// Grants a lease; its id and its time to live, seconds.
     pub fn grant(&mut self, ttl: i64, now: Instant) -> (i64, i64) {
         self.next_lease += 1;
         let ttl = ttl.max(1);
@@ -137,6 +144,7 @@
         (self.next_lease, ttl)
     }
 
+    /// Renews a lease; its time to live, 0 if there is none.
     pub fn keep_alive(&mut self, id: i64, now: Instant) -> i64 {
         let Some(lease) = self.leases.get_mut(&id) else { return 0 };
         lease.expires = now + Duration::from_secs(lease.ttl as u64);
@@ -157,10 +165,12 @@
         }
     }
 
+    /// How many keys there are.
     pub fn len(&self) -> usize {
         self.keys.len()
     }
 
+    /// Whether there is no key.
     pub fn is_empty(&self) -> bool {
         self.keys.is_empty()
     }
--- a/crates/membership/src/etcd.rs
+++ b/crates/membership/src/etcd.rs
@@ -33,15 +33,20 @@
 /// A key and its value, decoded.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
+    /// The key.
     pub key: Vec<u8>,
+    /// Its value.
     pub value: Vec<u8>,
+    /// The revision of its last change.
     pub mod_revision: i64,
 }
 
 /// A change seen by a watch.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
+    /// A key was set.
     Put(Entry),
+    /// A key was deleted.
     Delete(Vec<u8>),
 }
 
@@ -49,13 +54,29 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply {
     /// A range's whole answer at `revision`.
-    Range { revision: i64, entries: Vec<Entry> },
+    Range {
+        /// The store's revision.
+        revision: i64,
+        /// The keys of the range.
+        entries: Vec<Entry>,
+    },
     /// One message of a watch stream: changes up to `revision` (none for a progress notification).
-    Watched { revision: i64, changes: Vec<Change> },
+    Watched {
+        /// The store's revision.
+        revision: i64,
+        /// What changed.
+        changes: Vec<Change>,
+    },
     /// The watch was created.
-    Created { revision: i64 },
+    Created {
+        /// The store's revision.
+        revision: i64,
+    },
     /// The watch was cancelled; `compacted` is the compaction's revision where that was the cause.
-    Cancelled { compacted: Option<i64> },
+    Cancelled {
+        /// The compaction's revision, if that was the cause.
+        compacted: Option<i64>,
+    },
 }
 
 #[derive(Deserialize, Default)]
@@ -185,6 +206,7 @@
     /// Bytes of data still due in the chunk being read, and whether its closing CRLF is.
     due: usize,
     closing: u8,
+    /// The last chunk has come.
     pub done: bool,
 }
 
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`nodes`]: the merge of sources into one set, with the drain and removal rules.
 //! - [`etcd`]: request bodies and the parsing of range replies and watch streams, keys and values in base64.
 //! - [`watcher`]: range, then watch from the next revision; compaction, outages and restored members.
+#![deny(missing_docs)]
 
 pub mod etcd;
 pub mod nodes;
--- a/crates/membership/src/nodes.rs
+++ b/crates/membership/src/nodes.rs
@@ -10,15 +10,20 @@
 /// Where a node list comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Source {
+    /// The platform's discovery.
     Discovery,
+    /// An etcd prefix.
     Etcd,
 }
 
 /// How a source lists a node.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Node {
+    /// Its zone.
     pub zone: String,
+    /// Whether it may get new work.
     pub ready: bool,
+    /// Its weight.
     pub weight: f64,
     /// Clock time of its last start; 0 for long ago.
     pub came_up: Nanos,
@@ -114,6 +119,7 @@
         *self.numbers.entry(address.to_string()).or_insert(next)
     }
 
+    /// The address that goes by this number.
     pub fn address(&self, number: u32) -> Option<&str> {
         self.numbers.iter().find(|(_, at)| **at == number).map(|(address, _)| address.as_str())
     }
--- a/crates/membership/src/watcher.rs
+++ b/crates/membership/src/watcher.rs
@@ -10,15 +10,18 @@
 /// Where the watcher stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
+    /// Nothing is asked for.
     Idle,
     /// A range request is out.
     Reading,
     /// A watch stream is open from this revision on.
     Watching {
+        /// The first revision that is watched.
         from: i64,
     },
     /// Waiting before the next endpoint is tried.
     Resting {
+        /// When the rest is over.
         until: Nanos,
     },
 }
@@ -28,31 +31,40 @@
 pub enum Next {
     /// POST this body to `/v3/kv/range` at the endpoint.
     Range {
+        /// By its place in the configuration.
         endpoint: usize,
+        /// The request's body.
         body: String,
     },
     /// POST this body to `/v3/watch` at the endpoint and read its stream.
     Watch {
+        /// By its place in the configuration.
         endpoint: usize,
+        /// The request's body.
         body: String,
     },
     /// Come back to `woke` then.
     Wait {
+        /// When to come back.
         until: Nanos,
     },
+    /// Nothing to do until something comes.
     Nothing,
 }
 
 /// The first rest after a failure, and the longest.
 pub const REST_FIRST: Nanos = 100_000_000;
+/// The longest rest after a failure.
 pub const REST_MOST: Nanos = 5_000_000_000;
 /// With no message at all for so long, a watch is taken as broken (etcd sends progress notifications meanwhile).
 pub const SILENT_MOST: Nanos = 15_000_000_000;
 
+/// The state of following one prefix.
 pub struct Watcher {
     prefix: Vec<u8>,
     endpoints: usize,
     at: usize,
+    /// Where it stands.
     pub phase: Phase,
     /// The revision the list is as of.
     pub revision: i64,
@@ -61,10 +73,12 @@
     keys: BTreeMap<Vec<u8>, String>,
     /// Values that could not be read, and fresh ranges taken: for the logs.
     pub unreadable: u64,
+    /// Fresh ranges that were taken.
     pub reread: u64,
 }
 
 impl Watcher {
+    /// A watcher of this prefix that has so many endpoints to ask.
     pub fn new(prefix: &[u8], endpoints: usize) -> Watcher {
         Watcher {
             prefix: prefix.to_vec(),
@@ -79,6 +93,7 @@
         }
     }
 
+    /// The endpoint that is asked now.
     pub fn endpoint(&self) -> usize {
         self.at
     }
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -43,21 +43,29 @@
 pub struct Outcome {
     /// From the first measured arrival to the last.
     pub from: Nanos,
+    /// The last measured arrival.
     pub to: Nanos,
     /// When the first fault began, if there was one.
     pub fault_at: Option<Nanos>,
+    /// RPCs as the servers had them.
     pub ledger: Vec<Row>,
+    /// When, and the open connections of each server.
     pub connections: Vec<(Nanos, Vec<u32>)>,
+    /// RPCs as the clients saw them.
     pub calls: Vec<Call>,
+    /// Answers that no RPC waited for.
     pub extra_answers: u64,
+    /// Each server's weight, and when it was ready.
     pub servers: Vec<Server>,
     /// Names of the classes, as `Call::method` counts them, and whether each may run twice.
     pub methods: Vec<(String, bool)>,
     /// How often each gateway was started, and its log lines behind the one that says so, all its lives together.
     pub starts: Vec<usize>,
+    /// Each gateway's log lines.
     pub lines: Vec<Vec<String>>,
     /// Gateways that ended unasked, or not with 0 after SIGTERM.
     pub crashed: Vec<String>,
+    /// Calls that the counter got.
     pub count_calls: u64,
 }
 
--- a/crates/rig/src/front.rs
+++ b/crates/rig/src/front.rs
@@ -20,35 +20,50 @@
 /// A class of RPCs as the front sends it.
 #[derive(Clone, Debug)]
 pub struct Method {
+    /// Its name in the settings.
     pub name: String,
+    /// Its idempotency as the settings have it.
     pub idempotency: String,
+    /// The time that its RPCs have.
     pub deadline: Nanos,
+    /// The share of all arrivals.
     pub share: f64,
+    /// Units of the plan's quota for each RPC.
     pub units: f64,
 }
 
 /// A customer: its share of all arrivals, and its gateways, `width` of them from `first` on.
 #[derive(Clone, Copy, Debug)]
 pub struct Customer {
+    /// The share of all arrivals.
     pub share: f64,
+    /// Its first gateway.
     pub first: usize,
+    /// How many gateways in a row it uses.
     pub width: usize,
 }
 
+/// What the front sends.
 #[derive(Clone, Debug)]
 pub struct Plan {
     /// RPCs a second in all.
     pub rate: f64,
+    /// The plan that all customers have.
     pub plan: String,
+    /// The classes of RPCs.
     pub methods: Vec<Method>,
+    /// Who sends.
     pub customers: Vec<Customer>,
+    /// How long until the front notices a dead gateway.
     pub notice: Nanos,
 }
 
 /// How an RPC ended at its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
+    /// Not yet ended.
     Open,
+    /// Answered ok.
     Ok,
     /// 429 or 503.
     PushedBack,
@@ -65,12 +80,19 @@
 /// One RPC as the client saw it.
 #[derive(Clone, Copy, Debug)]
 pub struct Call {
+    /// The RPC's id.
     pub txn: u64,
+    /// The gateway that it was sent to.
     pub gateway: usize,
+    /// By its place in [`Plan::methods`].
     pub method: usize,
+    /// When it was to be sent.
     pub due: Nanos,
+    /// When it was sent.
     pub sent: Nanos,
+    /// When it ended.
     pub done: Nanos,
+    /// How it ended.
     pub outcome: Outcome,
 }
 
@@ -99,10 +121,12 @@
     Call(usize),
 }
 
+/// The open-loop load generator before the gateways.
 pub struct Front {
     plan: Plan,
     gateways: Vec<Gateway>,
     conns: BTreeMap<Conn, (usize, Use)>,
+    /// All RPCs so far.
     pub calls: Vec<Call>,
     chance: ChaCha8Rng,
     customers: Option<WeightedIndex<f64>>,
@@ -115,6 +139,7 @@
 }
 
 impl Front {
+    /// A front that sends nothing yet.
     pub fn new(plan: Plan, chance: ChaCha8Rng) -> Front {
         let customers = WeightedIndex::new(plan.customers.iter().map(|customer| customer.share)).ok();
         let methods = WeightedIndex::new(plan.methods.iter().map(|method| method.share)).ok();
@@ -141,6 +166,7 @@
         self.gateways.push(Gateway { address, stand: Stand::Out, idle: Vec::new(), probe: None });
     }
 
+    /// Gateways that it sends to.
     pub fn admitted(&self) -> usize {
         self.gateways.iter().filter(|gateway| gateway.stand == Stand::Admitted).count()
     }
@@ -165,6 +191,7 @@
         self.plan.customers = customers;
     }
 
+    /// RPCs that wait for their answers.
     pub fn open(&self) -> usize {
         self.conns.values().filter(|(_, what)| matches!(what, Use::Call(_))).count()
     }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! Figures of the rig are measured, in real time; a run says how late its own load generator was and is void when
 //! that was too late.
+#![deny(missing_docs)]
 
 pub mod fleet;
 pub mod front;
@@ -21,11 +22,17 @@
 /// What draws chance, each from its own stream of the scenario's seed.
 #[derive(Clone, Copy, Debug)]
 pub enum Stream {
+    /// Arrivals and customers.
     Arrivals = 1,
+    /// Service times.
     Servers = 2,
+    /// Losses and reordering on links.
     Links = 3,
+    /// Whom a fault hits.
     Script = 4,
+    /// The references that a run is compared with.
     References = 5,
+    /// The gateways' seeds and clocks.
     Seeds = 6,
 }
 
--- a/crates/rig/src/measure.rs
+++ b/crates/rig/src/measure.rs
@@ -9,7 +9,9 @@
 /// A server over the run: its weight, and the spans in which it was up and listed as ready.
 #[derive(Clone, Debug)]
 pub struct Server {
+    /// Its weight as listed.
     pub weight: f64,
+    /// Spans in which it was ready, open ones up to the largest time.
     pub ready: Vec<(Nanos, Nanos)>,
 }
 
@@ -22,8 +24,11 @@
 /// An RPC at a server, as far as the measures need it.
 #[derive(Clone, Copy, Debug)]
 pub struct Visit {
+    /// The server.
     pub server: usize,
+    /// When it came.
     pub at: Nanos,
+    /// When it left.
     pub done: Nanos,
 }
 
@@ -41,13 +46,16 @@
 /// What is looked at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Quantity {
+    /// RPCs that came.
     Rpcs,
     /// RPCs in the server on average over the window.
     Held,
+    /// Open connections.
     Connections,
 }
 
 impl Quantity {
+    /// Its name in tables.
     pub fn name(self) -> &'static str {
         match self {
             Quantity::Rpcs => "rpcs",
@@ -60,11 +68,14 @@
 /// One window: each server's value over its weight, for those that were ready throughout.
 #[derive(Clone, Debug)]
 pub struct Window {
+    /// When the window begins.
     pub from: Nanos,
+    /// Servers and their values over their weights.
     pub values: Vec<(usize, f64)>,
 }
 
 impl Window {
+    /// The mean over the servers.
     pub fn mean(&self) -> f64 {
         self.values.iter().map(|value| value.1).sum::<f64>() / self.values.len().max(1) as f64
     }
@@ -82,8 +93,11 @@
 /// Windows of a run from `from` to `to`, whole ones only.
 #[derive(Clone, Copy, Debug)]
 pub struct Frame {
+    /// When the first window begins.
     pub from: Nanos,
+    /// When the last one ends at the latest.
     pub to: Nanos,
+    /// How long each is.
     pub width: Nanos,
 }
 
@@ -195,14 +209,20 @@
 /// lowest over mean.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Spread {
+    /// Middle of the highest over the mean.
     pub peak: f64,
+    /// The worst of it.
     pub peak_worst: f64,
+    /// Middle of the 99th percentile over the mean.
     pub p99: f64,
+    /// Middle of the lowest over the mean.
     pub least: f64,
+    /// The worst of it.
     pub least_worst: f64,
 }
 
 impl Spread {
+    /// The spread over these windows.
     pub fn of(windows: &[Window]) -> Spread {
         let all: Vec<[f64; 3]> = windows.iter().filter_map(Window::spread).collect();
         let sorted = |at: usize| {
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -20,58 +20,98 @@
 /// Highest, p99 and lowest server over the mean, in one part of the run, for one width of window and one quantity.
 #[derive(Clone, Debug, Serialize)]
 pub struct SpreadRow {
+    /// The scenario's name.
     pub scenario: String,
+    /// `health` or `fault`: before or after the first fault.
     pub part: &'static str,
+    /// Width of the windows, seconds.
     pub window_s: f64,
+    /// What is looked at.
     pub quantity: &'static str,
+    /// How many windows.
     pub windows: usize,
+    /// The mean over servers and windows.
     pub mean: f64,
+    /// Middle of the highest over the mean.
     pub peak: f64,
+    /// The worst of it.
     pub peak_worst: f64,
+    /// Middle of the 99th percentile over the mean.
     pub p99: f64,
+    /// Middle of the lowest over the mean.
     pub least: f64,
+    /// The worst of it.
     pub least_worst: f64,
+    /// The peak where each RPC goes to a server drawn by weight.
     pub chance_peak: f64,
+    /// The worst of it.
     pub chance_peak_worst: f64,
+    /// The least where each RPC goes to a server drawn by weight.
     pub chance_least: f64,
+    /// The worst of it.
     pub chance_least_worst: f64,
+    /// The peak of a dispatcher that sees all.
     pub centre_peak: f64,
+    /// The worst of it.
     pub centre_peak_worst: f64,
 }
 
 /// Counts of one run.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct RunRow {
+    /// The scenario's name.
     pub scenario: String,
+    /// Its seed.
     pub seed: u64,
+    /// Gateways at the start.
     pub gateways: usize,
+    /// Servers over the run.
     pub servers: usize,
+    /// RPCs that were measured.
     pub rpcs: usize,
+    /// Answered ok.
     pub ok: usize,
+    /// Rejected: 429 or 503.
     pub pushed_back: usize,
+    /// Any other answer.
     pub failed: usize,
+    /// Their connection broke.
     pub cut: usize,
+    /// No gateway took the connection.
     pub unreached: usize,
+    /// Without an answer.
     pub lost: usize,
+    /// Answers that no RPC waited for.
     pub extra_answers: u64,
     /// RPCs that may run once only and ran twice.
     pub twice: usize,
+    /// Attempts at servers.
     pub call_outs: usize,
+    /// Attempts that a full server turned away.
     pub turned_away: usize,
     /// 5 s windows of single servers that were ready and got nothing while the mean was above 2 RPCs a second.
     pub idle: usize,
     /// Gateways that sent to a server before the first fault: lowest, mean and highest.
     pub parts_least: usize,
+    /// The mean of it.
     pub parts_mean: f64,
+    /// The highest of it.
     pub parts_most: usize,
     /// The busiest gateway's RPCs over the mean.
     pub gateway_peak: f64,
+    /// Median latency of ok answers, milliseconds.
     pub p50_ms: f64,
+    /// 99th percentile of it.
     pub p99_ms: f64,
+    /// Calls that the counter got.
     pub count_calls: u64,
+    /// Gateways that ended unasked, or badly.
     pub crashed: usize,
+    /// How late the front sent, median, milliseconds.
     pub late_p50_ms: f64,
+    /// 99th percentile of it.
     pub late_p99_ms: f64,
+    /// The highest of it.
     pub late_most_ms: f64,
     /// The front was too late: the figures are worth nothing.
     pub void: bool,
@@ -115,7 +155,9 @@
 
 /// All that is worked out of a run.
 pub struct Figures {
+    /// Counts of the run.
     pub run: RunRow,
+    /// How evenly the load came, by part, window and quantity.
     pub spreads: Vec<SpreadRow>,
     windows: Vec<WindowRow>,
     servers: Vec<ServerRow>,
@@ -131,6 +173,7 @@
         self.spreads.iter().find(is)
     }
 
+    /// Works the figures out.
     pub fn of(scenario: &Scenario, outcome: &Outcome) -> Figures {
         let all = visits(&outcome.ledger, outcome.to + 10 * SEC);
         let centre = by_centre(&outcome.servers, &all);
--- a/crates/rig/src/rollouts.rs
+++ b/crates/rig/src/rollouts.rs
@@ -17,10 +17,13 @@
 /// What is told to the whole fleet.
 #[derive(Clone, Debug)]
 pub struct Plan {
+    /// How many processes.
     pub gateways: usize,
     /// Seconds.
     pub lease: f64,
+    /// The bound that the gateways are told for their clocks, seconds.
     pub clock: f64,
+    /// The seed of all chance.
     pub seed: u64,
     /// Each gateway's clock is off by up to so much, drawn by the seed.
     pub skew_ms: u64,
@@ -29,11 +32,15 @@
 /// What a gateway said that it acts on, from a time on.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Record {
+    /// From then on, Unix time.
     pub at: Nanos,
+    /// The version's number.
     pub version: u64,
+    /// Its digest.
     pub digest: String,
     /// The version itself, or only its ground.
     pub whole: bool,
+    /// Why that changed.
     pub why: String,
 }
 
--- a/crates/rig/src/rollouts/fleet.rs
+++ b/crates/rig/src/rollouts/fleet.rs
@@ -85,6 +85,7 @@
         Ok(fleet)
     }
 
+    /// How many gateways there are.
     pub fn count(&self) -> usize {
         self.gateways.len()
     }
@@ -175,10 +176,12 @@
         }
     }
 
+    /// Lets time pass.
     pub fn pass(&self, time: Nanos) {
         std::thread::sleep(Duration::from_nanos(time));
     }
 
+    /// Lets time pass until then, Unix time.
     pub fn pass_until(&self, at: Nanos) {
         self.pass(at.saturating_sub(unix()));
     }
@@ -252,14 +255,17 @@
         }
     }
 
+    /// Stops processes by SIGSTOP.
     pub fn pause(&mut self, which: &[usize]) {
         self.signal(which, Signal::STOP);
     }
 
+    /// Lets them go on by SIGCONT.
     pub fn wake(&mut self, which: &[usize]) {
         self.signal(which, Signal::CONT);
     }
 
+    /// Ends processes by SIGKILL.
     pub fn kill(&mut self, which: &[usize]) {
         self.read();
         for gateway in which {
@@ -333,11 +339,13 @@
         self.relays.with(|relays, _| relays.came)
     }
 
+    /// What a gateway said that it acts on, in order.
     pub fn records(&mut self, gateway: usize) -> Vec<Record> {
         self.read();
         self.gateways[gateway].records.clone()
     }
 
+    /// Since when this fleet runs.
     pub fn age(&self) -> Nanos {
         unix() - self.started
     }
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -8,13 +8,17 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Scenario {
+    /// Names the tables.
     pub name: String,
+    /// The seed of all chance.
     #[serde(default = "one")]
     pub seed: u64,
     /// Seconds of arrivals before anything is measured, and measured ones.
     #[serde(default = "four")]
     pub warm_seconds: f64,
+    /// Seconds of arrivals that are measured.
     pub seconds: f64,
+    /// How many gateways.
     pub gateways: usize,
     /// Zone `g % len` is gateway `g`'s.
     pub zones: Vec<String>,
@@ -23,13 +27,17 @@
     pub same_number: Vec<(usize, usize)>,
     /// The service's settings in the gateway's nested form; `balancers`, `me`, `zone` and `localities` are added.
     pub settings: toml::Table,
+    /// What the front sends.
     pub load: Load,
+    /// Groups of servers.
     pub servers: Vec<Servers>,
+    /// The shared counter.
     #[serde(default)]
     pub counter: Counter,
     /// The settings have a version on which the gateways agree.
     #[serde(default)]
     pub agreement: Option<Agreement>,
+    /// What goes wrong.
     #[serde(default)]
     pub faults: Vec<Fault>,
 }
@@ -40,12 +48,14 @@
 pub struct Load {
     /// RPCs a second for each gateway on average (Poisson over the whole fleet).
     pub rate: f64,
+    /// How many customers.
     pub customers: usize,
     /// Sigma of the log-normal that customers' shares are drawn from; 0 gives all the same.
     #[serde(default)]
     pub skew: f64,
     /// Through how many gateways in a row each customer's RPCs come in.
     pub width: usize,
+    /// Classes of RPCs and their shares.
     pub methods: Vec<Method>,
     /// A tariff of the settings.
     pub plan: String,
@@ -54,12 +64,15 @@
     pub notice: f64,
 }
 
+/// A class of RPCs as it is sent.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Method {
     /// A class of the settings.
     pub name: String,
+    /// The share of all arrivals.
     pub share: f64,
+    /// Units of the plan's quota for each RPC.
     #[serde(default = "one_f")]
     pub units: f64,
 }
@@ -68,23 +81,33 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Servers {
+    /// How many servers.
     pub count: usize,
     /// Only in this zone.
     #[serde(default)]
     pub zone: Option<String>,
+    /// Their weight as listed.
     #[serde(default = "one_f")]
     pub weight: f64,
+    /// RPCs served at once.
     pub cores: usize,
+    /// RPCs that wait beyond those.
     pub queue: usize,
+    /// Connections beyond these are reset.
     #[serde(default = "table")]
     pub connections: usize,
+    /// Median service time, milliseconds (log-normal).
     pub service_ms: f64,
+    /// The log-normal's sigma.
     #[serde(default = "spread")]
     pub spread: f64,
+    /// The share of its speed at which a server works after its start.
     #[serde(default = "one_f")]
     pub cold_share: f64,
+    /// How long until it works at full speed.
     #[serde(default)]
     pub cold_seconds: f64,
+    /// Whether answers carry a load report.
     #[serde(default)]
     pub reports: bool,
 }
@@ -93,10 +116,13 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Agreement {
+    /// How long a lease is.
     pub lease: f64,
+    /// How far any clock may be off.
     pub clock: f64,
 }
 
+/// The shared counter.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Counter {
@@ -113,15 +139,22 @@
 /// Who an end of a link is, as `front`, `discovery`, `counter`, `gateways:3`, `gateways:0-9`, `servers:4-7` or `zone:a`.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Place {
+    /// The front.
     Front,
+    /// Discovery.
     Discovery,
+    /// The counter.
     Counter,
+    /// These gateways.
     Gateways(Range<usize>),
+    /// These servers.
     Servers(Range<usize>),
+    /// All gateways or servers of a zone.
     Zone(String),
 }
 
 impl Place {
+    /// Reads a place as scenarios write it.
     pub fn parse(text: &str) -> Result<Place, String> {
         let range = |text: &str| -> Option<Range<usize>> {
             let (from, to) = text.split_once('-').unwrap_or((text, text));
@@ -144,11 +177,15 @@
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Wire {
+    /// Nothing passes from `from`.
     pub cut_there: bool,
+    /// Nothing passes to `from`.
     pub cut_back: bool,
     /// Each way.
     pub delay_ms: f64,
+    /// The share that is lost.
     pub lose: f64,
+    /// Connections are reset.
     pub reset: bool,
     /// Accepts and says nothing.
     pub silent: bool,
@@ -160,116 +197,186 @@
 pub enum Fault {
     /// Gateways get SIGKILL, and start again after a while if told.
     Kill {
+        /// When it begins, seconds.
         at: f64,
+        /// The share of them that it hits.
         share: f64,
+        /// They start again so many seconds later, if told.
         back_after: Option<f64>,
     },
     /// Gateways get SIGTERM, likewise.
     Term {
+        /// When it begins, seconds.
         at: f64,
+        /// The share of them that it hits.
         share: f64,
+        /// They start again so many seconds later, if told.
         back_after: Option<f64>,
     },
     /// Gateways get SIGSTOP and later SIGCONT.
     Pause {
+        /// When it begins, seconds.
         at: f64,
+        /// The share of them that it hits.
         share: f64,
+        /// How long it holds, seconds.
         seconds: f64,
     },
     /// So many more gateways start, told of the larger fleet; the old ones are told by SIGHUP, each `share` of them.
     Grow {
+        /// When it begins, seconds.
         at: f64,
+        /// How many gateways start.
         count: usize,
+        /// The share of the old ones that is told.
         share: f64,
     },
     /// Servers are replaced by new, cold ones, evenly over `seconds`; an old one drains for `drain` and goes.
     Replace {
+        /// When it begins, seconds.
         at: f64,
+        /// The share of them that it hits.
         share: f64,
+        /// How long it holds, seconds.
         seconds: f64,
+        /// How long an old server drains, seconds.
         drain: f64,
     },
     /// One more server like the first group's, or the last one gone.
     Join {
+        /// When it begins, seconds.
         at: f64,
     },
+    /// The last server goes.
     Leave {
+        /// When it begins, seconds.
         at: f64,
     },
     /// All servers of a zone are down; the list says so after `told_after` if told, and they come back cold.
     ZoneDown {
+        /// When it begins, seconds.
         at: f64,
+        /// The zone.
         zone: String,
+        /// How long it holds, seconds.
         seconds: f64,
+        /// When the list says so, seconds after the beginning.
         told_after: Option<f64>,
     },
+    /// Servers serve so many times slower.
     Slow {
+        /// When it begins, seconds.
         at: f64,
+        /// The share of them that it hits.
         share: f64,
+        /// How many times.
         factor: f64,
+        /// How long it holds, seconds.
         seconds: f64,
     },
+    /// Servers answer every RPC 500 at once.
     FailsFast {
+        /// When it begins, seconds.
         at: f64,
+        /// The share of them that it hits.
         share: f64,
+        /// How long it holds, seconds.
         seconds: f64,
     },
+    /// Servers take bytes and say nothing.
     Silent {
+        /// When it begins, seconds.
         at: f64,
+        /// The share of them that it hits.
         share: f64,
+        /// How long it holds, seconds.
         seconds: f64,
     },
     /// A share of the gateways hears changes of the list so late, or nothing, or an older version once more.
     ListLate {
+        /// When it begins, seconds.
         at: f64,
+        /// The share of them that it hits.
         share: f64,
+        /// How long it holds, seconds.
         seconds: f64,
+        /// How late, seconds.
         late: f64,
     },
+    /// A share of the gateways hears no change of the list.
     ListStill {
+        /// When it begins, seconds.
         at: f64,
+        /// The share of them that it hits.
         share: f64,
+        /// How long it holds, seconds.
         seconds: f64,
     },
+    /// A share of the gateways hears an older version once more.
     ListBack {
+        /// When it begins, seconds.
         at: f64,
+        /// The share of them that it hits.
         share: f64,
+        /// How long it holds, seconds.
         seconds: f64,
+        /// How many versions back.
         versions: u64,
     },
+    /// A share of the gateways can't reach discovery.
     DiscoveryDown {
+        /// When it begins, seconds.
         at: f64,
+        /// The share of them that it hits.
         share: f64,
+        /// How long it holds, seconds.
         seconds: f64,
     },
+    /// The counter answers nothing.
     CounterStall {
+        /// When it begins, seconds.
         at: f64,
+        /// How long it holds, seconds.
         seconds: f64,
     },
+    /// Nobody listens at the counter's address.
     CounterDown {
+        /// When it begins, seconds.
         at: f64,
+        /// How long it holds, seconds.
         seconds: f64,
     },
+    /// The counter is replaced by an empty one.
     CounterEmpty {
+        /// When it begins, seconds.
         at: f64,
     },
     /// All arrivals come so many times as often.
     Burst {
+        /// When it begins, seconds.
         at: f64,
+        /// How many times.
         factor: f64,
+        /// How long it holds, seconds.
         seconds: f64,
     },
     /// A link between two places.
     Link {
+        /// When it begins, seconds.
         at: f64,
+        /// How long it holds, seconds.
         seconds: f64,
+        /// One end.
         from: String,
+        /// The other end.
         to: String,
+        /// What it does to what passes.
         wire: Wire,
     },
 }
 
 impl Fault {
+    /// When it begins, seconds.
     pub fn at(&self) -> f64 {
         use Fault::*;
         match *self {
@@ -328,6 +435,7 @@
         Scenario::from_table(table).map_err(|e| format!("{}: {e}", path.display()))
     }
 
+    /// Reads and checks a scenario.
     pub fn from_toml(text: &str) -> Result<Scenario, String> {
         Scenario::from_table(toml::from_str(text).map_err(|e| e.to_string())?)
     }
--- a/crates/sites/src/lib.rs
+++ b/crates/sites/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! Paths are keys joined by dots; an item of a list of tables goes by its `name` or by its number (`class.read.share`,
 //! `fam.plan.0.rate`), and all paths are those of the site as it was handed out.
+#![deny(missing_docs)]
 
 use toml_edit::{DocumentMut, Item, Table, Value};
 
@@ -15,6 +16,7 @@
 pub struct Changes {
     /// The site that is changed, as its file is named, and the name of what comes out.
     pub from: String,
+    /// The name of what comes out.
     pub name: String,
     set: Vec<(String, Value)>,
     /// Items of lists that are added: whose copies they are, and what is set in them.
--- a/crates/standins/src/counter.rs
+++ b/crates/standins/src/counter.rs
@@ -9,6 +9,7 @@
 /// What the counter does. `Counter::become_` is the one place that changes it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
+    /// It answers calls.
     Serves,
     /// Takes calls and answers none until it serves again.
     Stalls,
@@ -26,10 +27,12 @@
     totals: HashMap<Vec<u8>, (f64, Nanos)>,
     conns: BTreeSet<Conn>,
     line: VecDeque<(Nanos, Conn, Vec<u8>)>,
+    /// Calls that came so far.
     pub calls: u64,
 }
 
 impl Counter {
+    /// A counter that takes this long for a call.
     pub fn new(cost: Nanos) -> Counter {
         Counter {
             state: State::Down,
@@ -51,6 +54,7 @@
         Ok(address)
     }
 
+    /// Changes what the counter does.
     pub fn become_(&mut self, io: &mut Io, state: State) -> std::io::Result<()> {
         let was = std::mem::replace(&mut self.state, state);
         if state == State::Down {
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -15,10 +15,15 @@
 /// A server as listed.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
+    /// The server's name.
     pub name: String,
+    /// Where it listens.
     pub address: SocketAddr,
+    /// Its zone.
     pub zone: String,
+    /// Its status as the protocol page names them.
     pub status: &'static str,
+    /// Its weight.
     pub weight: f64,
     /// Unix time of its last start in milliseconds; 0 is long ago.
     pub since_ms: u64,
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -5,15 +5,20 @@
 pub struct Message {
     /// The first line's words: method and path of a request, the status of an answer.
     pub method: String,
+    /// The path of a request.
     pub path: String,
+    /// The status of an answer.
     pub status: u16,
+    /// Names and values of the headers.
     pub headers: Vec<(String, String)>,
+    /// The body.
     pub body: Vec<u8>,
     /// Bytes that it takes.
     pub length: usize,
 }
 
 impl Message {
+    /// A header's value, whatever the case of its name.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|header| header.0.eq_ignore_ascii_case(name)).map(|header| &*header.1)
     }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! Everything binds 127.0.0.0/8 and nothing else. All but the scripted peers sit at addresses other than 127.0.0.1,
 //! so that no outgoing connection can be given a port that a stand-in closed and wants back.
+#![deny(missing_docs)]
 
 pub mod counter;
 pub mod discovery;
@@ -16,7 +17,9 @@
 
 pub use martenramp::host::Nanos;
 
+/// A millisecond.
 pub const MS: Nanos = 1_000_000;
+/// A second.
 pub const SEC: Nanos = 1_000 * MS;
 
 /// A span given in seconds, in whole nanoseconds; what is below nought is nought.
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -13,6 +13,7 @@
 
 /// One process of the program.
 pub struct Program {
+    /// The process.
     pub child: Child,
     /// Where it listens.
     pub address: SocketAddr,
@@ -26,6 +27,7 @@
         Program::run(&mut Command::new(program), discovery, more, settings)
     }
 
+    /// Starts a command; the rest as for `start`.
     pub fn run(command: &mut Command, discovery: SocketAddr, more: &str, settings: &str) -> Program {
         let mut program = Program::spawn(command, &config("127.0.0.1:0", discovery, more, settings)).unwrap();
         program.wait_started();
@@ -74,6 +76,7 @@
         self.lines.try_iter().collect()
     }
 
+    /// A connection to it.
     pub fn client(&self) -> Client {
         Client::new(self.address)
     }
@@ -83,6 +86,7 @@
         config(&self.address.to_string(), discovery, more, settings)
     }
 
+    /// Writes its configuration file anew; it is not told.
     pub fn rewrite(&self, text: &str) {
         std::fs::write(&self.file, text).unwrap();
     }
--- a/crates/standins/src/reactor.rs
+++ b/crates/standins/src/reactor.rs
@@ -34,11 +34,13 @@
 }
 
 impl Clock {
+    /// A clock that starts now.
     pub fn start() -> Clock {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_nanos() as Nanos);
         Clock { start: Instant::now(), unix }
     }
 
+    /// The time since its start.
     pub fn now(&self) -> Nanos {
         self.start.elapsed().as_nanos() as Nanos
     }
@@ -59,7 +61,9 @@
     fn came(&mut self, io: &mut Io, conn: Conn);
     /// The other side ended or broke the connection, or it never came up. It is closed once this returns.
     fn over(&mut self, io: &mut Io, conn: Conn);
+    /// A time that was asked for has come.
     fn due(&mut self, _io: &mut Io, _token: u64) {}
+    /// A datagram came.
     fn datagram(&mut self, _io: &mut Io, _door: Door, _from: SocketAddr, _bytes: &[u8]) {}
 }
 
@@ -95,10 +99,12 @@
 }
 
 impl Io {
+    /// The time of this turn.
     pub fn now(&self) -> Nanos {
         self.now
     }
 
+    /// The clock of the run.
     pub fn clock(&self) -> Clock {
         self.clock
     }
@@ -138,12 +144,14 @@
         Ok((key, address))
     }
 
+    /// Sends a datagram.
     pub fn send_to(&mut self, door: Door, to: SocketAddr, bytes: &[u8]) {
         if let Some(socket) = self.plugs.get(door) {
             let _ = socket.send_to(bytes, to); // a datagram that finds no room is lost, as on a network
         }
     }
 
+    /// Begins a connection.
     pub fn connect(&mut self, address: SocketAddr) -> io::Result<Conn> {
         let stream = TcpStream::connect(address)?;
         self.add(stream, false)
@@ -175,6 +183,7 @@
         self.links.get_mut(place).filter(|link| link.id == conn)
     }
 
+    /// Whether a connection is there.
     pub fn is_open(&mut self, conn: Conn) -> bool {
         self.get(conn).is_some()
     }
@@ -184,6 +193,7 @@
         self.get(conn).map_or(&[], |link| &link.input)
     }
 
+    /// Takes so many bytes off the front of the input.
     pub fn used(&mut self, conn: Conn, bytes: usize) {
         let Some(link) = self.get(conn) else { return };
         link.input.drain(..bytes.min(link.input.len()));
@@ -205,6 +215,7 @@
         self.get(conn).map_or(0, |link| link.out.len())
     }
 
+    /// Sends on a connection.
     pub fn send(&mut self, conn: Conn, bytes: &[u8]) {
         let Some(link) = self.get(conn) else { return };
         link.out.extend_from_slice(bytes);
@@ -223,6 +234,7 @@
         }
     }
 
+    /// Closes a connection at once.
     pub fn close(&mut self, conn: Conn) {
         if self.get(conn).is_some() {
             let mut link = self.links.remove((conn & ((1 << PLACE_BITS) - 1)) as usize);
--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -24,11 +24,13 @@
 pub struct Path {
     /// Nothing passes. Bytes wait for the end of the cut, as they would in the sender; datagrams are lost.
     pub cut: bool,
+    /// What passes comes so much later.
     pub delay: Nanos,
     /// The share of datagrams lost, and of reads on a connection that come a retransmission later.
     pub lose: f64,
     /// Datagrams only: the share that is overtaken, and the share that comes twice.
     pub reorder: f64,
+    /// Datagrams only: the share that comes twice.
     pub double: f64,
     /// Datagrams only: the share of which a byte is changed on the way.
     pub spoil: f64,
@@ -37,6 +39,7 @@
 /// What happens to connections at a link's door.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Gate {
+    /// They pass.
     #[default]
     Passes,
     /// Accepts and passes nothing on, for good.
@@ -48,8 +51,11 @@
 /// The faults of a link.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Faults {
+    /// What happens to connections at the door.
     pub gate: Gate,
+    /// The way towards the target.
     pub there: Path,
+    /// The way back from it.
     pub back: Path,
 }
 
@@ -97,6 +103,7 @@
 const DATAGRAM: u64 = 1 << 63;
 
 impl Relays {
+    /// No links yet.
     pub fn new(chance: ChaCha8Rng) -> Relays {
         Relays {
             links: Vec::new(),
@@ -156,6 +163,7 @@
         self.between.insert((from, to), path);
     }
 
+    /// Changes the faults of a link.
     pub fn set(&mut self, io: &mut Io, link: usize, faults: Faults) {
         self.links[link].faults = faults;
         let pairs: Vec<u64> =
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -10,11 +10,13 @@
 pub use crate::process::{Program, config_file};
 pub use crate::{MS, SEC};
 
+/// How long a story waits for anything.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
 /// What a stand-in does with a message: the bytes to write, and whether it closes then.
 pub type Reply = (Vec<u8>, bool);
 
+/// Writes this text and stays open.
 pub fn say(text: &str) -> Reply {
     (text.as_bytes().to_vec(), false)
 }
@@ -27,12 +29,14 @@
 /// Someone that the gateway connects to: each whole message is answered by `reply`, which gets the number of
 /// the connection, and is told to the test.
 pub struct Peer {
+    /// Where it listens.
     pub address: SocketAddr,
     seen: Receiver<(usize, String)>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Peer {
+    /// A peer that answers so.
     pub fn new(reply: impl Fn(usize, &str) -> Reply + Send + Sync + 'static) -> Peer {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
@@ -54,6 +58,7 @@
         self.seen.recv_timeout(PATIENCE).expect("no message came")
     }
 
+    /// Whether no message has come by now.
     pub fn nothing_came(&self) -> bool {
         self.seen_now().is_none()
     }
@@ -73,6 +78,7 @@
         rustix::net::connect_unspec(&self.streams.lock().unwrap()[number]).unwrap();
     }
 
+    /// Closes a connection.
     pub fn close(&self, number: usize) {
         let _ = self.streams.lock().unwrap()[number].shutdown(std::net::Shutdown::Both);
     }
@@ -81,6 +87,7 @@
 /// A server whose connections come up late: the system takes none until `open`, since its line of connections that wait to
 /// be accepted is one long and full.
 pub struct Late {
+    /// Where it listens.
     pub address: SocketAddr,
     listener: TcpListener,
     _filler: TcpStream,
@@ -166,12 +173,14 @@
 pub struct Client(BufReader<TcpStream>);
 
 impl Client {
+    /// Connects.
     pub fn new(address: SocketAddr) -> Client {
         let stream = TcpStream::connect(address).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
         Client(BufReader::new(stream))
     }
 
+    /// Sends this text.
     pub fn send(&mut self, text: &str) {
         self.0.get_ref().write_all(text.as_bytes()).unwrap();
     }
@@ -181,6 +190,7 @@
         read_message(&mut self.0)
     }
 
+    /// Sends this text and waits for the answer.
     pub fn ask(&mut self, text: &str) -> String {
         self.send(text);
         self.answer().expect("no whole answer")
@@ -191,6 +201,7 @@
         let _ = self.0.get_ref().write_all(text.as_bytes());
     }
 
+    /// The same to a connection that may be gone.
     pub fn try_ask(&mut self, text: &str) -> Option<String> {
         self.try_send(text);
         self.answer()
@@ -214,6 +225,7 @@
         rustix::net::connect_unspec(self.0.get_ref()).unwrap();
     }
 
+    /// Whether the other side ended the connection.
     pub fn is_closed(&mut self) -> bool {
         matches!(self.0.get_mut().read(&mut [0]), Ok(0) | Err(_))
     }
@@ -243,14 +255,17 @@
     )
 }
 
+/// A whole list or a change of it as a chunk of the watch.
 pub fn list(index: u64, whole: bool, entries: &[String]) -> String {
     format!("{{\"index\":{index},\"snapshot\":{whole},\"endpoints\":[{}]}}", entries.join(","))
 }
 
+/// A line as a chunk.
 pub fn chunk(line: &str) -> String {
     format!("{:x}\r\n{line}\n\r\n", line.len() + 1)
 }
 
+/// The head of a watch's answer.
 pub const WATCH: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 /// Settings of three methods and one plan, and what a test adds (each with a comma behind).
--- a/crates/standins/src/servers.rs
+++ b/crates/standins/src/servers.rs
@@ -16,28 +16,36 @@
 /// One server as it is set up.
 #[derive(Clone, Debug)]
 pub struct Spec {
+    /// Its name.
     pub name: String,
+    /// Its zone.
     pub zone: String,
+    /// Its weight as listed.
     pub weight: f64,
     /// RPCs served at once; further ones wait, at most `queue` of them, and beyond that are turned away.
     pub cores: usize,
+    /// RPCs that wait at most.
     pub queue: usize,
     /// Connections beyond these are reset.
     pub connections: usize,
     /// Median service time, and the log-normal's sigma.
     pub service: Nanos,
+    /// The log-normal's sigma.
     pub spread: f64,
     /// After a start it works at this share of its speed, rising to all of it over `cold_for`.
     pub cold_share: f64,
+    /// How long until it works at full speed.
     pub cold_for: Nanos,
     /// Answers carry a load report (`X-Pressure`) with `busy_reqs`.
     pub reports: bool,
+    /// Where it is to listen.
     pub address: SocketAddr,
 }
 
 /// What a server does with RPCs. `Server::become_` is the one place that changes it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Health {
+    /// It serves.
     Well,
     /// So many times slower.
     Slow(f64),
@@ -52,8 +60,11 @@
 /// How an RPC ended at the server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum How {
+    /// It is still there.
     Open,
+    /// It was answered ok.
     Served,
+    /// It was answered 500.
     Failed,
     /// The queue was full; it never ran.
     TurnedAway,
@@ -66,19 +77,24 @@
 /// One RPC that came whole to a server.
 #[derive(Clone, Copy, Debug)]
 pub struct Row {
+    /// The server's number.
     pub server: u32,
     /// Which start of that server, from 0.
     pub life: u32,
+    /// The connection that it came on.
     pub conn: Conn,
     /// The RPC's id as the front made it; its top 16 bits are the gateway's number.
     pub txn: u64,
+    /// When it came.
     pub at: Nanos,
     /// When it left the server (its work was done, also for nobody); of no meaning while `Open`.
     pub done: Nanos,
+    /// How it ended.
     pub how: How,
 }
 
 impl Row {
+    /// The gateway that sent it.
     pub fn gateway(&self) -> usize {
         (self.txn >> 48) as usize
     }
@@ -110,12 +126,14 @@
     jobs: BTreeMap<u64, usize>,
     serial: u64,
     chance: ChaCha8Rng,
+    /// All RPCs so far.
     pub ledger: Vec<Row>,
     /// When, and the open connections of each server.
     pub connections: Vec<(Nanos, Vec<u32>)>,
 }
 
 impl Servers {
+    /// No servers yet.
     pub fn new(chance: ChaCha8Rng) -> Servers {
         Servers {
             servers: Vec::new(),
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -1,5 +1,6 @@
 //! Hosts many instances of the decision module on the simulator's wire: decodes frames into calls, encodes
 //! what the module asks for. It decides nothing, and instances share nothing.
+#![deny(missing_docs)]
 
 mod wire;
 
