--- a/crates/lab/src/gates.rs
+++ b/crates/lab/src/gates.rs
@@ -60,7 +60,7 @@
         /// When the client may send it again, from now.
         come_back: Nanos,
     },
-    /// Abort an RPC: its client is not to send it again.
+    /// Abort an RPC: nothing is promised of it.
     Abort {
         /// The RPC.
         rpc: u32,
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -99,9 +99,9 @@
 /// A final answer of a gateway other than ok.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Refusal {
-    /// The client may send the RPC again after this time.
+    /// Trying again does no harm, after this time (0 gives no advice).
     Rejected { retry_after: Nanos },
-    /// The client is not to send it again.
+    /// Nothing is promised: the RPC may have run.
     Aborted,
 }
 
