--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -21,76 +21,79 @@
 DIR is lab-out unless given. The format of scenarios is in docs/lab.md.
 ";
 
-/// Runs `lab` with the words after it.
-pub fn main(args: Vec<std::ffi::OsString>) -> Result<(), String> {
-    let mut parser = lexopt::Parser::from_args(args);
-    let (mut verb, mut target, mut policy, mut seed, mut out, mut set) = (None, None, None, None, None, None);
-    while let Some(arg) = parser.next().map_err(|e| e.to_string())? {
-        match arg {
-            Short('h') | Long("help") => verb = Some("help".to_string()),
-            Long("policy") => {
-                policy =
-                    Some(parser.value().map_err(|e| e.to_string())?.string().map_err(|_| "bad --policy")?)
-            }
-            Long("seed") => {
-                seed = Some(
-                    parser.value().map_err(|e| e.to_string())?.parse::<u64>().map_err(|e| e.to_string())?,
-                )
-            }
-            Long("out") => out = Some(PathBuf::from(parser.value().map_err(|e| e.to_string())?)),
-            Long("set") => {
-                set = Some(parser.value().map_err(|e| e.to_string())?.string().map_err(|_| "bad --set")?)
+/// The command line of `lab`, as parsed.
+#[derive(Default)]
+struct Options {
+    command: Option<String>,
+    target: Option<PathBuf>,
+    policy: Option<String>,
+    seed: Option<u64>,
+    out: Option<PathBuf>,
+    set: Option<String>,
+}
+
+impl Options {
+    fn parse(args: Vec<std::ffi::OsString>) -> Result<Options, String> {
+        let text = |e: lexopt::Error| e.to_string();
+        let mut parser = lexopt::Parser::from_args(args);
+        let mut options = Options::default();
+        while let Some(arg) = parser.next().map_err(text)? {
+            match arg {
+                Short('h') | Long("help") => options.command = Some("help".to_string()),
+                Long("policy") => {
+                    let policy = parser.value().map_err(text)?.string().map_err(|_| "bad --policy")?;
+                    options.policy = Some(policy);
+                }
+                Long("seed") => {
+                    options.seed = Some(parser.value().map_err(text)?.parse().map_err(text)?);
+                }
+                Long("out") => options.out = Some(PathBuf::from(parser.value().map_err(text)?)),
+                Long("set") => {
+                    let set = parser.value().map_err(text)?.string().map_err(|_| "bad --set")?;
+                    options.set = Some(set);
+                }
+                Value(word) if options.command.is_none() => {
+                    options.command = Some(word.to_string_lossy().into_owned());
+                }
+                Value(word) if options.target.is_none() => options.target = Some(PathBuf::from(word)),
+                arg => return Err(arg.unexpected().to_string()),
             }
-            Value(word) if verb.is_none() => verb = Some(word.to_string_lossy().into_owned()),
-            Value(word) if target.is_none() => target = Some(PathBuf::from(word)),
-            arg => return Err(arg.unexpected().to_string()),
         }
+        Ok(options)
     }
-    let kinds = match policy.as_deref() {
-        None | Some("all") => Kind::ALL.to_vec(),
-        Some(name) => vec![Kind::parse(name)?],
-    };
-    let out = out.unwrap_or_else(|| PathBuf::from("lab-out"));
-    let read = |target: &Option<PathBuf>| -> Result<String, String> {
-        crate::scenario::read_text(target.as_ref().ok_or("no scenario named; try --help")?)
-    };
-    match verb.as_deref() {
-        Some("run") => {
-            let text = read(&target)?;
-            let mut scenario = Scenario::from_toml(&text).map_err(|e| format!("{}: {e}", shown(&target)))?;
-            scenario.seed = seed.unwrap_or(scenario.seed);
-            run(&scenario, &kinds, &out)
+
+    fn policies(&self) -> Result<Vec<Kind>, String> {
+        match self.policy.as_deref() {
+            None | Some("all") => Ok(Kind::ALL.to_vec()),
+            Some(name) => Ok(vec![Kind::parse(name)?]),
         }
-        Some("sweep") => {
-            let text = read(&target)?;
-            let set = set.ok_or("sweep needs --set PATH=V1,V2,...")?;
-            let (path, values) = set.split_once('=').ok_or("--set wants PATH=V1,V2,...")?;
-            let values: Vec<String> = values.split(',').map(str::to_string).collect();
-            std::fs::create_dir_all(&out).map_err(|e| format!("{}: {e}", out.display()))?;
-            println!(
-                "{:>10} {:>7} {:>10} {:>8} {:>8} {:>8} {:>10} {:>12}",
-                path, "policy", "arrived", "service", "lost", "over5%", "wall ms", "events/s"
-            );
-            let points = crate::sweep::sweep(&text, path, &values, &kinds, |point| {
-                let summary = point;
-                println!(
-                    "{:>10} {:>7} {:>10} {:>8.3} {:>8} {:>8} {:>10} {:>12}",
-                    point.value,
-                    summary.policy,
-                    summary.arrived,
-                    summary.service,
-                    summary.lost,
-                    summary.overshoot_over_5,
-                    point.wall_ms,
-                    point.events_per_s
-                );
-            })?;
-            report::write_csv(&out.join("sweep.csv"), &points)?;
-            println!("wrote {}", out.join("sweep.csv").display());
-            Ok(())
+    }
+
+    /// The scenario's text, with what it extends.
+    fn scenario_text(&self) -> Result<String, String> {
+        crate::scenario::read_text(self.target.as_ref().ok_or("no scenario named; try --help")?)
+    }
+
+    fn out(&self) -> PathBuf {
+        self.out.clone().unwrap_or_else(|| PathBuf::from("lab-out"))
+    }
+}
+
+/// Runs `lab` with the words after it.
+pub fn main(args: Vec<std::ffi::OsString>) -> Result<(), String> {
+    let options = Options::parse(args)?;
+    let kinds = options.policies()?;
+    match options.command.as_deref() {
+        Some("run") => {
+            let text = options.scenario_text()?;
+            let named = |e| format!("{}: {e}", shown(&options.target));
+            let mut scenario = Scenario::from_toml(&text).map_err(named)?;
+            scenario.seed = options.seed.unwrap_or(scenario.seed);
+            run(&scenario, &kinds, &options.out())
         }
+        Some("sweep") => sweep(&options, &kinds),
         Some("report") => {
-            let dir = target.unwrap_or(out);
+            let dir = options.target.clone().unwrap_or(options.out());
             let made = if dir.join("sweep.csv").exists() {
                 crate::sweep::chart(&dir)?
             } else {
@@ -107,6 +110,36 @@
     }
 }
 
+/// Plays a scenario at each value of a parameter, and writes and prints the table.
+fn sweep(options: &Options, kinds: &[Kind]) -> Result<(), String> {
+    let text = options.scenario_text()?;
+    let set = options.set.as_ref().ok_or("sweep needs --set PATH=V1,V2,...")?;
+    let (path, values) = set.split_once('=').ok_or("--set wants PATH=V1,V2,...")?;
+    let values: Vec<String> = values.split(',').map(str::to_string).collect();
+    let out = options.out();
+    std::fs::create_dir_all(&out).map_err(|e| format!("{}: {e}", out.display()))?;
+    println!(
+        "{:>10} {:>7} {:>10} {:>8} {:>8} {:>8} {:>10} {:>12}",
+        path, "policy", "arrived", "service", "lost", "over5%", "wall ms", "events/s"
+    );
+    let points = crate::sweep::sweep(&text, path, &values, kinds, |point| {
+        println!(
+            "{:>10} {:>7} {:>10} {:>8.3} {:>8} {:>8} {:>10} {:>12}",
+            point.value,
+            point.policy,
+            point.arrived,
+            point.service,
+            point.lost,
+            point.overshoot_over_5,
+            point.wall_ms,
+            point.events_per_s
+        );
+    })?;
+    report::write_csv(&out.join("sweep.csv"), &points)?;
+    println!("wrote {}", out.join("sweep.csv").display());
+    Ok(())
+}
+
 fn shown(target: &Option<PathBuf>) -> String {
     target.as_ref().map(|path| path.display().to_string()).unwrap_or_default()
 }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -451,28 +451,25 @@
     }
 
     fn check(&self) -> Result<(), String> {
-        let positive = |value: f64, name: &str| match value.is_finite() && value > 0.0 {
-            true => Ok(()),
-            false => Err(format!("'{name}' must be above nought, is {value}")),
-        };
-        let share = |value: f64, name: &str| match (0.0..=1.0).contains(&value) {
-            true => Ok(()),
-            false => Err(format!("'{name}' must be a share from 0 to 1, is {value}")),
-        };
-        positive(self.seconds, "seconds")?;
-        positive(self.bucket_seconds, "bucket_seconds")?;
+        check_positive(self.seconds, "seconds")?;
+        check_positive(self.bucket_seconds, "bucket_seconds")?;
         if self.gateways == 0 || self.servers.count == 0 || self.servers.slots == 0 || self.servers.zones == 0
         {
             return Err(
                 "'gateways', 'servers.count', 'servers.slots' and 'servers.zones' must be 1 or more".into()
             );
         }
-        positive(self.servers.service_ms, "servers.service_ms")?;
-        share(self.servers.cold_share, "servers.cold_share")?;
-        share(self.servers.error_share, "servers.error_share")?;
-        share(self.network.loss, "network.loss")?;
-        share(self.clients.give_up_share, "clients.give_up_share")?;
-        share(self.clients.retry_share, "clients.retry_share")?;
+        check_positive(self.servers.service_ms, "servers.service_ms")?;
+        check_share(self.servers.cold_share, "servers.cold_share")?;
+        check_share(self.servers.error_share, "servers.error_share")?;
+        check_share(self.network.loss, "network.loss")?;
+        check_share(self.clients.give_up_share, "clients.give_up_share")?;
+        check_share(self.clients.retry_share, "clients.retry_share")?;
+        self.check_customers()?;
+        self.check_troubles()
+    }
+
+    fn check_customers(&self) -> Result<(), String> {
         let (methods, plans) = (self.methods()?, self.plans()?);
         for (at, group) in self.customers.iter().enumerate() {
             if !plans.iter().any(|plan| plan.name == group.plan) {
@@ -487,13 +484,15 @@
                 }
                 let units = load.units.is_finite() && load.units > 0.0;
                 if !(load.rate.is_finite() && load.rate >= 0.0 && units) {
-                    return Err(format!(
-                        "customers[{at}]: rate and units of '{}' must be finite",
-                        load.method
-                    ));
+                    let method = &load.method;
+                    return Err(format!("customers[{at}]: rate and units of '{method}' must be finite"));
                 }
             }
         }
+        Ok(())
+    }
+
+    fn check_troubles(&self) -> Result<(), String> {
         for (at, trouble) in self.troubles.iter().enumerate() {
             let zone = match trouble {
                 Trouble::ZoneDown { zone, .. } | Trouble::Partition { zone, .. } => Some(*zone),
@@ -502,7 +501,7 @@
             if zone.is_some_and(|zone| zone >= self.servers.zones) {
                 return Err(format!("troubles[{at}]: zone is beyond 'servers.zones'"));
             }
-            let shares = match *trouble {
+            let largest_share = match *trouble {
                 Trouble::Kill { share, .. } | Trouble::Drain { share, .. } => share,
                 Trouble::Slow { share, .. }
                 | Trouble::Pause { share, .. }
@@ -510,7 +509,7 @@
                 Trouble::Fail { share, error_share, .. } => share.max(error_share),
                 _ => 0.0,
             };
-            share(shares, &format!("troubles[{at}].share"))?;
+            check_share(largest_share, &format!("troubles[{at}].share"))?;
         }
         Ok(())
     }
@@ -562,6 +561,20 @@
     }
 }
 
+fn check_positive(value: f64, name: &str) -> Result<(), String> {
+    if value.is_finite() && value > 0.0 {
+        return Ok(());
+    }
+    Err(format!("'{name}' must be above nought, is {value}"))
+}
+
+fn check_share(value: f64, name: &str) -> Result<(), String> {
+    if (0.0..=1.0).contains(&value) {
+        return Ok(());
+    }
+    Err(format!("'{name}' must be a share from 0 to 1, is {value}"))
+}
+
 fn as_f64(value: &toml::Value) -> Option<f64> {
     value.as_float().or_else(|| value.as_integer().map(|whole| whole as f64))
 }
