--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -29,68 +29,59 @@
     }
 }
 
-fn run() -> Result<(), String> {
-    let (mut verb, mut file, mut program, mut out) = (None, None, None, PathBuf::from("rig-out"));
-    let (mut set, mut logs) = (Vec::new(), false);
-    let mut args = lexopt::Parser::from_env();
-    let text = |e: lexopt::Error| e.to_string();
-    while let Some(arg) = args.next().map_err(text)? {
-        match arg {
-            Short('h') | Long("help") => verb = Some("help".to_string()),
-            Long("program") => program = Some(PathBuf::from(args.value().map_err(text)?)),
-            Long("out") => out = args.value().map_err(text)?.into(),
-            Long("set") => set.push(args.value().map_err(text)?.to_string_lossy().into_owned()),
-            Long("logs") => logs = true,
-            Value(word) if verb.is_none() => verb = Some(word.to_string_lossy().into_owned()),
-            Value(word) if file.is_none() => file = Some(PathBuf::from(word)),
-            arg => return Err(arg.unexpected().to_string()),
-        }
-    }
-    let scenario = || -> Result<Scenario, String> { Scenario::load(&file.ok_or("no scenario given")?, &set) };
-    match verb.as_deref() {
-        Some("run") => {
-            let beside = || Some(std::env::current_exe().ok()?.parent()?.join("martenramp"));
-            let program = program.or_else(beside).ok_or("no program given")?;
-            let scenario = scenario()?;
-            let outcome = play(&scenario, &program)?;
-            let figures = Figures::of(&scenario, &outcome);
-            figures.write(&out)?;
-            if logs {
-                for (gateway, lines) in outcome.lines.iter().enumerate() {
-                    let file = out.join(format!("n{gateway}.log"));
-                    std::fs::write(&file, lines.join("\n"))
-                        .map_err(|e| format!("{}: {e}", file.display()))?;
+/// The command line, as parsed.
+#[derive(Default)]
+struct Options {
+    command: Option<String>,
+    scenario: Option<PathBuf>,
+    program: Option<PathBuf>,
+    out: Option<PathBuf>,
+    set: Vec<String>,
+    logs: bool,
+}
+
+impl Options {
+    fn parse() -> Result<Options, String> {
+        let text = |e: lexopt::Error| e.to_string();
+        let mut args = lexopt::Parser::from_env();
+        let mut options = Options::default();
+        while let Some(arg) = args.next().map_err(text)? {
+            match arg {
+                Short('h') | Long("help") => options.command = Some("help".to_string()),
+                Long("program") => options.program = Some(PathBuf::from(args.value().map_err(text)?)),
+                Long("out") => options.out = Some(args.value().map_err(text)?.into()),
+                Long("set") => {
+                    options.set.push(args.value().map_err(text)?.to_string_lossy().into_owned());
                 }
-            }
-            print!("{}", figures.shown());
-            outcome.crashed.iter().for_each(|crashed| println!("{crashed}"));
-            println!("wrote {}", out.display());
-            if figures.run.void { Err("the front was too late: the run is void".to_string()) } else { Ok(()) }
-        }
-        Some("rollouts") => {
-            let beside = || Some(std::env::current_exe().ok()?.parent()?.join("martenramp"));
-            let program = program.or_else(beside).ok_or("no program given")?;
-            let mut plan = Plan { gateways: 20, lease: 1.0, clock: 0.25, seed: 1, skew_ms: 0 };
-            let mut count = 40;
-            for told in &set {
-                let bad = || format!("--set {told}: no such field, or no number");
-                let (name, value) = told.split_once('=').ok_or_else(bad)?;
-                let number: f64 = value.parse().map_err(|_| bad())?;
-                match name {
-                    "gateways" => plan.gateways = number as usize,
-                    "count" => count = number as usize,
-                    "lease" => plan.lease = number,
-                    "clock" => plan.clock = number,
-                    "seed" => plan.seed = number as u64,
-                    "skew_ms" => plan.skew_ms = number as u64,
-                    _ => return Err(bad()),
+                Long("logs") => options.logs = true,
+                Value(word) if options.command.is_none() => {
+                    options.command = Some(word.to_string_lossy().into_owned());
                 }
+                Value(word) if options.scenario.is_none() => options.scenario = Some(PathBuf::from(word)),
+                arg => return Err(arg.unexpected().to_string()),
             }
-            print!("{}", rig::rollouts::run(&plan, count, &program)?);
-            Ok(())
         }
+        Ok(options)
+    }
+
+    fn scenario(&self) -> Result<Scenario, String> {
+        Scenario::load(self.scenario.as_ref().ok_or("no scenario given")?, &self.set)
+    }
+
+    /// The program under test: the one told, or the one beside this.
+    fn program(&self) -> Result<PathBuf, String> {
+        let beside = || Some(std::env::current_exe().ok()?.parent()?.join("martenramp"));
+        Ok(self.program.clone().or_else(beside).ok_or("no program given")?)
+    }
+}
+
+fn run() -> Result<(), String> {
+    let options = Options::parse()?;
+    match options.command.as_deref() {
+        Some("run") => run_scenario(&options),
+        Some("rollouts") => run_rollouts(&options),
         Some("check") => {
-            let scenario = scenario()?;
+            let scenario = options.scenario()?;
             println!("{}: {} gateways, {} faults", scenario.name, scenario.gateways, scenario.faults.len());
             Ok(())
         }
@@ -101,3 +92,46 @@
         Some(other) => Err(format!("no command '{other}'; try --help")),
     }
 }
+
+/// Plays a scenario, writes its tables and charts and prints its figures.
+fn run_scenario(options: &Options) -> Result<(), String> {
+    let program = options.program()?;
+    let scenario = options.scenario()?;
+    let out = options.out.clone().unwrap_or_else(|| PathBuf::from("rig-out"));
+    let outcome = play(&scenario, &program)?;
+    let figures = Figures::of(&scenario, &outcome);
+    figures.write(&out)?;
+    if options.logs {
+        for (gateway, lines) in outcome.lines.iter().enumerate() {
+            let file = out.join(format!("n{gateway}.log"));
+            std::fs::write(&file, lines.join("\n")).map_err(|e| format!("{}: {e}", file.display()))?;
+        }
+    }
+    print!("{}", figures.shown());
+    outcome.crashed.iter().for_each(|crashed| println!("{crashed}"));
+    println!("wrote {}", out.display());
+    if figures.run.void { Err("the front was too late: the run is void".to_string()) } else { Ok(()) }
+}
+
+/// Plays rollouts of settings with versions and prints their figures.
+fn run_rollouts(options: &Options) -> Result<(), String> {
+    let program = options.program()?;
+    let mut plan = Plan { gateways: 20, lease: 1.0, clock: 0.25, seed: 1, skew_ms: 0 };
+    let mut count = 40;
+    for assignment in &options.set {
+        let bad = || format!("--set {assignment}: no such field, or no number");
+        let (name, value) = assignment.split_once('=').ok_or_else(bad)?;
+        let number: f64 = value.parse().map_err(|_| bad())?;
+        match name {
+            "gateways" => plan.gateways = number as usize,
+            "count" => count = number as usize,
+            "lease" => plan.lease = number,
+            "clock" => plan.clock = number,
+            "seed" => plan.seed = number as u64,
+            "skew_ms" => plan.skew_ms = number as u64,
+            _ => return Err(bad()),
+        }
+    }
+    print!("{}", rig::rollouts::run(&plan, count, &program)?);
+    Ok(())
+}
--- a/crates/rig/src/measure.rs
+++ b/crates/rig/src/measure.rs
@@ -55,6 +55,9 @@
 }
 
 impl Quantity {
+    /// All of them.
+    pub const ALL: [Quantity; 3] = [Quantity::Rpcs, Quantity::Held, Quantity::Connections];
+
     /// Its name in tables.
     pub fn name(self) -> &'static str {
         match self {
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -153,6 +153,93 @@
     (value * 1e3).round() / 1e3
 }
 
+/// The RPCs at the servers as they were, and where two references would have sent them.
+struct Arrivals {
+    seen: Vec<Visit>,
+    by_chance: Vec<Vec<Visit>>,
+    by_centre: Vec<Visit>,
+}
+
+impl Arrivals {
+    fn of(scenario: &Scenario, outcome: &Outcome) -> Arrivals {
+        let seen = visits(&outcome.ledger, outcome.to + 10 * SEC);
+        let by_centre = by_centre(&outcome.servers, &seen);
+        let drawn = |nth| by_chance(&outcome.servers, &seen, scenario.seed ^ nth << 32);
+        let by_chance = (0..CHANCES).map(drawn).collect();
+        Arrivals { seen, by_chance, by_centre }
+    }
+}
+
+/// The row of a part of the run, a width of windows and a quantity; none where there is no window.
+fn spread_row(
+    scenario: &Scenario,
+    outcome: &Outcome,
+    arrivals: &Arrivals,
+    part: &'static str,
+    frame: Frame,
+    quantity: Quantity,
+) -> Option<SpreadRow> {
+    let windows = |visits: &[Visit]| frame.windows(&outcome.servers, visits, quantity);
+    let has_references = quantity != Quantity::Connections;
+    let seen = match has_references {
+        true => windows(&arrivals.seen),
+        false => frame.connections(&outcome.servers, &outcome.connections),
+    };
+    if seen.is_empty() {
+        return None;
+    }
+    let reference = |several: &[Vec<Visit>]| {
+        if !has_references {
+            return Spread::default();
+        }
+        let spreads: Vec<Spread> = several.iter().map(|one| Spread::of(&windows(one))).collect();
+        Spread::middle(&spreads)
+    };
+    let chance = reference(&arrivals.by_chance);
+    let centre = reference(std::slice::from_ref(&arrivals.by_centre));
+    let spread = Spread::of(&seen);
+    let mean = seen.iter().map(Window::mean).sum::<f64>() / seen.len() as f64;
+    Some(SpreadRow {
+        scenario: scenario.name.clone(),
+        part,
+        window_s: frame.width as f64 / SEC as f64,
+        quantity: quantity.name(),
+        windows: seen.len(),
+        mean: round(mean),
+        peak: round(spread.peak),
+        peak_worst: round(spread.peak_worst),
+        p99: round(spread.p99),
+        least: round(spread.least),
+        least_worst: round(spread.least_worst),
+        chance_peak: round(chance.peak),
+        chance_peak_worst: round(chance.peak_worst),
+        chance_least: round(chance.least),
+        chance_least_worst: round(chance.least_worst),
+        centre_peak: round(centre.peak),
+        centre_peak_worst: round(centre.peak_worst),
+    })
+}
+
+/// A row for each window, beside both references.
+fn window_rows(outcome: &Outcome, arrivals: &Arrivals, frame: Frame, quantity: Quantity) -> Vec<WindowRow> {
+    let windows = |visits: &[Visit]| frame.windows(&outcome.servers, visits, quantity);
+    let references = windows(&arrivals.by_chance[0]).into_iter().zip(windows(&arrivals.by_centre));
+    let rows = windows(&arrivals.seen).into_iter().zip(references);
+    let row = |(seen, (chance, centre)): (Window, (Window, Window))| {
+        let spread = seen.spread()?;
+        Some(WindowRow {
+            t_s: round((seen.from - outcome.from) as f64 / SEC as f64),
+            quantity: quantity.name(),
+            mean: round(seen.mean()),
+            peak: round(spread[0]),
+            least: round(spread[2]),
+            chance_peak: round(chance.spread()?[0]),
+            centre_peak: round(centre.spread()?[0]),
+        })
+    };
+    rows.filter_map(row).collect()
+}
+
 /// All that is worked out of a run.
 pub struct Figures {
     /// Counts of the run.
@@ -175,81 +262,26 @@
 
     /// Works the figures out.
     pub fn of(scenario: &Scenario, outcome: &Outcome) -> Figures {
-        let all = visits(&outcome.ledger, outcome.to + 10 * SEC);
-        let centre = by_centre(&outcome.servers, &all);
-        let chances: Vec<_> =
-            (0..CHANCES).map(|nth| by_chance(&outcome.servers, &all, scenario.seed ^ nth << 32)).collect();
+        let arrivals = Arrivals::of(scenario, outcome);
         let until = outcome.fault_at.unwrap_or(outcome.to);
         let mut spreads = Vec::new();
         for (part, from, to) in [("health", outcome.from, until), ("fault", until, outcome.to)] {
             for width in [SEC, 5 * SEC] {
                 let frame = Frame { from, to, width };
-                for quantity in [Quantity::Rpcs, Quantity::Held, Quantity::Connections] {
-                    let look = |visits: &[Visit]| frame.windows(&outcome.servers, visits, quantity);
-                    let connections = quantity == Quantity::Connections;
-                    let seen = match connections {
-                        true => frame.connections(&outcome.servers, &outcome.connections),
-                        false => look(&all),
-                    };
-                    if seen.is_empty() {
-                        continue;
-                    }
-                    let referred = |some: &[Vec<Visit>]| match connections {
-                        true => Spread::default(),
-                        false => {
-                            Spread::middle(&some.iter().map(|one| Spread::of(&look(one))).collect::<Vec<_>>())
-                        }
-                    };
-                    let chance = referred(&chances);
-                    let centre = referred(std::slice::from_ref(&centre));
-                    let spread = Spread::of(&seen);
-                    let mean = seen.iter().map(Window::mean).sum::<f64>() / seen.len() as f64;
-                    spreads.push(SpreadRow {
-                        scenario: scenario.name.clone(),
-                        part,
-                        window_s: width as f64 / SEC as f64,
-                        quantity: quantity.name(),
-                        windows: seen.len(),
-                        mean: round(mean),
-                        peak: round(spread.peak),
-                        peak_worst: round(spread.peak_worst),
-                        p99: round(spread.p99),
-                        least: round(spread.least),
-                        least_worst: round(spread.least_worst),
-                        chance_peak: round(chance.peak),
-                        chance_peak_worst: round(chance.peak_worst),
-                        chance_least: round(chance.least),
-                        chance_least_worst: round(chance.least_worst),
-                        centre_peak: round(centre.peak),
-                        centre_peak_worst: round(centre.peak_worst),
-                    });
-                }
+                let row = |quantity| spread_row(scenario, outcome, &arrivals, part, frame, quantity);
+                spreads.extend(Quantity::ALL.into_iter().filter_map(row));
             }
         }
         let whole = Frame { from: outcome.from, to: outcome.to, width: 5 * SEC };
-        let idle = idle(&whole.windows(&outcome.servers, &all, Quantity::Rpcs), IDLE_ABOVE * 5.0);
+        let idle = idle(&whole.windows(&outcome.servers, &arrivals.seen, Quantity::Rpcs), IDLE_ABOVE * 5.0);
         let seconds = Frame { width: SEC, ..whole };
-        let mut windows = Vec::new();
-        for quantity in [Quantity::Rpcs, Quantity::Held] {
-            let look = |visits: &[Visit]| seconds.windows(&outcome.servers, visits, quantity);
-            let lines = look(&all).into_iter().zip(look(&chances[0])).zip(look(&centre));
-            windows.extend(lines.filter_map(|((seen, chance), centre)| {
-                let spread = seen.spread()?;
-                Some(WindowRow {
-                    t_s: round((seen.from - outcome.from) as f64 / SEC as f64),
-                    quantity: quantity.name(),
-                    mean: round(seen.mean()),
-                    peak: round(spread[0]),
-                    least: round(spread[2]),
-                    chance_peak: round(chance.spread()?[0]),
-                    centre_peak: round(centre.spread()?[0]),
-                })
-            }));
-        }
+        let windows = [Quantity::Rpcs, Quantity::Held].into_iter();
         Figures {
             run: run_row(scenario, outcome, until, idle),
             spreads,
-            windows,
+            windows: windows
+                .flat_map(|quantity| window_rows(outcome, &arrivals, seconds, quantity))
+                .collect(),
             servers: server_rows(outcome),
             gateways: gateway_rows(outcome),
         }
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -447,77 +447,79 @@
     }
 
     fn check(&self) -> Result<(), String> {
-        let fail = |what: String| Err(what);
         if self.gateways == 0 || self.zones.is_empty() || self.servers.iter().all(|group| group.count == 0) {
-            return fail("'gateways', 'zones' and 'servers' must not be empty".into());
+            return Err("'gateways', 'zones' and 'servers' must not be empty".into());
         }
         if !(self.seconds > 0.0 && self.seconds <= 3600.0 && (0.0..=600.0).contains(&self.warm_seconds)) {
-            return fail("'seconds' must be from 0 to 3600, 'warm_seconds' from 0 to 600".into());
+            return Err("'seconds' must be from 0 to 3600, 'warm_seconds' from 0 to 600".into());
         }
-        if self.load.width == 0 || self.load.width > self.gateways || self.load.customers == 0 {
-            return fail("'load.width' must be from 1 to 'gateways', 'load.customers' 1 or more".into());
+        self.check_load()?;
+        self.check_servers()?;
+        for (at, fault) in self.faults.iter().enumerate() {
+            self.check_fault(at, fault)?;
+        }
+        let beyond = |pair: &(usize, usize)| pair.0 >= self.gateways || pair.1 >= self.gateways;
+        if self.same_number.iter().any(beyond) {
+            return Err("same_number names a gateway beyond 'gateways'".into());
+        }
+        Ok(())
+    }
+
+    fn check_load(&self) -> Result<(), String> {
+        let load = &self.load;
+        if load.width == 0 || load.width > self.gateways || load.customers == 0 {
+            return Err("'load.width' must be from 1 to 'gateways', 'load.customers' 1 or more".into());
         }
-        if !(self.load.rate > 0.0 && self.load.rate.is_finite()) {
-            return fail("'load.rate' must be above nought".into());
+        if !(load.rate > 0.0 && load.rate.is_finite()) {
+            return Err("'load.rate' must be above nought".into());
         }
         let names = |list: &str| -> Vec<&str> {
             let entries = self.settings.get(list).and_then(toml::Value::as_array);
             entries.into_iter().flatten().filter_map(|entry| entry.get("name")?.as_str()).collect()
         };
-        if !names("tariffs").contains(&&*self.load.plan) {
-            return fail(format!("load.plan: no tariff named '{}' in the settings", self.load.plan));
+        if !names("tariffs").contains(&&*load.plan) {
+            return Err(format!("load.plan: no tariff named '{}' in the settings", load.plan));
         }
-        if let Some(method) =
-            self.load.methods.iter().find(|method| !names("classes").contains(&&*method.name))
-        {
-            return fail(format!("load.methods: no class named '{}' in the settings", method.name));
+        let classes = names("classes");
+        if let Some(method) = load.methods.iter().find(|method| !classes.contains(&&*method.name)) {
+            return Err(format!("load.methods: no class named '{}' in the settings", method.name));
         }
-        if self.load.methods.is_empty() {
-            return fail("'load.methods' must not be empty".into());
+        if load.methods.is_empty() {
+            return Err("'load.methods' must not be empty".into());
         }
+        Ok(())
+    }
+
+    fn check_servers(&self) -> Result<(), String> {
         for (at, group) in self.servers.iter().enumerate() {
             if group.zone.as_ref().is_some_and(|zone| !self.zones.contains(zone)) {
-                return fail(format!("servers[{at}].zone is none of 'zones'"));
+                return Err(format!("servers[{at}].zone is none of 'zones'"));
             }
             if !(group.weight > 0.0 && group.service_ms > 0.0 && group.cores > 0) {
-                return fail(format!(
+                return Err(format!(
                     "servers[{at}]: 'weight', 'service_ms' and 'cores' must be above nought"
                 ));
             }
         }
-        for (at, fault) in self.faults.iter().enumerate() {
-            if !(0.0..=self.seconds).contains(&fault.at()) || !(0.0..=1.0).contains(&fault.share()) {
-                return fail(format!("faults[{at}]: 'at' must lie in 'seconds', 'share' be from 0 to 1"));
-            }
-            match fault {
-                Fault::ZoneDown { zone, .. } if !self.zones.contains(zone) => {
-                    return fail(format!("faults[{at}].zone is none of 'zones'"));
-                }
-                Fault::Link { from, to, .. } => {
-                    let (from, to) = (Place::parse(from)?, Place::parse(to)?);
-                    let ok = match (&from, &to) {
-                        (Place::Front, Place::Gateways(_) | Place::Zone(_)) => true,
-                        (Place::Gateways(_) | Place::Zone(_), to) => {
-                            !matches!(to, Place::Front | Place::Gateways(_))
-                        }
-                        _ => false,
-                    };
-                    if !ok {
-                        return fail(format!(
-                            "faults[{at}]: a link leads from the front to gateways, or from gateways to servers, \
-                             discovery or the counter"
-                        ));
-                    }
-                }
-                _ => {}
-            }
+        Ok(())
+    }
+
+    fn check_fault(&self, at: usize, fault: &Fault) -> Result<(), String> {
+        if !(0.0..=self.seconds).contains(&fault.at()) || !(0.0..=1.0).contains(&fault.share()) {
+            return Err(format!("faults[{at}]: 'at' must lie in 'seconds', 'share' be from 0 to 1"));
         }
-        for (one, other) in &self.same_number {
-            if *one >= self.gateways || *other >= self.gateways {
-                return fail("same_number names a gateway beyond 'gateways'".into());
+        match fault {
+            Fault::ZoneDown { zone, .. } if !self.zones.contains(zone) => {
+                Err(format!("faults[{at}].zone is none of 'zones'"))
             }
+            Fault::Link { from, to, .. } if !can_link(&Place::parse(from)?, &Place::parse(to)?) => {
+                Err(format!(
+                    "faults[{at}]: a link leads from the front to gateways, or from gateways to servers, \
+                     discovery or the counter"
+                ))
+            }
+            _ => Ok(()),
         }
-        Ok(())
     }
 
     /// A field of a class of the settings.
@@ -541,5 +543,14 @@
     }
 }
 
+/// Whether a link can lead from one place to another.
+fn can_link(from: &Place, to: &Place) -> bool {
+    match (from, to) {
+        (Place::Front, Place::Gateways(_) | Place::Zone(_)) => true,
+        (Place::Gateways(_) | Place::Zone(_), to) => !matches!(to, Place::Front | Place::Gateways(_)),
+        _ => false,
+    }
+}
+
 #[cfg(test)]
 mod tests;
