--- a/crates/etcd-standin/src/lib.rs
+++ b/crates/etcd-standin/src/lib.rs
@@ -211,24 +211,16 @@
 fn watch(mut stream: TcpStream, shared: &Shared, body: &Value) {
     let create = &body["create_request"];
     let (key, end) = (bytes(create, "key"), bytes(create, "range_end"));
-    let mut from = number(create, "start_revision");
     let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
     if stream.write_all(head.as_bytes()).is_err() {
         return;
     }
-    let send = |stream: &mut TcpStream, message: Value| -> bool {
-        std::thread::sleep(Duration::from_millis(shared.slow_ms.load(Ordering::SeqCst)));
-        let text = format!("{message}\n");
-        shared.messages.fetch_add(1, Ordering::SeqCst);
-        shared.bytes.fetch_add(text.len() as u64, Ordering::SeqCst);
-        stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).is_ok()
-    };
     let store = shared.store.lock().unwrap_or_else(|e| e.into_inner());
+    let mut from = number(create, "start_revision");
     if from > 0 && from <= store.compacted {
-        let cancelled = json!({"result": {"header": store.header(), "canceled": true,
-            "compact_revision": store.compacted.to_string()}});
+        let message = cancelled(&store);
         drop(store);
-        let _ = send(&mut stream, cancelled);
+        let _ = send_chunk(&mut stream, shared, message);
         let _ = stream.write_all(b"0\r\n\r\n");
         return;
     }
@@ -237,39 +229,62 @@
     }
     let created = json!({"result": {"header": store.header(), "created": true}});
     drop(store);
-    if !send(&mut stream, created) {
-        return;
-    }
-    loop {
-        let store = shared.store.lock().unwrap_or_else(|e| e.into_inner());
-        let progress = Duration::from_millis(shared.progress_ms.load(Ordering::SeqCst));
-        let (mut store, waited) = shared
-            .changed
-            .wait_timeout_while(store, progress, |store| {
-                store.revision < from && !shared.down.load(Ordering::SeqCst)
-            })
-            .unwrap_or_else(|e| e.into_inner());
-        if shared.down.load(Ordering::SeqCst) {
-            return;
-        }
-        store.expire(std::time::Instant::now());
-        if from <= store.compacted {
-            let cancelled = json!({"result": {"header": store.header(), "canceled": true,
-                "compact_revision": store.compacted.to_string()}});
-            drop(store);
-            let _ = send(&mut stream, cancelled);
-            return;
-        }
-        let message = if waited.timed_out() && store.revision < from {
-            json!({"result": {"header": store.header()}})
-        } else {
-            let events = store.events_json(from, &key, &end);
-            from = store.revision + 1;
-            json!({"result": {"header": store.header(), "events": events}})
+    let mut goes_on = send_chunk(&mut stream, shared, created);
+    while goes_on {
+        goes_on = match next_message(shared, &mut from, &key, &end) {
+            Watched::Message(message) => send_chunk(&mut stream, shared, message),
+            Watched::Cancelled(message) => {
+                let _ = send_chunk(&mut stream, shared, message);
+                false
+            }
+            Watched::Down => false,
         };
-        drop(store);
-        if !send(&mut stream, message) {
-            return;
-        }
     }
 }
+
+/// What a watch has to say next.
+enum Watched {
+    /// Changes, or a progress notification.
+    Message(Value),
+    /// The last message: what is watched was compacted.
+    Cancelled(Value),
+    /// Nothing more: the stand-in is down.
+    Down,
+}
+
+/// Waits for changes from a revision on, or until a progress notification is due; `from` becomes the next one.
+fn next_message(shared: &Shared, from: &mut i64, key: &[u8], end: &[u8]) -> Watched {
+    let store = shared.store.lock().unwrap_or_else(|e| e.into_inner());
+    let progress = Duration::from_millis(shared.progress_ms.load(Ordering::SeqCst));
+    let nothing_new = |store: &mut Store| store.revision < *from && !shared.down.load(Ordering::SeqCst);
+    let waited = shared.changed.wait_timeout_while(store, progress, nothing_new);
+    let (mut store, waited) = waited.unwrap_or_else(|e| e.into_inner());
+    if shared.down.load(Ordering::SeqCst) {
+        return Watched::Down;
+    }
+    store.expire(std::time::Instant::now());
+    if *from <= store.compacted {
+        return Watched::Cancelled(cancelled(&store));
+    }
+    if waited.timed_out() && store.revision < *from {
+        return Watched::Message(json!({"result": {"header": store.header()}}));
+    }
+    let events = store.events_json(*from, key, end);
+    *from = store.revision + 1;
+    Watched::Message(json!({"result": {"header": store.header(), "events": events}}))
+}
+
+/// The message that ends a watch of what was compacted.
+fn cancelled(store: &Store) -> Value {
+    json!({"result": {"header": store.header(), "canceled": true,
+        "compact_revision": store.compacted.to_string()}})
+}
+
+/// Writes one message of a watch; whether the connection still stands.
+fn send_chunk(stream: &mut TcpStream, shared: &Shared, message: Value) -> bool {
+    std::thread::sleep(Duration::from_millis(shared.slow_ms.load(Ordering::SeqCst)));
+    let text = format!("{message}\n");
+    shared.messages.fetch_add(1, Ordering::SeqCst);
+    shared.bytes.fetch_add(text.len() as u64, Ordering::SeqCst);
+    stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).is_ok()
+}
