--- a/crates/rig/src/front.rs
+++ b/crates/rig/src/front.rs
@@ -96,11 +96,11 @@
     pub outcome: Outcome,
 }
 
-/// Where a gateway stands with the front. `Front::shift` is the one place that changes it.
+/// The state of a gateway as the front sees it. `Front::set_state` is the one place that changes it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stand {
+enum GatewayState {
     /// Not yet ready, or found dead: probed until it answers 200.
-    Out,
+    Down,
     Admitted,
     /// It failed then, and the front has not noticed yet.
     Failing(Nanos),
@@ -108,7 +108,7 @@
 
 struct Gateway {
     address: SocketAddr,
-    stand: Stand,
+    state: GatewayState,
     idle: Vec<Conn>,
     probe: Option<Conn>,
 }
@@ -163,12 +163,12 @@
         if self.gateways.is_empty() {
             io.at(io.now(), PROBES);
         }
-        self.gateways.push(Gateway { address, stand: Stand::Out, idle: Vec::new(), probe: None });
+        self.gateways.push(Gateway { address, state: GatewayState::Down, idle: Vec::new(), probe: None });
     }
 
     /// Gateways that it sends to.
     pub fn admitted(&self) -> usize {
-        self.gateways.iter().filter(|gateway| gateway.stand == Stand::Admitted).count()
+        self.gateways.iter().filter(|gateway| gateway.state == GatewayState::Admitted).count()
     }
 
     /// Arrivals come from now on, or stop.
@@ -196,10 +196,10 @@
         self.conns.values().filter(|(_, what)| matches!(what, Use::Call(_))).count()
     }
 
-    fn shift(&mut self, gateway: usize, to: Stand) {
+    fn set_state(&mut self, gateway: usize, to: GatewayState) {
         let at = &mut self.gateways[gateway];
-        let was = std::mem::replace(&mut at.stand, to);
-        if was != to && to == Stand::Out {
+        let was = std::mem::replace(&mut at.state, to);
+        if was != to && to == GatewayState::Down {
             at.probe = None;
         }
     }
@@ -222,7 +222,7 @@
         let method = methods.sample(&mut self.chance);
         let customer = self.plan.customers[key];
         let set = (0..customer.width).map(|at| (customer.first + at) % self.gateways.len());
-        let up: Vec<usize> = set.filter(|at| self.gateways[*at].stand != Stand::Out).collect();
+        let up: Vec<usize> = set.filter(|at| self.gateways[*at].state != GatewayState::Down).collect();
         let now = io.clock().now();
         let number = self.calls.len();
         if up.is_empty() {
@@ -266,21 +266,21 @@
 
     /// A gateway failed just now: the front notices somewhat later.
     fn failed(&mut self, io: &mut Io, gateway: usize) {
-        if self.gateways[gateway].stand == Stand::Admitted {
-            self.shift(gateway, Stand::Failing(io.now()));
+        if self.gateways[gateway].state == GatewayState::Admitted {
+            self.set_state(gateway, GatewayState::Failing(io.now()));
         }
     }
 
     fn probe(&mut self, io: &mut Io) {
         for gateway in 0..self.gateways.len() {
-            if let Stand::Failing(since) = self.gateways[gateway].stand
+            if let GatewayState::Failing(since) = self.gateways[gateway].state
                 && io.now() >= since + self.plan.notice
             {
-                self.shift(gateway, Stand::Out);
+                self.set_state(gateway, GatewayState::Down);
             }
             let at = &mut self.gateways[gateway];
             let asked = at.probe.is_some_and(|conn| io.is_open(conn));
-            if at.stand == Stand::Out
+            if at.state == GatewayState::Down
                 && !asked
                 && let Ok(conn) = io.connect(at.address)
             {
@@ -331,7 +331,7 @@
                 io.close(conn);
                 self.gateways[gateway].probe = None;
                 if answer.status == 200 {
-                    self.shift(gateway, Stand::Admitted);
+                    self.set_state(gateway, GatewayState::Admitted);
                 }
             }
             Use::Idle => self.extra += 1,
