--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -12,6 +12,30 @@
 use std::process::ExitCode;
 use wire::{Fields, Reply, Short, nanos};
 
+/// Codes of the records that the simulator sends.
+mod code {
+    use std::ops::RangeInclusive;
+
+    /// Records that name an instance.
+    pub const OF_AN_INSTANCE: RangeInclusive<u8> = 16..=26;
+    /// An instance starts.
+    pub const START: u8 = 16;
+    /// Discovery's list, whole or what changed.
+    pub const LIST: u8 = 17;
+    /// An RPC arrived.
+    pub const ARRIVAL: u8 = 18;
+    /// An attempt ended.
+    pub const ATTEMPT_ENDED: u8 = 20;
+    /// A client gave its RPC up.
+    pub const CLIENT_LEFT: u8 = 21;
+    /// A time that was asked for has come.
+    pub const TIMER: u8 = 22;
+    /// An instance ends.
+    pub const END: u8 = 25;
+    /// A call to the counter ended.
+    pub const COUNTED: u8 = 26;
+}
+
 fn main() -> ExitCode {
     std::panic::set_hook(Box::new(|_| {})); // the text goes out as the instance's own report
     match serve(BufReader::with_capacity(1 << 16, std::io::stdin().lock()), std::io::stdout().lock()) {
@@ -57,85 +81,45 @@
     code: u8,
     record: &mut Fields,
 ) -> Result<(), Short> {
-    if !(16..=26).contains(&code) {
+    if !code::OF_AN_INSTANCE.contains(&code) {
         return Ok(());
     }
     let instance = record.u32()?;
     reply.speak_for(instance);
     match code {
-        16 => {
+        code::START => {
             let seed = record.u64()?;
-            let length = record.u32()? as usize;
-            let text = String::from_utf8_lossy(record.bytes(length)?).into_owned();
-            let settings: Settings = text
-                .lines()
-                .filter_map(|line| line.split_once('='))
-                .map(|(name, value)| (name.trim().to_string(), value.trim().to_string()))
-                .collect();
+            let settings = settings(record)?;
             match catch_unwind(AssertUnwindSafe(|| Brain::new(seed, settings))) {
                 Ok(brain) => drop(brains.insert(instance, brain)),
                 Err(panic) => reply.bail_out(&panic_text(&*panic)),
             }
         }
-        17 => {
+        code::LIST => {
             let kind = record.u8()?;
-            record.u32()?;
-            let count = record.u32()? as usize;
-            let mut list = Vec::new();
-            for _ in 0..count {
-                let server = record.u32()?;
-                list.push(Listed {
-                    server,
-                    key: u64::from(server), // the same at every instance
-                    zone: record.u16()?,
-                    kind: record.u8()?,
-                    cell: record.u16()?,
-                    ready: record.u8()? == 2,
-                    weight: f64::from(record.f32()?),
-                    came_up: nanos(record.f64()?),
-                });
-            }
+            let list = list(record)?;
             if kind <= 2 {
                 guarded(brains, reply, instance, |brain, _| brain.listed(now, kind != 0, &list));
             }
         }
-        18 => {
-            let rpc = Arrival {
-                id: record.u32()?,
-                method: record.u16()?,
-                plan: record.u16()?,
-                customer: record.u64()?,
-                deadline: nanos(record.f64()?),
-                units: f64::from(record.f32()?),
-                width: record.f32()? as u32,
-                first: record.f32()? as u32,
-            };
+        code::ARRIVAL => {
+            let rpc = arrival(record)?;
             guarded(brains, reply, instance, |brain, host| brain.rpc(host, now, &rpc));
         }
-        20 => {
-            let rpc = record.u32()?;
-            let took = nanos(record.f64()?);
-            record.u16()?;
-            let closed = record.u8()? != 0;
-            let settled = f64::from(record.u16()?);
-            let server = record.u32()?;
-            let how = end(record.u8()?);
-            let nth = record.u16()?;
-            let count = record.u8()?;
-            let load = (0..count).map(|_| record.f32().map(f64::from)).collect::<Result<_, _>>()?;
-            let ended = Ended { rpc, server, nth, how, took, closed, settled, load };
+        code::ATTEMPT_ENDED => {
+            let ended = attempt_ended(record)?;
             guarded(brains, reply, instance, |brain, host| brain.ended(host, now, &ended));
         }
-        21 => {
+        code::CLIENT_LEFT => {
             let rpc = record.u32()?;
             guarded(brains, reply, instance, |brain, _| brain.client_left(rpc));
         }
-        22 => {
+        code::TIMER => {
             let token = record.u32()?;
             guarded(brains, reply, instance, |brain, host| brain.woke(host, now, token));
         }
-        25 => drop(brains.remove(&instance)),
-        26 => {
+        code::END => drop(brains.remove(&instance)),
+        code::COUNTED => {
             let how = end(record.u8()?);
             let total = f64::from(record.f32()?);
             record.f64()?;
@@ -147,6 +131,64 @@
     Ok(())
 }
 
+/// The settings of an instance that starts.
+fn settings(record: &mut Fields) -> Result<Settings, Short> {
+    let length = record.u32()? as usize;
+    let text = String::from_utf8_lossy(record.bytes(length)?).into_owned();
+    let entries = text.lines().filter_map(|line| line.split_once('='));
+    Ok(entries.map(|(name, value)| (name.trim().to_string(), value.trim().to_string())).collect())
+}
+
+/// The servers of a list.
+fn list(record: &mut Fields) -> Result<Vec<Listed>, Short> {
+    record.u32()?;
+    let count = record.u32()? as usize;
+    let mut list = Vec::new();
+    for _ in 0..count {
+        let server = record.u32()?;
+        list.push(Listed {
+            server,
+            key: u64::from(server), // the same at every instance
+            zone: record.u16()?,
+            kind: record.u8()?,
+            cell: record.u16()?,
+            ready: record.u8()? == 2,
+            weight: f64::from(record.f32()?),
+            came_up: nanos(record.f64()?),
+        });
+    }
+    Ok(list)
+}
+
+/// An RPC that arrived.
+fn arrival(record: &mut Fields) -> Result<Arrival, Short> {
+    Ok(Arrival {
+        id: record.u32()?,
+        method: record.u16()?,
+        plan: record.u16()?,
+        customer: record.u64()?,
+        deadline: nanos(record.f64()?),
+        units: f64::from(record.f32()?),
+        width: record.f32()? as u32,
+        first: record.f32()? as u32,
+    })
+}
+
+/// The end of an attempt.
+fn attempt_ended(record: &mut Fields) -> Result<Ended, Short> {
+    let rpc = record.u32()?;
+    let took = nanos(record.f64()?);
+    record.u16()?;
+    let closed = record.u8()? != 0;
+    let settled = f64::from(record.u16()?);
+    let server = record.u32()?;
+    let how = end(record.u8()?);
+    let nth = record.u16()?;
+    let count = record.u8()?;
+    let load = (0..count).map(|_| record.f32().map(f64::from)).collect::<Result<_, _>>()?;
+    Ok(Ended { rpc, server, nth, how, took, closed, settled, load })
+}
+
 fn end(code: u8) -> End {
     match code {
         0 => End::Ok,
