--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -10,7 +10,7 @@
 use crate::front::{Call, Customer, Front, Method, Plan};
 use crate::measure::Server;
 use crate::scenario::Scenario;
-use crate::{MS, Nanos, SEC, Stream, chance, nanos};
+use crate::{MS, Nanos, SEC, Stream, chance, loopback, nanos};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, LogNormal};
@@ -35,10 +35,6 @@
 const SOCKETS: u32 = 1024;
 const MEMORY_MB: u32 = 64;
 
-fn address(last: u8) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, last], 0))
-}
-
 /// What a run brought.
 pub struct Outcome {
     /// From the first measured arrival to the last.
@@ -179,9 +175,9 @@
             links_of: BTreeMap::new(),
             seeds: chance(seed, Stream::Seeds),
             crashed: Vec::new(),
-            at_counter: address(6),
+            at_counter: loopback::COUNTER,
         };
-        fleet.at_counter = fleet.counter.with(|counter, io| counter.open(io, address(6)))?;
+        fleet.at_counter = fleet.counter.with(|counter, io| counter.open(io, loopback::COUNTER))?;
         for group in &scenario.servers {
             for _ in 0..group.count {
                 let number = fleet.add_server(group, true)?;
--- a/crates/rig/src/fleet/gateways.rs
+++ b/crates/rig/src/fleet/gateways.rs
@@ -1,6 +1,7 @@
 //! The processes under test: their configuration, their start and their end.
 
-use super::{Fleet, Gateway, LINGER, MEMORY_MB, SOCKETS, address};
+use super::{Fleet, Gateway, LINGER, MEMORY_MB, SOCKETS};
+use crate::loopback;
 use crate::scenario::{Fault, Place};
 use rand::Rng;
 use serde_json::{Value, json};
@@ -24,13 +25,14 @@
                 seen_at.insert(entry.name, at);
             }
         }
-        let agent = self.discovery.with(move |discovery, io| discovery.agent(io, address(5), seen_at))?;
+        let agent =
+            self.discovery.with(move |discovery, io| discovery.agent(io, loopback::DISCOVERY, seen_at))?;
         let faults = self.faults_between(number, |place| *place == Place::Discovery);
         let discovery = self.through(faults, &format!("discovery of {number}"), agent)?;
         let faults = self.faults_between(number, |place| *place == Place::Counter);
         let counter = self.through(faults, "counter", self.at_counter)?;
-        let listen = address(3);
-        let (_, all) = self.relays.with(|relays, io| relays.member(io, address(8)))?;
+        let listen = loopback::GATEWAYS;
+        let (_, all) = self.relays.with(|relays, io| relays.member(io, loopback::FAN_OUT))?;
         self.gateways.push(Gateway {
             number,
             fleet,
@@ -65,7 +67,7 @@
         if let Some(terms) = &self.scenario.agreement {
             let grows = |fault: &Fault| if let Fault::Grow { count, .. } = fault { *count } else { 0 };
             let largest = self.scenario.gateways + self.scenario.faults.iter().map(grows).sum::<usize>();
-            told["peer_listen"] = json!(address(9).to_string());
+            told["peer_listen"] = json!(loopback::PEERS.to_string());
             told["peers_all"] = json!(at.all.to_string());
             told["agreement"] = json!({"version": at.version, "starts_ms": at.starts_ms, "lease": terms.lease,
                 "clock": terms.clock, "ground": {"gateways": largest}});
@@ -87,9 +89,7 @@
             let Some(program) = &mut self.gateways[*gateway].program else { continue };
             let lines = program.wait_started();
             let listen = program.address;
-            let hears = lines
-                .iter()
-                .find_map(|line| line.split("\"peers\":\"").nth(1)?.split('"').next()?.parse().ok());
+            let hears = loopback::peer_address(&lines);
             let member = *gateway;
             self.relays.with(move |relays, _| relays.hears_at(member, hears));
             self.gateways[*gateway].listen = listen;
--- a/crates/rig/src/fleet/links.rs
+++ b/crates/rig/src/fleet/links.rs
@@ -1,6 +1,7 @@
 //! Links that faults can be put on, between the gateways and whom they speak with.
 
-use super::{Fleet, address};
+use super::Fleet;
+use crate::loopback;
 use crate::scenario::{Fault, Place};
 use std::net::SocketAddr;
 
@@ -41,7 +42,7 @@
         if let Some(link) = self.links.get(&key) {
             return Ok(link.1);
         }
-        let link = self.relays.with(move |relays, io| relays.link(io, address(7), target))?;
+        let link = self.relays.with(move |relays, io| relays.link(io, loopback::LINKS, target))?;
         key.0.iter().for_each(|fault| self.links_of.entry(*fault).or_default().push(link.0));
         self.links.insert(key, link);
         Ok(link.1)
--- a/crates/rig/src/fleet/servers.rs
+++ b/crates/rig/src/fleet/servers.rs
@@ -1,9 +1,9 @@
 //! The stand-in servers, and what discovery lists of them.
 
-use super::{Fleet, address};
+use super::Fleet;
 use crate::measure::Server;
 use crate::scenario::Servers as Group;
-use crate::{Nanos, nanos};
+use crate::{Nanos, loopback, nanos};
 use standins::discovery::Entry;
 use standins::servers::Spec;
 
@@ -24,7 +24,7 @@
             cold_share: group.cold_share,
             cold_for: nanos(group.cold_seconds),
             reports: group.reports,
-            address: address(4),
+            address: loopback::SERVERS,
         };
         let (name, zone, weight) = (spec.name.clone(), spec.zone.clone(), spec.weight);
         let (_, at) = self.servers.with(move |servers, io| servers.add(io, spec, warm))?;
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod fleet;
 pub mod front;
+mod loopback;
 pub mod measure;
 pub mod report;
 pub mod rollouts;
--- a/crates/rig/src/rollouts/fleet.rs
+++ b/crates/rig/src/rollouts/fleet.rs
@@ -1,7 +1,7 @@
 //! The processes of rollouts, the stand-in discovery and the links between the gateways.
 
 use super::{Plan, Record, unix};
-use crate::{MS, Nanos, SEC, Stream, chance};
+use crate::{MS, Nanos, SEC, Stream, chance, loopback};
 use rand::Rng;
 use rustix::process::Signal;
 use serde_json::{Value, json};
@@ -42,10 +42,6 @@
     started: Nanos,
 }
 
-fn address(last: u8) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, last], 0))
-}
-
 impl Fleet {
     /// Starts all gateways on version 1, and waits until each has it confirmed.
     pub fn start(plan: Plan, program: &Path) -> Result<Fleet, String> {
@@ -63,9 +59,11 @@
         };
         let (mut clocks, skew) = (chance(fleet.plan.seed, Stream::Seeds), fleet.plan.skew_ms as i64);
         for _ in 0..fleet.plan.gateways {
-            let (_, all) = fleet.relays.with(|relays, io| relays.member(io, address(8))).map_err(fail)?;
-            let agent =
-                fleet.discovery.with(|discovery, io| discovery.agent(io, address(5), Default::default()));
+            let (_, all) =
+                fleet.relays.with(|relays, io| relays.member(io, loopback::FAN_OUT)).map_err(fail)?;
+            let agent = fleet
+                .discovery
+                .with(|discovery, io| discovery.agent(io, loopback::DISCOVERY, Default::default()));
             let discovery = agent.map_err(fail)?;
             fleet.gateways.push(Gateway {
                 program: None,
@@ -95,9 +93,9 @@
         let at = &self.gateways[gateway];
         let (version, content, starts_ms) = at.file;
         let quota = 100.0 + content as f64;
-        json!({"name": format!("n{gateway}"), "listen": "127.0.0.3:0", "discovery": at.discovery.to_string(), "known": at.known,
+        json!({"name": format!("n{gateway}"), "listen": loopback::GATEWAYS.to_string(), "discovery": at.discovery.to_string(), "known": at.known,
             "seed": format!("{:016x}", self.plan.seed.wrapping_add(gateway as u64 * 7919)),
-            "peer_listen": "127.0.0.9:0", "peers_all": at.all.to_string(),
+            "peer_listen": loopback::PEERS.to_string(), "peers_all": at.all.to_string(),
             "agreement": {"version": version, "starts_ms": starts_ms, "lease": self.plan.lease, "clock": self.plan.clock,
                 "clock_off_ms": at.clock_off_ms, "ground": {"quota": 100.0 / quota * 0.5}},
             "settings": {"balancers": self.gateways.len(), "me": gateway,
@@ -120,10 +118,7 @@
         for gateway in which {
             let Some(program) = &mut self.gateways[*gateway].program else { continue };
             let lines = program.wait_started();
-            let mut hears =
-                lines.iter().filter_map(|line| line.split("\"peers\":\"").nth(1)?.split('"').next());
-            let hears =
-                hears.next().and_then(|hears| hears.parse().ok()).ok_or("a gateway tells no address")?;
+            let hears = loopback::peer_address(&lines).ok_or("a gateway tells no address")?;
             let at = &mut self.gateways[*gateway];
             at.records.extend(lines.iter().filter_map(|line| record(line)));
             at.lines.extend(lines);
