--- a/crates/rig/src/rollouts/contradictions.rs
+++ b/crates/rig/src/rollouts/contradictions.rs
@@ -3,12 +3,35 @@
 use super::{Fleet, unix};
 use crate::{Nanos, SEC};
 
-/// A span in which a gateway acted on a version itself.
+/// The end of an interval that has not ended.
+pub(super) const OPEN_END: Nanos = Nanos::MAX;
+
+/// From an instant until just before another, Unix time.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Interval {
+    pub(super) from: Nanos,
+    pub(super) until: Nanos,
+}
+
+impl Interval {
+    /// How much of it lies in another.
+    fn overlap(self, other: Interval) -> Nanos {
+        self.until.min(other.until).saturating_sub(self.from.max(other.from))
+    }
+
+    /// What is left of it without another.
+    fn without(self, other: Interval) -> impl Iterator<Item = Interval> {
+        let before = Interval { from: self.from, until: self.until.min(other.from) };
+        let after = Interval { from: self.from.max(other.until), until: self.until };
+        [before, after].into_iter().filter(|piece| piece.from < piece.until)
+    }
+}
+
+/// An interval in which a gateway acted on a version itself.
 #[derive(Clone, Debug)]
 struct Acted {
     gateway: usize,
-    from: Nanos,
-    to: Nanos,
+    interval: Interval,
     version: u64,
     digest: String,
 }
@@ -16,36 +39,35 @@
 impl Fleet {
     fn acted(&mut self) -> Vec<Acted> {
         self.read();
-        let mut spans = Vec::new();
+        let mut acted = Vec::new();
         for (number, gateway) in self.gateways.iter().enumerate() {
             for (at, record) in gateway.records.iter().enumerate().filter(|(_, record)| record.whole) {
-                let to = gateway.records.get(at + 1).map_or(unix(), |next| next.at);
-                let mut pieces = vec![(record.at, to)];
-                for gone in &gateway.away {
-                    pieces = pieces.into_iter().flat_map(|piece| without(piece, *gone)).collect();
+                let until = gateway.records.get(at + 1).map_or(unix(), |next| next.at);
+                let mut pieces = vec![Interval { from: record.at, until }];
+                for away in &gateway.away {
+                    pieces = pieces.into_iter().flat_map(|piece| piece.without(*away)).collect();
                 }
-                spans.extend(pieces.into_iter().map(|(from, to)| Acted {
+                acted.extend(pieces.into_iter().map(|interval| Acted {
                     gateway: number,
-                    from,
-                    to,
+                    interval,
                     version: record.version,
                     digest: record.digest.clone(),
                 }));
             }
         }
-        spans
+        acted
     }
 
     /// The longest that any two gateways acted on different contents at the same time since `from`, over all pairs; and
     /// which two.
     pub fn contradicted(&mut self, from: Nanos) -> (Nanos, String) {
-        let spans: Vec<Acted> = self.acted().into_iter().filter(|span| span.to > from).collect();
+        let acted: Vec<Acted> = self.acted().into_iter().filter(|one| one.interval.until > from).collect();
         let mut worst = (0, String::new());
-        for (at, one) in spans.iter().enumerate() {
-            for two in
-                spans[at + 1..].iter().filter(|two| (two.version, &two.digest) != (one.version, &one.digest))
-            {
-                let both = one.to.min(two.to).saturating_sub(one.from.max(two.from).max(from));
+        for (at, one) in acted.iter().enumerate() {
+            let differs = |two: &&Acted| (two.version, &two.digest) != (one.version, &one.digest);
+            for two in acted[at + 1..].iter().filter(differs) {
+                let one_since = Interval { from: one.interval.from.max(from), ..one.interval };
+                let both = one_since.overlap(two.interval);
                 if both > worst.0 {
                     let name = |acted: &Acted| format!("n{} on version {}", acted.gateway, acted.version);
                     worst = (both, format!("{} and {}", name(one), name(two)));
@@ -55,23 +77,15 @@
         worst
     }
 
-    /// For how long gateways were on a ground since `from`, seconds summed over all that were there.
+    /// For how long gateways were on a fallback since `from`, seconds summed over all that were there.
     pub fn on_ground(&mut self, from: Nanos) -> f64 {
         let now = unix();
-        let whole: Nanos = self.acted().iter().map(|span| span.to.saturating_sub(span.from.max(from))).sum();
-        let away: Nanos = self
-            .gateways
-            .iter()
-            .flat_map(|gateway| &gateway.away)
-            .map(|gone| gone.1.min(now).saturating_sub(gone.0.max(from)))
-            .sum();
+        let since = Interval { from, until: OPEN_END };
+        let whole: Nanos = self.acted().iter().map(|one| one.interval.overlap(since)).sum();
+        let played = Interval { from, until: now };
+        let away = self.gateways.iter().flat_map(|gateway| &gateway.away);
+        let away: Nanos = away.map(|away| away.overlap(played)).sum();
         let all = (now - from) * self.gateways.len() as Nanos;
         all.saturating_sub(whole + away) as f64 / SEC as f64
     }
 }
-
-fn without(piece: (Nanos, Nanos), gone: (Nanos, Nanos)) -> Vec<(Nanos, Nanos)> {
-    let left = (piece.0, piece.1.min(gone.0));
-    let right = (piece.0.max(gone.1), piece.1);
-    [left, right].into_iter().filter(|piece| piece.0 < piece.1).collect()
-}
--- a/crates/rig/src/rollouts/fleet.rs
+++ b/crates/rig/src/rollouts/fleet.rs
@@ -1,5 +1,6 @@
 //! The processes of rollouts, the stand-in discovery and the links between the gateways.
 
+use super::contradictions::{Interval, OPEN_END};
 use super::{Plan, Record, unix};
 use crate::{MS, Nanos, SEC, Stream, chance, loopback};
 use rand::Rng;
@@ -21,15 +22,43 @@
     program: Option<Program>,
     all: SocketAddr,
     discovery: SocketAddr,
-    /// Its file as it stands: the version, its content, and when it starts (Unix ms).
-    file: (u64, u64, u64),
+    /// Its file as it stands.
+    file: SettingsFile,
     clock_off_ms: i64,
     /// The list that it is started on.
     known: Value,
     pub(super) records: Vec<Record>,
     lines: Vec<String>,
-    /// Spans in which it stood still or was gone, as it can't have acted then.
-    pub(super) away: Vec<(Nanos, Nanos)>,
+    /// When it stood still or was gone, as it can't have acted then.
+    pub(super) away: Vec<Interval>,
+}
+
+/// What a gateway's file says of its settings.
+#[derive(Clone, Copy)]
+struct SettingsFile {
+    version: u64,
+    /// Contents of the same number are alike.
+    content: u64,
+    /// When the version starts, Unix time in milliseconds.
+    starts_ms: u64,
+}
+
+impl Gateway {
+    /// From now on it can't act.
+    fn went_away(&mut self) {
+        self.away.push(Interval { from: unix(), until: OPEN_END });
+    }
+
+    /// From now on it can act again.
+    fn came_back(&mut self) {
+        if let Some(open) = self.away.last_mut().filter(|away| away.until == OPEN_END) {
+            open.until = unix();
+        }
+    }
+
+    fn is_away(&self) -> bool {
+        self.away.last().is_some_and(|away| away.until == OPEN_END)
+    }
 }
 
 /// A fleet with a discovery, and links between any two of its gateways.
@@ -69,7 +98,7 @@
                 program: None,
                 all,
                 discovery,
-                file: (1, 1, 0),
+                file: SettingsFile { version: 1, content: 1, starts_ms: 0 },
                 clock_off_ms: clocks.random_range(-skew..=skew),
                 known: Value::Null,
                 records: Vec::new(),
@@ -91,7 +120,7 @@
     /// The configuration of a gateway as its file stands. Contents differ in their quotas.
     fn configuration(&self, gateway: usize) -> String {
         let at = &self.gateways[gateway];
-        let (version, content, starts_ms) = at.file;
+        let SettingsFile { version, content, starts_ms } = at.file;
         let quota = 100.0 + content as f64;
         json!({"name": format!("n{gateway}"), "listen": loopback::GATEWAYS.to_string(), "discovery": at.discovery.to_string(), "known": at.known,
             "seed": format!("{:016x}", self.plan.seed.wrapping_add(gateway as u64 * 7919)),
@@ -110,9 +139,7 @@
             let text = self.configuration(*gateway);
             let program = Program::spawn(&mut Command::new(&self.program), &text);
             let program = program.map_err(|e| format!("can't start {}: {e}", self.program.display()))?;
-            if let Some(gone) = self.gateways[*gateway].away.last_mut().filter(|gone| gone.1 == Nanos::MAX) {
-                gone.1 = unix();
-            }
+            self.gateways[*gateway].came_back();
             self.gateways[*gateway].program = Some(program);
         }
         for gateway in which {
@@ -184,7 +211,7 @@
     /// Writes a file without telling the process.
     pub fn write(&mut self, which: &[usize], version: u64, content: u64, start: Nanos) {
         for gateway in which {
-            self.gateways[*gateway].file = (version, content, start / MS);
+            self.gateways[*gateway].file = SettingsFile { version, content, starts_ms: start / MS };
             let text = self.configuration(*gateway);
             if let Some(program) = &self.gateways[*gateway].program {
                 program.rewrite(&text);
@@ -200,8 +227,8 @@
 
     /// The time at which a version starts, as it was given last.
     pub fn start_of(&self, version: u64) -> Nanos {
-        let files = self.gateways.iter().filter(|gateway| gateway.file.0 == version);
-        files.map(|gateway| gateway.file.2 * MS).max().unwrap_or(0)
+        let files = self.gateways.iter().filter(|gateway| gateway.file.version == version);
+        files.map(|gateway| gateway.file.starts_ms * MS).max().unwrap_or(0)
     }
 
     /// Where a gateway listens for clients.
@@ -212,7 +239,8 @@
     /// Gives a version with this quota and a ground of half of it.
     pub fn give_quota(&mut self, which: &[usize], version: u64, quota: f64, start: Nanos) {
         for gateway in which {
-            let file = std::mem::replace(&mut self.gateways[*gateway].file, (version, 0, start / MS));
+            let other = SettingsFile { version, content: 0, starts_ms: start / MS };
+            let file = std::mem::replace(&mut self.gateways[*gateway].file, other);
             let mut told: Value = serde_json::from_str(&self.configuration(*gateway)).unwrap_or_default();
             told["settings"]["tariffs"][0]["perSecond"] = json!(quota);
             told["agreement"]["ground"]["quota"] = json!(0.5);
@@ -234,18 +262,16 @@
     fn signal(&mut self, which: &[usize], signal: Signal) {
         for gateway in which {
             let at = &mut self.gateways[*gateway];
-            let Some(program) = &at.program else { continue };
+            if at.program.is_none() {
+                continue;
+            }
             // While it is away it can't act; the record after the stop tells what it did on waking.
             if signal == Signal::CONT {
-                at.away
-                    .last_mut()
-                    .filter(|gone| gone.1 == Nanos::MAX)
-                    .into_iter()
-                    .for_each(|gone| gone.1 = unix());
+                at.came_back();
             }
-            let _ = program.send(signal);
+            let _ = at.program.as_ref().map(|program| program.send(signal));
             if signal == Signal::STOP {
-                at.away.push((unix(), Nanos::MAX));
+                at.went_away();
             }
         }
     }
@@ -273,8 +299,8 @@
                 let lines = program.lines_now();
                 at.records.extend(lines.iter().filter_map(|line| record(line)));
                 at.lines.extend(lines);
-                if at.away.last().is_none_or(|gone| gone.1 != Nanos::MAX) {
-                    at.away.push((unix(), Nanos::MAX));
+                if !at.is_away() {
+                    at.went_away();
                 }
             }
         }
