--- a/crates/agreement/src/message/tests.rs
+++ b/crates/agreement/src/message/tests.rs
@@ -57,3 +57,29 @@
     corrupted[30] ^= 1;
     assert_eq!((ListNotice::decode(&corrupted), LeaseMessage::decode(&bytes)), (None, None));
 }
+
+/// Gateways of different releases have to read each other's datagrams.
+#[test]
+fn the_bytes_of_a_datagram_are_those_of_format_1() {
+    let lease = Lease { content: Content { version: 2, digest: 7 }, from: 100, until: 200 };
+    for (kind, says) in
+        [(MessageKind::Grant, "for"), (MessageKind::Query, "asks"), (MessageKind::Holding, "holds")]
+    {
+        let message = LeaseMessage { gateway: 3, incarnation: 9, sent: 101, kind, lease };
+        let text = |sum: &str| {
+            format!(
+                r#"{{"agreement":1,"gateway":3,"life":9,"sent":101,"says":"{says}","version":2,"digest":"00000000000000000000000000000007","from":100,"until":200,"sum":"{sum}"}}"#
+            )
+        };
+        let sum = format!("{:016x}", xxh3_64(text("").as_bytes()));
+        assert_eq!(message.encode(), text(&sum).into_bytes());
+    }
+    let notice = ListNotice { gateway: 3, index: 41, removed: vec![1, 255] };
+    let text = |sum: &str| {
+        format!(
+            r#"{{"list":1,"gateway":3,"index":41,"out":["0000000000000001","00000000000000ff"],"sum":"{sum}"}}"#
+        )
+    };
+    let sum = format!("{:016x}", xxh3_64(text("").as_bytes()));
+    assert_eq!(notice.encode(), text(&sum).into_bytes());
+}
