--- a/crates/gateway/src/gateway/agreeing.rs
+++ b/crates/gateway/src/gateway/agreeing.rs
@@ -4,10 +4,12 @@
 use super::*;
 use crate::config::Method;
 use crate::list::Entry;
-use agreement::lists::{Lists, Seen};
-use agreement::rules::{Version, objections};
-use agreement::state::{Agreement, Content, Heard, Stand};
-use agreement::word::{Notice, Word};
+use agreement::lease::Content;
+use agreement::lists::{Announcement, ListedServer, Lists};
+use agreement::message::{LeaseMessage, ListNotice};
+use agreement::rules::objections;
+use agreement::state::{Agreement, Decision, Mode, Offer, Receipt};
+use agreement::version::Version;
 
 /// A version with what the wire needs of it.
 struct Held {
@@ -21,7 +23,7 @@
     /// Held, and waiting for its time.
     held: Held,
     waits: Option<Held>,
-    acting: (Content, Stand),
+    acting: Decision,
     all: SocketAddr,
     /// For drills: what is added to the clock here.
     clock_off: i64,
@@ -39,7 +41,7 @@
 
 impl Pact {
     pub(super) fn source_moved(&mut self) {
-        self.lists.moved();
+        self.lists.change_source();
     }
 }
 
@@ -63,10 +65,10 @@
         let mut state =
             Agreement::new(told.terms, number, desk.chance.u32(..), now, content, told.version.start);
         if told.fresh {
-            state.forget();
+            state.skip_recovery();
         }
         let held = Held { version: told.version, methods: Vec::new(), plans: Vec::new() };
-        let acting = (content, Stand::Ground);
+        let acting = Decision { content, mode: Mode::Fallback };
         info!(desk.log, "agreeing"; "peers" => %heard_at, "voter" => state.is_voter(), "bound_ms" => state.terms().bound() / MS);
         self.pact = Some(Pact {
             state,
@@ -88,10 +90,10 @@
     }
 
     /// The module acts on this from now on.
-    fn act_on(&mut self, acting: (Content, Stand), why: &'static str) {
+    fn act_on(&mut self, acting: Decision, why: &'static str) {
         let Some(pact) = &mut self.pact else { return };
-        if pact.held.version.content() != acting.0
-            && let Some(new) = pact.waits.take_if(|waits| waits.version.content() == acting.0)
+        if pact.held.version.content() != acting.content
+            && let Some(new) = pact.waits.take_if(|waits| waits.version.content() == acting.content)
         {
             pact.held = new;
             self.desk.config.methods = std::mem::take(&mut pact.held.methods);
@@ -99,13 +101,13 @@
         }
         pact.acting = acting;
         let version = &pact.held.version;
-        let settings = match acting.1 {
-            Stand::Confirmed => version.settings.clone(),
-            Stand::Ground => version.on_ground(),
+        let settings = match acting.mode {
+            Mode::Confirmed => version.settings.clone(),
+            Mode::Fallback => version.fallback_settings(),
         };
         let now = self.desk.net.now;
-        info!(self.desk.log, "settings"; "why" => why, "version" => acting.0.version, "digest" => short(acting.0),
-            "acts_on" => if acting.1 == Stand::Confirmed { "version" } else { "ground" }, "at" => now);
+        info!(self.desk.log, "settings"; "why" => why, "version" => acting.content.version, "digest" => short(acting.content),
+            "acts_on" => if acting.mode == Mode::Confirmed { "version" } else { "ground" }, "at" => now);
         self.desk.config.settle(settings.clone());
         self.brain.settle(now, settings);
     }
@@ -114,25 +116,27 @@
     pub(super) fn agree(&mut self) {
         let Some(pact) = &mut self.pact else { return };
         let now = self.desk.net.now.saturating_add_signed(pact.clock_off);
-        let words = pact.state.tell(now);
-        words.iter().for_each(|word| self.desk.net.tell(pact.all, &word.write()));
+        let words = pact.state.poll_messages(now);
+        words.iter().for_each(|word| self.desk.net.tell(pact.all, &word.encode()));
         if pact.state.is_voter() && now >= pact.tells_list_at {
-            pact.tells_list_at = now + pact.state.terms().every();
-            if let (Some((index, out)), Some(number)) = (pact.lists.tells(now), pact.number) {
-                self.desk.net.tell(pact.all, &Notice { number, index, out }.write());
+            pact.tells_list_at = now + pact.state.terms().renewal_interval();
+            if let (Some(Announcement { index, removed }), Some(gateway)) =
+                (pact.lists.announcement(now), pact.number)
+            {
+                self.desk.net.tell(pact.all, &ListNotice { gateway, index, removed }.encode());
             }
         }
-        let (was, acting) = (pact.acting, pact.state.at(now));
+        let (was, acting) = (pact.acting, pact.state.evaluate(now));
         if acting != was {
-            let why = match (acting.0 == was.0, acting.1) {
-                (_, Stand::Ground) => "not-confirmed",
-                (true, Stand::Confirmed) => "confirmed",
-                (false, Stand::Confirmed) => "new-version",
+            let why = match (acting.content == was.content, acting.mode) {
+                (_, Mode::Fallback) => "not-confirmed",
+                (true, Mode::Confirmed) => "confirmed",
+                (false, Mode::Confirmed) => "new-version",
             };
             self.act_on(acting, why);
         }
         let Some(pact) = &mut self.pact else { return };
-        let next = pact.state.next_look(now);
+        let next = pact.state.next_evaluation(now);
         if pact.looks_at <= now || next < pact.looks_at {
             pact.looks_at = next;
             self.desk.timers.set(next.saturating_add_signed(-pact.clock_off), What::Agree);
@@ -142,37 +146,37 @@
     pub(super) fn hear(&mut self, bytes: &[u8]) {
         let Some(pact) = &mut self.pact else { return };
         let now = self.desk.net.now.saturating_add_signed(pact.clock_off);
-        if let Some(notice) = Notice::read(bytes) {
+        if let Some(notice) = ListNotice::decode(bytes) {
             return self.hear_of_list(notice);
         }
         let Some(pact) = &mut self.pact else { return };
-        let Some(word) = Word::read(bytes) else { return };
-        match pact.state.hear(now, &word) {
-            Heard::TwoContents => {
+        let Some(word) = LeaseMessage::decode(bytes) else { return };
+        match pact.state.receive(now, &word) {
+            Receipt::TwoContents => {
                 pact.waits = None;
-                let content = word.span.content;
+                let content = word.lease.content;
                 warn!(self.desk.log, "settings"; "why" => "two-contents", "version" => content.version, "other" => short(content));
             }
-            Heard::Ahead => {
+            Receipt::SentAhead => {
                 pact.ahead += 1;
                 if now >= pact.ahead_logged + 1000 * MS {
                     pact.ahead_logged = now;
-                    warn!(self.desk.log, "settings"; "why" => "clock", "gateway" => word.number, "ahead_ms" => (word.sent - now) / MS, "words" => pact.ahead);
+                    warn!(self.desk.log, "settings"; "why" => "clock", "gateway" => word.gateway, "ahead_ms" => (word.sent - now) / MS, "words" => pact.ahead);
                 }
             }
-            Heard::Counts | Heard::Nothing => {}
+            Receipt::Accepted | Receipt::Ignored => {}
         }
         self.agree();
     }
 
     /// A voter told of the list that it holds: what is out of work there gets nothing new here, if the list here is older.
-    fn hear_of_list(&mut self, notice: Notice) {
+    fn hear_of_list(&mut self, notice: ListNotice) {
         let Some(pact) = &mut self.pact else { return };
-        if !pact.state.terms().voters.contains(&notice.number) {
+        if !pact.state.terms().voters.contains(&notice.gateway) {
             return;
         }
         let held = pact.lists.index();
-        let keys = pact.lists.heard(notice.index, &notice.out);
+        let keys = pact.lists.apply_notice(notice.index, &notice.removed);
         let entries: Vec<Entry> = keys.iter().filter_map(|key| pact.entries.get(key).cloned()).collect();
         if entries.is_empty() {
             return;
@@ -188,25 +192,25 @@
     pub(super) fn judge_list(&mut self, told: &mut Told) -> Option<Told> {
         let mut more = Told { index: told.index, whole: false, entries: Vec::new() };
         let Some(pact) = &mut self.pact else { return Some(more) };
-        let seen = |entry: &Entry| Seen {
+        let seen = |entry: &Entry| ListedServer {
             key: martenramp::spread::key(&entry.name),
             ready: entry.ready,
             since: entry.since_ms.saturating_mul(MS),
         };
-        let list: Vec<Seen> = told.entries.iter().map(seen).collect();
-        let verdict = pact.lists.told(self.desk.net.now, told.index, told.whole, &list);
+        let list: Vec<ListedServer> = told.entries.iter().map(seen).collect();
+        let verdict = pact.lists.apply(self.desk.net.now, told.index, told.whole, &list);
         let count = verdict.held_back.len();
-        if verdict.empties || verdict.older || count > 0 {
-            let why = if verdict.empties {
+        if verdict.is_empty || verdict.is_older || count > 0 {
+            let why = if verdict.is_empty {
                 "empty"
-            } else if verdict.older {
+            } else if verdict.is_older {
                 "went-back"
             } else {
                 "held-back"
             };
             warn!(self.desk.log, "list"; "why" => why, "index" => told.index, "held" => pact.lists.index(), "held_back" => count);
         }
-        if verdict.empties {
+        if verdict.is_empty {
             return None;
         }
         for (entry, seen) in told.entries.iter_mut().zip(&list) {
@@ -214,7 +218,7 @@
             entry.ready &= !verdict.held_back.contains(&seen.key);
         }
         // What an older list lacks stays: its changes are taken, not its gaps.
-        told.whole &= !verdict.older;
+        told.whole &= !verdict.is_older;
         more.entries = verdict.released.iter().filter_map(|key| pact.entries.get(key).cloned()).collect();
         if told.whole && pact.entries.len() > 2 * list.len().max(64) {
             let named: Vec<u64> = list.iter().map(|seen| seen.key).collect();
@@ -231,25 +235,28 @@
         // What is not newer than what is held the state machine judges.
         let newer = [Some(&pact.held), pact.waits.as_ref()].into_iter().flatten().map(|held| &held.version);
         let newer = newer.filter(|held| number > held.number);
-        let why: Vec<String> = newer.flat_map(|held| objections(held, &version)).collect();
+        let why: Vec<String> = newer
+            .flat_map(|held| objections(held, &version))
+            .map(|objection| objection.to_string())
+            .collect();
         if !why.is_empty() {
             return warn!(log, "settings"; "why" => "not-admissible", "version" => number, "error" => why.join("; "));
         }
-        match pact.state.take(now, content, version.start) {
-            Ok(true) => {
-                let start = pact.state.waiting().map_or(0, |waits| waits.1);
+        match pact.state.offer(now, content, version.start) {
+            Ok(Offer::Scheduled) => {
+                let start = pact.state.waiting().map_or(0, |waits| waits.start);
                 info!(log, "settings"; "why" => "waits", "version" => number, "digest" => short(content),
                     "starts_in_ms" => start.saturating_sub(now) / MS);
                 pact.waits = Some(Held { version, methods, plans });
             }
-            Ok(false) => {
+            Ok(Offer::Known) => {
                 info!(log, "settings"; "why" => "held-already", "version" => number, "digest" => short(content))
             }
             Err(refused) => {
                 if pact.state.waiting().is_none() {
                     pact.waits = None;
                 }
-                warn!(log, "settings"; "why" => refused.why(), "version" => number, "digest" => short(content),
+                warn!(log, "settings"; "why" => refused.log_reason(), "version" => number, "digest" => short(content),
                     "held" => pact.held.version.number);
             }
         }
@@ -259,14 +266,14 @@
     /// The header line by which operators see what is acted on; empty where settings have no version.
     pub(super) fn shows(&self) -> String {
         let Some(pact) = &self.pact else { return String::new() };
-        let (content, stand) = pact.acting;
-        let age = match pact.state.confirmed() {
+        let Decision { content, mode } = pact.acting;
+        let age = match pact.state.last_confirmed() {
             0 => "never".to_string(),
             at => (self.desk.net.now.saturating_sub(at) / MS).to_string(),
         };
-        let acts_on = if stand == Stand::Confirmed { "version" } else { "ground" };
+        let acts_on = if mode == Mode::Confirmed { "version" } else { "ground" };
         let waits =
-            pact.state.waiting().map_or(String::new(), |waits| format!(", waits={}", waits.0.version));
+            pact.state.waiting().map_or(String::new(), |waits| format!(", waits={}", waits.content.version));
         format!(
             "X-Settings: version={}, digest={}, acts-on={acts_on}, confirmed-ms-ago={age}{waits}\n",
             content.version,
--- a/crates/lab/src/clients.rs
+++ b/crates/lab/src/clients.rs
@@ -10,17 +10,25 @@
 /// One customer's arrivals of one method.
 #[derive(Clone, Debug)]
 pub struct Stream {
+    /// The customer.
     pub customer: u64,
+    /// By its place in the settings.
     pub method: u16,
+    /// By its place in the settings.
     pub plan: u16,
+    /// Units of the plan's quota for each RPC.
     pub units: f64,
+    /// RPCs a second.
     pub rate: f64,
     /// The customer's gateways: `width` of them from `first` on, round the fleet.
     pub first: u32,
+    /// Of how many gateways.
     pub width: u32,
 }
 
+/// All clients, and the chance that they draw from.
 pub struct Clients {
+    /// Each customer's arrivals of each method.
     pub streams: Vec<Stream>,
     model: scenario::Clients,
     /// All arrivals come so many times as often: 1 but in bursts.
@@ -29,6 +37,7 @@
 }
 
 impl Clients {
+    /// The clients of a scenario; each customer's gateways are drawn here.
     pub fn new(scenario: &Scenario, methods: &[Method], plans: &[Plan], mut chance: ChaCha8Rng) -> Clients {
         let mut streams = Vec::new();
         let mut customer = 0u64;
@@ -63,15 +72,15 @@
     }
 
     /// When a client leaves before its deadline, if this one does.
-    pub fn leaves_after(&mut self, deadline: Nanos) -> Option<Nanos> {
+    pub fn leave_delay(&mut self, deadline: Nanos) -> Option<Nanos> {
         let leaves = self.model.give_up_share > 0.0 && self.chance.random::<f64>() < self.model.give_up_share;
         leaves.then(|| self.chance.random_range(deadline / 10..=deadline / 2))
     }
 
     /// After a push-back or a cut: whether the client sends the RPC again, and after how long.
-    pub fn again_after(&mut self, tries: u32, come_back: Nanos) -> Option<Nanos> {
+    pub fn retry_delay(&mut self, tries: u32, retry_after: Nanos) -> Option<Nanos> {
         let again = tries < self.model.retries_most && self.chance.random::<f64>() < self.model.retry_share;
-        let after = if self.model.retry_at_once { nanos(0.001) } else { come_back.max(nanos(0.05)) };
+        let after = if self.model.retry_at_once { nanos(0.001) } else { retry_after.max(nanos(0.05)) };
         again.then_some(after)
     }
 }
--- a/crates/lab/src/lifecycle.rs
+++ b/crates/lab/src/lifecycle.rs
@@ -1,39 +1,45 @@
-//! Gateways' lives: up, draining after SIGTERM, down. Each change of state is one function; a new life starts a
+//! The lifecycle of a gateway: up, draining after SIGTERM, down. Each change of state is one function; a new incarnation starts a
 //! new module with nothing of the old. Free of I/O.
 
 use crate::Nanos;
 
-/// Where a gateway stands.
+/// The phases of a gateway.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
+    /// It takes clients.
     Up,
     /// SIGTERM: no new clients; what it holds is answered until `until`, then it is gone.
-    Draining {
-        until: Nanos,
-    },
+    Draining { until: Nanos },
+    /// It is gone.
     Down,
 }
 
 #[derive(Clone, Copy, Debug)]
-pub struct Life {
+/// A gateway's phase, and which incarnation of it this is.
+pub struct Lifecycle {
+    /// The phase now.
     pub phase: Phase,
-    /// Counts from 0; events of an earlier life are passed over.
-    pub life: u32,
+    /// Counts from 0; events of an earlier incarnation are ignored.
+    pub incarnation: u32,
+    /// The gateway's zone.
     pub zone: u32,
 }
 
 /// What a drain gives the gateway to answer what it holds, as `martenramp serve` does.
 pub const DRAIN: Nanos = 500_000_000;
 
-impl Life {
-    pub fn new(zone: u32) -> Life {
-        Life { phase: Phase::Up, life: 0, zone }
+impl Lifecycle {
+    /// A gateway that is up for the first time.
+    pub fn new(zone: u32) -> Lifecycle {
+        Lifecycle { phase: Phase::Up, incarnation: 0, zone }
     }
 
+    /// Whether new clients reach it.
     pub fn takes_clients(&self) -> bool {
         self.phase == Phase::Up
     }
 
+    /// Whether it is there at all.
     pub fn runs(&self) -> bool {
         self.phase != Phase::Down
     }
@@ -43,6 +49,7 @@
         self.phase = Phase::Down;
     }
 
+    /// SIGTERM: it takes no new clients from now on.
     pub fn drain(&mut self, now: Nanos) {
         if self.phase == Phase::Up {
             self.phase = Phase::Draining { until: now + DRAIN };
@@ -54,10 +61,10 @@
         self.phase = Phase::Down;
     }
 
-    /// Started again: a new life.
+    /// Started again: a new incarnation.
     pub fn start(&mut self) {
         if self.phase == Phase::Down {
-            (self.phase, self.life) = (Phase::Up, self.life + 1);
+            (self.phase, self.incarnation) = (Phase::Up, self.incarnation + 1);
         }
     }
 }
--- a/crates/lab/src/queue.rs
+++ b/crates/lab/src/queue.rs
@@ -44,18 +44,11 @@
 }
 
 impl<E> Queue<E> {
+    /// The time of the last event taken.
     pub fn now(&self) -> Nanos {
         self.now
     }
 
-    pub fn len(&self) -> usize {
-        self.heap.len()
-    }
-
-    pub fn is_empty(&self) -> bool {
-        self.heap.is_empty()
-    }
-
     /// Puts an event in at clock time `at`.
     pub fn at(&mut self, at: Nanos, event: E) {
         self.serial += 1;
@@ -80,18 +73,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn earliest_first_and_ties_in_order() {
-        let mut queue = Queue::default();
-        queue.at(20, "c");
-        queue.at(10, "a");
-        queue.at(10, "b");
-        let order: Vec<_> = std::iter::from_fn(|| queue.next(u64::MAX)).collect();
-        assert_eq!(order, [(10, "a"), (10, "b"), (20, "c")]);
-        queue.at(5, "past");
-        assert_eq!(queue.next(u64::MAX), Some((20, "past")), "an event for the past comes now");
-    }
-}
+mod tests;
--- a/crates/lab/src/servers.rs
+++ b/crates/lab/src/servers.rs
@@ -8,43 +8,58 @@
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, LogNormal};
 
-/// A call-out as a server holds it: whose it is, so that its end finds its way back.
+/// An attempt as a server holds it: whose it is, so that its end finds its way back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct CallRef {
+pub struct AttemptRef {
+    /// The gateway that sent it.
     pub gateway: u32,
-    pub life: u32,
+    /// That gateway's incarnation.
+    pub incarnation: u32,
+    /// The RPC.
     pub rpc: u32,
+    /// Which attempt of that RPC, from 0.
     pub nth: u16,
 }
 
-/// What a server does with a call-out that reaches it.
+/// What a server does with an attempt that reaches it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Take {
+pub enum Disposition {
     /// Nobody is there: the connection fails.
     Refused,
     /// All slots it bears now are taken.
     Full,
     /// Taken; done `after` from now, well or in an error.
-    Serving { after: Nanos, ok: bool },
+    Serving {
+        after: Nanos,
+        /// Answered ok.
+        ok: bool,
+    },
     /// Taken but paused: it starts when the pause is over.
     Held,
 }
 
+/// A server as it stands.
 pub struct Server {
+    /// Its number.
     pub id: u32,
+    /// Its zone.
     pub zone: u32,
-    /// Each replacement is a new life, with its own start time.
-    pub life: u32,
+    /// Each replacement is a new incarnation, with its own start time.
+    pub incarnation: u32,
+    /// When this incarnation started.
     pub came_up: Nanos,
+    /// Whether it is there.
     pub up: bool,
     busy: u32,
     slow: f64,
     errors: f64,
     paused: bool,
-    held: Vec<CallRef>,
+    held: Vec<AttemptRef>,
 }
 
+/// All servers, and the chance that they draw from.
 pub struct Servers {
+    /// By their numbers.
     pub all: Vec<Server>,
     model: scenario::Servers,
     service: LogNormal<f64>,
@@ -52,12 +67,13 @@
 }
 
 impl Servers {
+    /// Servers that are all up and warm.
     pub fn new(model: &scenario::Servers, chance: ChaCha8Rng) -> Servers {
         let all = (0..model.count)
             .map(|id| Server {
                 id,
                 zone: id % model.zones,
-                life: 0,
+                incarnation: 0,
                 came_up: 0,
                 up: true,
                 busy: 0,
@@ -73,85 +89,90 @@
         Servers { all, model: model.clone(), service, chance }
     }
 
-    /// Slots a server bears now: a share after its start, rising to all once warm. A first life is warm.
+    /// Slots a server bears now: a share after its start, rising to all once warm. A first incarnation is warm.
     pub fn slots(&self, server: u32, now: Nanos) -> u32 {
         let server = &self.all[server as usize];
         let warm = nanos(self.model.cold_seconds);
         let since = now.saturating_sub(server.came_up);
-        if server.life == 0 || warm == 0 || since >= warm {
+        if server.incarnation == 0 || warm == 0 || since >= warm {
             return self.model.slots;
         }
         let share = self.model.cold_share + (1.0 - self.model.cold_share) * since as f64 / warm as f64;
         ((f64::from(self.model.slots) * share).floor() as u32).max(1)
     }
 
-    /// A call-out of server life `life` reaches the server.
-    pub fn take(&mut self, now: Nanos, server: u32, life: u32, call: CallRef) -> Take {
+    /// An attempt of this incarnation of a server reaches the server.
+    pub fn accept(&mut self, now: Nanos, server: u32, incarnation: u32, attempt: AttemptRef) -> Disposition {
         let slots = self.slots(server, now);
         let at = &mut self.all[server as usize];
-        if !at.up || at.life != life {
-            return Take::Refused;
+        if !at.up || at.incarnation != incarnation {
+            return Disposition::Refused;
         }
         if at.busy >= slots {
-            return Take::Full;
+            return Disposition::Full;
         }
         at.busy += 1;
         if at.paused {
-            at.held.push(call);
-            return Take::Held;
+            at.held.push(attempt);
+            return Disposition::Held;
         }
         let (slow, errors) = (at.slow, at.errors);
         self.serve(slow, errors)
     }
 
-    fn serve(&mut self, slow: f64, errors: f64) -> Take {
+    fn serve(&mut self, slow: f64, errors: f64) -> Disposition {
         let after = (self.service.sample(&mut self.chance) * slow).max(1.0) as Nanos;
-        Take::Serving { after, ok: self.chance.random::<f64>() >= errors }
+        Disposition::Serving { after, ok: self.chance.random::<f64>() >= errors }
     }
 
-    /// A call-out is over at the server; one of an earlier life frees nothing.
-    pub fn free(&mut self, server: u32, life: u32) {
+    /// An attempt is over at the server; one of an earlier incarnation frees nothing.
+    pub fn free(&mut self, server: u32, incarnation: u32) {
         let at = &mut self.all[server as usize];
-        if at.life == life {
+        if at.incarnation == incarnation {
             at.busy = at.busy.saturating_sub(1);
         }
     }
 
-    /// A new life: the server starts again cold; what it held is gone.
+    /// A new incarnation: the server starts again cold; what it held is gone.
     pub fn replace(&mut self, server: u32, now: Nanos) {
         let at = &mut self.all[server as usize];
-        (at.life, at.came_up, at.up, at.busy, at.paused) = (at.life + 1, now, true, 0, false);
+        (at.incarnation, at.came_up, at.up, at.busy, at.paused) = (at.incarnation + 1, now, true, 0, false);
         at.held.clear();
     }
 
+    /// The server is gone with all that it held.
     pub fn down(&mut self, server: u32) {
         let at = &mut self.all[server as usize];
         (at.up, at.busy) = (false, 0);
         at.held.clear();
     }
 
+    /// From now on it serves so many times slower.
     pub fn set_slow(&mut self, server: u32, factor: f64) {
         self.all[server as usize].slow = factor.max(0.0);
     }
 
+    /// From now on this share of its attempts ends in errors.
     pub fn set_errors(&mut self, server: u32, share: f64) {
         self.all[server as usize].errors = share.clamp(0.0, 1.0);
     }
 
+    /// The share of attempts that ends in errors when nothing is wrong.
     pub fn usual_errors(&self) -> f64 {
         self.model.error_share
     }
 
+    /// From now on it holds what comes and serves nothing.
     pub fn pause(&mut self, server: u32) {
         self.all[server as usize].paused = true;
     }
 
     /// The pause is over: what was held is served now, each with when it ends.
-    pub fn resume(&mut self, server: u32) -> Vec<(CallRef, Take)> {
+    pub fn resume(&mut self, server: u32) -> Vec<(AttemptRef, Disposition)> {
         let at = &mut self.all[server as usize];
         at.paused = false;
         let (held, slow, errors) = (std::mem::take(&mut at.held), at.slow, at.errors);
-        held.into_iter().map(|call| (call, self.serve(slow, errors))).collect()
+        held.into_iter().map(|attempt| (attempt, self.serve(slow, errors))).collect()
     }
 
     /// The list as discovery has it now.
@@ -170,32 +191,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn model() -> scenario::Servers {
-        scenario::Servers {
-            count: 2,
-            zones: 1,
-            slots: 4,
-            service_ms: 10.0,
-            spread: 0.0,
-            cold_seconds: 10.0,
-            cold_share: 0.25,
-            error_share: 0.0,
-        }
-    }
-
-    #[test]
-    fn a_cold_server_bears_only_its_share_and_a_paused_one_holds() {
-        let mut servers = Servers::new(&model(), crate::chance::stream(1, crate::chance::Stream::Servers));
-        let call = CallRef { gateway: 0, life: 0, rpc: 1, nth: 0 };
-        servers.replace(0, 0);
-        assert_eq!(servers.take(1, 0, 1, call), Take::Serving { after: 10_000_000, ok: true });
-        assert_eq!(servers.take(1, 0, 1, call), Take::Full, "a quarter of four slots, cold");
-        assert_eq!(servers.take(1, 0, 0, call), Take::Refused, "a call-out for the old life");
-        servers.pause(1);
-        assert_eq!(servers.take(1, 1, 0, call), Take::Held);
-        assert_eq!(servers.resume(1).len(), 1);
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/lab/src/world/attempts.rs
@@ -0,0 +1,113 @@
+//! Attempts at servers, from the gateway to the server and back.
+
+use super::{Attempt, Event, RpcState, World, utility};
+use crate::Nanos;
+use crate::servers::{AttemptRef, Disposition};
+use martenramp::host::{End, Ended};
+
+impl World {
+    pub(super) fn send_attempt(&mut self, now: Nanos, gateway: u32, rpc: u32, server: u32, limit: Nanos) {
+        let Some(live) = self.rpcs.get_mut(&rpc).filter(|live| live.gateway == gateway) else { return };
+        let (nth, deadline, stream) = (live.nth, live.deadline, live.stream);
+        live.nth += 1;
+        if live.state == RpcState::Waiting {
+            self.set_state(rpc, RpcState::Attempting);
+        }
+        let incarnation = self.gateways[gateway as usize].lifecycle.incarnation;
+        let attempt = AttemptRef { gateway, incarnation, rpc, nth };
+        self.record.add(now, |counts| counts.call_outs += 1);
+        if nth == 0 {
+            let at = &self.clients.streams[stream as usize];
+            let plan = &self.plans[at.plan as usize];
+            self.record.sent(now, at.customer, at.units, plan.rate, plan.burst);
+        }
+        let ends = if limit > 0 { (now + limit).min(deadline) } else { deadline };
+        self.queue.at(ends.max(now + 1), Event::AttemptTimeout { attempt });
+        let Some(at) = self.servers.all.get(server as usize) else {
+            return self
+                .queue
+                .after(self.network.refuse, Event::AttemptEnd { attempt, how: End::NoConnection });
+        };
+        let (zone, server_incarnation) = (self.gateways[gateway as usize].lifecycle.zone, at.incarnation);
+        self.gateways[gateway as usize]
+            .attempts
+            .insert((rpc, nth), Attempt { server, server_incarnation, sent: now });
+        if !self.network.reaches(zone, at.zone) {
+            return self
+                .queue
+                .after(self.dial_timeout, Event::AttemptEnd { attempt, how: End::NoConnection });
+        }
+        if let Some(hop) = self.network.hop() {
+            self.queue.after(hop, Event::AttemptAtServer { attempt, server, server_incarnation });
+        }
+    }
+
+    pub(super) fn at_server(
+        &mut self,
+        now: Nanos,
+        attempt: AttemptRef,
+        server: u32,
+        server_incarnation: u32,
+    ) {
+        match self.servers.accept(now, server, server_incarnation, attempt) {
+            Disposition::Refused => {
+                self.queue.after(self.network.refuse, Event::AttemptEnd { attempt, how: End::NoConnection })
+            }
+            Disposition::Full => self.answer(attempt, 0, End::Full),
+            Disposition::Serving { after, ok } => {
+                self.queue.after(after, Event::ServerFreed { server, server_incarnation });
+                self.answer(attempt, after, if ok { End::Ok } else { End::Error });
+            }
+            Disposition::Held => {}
+        }
+    }
+
+    pub(super) fn answer(&mut self, attempt: AttemptRef, after: Nanos, how: End) {
+        if let Some(hop) = self.network.hop() {
+            self.queue.after(after + hop, Event::AttemptEnd { attempt, how });
+        }
+    }
+
+    /// An attempt ended at its gateway: answered, failed, or its time over. One that ended before is passed over.
+    pub(super) fn attempt_ended(&mut self, now: Nanos, attempt: AttemptRef, how: End) {
+        let gateway = &mut self.gateways[attempt.gateway as usize];
+        if gateway.lifecycle.incarnation != attempt.incarnation || !gateway.lifecycle.runs() {
+            return;
+        }
+        let Some(out) = gateway.attempts.remove(&(attempt.rpc, attempt.nth)) else { return };
+        let took = now - out.sent;
+        let live = self
+            .rpcs
+            .get(&attempt.rpc)
+            .filter(|live| live.gateway == attempt.gateway && live.incarnation == attempt.incarnation);
+        let open = live.is_some_and(|live| live.state.is_open());
+        if let Some(live) = live.filter(|_| open) {
+            let (arrived, deadline, stream) = (live.arrived, live.deadline, live.stream);
+            if how == End::Ok {
+                let method = &self.methods[self.clients.streams[stream as usize].method as usize];
+                let earned = utility(method, arrived, deadline, now);
+                self.record.add(now, |counts| {
+                    counts.ok += 1;
+                    counts.served += earned;
+                });
+                self.record.ok_took(now, now - arrived);
+                self.set_state(attempt.rpc, RpcState::Answered);
+            } else {
+                self.set_state(attempt.rpc, RpcState::Waiting);
+            }
+        }
+        let closed = !open || how == End::Ok;
+        let ended = Ended {
+            rpc: attempt.rpc,
+            server: out.server,
+            nth: attempt.nth,
+            how,
+            took,
+            closed,
+            settled: 0.0,
+            load: Vec::new(),
+        };
+        self.with_gate(attempt.gateway, |gate, wishes| gate.ended(wishes, now, &ended));
+        self.carry(now, attempt.gateway);
+    }
+}
--- a/crates/membership/src/etcd.rs
+++ b/crates/membership/src/etcd.rs
@@ -33,15 +33,20 @@
 /// A key and its value, decoded.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
+    /// The key.
     pub key: Vec<u8>,
+    /// Its value.
     pub value: Vec<u8>,
+    /// The revision of its last change.
     pub mod_revision: i64,
 }
 
 /// A change seen by a watch.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
+    /// A key was set.
     Put(Entry),
+    /// A key was deleted.
     Delete(Vec<u8>),
 }
 
@@ -49,13 +54,29 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply {
     /// A range's whole answer at `revision`.
-    Range { revision: i64, entries: Vec<Entry> },
+    Range {
+        /// The store's revision.
+        revision: i64,
+        /// The keys of the range.
+        entries: Vec<Entry>,
+    },
     /// One message of a watch stream: changes up to `revision` (none for a progress notification).
-    Watched { revision: i64, changes: Vec<Change> },
+    Watched {
+        /// The store's revision.
+        revision: i64,
+        /// What changed.
+        changes: Vec<Change>,
+    },
     /// The watch was created.
-    Created { revision: i64 },
+    Created {
+        /// The store's revision.
+        revision: i64,
+    },
     /// The watch was cancelled; `compacted` is the compaction's revision where that was the cause.
-    Cancelled { compacted: Option<i64> },
+    Cancelled {
+        /// The compaction's revision, if that was the cause.
+        compacted: Option<i64>,
+    },
 }
 
 #[derive(Deserialize, Default)]
@@ -185,6 +206,7 @@
     /// Bytes of data still due in the chunk being read, and whether its closing CRLF is.
     due: usize,
     closing: u8,
+    /// The last chunk has come.
     pub done: bool,
 }
 
@@ -235,37 +257,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn bodies_and_replies_in_the_json_mapping() {
-        assert_eq!(prefix_end(b"/nodes/"), b"/nodes0");
-        assert_eq!(prefix_end(&[0x61, 0xff]), [0x62]);
-        assert!(watch_body(b"/n/", 8).contains("\"start_revision\":\"8\""));
-        let reply =
-            br#"{"header":{"revision":"12"},"kvs":[{"key":"L24vYQ==","value":"e30=","mod_revision":"9"}]}"#;
-        let entry = Entry { key: b"/n/a".to_vec(), value: b"{}".to_vec(), mod_revision: 9 };
-        assert_eq!(range_reply(reply).unwrap(), Reply::Range { revision: 12, entries: vec![entry] });
-        let mut stream = Stream::default();
-        let text =
-            br#"{"result":{"header":{"revision":"13"},"events":[{"type":"DELETE","kv":{"key":"L24vYQ=="}}]}}
-{"result":{"header":{"revision":"14"},"canceled":true,"compact_revision":"13"}}{"resu"#;
-        let messages = stream.feed(text).unwrap();
-        assert_eq!(messages.len(), 2);
-        let deleted = Reply::Watched { revision: 13, changes: vec![Change::Delete(b"/n/a".to_vec())] };
-        assert_eq!(watch_message(&messages[0]).unwrap(), deleted);
-        assert_eq!(watch_message(&messages[1]).unwrap(), Reply::Cancelled { compacted: Some(13) });
-        assert_eq!(
-            stream.feed(br#"lt":{"header":{"revision":"15"}}}"#).unwrap().len(),
-            1,
-            "the rest came later"
-        );
-        assert!(stream.feed(b"}garbage").is_err());
-        let mut chunks = Chunks::default();
-        let mut data = chunks.feed(b"5\r\nhel").unwrap();
-        data.extend(chunks.feed(b"lo\r\n3;x=1\r\n ok\r\n0\r\n\r\n").unwrap());
-        assert_eq!((data.as_slice(), chunks.done), (&b"hello ok"[..], true));
-        assert!(Chunks::default().feed(b"zz\r\n").is_err());
-    }
-}
+mod tests;
--- a/crates/membership/src/watcher.rs
+++ b/crates/membership/src/watcher.rs
@@ -10,15 +10,18 @@
 /// Where the watcher stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
+    /// Nothing is asked for.
     Idle,
     /// A range request is out.
     Reading,
     /// A watch stream is open from this revision on.
     Watching {
+        /// The first revision that is watched.
         from: i64,
     },
     /// Waiting before the next endpoint is tried.
     Resting {
+        /// When the rest is over.
         until: Nanos,
     },
 }
@@ -28,31 +31,40 @@
 pub enum Next {
     /// POST this body to `/v3/kv/range` at the endpoint.
     Range {
+        /// By its place in the configuration.
         endpoint: usize,
+        /// The request's body.
         body: String,
     },
     /// POST this body to `/v3/watch` at the endpoint and read its stream.
     Watch {
+        /// By its place in the configuration.
         endpoint: usize,
+        /// The request's body.
         body: String,
     },
     /// Come back to `woke` then.
     Wait {
+        /// When to come back.
         until: Nanos,
     },
+    /// Nothing to do until something comes.
     Nothing,
 }
 
 /// The first rest after a failure, and the longest.
 pub const REST_FIRST: Nanos = 100_000_000;
+/// The longest rest after a failure.
 pub const REST_MOST: Nanos = 5_000_000_000;
 /// With no message at all for so long, a watch is taken as broken (etcd sends progress notifications meanwhile).
 pub const SILENT_MOST: Nanos = 15_000_000_000;
 
+/// The state of following one prefix.
 pub struct Watcher {
     prefix: Vec<u8>,
     endpoints: usize,
     at: usize,
+    /// Where it stands.
     pub phase: Phase,
     /// The revision the list is as of.
     pub revision: i64,
@@ -61,10 +73,12 @@
     keys: BTreeMap<Vec<u8>, String>,
     /// Values that could not be read, and fresh ranges taken: for the logs.
     pub unreadable: u64,
+    /// Fresh ranges that were taken.
     pub reread: u64,
 }
 
 impl Watcher {
+    /// A watcher of this prefix that has so many endpoints to ask.
     pub fn new(prefix: &[u8], endpoints: usize) -> Watcher {
         Watcher {
             prefix: prefix.to_vec(),
@@ -79,6 +93,7 @@
         }
     }
 
+    /// The endpoint that is asked now.
     pub fn endpoint(&self) -> usize {
         self.at
     }
@@ -179,47 +194,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::etcd::Entry;
-
-    fn put(key: &str, address: &str, state: &str) -> Change {
-        let value = format!(r#"{{"address":"{address}","state":"{state}"}}"#).into_bytes();
-        Change::Put(Entry { key: key.as_bytes().to_vec(), value, mod_revision: 0 })
-    }
-
-    #[test]
-    fn a_compaction_and_a_restored_member_read_afresh_and_an_outage_keeps_the_list() {
-        let (mut members, mut watcher) = (Members::default(), Watcher::new(b"/n/", 2));
-        assert!(matches!(watcher.read(), Next::Range { endpoint: 0, .. }));
-        let Change::Put(entry) = put("/n/a", "127.0.0.1:1", "ready") else { unreachable!() };
-        let next = watcher.ranged(0, Reply::Range { revision: 10, entries: vec![entry] }, &mut members);
-        assert!(matches!(next, Next::Watch { ref body, .. } if body.contains("\"11\"")));
-        let drained = Reply::Watched { revision: 11, changes: vec![put("/n/a", "127.0.0.1:1", "draining")] };
-        watcher.watched(1, drained, &mut members);
-        assert!(!members.view()[0].ready, "the drain is seen at once");
-        assert!(matches!(
-            watcher.watched(2, Reply::Cancelled { compacted: Some(20) }, &mut members),
-            Next::Range { .. }
-        ));
-        assert!(matches!(
-            watcher.ranged(3, Reply::Range { revision: 25, entries: vec![] }, &mut members),
-            Next::Watch { .. }
-        ));
-        assert!(members.view().is_empty(), "the fresh read replaces the list whole");
-        let older = Reply::Watched { revision: 4, changes: vec![put("/n/b", "127.0.0.1:2", "ready")] };
-        assert!(matches!(watcher.watched(4, older, &mut members), Next::Range { .. }), "a restored member");
-        assert_eq!(watcher.reread, 2);
-        members.change(
-            5,
-            Source::Discovery,
-            "127.0.0.1:3",
-            Some(Node { zone: String::new(), ready: true, weight: 1.0, came_up: 0 }),
-        );
-        assert_eq!(watcher.broke(6), Next::Wait { until: 6 + REST_FIRST });
-        assert_eq!(watcher.endpoint(), 1, "the next endpoint");
-        assert_eq!(watcher.broke(7), Next::Wait { until: 7 + 2 * REST_FIRST }, "the rest grows");
-        assert!(matches!(watcher.woke(7 + 2 * REST_FIRST, &members), Next::Range { endpoint: 0, .. }));
-        assert_eq!(members.view().len(), 1, "an outage empties nothing");
-    }
-}
+mod tests;
--- a/crates/rig/src/front.rs
+++ b/crates/rig/src/front.rs
@@ -20,35 +20,50 @@
 /// A class of RPCs as the front sends it.
 #[derive(Clone, Debug)]
 pub struct Method {
+    /// Its name in the settings.
     pub name: String,
+    /// Its idempotency as the settings have it.
     pub idempotency: String,
+    /// The time that its RPCs have.
     pub deadline: Nanos,
+    /// The share of all arrivals.
     pub share: f64,
+    /// Units of the plan's quota for each RPC.
     pub units: f64,
 }
 
 /// A customer: its share of all arrivals, and its gateways, `width` of them from `first` on.
 #[derive(Clone, Copy, Debug)]
 pub struct Customer {
+    /// The share of all arrivals.
     pub share: f64,
+    /// Its first gateway.
     pub first: usize,
+    /// How many gateways in a row it uses.
     pub width: usize,
 }
 
+/// What the front sends.
 #[derive(Clone, Debug)]
 pub struct Plan {
     /// RPCs a second in all.
     pub rate: f64,
+    /// The plan that all customers have.
     pub plan: String,
+    /// The classes of RPCs.
     pub methods: Vec<Method>,
+    /// Who sends.
     pub customers: Vec<Customer>,
+    /// How long until the front notices a dead gateway.
     pub notice: Nanos,
 }
 
 /// How an RPC ended at its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
+    /// Not yet ended.
     Open,
+    /// Answered ok.
     Ok,
     /// 429 or 503.
     PushedBack,
@@ -65,20 +80,27 @@
 /// One RPC as the client saw it.
 #[derive(Clone, Copy, Debug)]
 pub struct Call {
+    /// The RPC's id.
     pub txn: u64,
+    /// The gateway that it was sent to.
     pub gateway: usize,
+    /// By its place in [`Plan::methods`].
     pub method: usize,
+    /// When it was to be sent.
     pub due: Nanos,
+    /// When it was sent.
     pub sent: Nanos,
+    /// When it ended.
     pub done: Nanos,
+    /// How it ended.
     pub outcome: Outcome,
 }
 
-/// Where a gateway stands with the front. `Front::shift` is the one place that changes it.
+/// The state of a gateway as the front sees it. `Front::set_state` is the one place that changes it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stand {
+enum GatewayState {
     /// Not yet ready, or found dead: probed until it answers 200.
-    Out,
+    Down,
     Admitted,
     /// It failed then, and the front has not noticed yet.
     Failing(Nanos),
@@ -86,7 +108,7 @@
 
 struct Gateway {
     address: SocketAddr,
-    stand: Stand,
+    state: GatewayState,
     idle: Vec<Conn>,
     probe: Option<Conn>,
 }
@@ -99,10 +121,12 @@
     Call(usize),
 }
 
+/// The open-loop load generator before the gateways.
 pub struct Front {
     plan: Plan,
     gateways: Vec<Gateway>,
     conns: BTreeMap<Conn, (usize, Use)>,
+    /// All RPCs so far.
     pub calls: Vec<Call>,
     chance: ChaCha8Rng,
     customers: Option<WeightedIndex<f64>>,
@@ -115,6 +139,7 @@
 }
 
 impl Front {
+    /// A front that sends nothing yet.
     pub fn new(plan: Plan, chance: ChaCha8Rng) -> Front {
         let customers = WeightedIndex::new(plan.customers.iter().map(|customer| customer.share)).ok();
         let methods = WeightedIndex::new(plan.methods.iter().map(|method| method.share)).ok();
@@ -138,11 +163,12 @@
         if self.gateways.is_empty() {
             io.at(io.now(), PROBES);
         }
-        self.gateways.push(Gateway { address, stand: Stand::Out, idle: Vec::new(), probe: None });
+        self.gateways.push(Gateway { address, state: GatewayState::Down, idle: Vec::new(), probe: None });
     }
 
+    /// Gateways that it sends to.
     pub fn admitted(&self) -> usize {
-        self.gateways.iter().filter(|gateway| gateway.stand == Stand::Admitted).count()
+        self.gateways.iter().filter(|gateway| gateway.state == GatewayState::Admitted).count()
     }
 
     /// Arrivals come from now on, or stop.
@@ -165,14 +191,15 @@
         self.plan.customers = customers;
     }
 
+    /// RPCs that wait for their answers.
     pub fn open(&self) -> usize {
         self.conns.values().filter(|(_, what)| matches!(what, Use::Call(_))).count()
     }
 
-    fn shift(&mut self, gateway: usize, to: Stand) {
+    fn set_state(&mut self, gateway: usize, to: GatewayState) {
         let at = &mut self.gateways[gateway];
-        let was = std::mem::replace(&mut at.stand, to);
-        if was != to && to == Stand::Out {
+        let was = std::mem::replace(&mut at.state, to);
+        if was != to && to == GatewayState::Down {
             at.probe = None;
         }
     }
@@ -195,7 +222,7 @@
         let method = methods.sample(&mut self.chance);
         let customer = self.plan.customers[key];
         let set = (0..customer.width).map(|at| (customer.first + at) % self.gateways.len());
-        let up: Vec<usize> = set.filter(|at| self.gateways[*at].stand != Stand::Out).collect();
+        let up: Vec<usize> = set.filter(|at| self.gateways[*at].state != GatewayState::Down).collect();
         let now = io.clock().now();
         let number = self.calls.len();
         if up.is_empty() {
@@ -239,21 +266,21 @@
 
     /// A gateway failed just now: the front notices somewhat later.
     fn failed(&mut self, io: &mut Io, gateway: usize) {
-        if self.gateways[gateway].stand == Stand::Admitted {
-            self.shift(gateway, Stand::Failing(io.now()));
+        if self.gateways[gateway].state == GatewayState::Admitted {
+            self.set_state(gateway, GatewayState::Failing(io.now()));
         }
     }
 
     fn probe(&mut self, io: &mut Io) {
         for gateway in 0..self.gateways.len() {
-            if let Stand::Failing(since) = self.gateways[gateway].stand
+            if let GatewayState::Failing(since) = self.gateways[gateway].state
                 && io.now() >= since + self.plan.notice
             {
-                self.shift(gateway, Stand::Out);
+                self.set_state(gateway, GatewayState::Down);
             }
             let at = &mut self.gateways[gateway];
             let asked = at.probe.is_some_and(|conn| io.is_open(conn));
-            if at.stand == Stand::Out
+            if at.state == GatewayState::Down
                 && !asked
                 && let Ok(conn) = io.connect(at.address)
             {
@@ -304,7 +331,7 @@
                 io.close(conn);
                 self.gateways[gateway].probe = None;
                 if answer.status == 200 {
-                    self.shift(gateway, Stand::Admitted);
+                    self.set_state(gateway, GatewayState::Admitted);
                 }
             }
             Use::Idle => self.extra += 1,
--- a/crates/rig/src/measure.rs
+++ b/crates/rig/src/measure.rs
@@ -9,7 +9,9 @@
 /// A server over the run: its weight, and the spans in which it was up and listed as ready.
 #[derive(Clone, Debug)]
 pub struct Server {
+    /// Its weight as listed.
     pub weight: f64,
+    /// Spans in which it was ready, open ones up to the largest time.
     pub ready: Vec<(Nanos, Nanos)>,
 }
 
@@ -22,8 +24,11 @@
 /// An RPC at a server, as far as the measures need it.
 #[derive(Clone, Copy, Debug)]
 pub struct Visit {
+    /// The server.
     pub server: usize,
+    /// When it came.
     pub at: Nanos,
+    /// When it left.
     pub done: Nanos,
 }
 
@@ -41,13 +46,19 @@
 /// What is looked at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Quantity {
+    /// RPCs that came.
     Rpcs,
     /// RPCs in the server on average over the window.
     Held,
+    /// Open connections.
     Connections,
 }
 
 impl Quantity {
+    /// All of them.
+    pub const ALL: [Quantity; 3] = [Quantity::Rpcs, Quantity::Held, Quantity::Connections];
+
+    /// Its name in tables.
     pub fn name(self) -> &'static str {
         match self {
             Quantity::Rpcs => "rpcs",
@@ -60,11 +71,14 @@
 /// One window: each server's value over its weight, for those that were ready throughout.
 #[derive(Clone, Debug)]
 pub struct Window {
+    /// When the window begins.
     pub from: Nanos,
+    /// Servers and their values over their weights.
     pub values: Vec<(usize, f64)>,
 }
 
 impl Window {
+    /// The mean over the servers.
     pub fn mean(&self) -> f64 {
         self.values.iter().map(|value| value.1).sum::<f64>() / self.values.len().max(1) as f64
     }
@@ -82,8 +96,11 @@
 /// Windows of a run from `from` to `to`, whole ones only.
 #[derive(Clone, Copy, Debug)]
 pub struct Frame {
+    /// When the first window begins.
     pub from: Nanos,
+    /// When the last one ends at the latest.
     pub to: Nanos,
+    /// How long each is.
     pub width: Nanos,
 }
 
@@ -195,14 +212,20 @@
 /// lowest over mean.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Spread {
+    /// Middle of the highest over the mean.
     pub peak: f64,
+    /// The worst of it.
     pub peak_worst: f64,
+    /// Middle of the 99th percentile over the mean.
     pub p99: f64,
+    /// Middle of the lowest over the mean.
     pub least: f64,
+    /// The worst of it.
     pub least_worst: f64,
 }
 
 impl Spread {
+    /// The spread over these windows.
     pub fn of(windows: &[Window]) -> Spread {
         let all: Vec<[f64; 3]> = windows.iter().filter_map(Window::spread).collect();
         let sorted = |at: usize| {
@@ -257,46 +280,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    const SEC: Nanos = 1_000_000_000;
-
-    fn servers(count: usize) -> Vec<Server> {
-        vec![Server { weight: 1.0, ready: vec![(0, 100 * SEC)] }; count]
-    }
-
-    #[test]
-    fn windows_count_rpcs_and_time_held_for_servers_that_are_ready() {
-        let mut servers = servers(3);
-        servers[1].weight = 2.0;
-        servers[2].ready = vec![(0, SEC / 2)];
-        let visits = [
-            Visit { server: 0, at: SEC / 2, done: 3 * SEC / 2 },
-            Visit { server: 1, at: 0, done: SEC },
-            Visit { server: 1, at: 0, done: 2 * SEC },
-        ];
-        let frame = Frame { from: 0, to: 2 * SEC, width: SEC };
-        let rpcs = frame.windows(&servers, &visits, Quantity::Rpcs);
-        assert_eq!(rpcs[0].values, [(0, 1.0), (1, 1.0)], "by weight, and not the one that went");
-        let held = frame.windows(&servers, &visits, Quantity::Held);
-        assert_eq!(held[0].values, [(0, 0.5), (1, 1.0)]);
-        assert_eq!(held[1].values, [(0, 0.5), (1, 0.5)]);
-        assert_eq!(held[0].spread().map(|spread| spread[0]), Some(1.0 / 0.75));
-        assert_eq!(idle(&rpcs, 0.5), 0);
-        assert_eq!(idle(&frame.windows(&servers, &visits[1..], Quantity::Rpcs), 0.1), 1);
-    }
-
-    #[test]
-    fn the_centre_is_even_and_chance_is_not() {
-        let servers = servers(10);
-        let visits: Vec<Visit> =
-            (0..1000).map(|at| Visit { server: 0, at: at * SEC / 100, done: at * SEC / 100 + 1 }).collect();
-        let frame = Frame { from: 0, to: 10 * SEC, width: 5 * SEC };
-        let spread = |visits: &[Visit]| Spread::of(&frame.windows(&servers, visits, Quantity::Rpcs));
-        assert_eq!(spread(&by_centre(&servers, &visits)).peak, 1.0);
-        let peak = spread(&by_chance(&servers, &visits, 1)).peak;
-        assert!(peak > 1.05 && peak < 1.6, "{peak}");
-        assert_eq!(spread(&visits).peak, 10.0);
-    }
-}
+mod tests;
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -20,58 +20,98 @@
 /// Highest, p99 and lowest server over the mean, in one part of the run, for one width of window and one quantity.
 #[derive(Clone, Debug, Serialize)]
 pub struct SpreadRow {
+    /// The scenario's name.
     pub scenario: String,
+    /// `health` or `fault`: before or after the first fault.
     pub part: &'static str,
+    /// Width of the windows, seconds.
     pub window_s: f64,
+    /// What is looked at.
     pub quantity: &'static str,
+    /// How many windows.
     pub windows: usize,
+    /// The mean over servers and windows.
     pub mean: f64,
+    /// Middle of the highest over the mean.
     pub peak: f64,
+    /// The worst of it.
     pub peak_worst: f64,
+    /// Middle of the 99th percentile over the mean.
     pub p99: f64,
+    /// Middle of the lowest over the mean.
     pub least: f64,
+    /// The worst of it.
     pub least_worst: f64,
+    /// The peak where each RPC goes to a server drawn by weight.
     pub chance_peak: f64,
+    /// The worst of it.
     pub chance_peak_worst: f64,
+    /// The least where each RPC goes to a server drawn by weight.
     pub chance_least: f64,
+    /// The worst of it.
     pub chance_least_worst: f64,
+    /// The peak of a dispatcher that sees all.
     pub centre_peak: f64,
+    /// The worst of it.
     pub centre_peak_worst: f64,
 }
 
 /// Counts of one run.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct RunRow {
+    /// The scenario's name.
     pub scenario: String,
+    /// Its seed.
     pub seed: u64,
+    /// Gateways at the start.
     pub gateways: usize,
+    /// Servers over the run.
     pub servers: usize,
+    /// RPCs that were measured.
     pub rpcs: usize,
+    /// Answered ok.
     pub ok: usize,
+    /// Rejected: 429 or 503.
     pub pushed_back: usize,
+    /// Any other answer.
     pub failed: usize,
+    /// Their connection broke.
     pub cut: usize,
+    /// No gateway took the connection.
     pub unreached: usize,
+    /// Without an answer.
     pub lost: usize,
+    /// Answers that no RPC waited for.
     pub extra_answers: u64,
     /// RPCs that may run once only and ran twice.
     pub twice: usize,
+    /// Attempts at servers.
     pub call_outs: usize,
+    /// Attempts that a full server turned away.
     pub turned_away: usize,
     /// 5 s windows of single servers that were ready and got nothing while the mean was above 2 RPCs a second.
     pub idle: usize,
     /// Gateways that sent to a server before the first fault: lowest, mean and highest.
     pub parts_least: usize,
+    /// The mean of it.
     pub parts_mean: f64,
+    /// The highest of it.
     pub parts_most: usize,
     /// The busiest gateway's RPCs over the mean.
     pub gateway_peak: f64,
+    /// Median latency of ok answers, milliseconds.
     pub p50_ms: f64,
+    /// 99th percentile of it.
     pub p99_ms: f64,
+    /// Calls that the counter got.
     pub count_calls: u64,
+    /// Gateways that ended unasked, or badly.
     pub crashed: usize,
+    /// How late the front sent, median, milliseconds.
     pub late_p50_ms: f64,
+    /// 99th percentile of it.
     pub late_p99_ms: f64,
+    /// The highest of it.
     pub late_most_ms: f64,
     /// The front was too late: the figures are worth nothing.
     pub void: bool,
@@ -113,9 +153,98 @@
     (value * 1e3).round() / 1e3
 }
 
+/// The RPCs at the servers as they were, and where two references would have sent them.
+struct Arrivals {
+    seen: Vec<Visit>,
+    by_chance: Vec<Vec<Visit>>,
+    by_centre: Vec<Visit>,
+}
+
+impl Arrivals {
+    fn of(scenario: &Scenario, outcome: &Outcome) -> Arrivals {
+        let seen = visits(&outcome.ledger, outcome.to + 10 * SEC);
+        let by_centre = by_centre(&outcome.servers, &seen);
+        let drawn = |nth| by_chance(&outcome.servers, &seen, scenario.seed ^ nth << 32);
+        let by_chance = (0..CHANCES).map(drawn).collect();
+        Arrivals { seen, by_chance, by_centre }
+    }
+}
+
+/// The row of a part of the run, a width of windows and a quantity; none where there is no window.
+fn spread_row(
+    scenario: &Scenario,
+    outcome: &Outcome,
+    arrivals: &Arrivals,
+    part: &'static str,
+    frame: Frame,
+    quantity: Quantity,
+) -> Option<SpreadRow> {
+    let windows = |visits: &[Visit]| frame.windows(&outcome.servers, visits, quantity);
+    let has_references = quantity != Quantity::Connections;
+    let seen = match has_references {
+        true => windows(&arrivals.seen),
+        false => frame.connections(&outcome.servers, &outcome.connections),
+    };
+    if seen.is_empty() {
+        return None;
+    }
+    let reference = |several: &[Vec<Visit>]| {
+        if !has_references {
+            return Spread::default();
+        }
+        let spreads: Vec<Spread> = several.iter().map(|one| Spread::of(&windows(one))).collect();
+        Spread::middle(&spreads)
+    };
+    let chance = reference(&arrivals.by_chance);
+    let centre = reference(std::slice::from_ref(&arrivals.by_centre));
+    let spread = Spread::of(&seen);
+    let mean = seen.iter().map(Window::mean).sum::<f64>() / seen.len() as f64;
+    Some(SpreadRow {
+        scenario: scenario.name.clone(),
+        part,
+        window_s: frame.width as f64 / SEC as f64,
+        quantity: quantity.name(),
+        windows: seen.len(),
+        mean: round(mean),
+        peak: round(spread.peak),
+        peak_worst: round(spread.peak_worst),
+        p99: round(spread.p99),
+        least: round(spread.least),
+        least_worst: round(spread.least_worst),
+        chance_peak: round(chance.peak),
+        chance_peak_worst: round(chance.peak_worst),
+        chance_least: round(chance.least),
+        chance_least_worst: round(chance.least_worst),
+        centre_peak: round(centre.peak),
+        centre_peak_worst: round(centre.peak_worst),
+    })
+}
+
+/// A row for each window, beside both references.
+fn window_rows(outcome: &Outcome, arrivals: &Arrivals, frame: Frame, quantity: Quantity) -> Vec<WindowRow> {
+    let windows = |visits: &[Visit]| frame.windows(&outcome.servers, visits, quantity);
+    let references = windows(&arrivals.by_chance[0]).into_iter().zip(windows(&arrivals.by_centre));
+    let rows = windows(&arrivals.seen).into_iter().zip(references);
+    let row = |(seen, (chance, centre)): (Window, (Window, Window))| {
+        let spread = seen.spread()?;
+        Some(WindowRow {
+            t_s: round((seen.from - outcome.from) as f64 / SEC as f64),
+            quantity: quantity.name(),
+            mean: round(seen.mean()),
+            peak: round(spread[0]),
+            least: round(spread[2]),
+            chance_peak: round(chance.spread()?[0]),
+            centre_peak: round(centre.spread()?[0]),
+        })
+    };
+    rows.filter_map(row).collect()
+}
+
 /// All that is worked out of a run.
 pub struct Figures {
+    /// Counts of the run.
     pub run: RunRow,
+    /// How evenly the load came, by part, window and quantity.
     pub spreads: Vec<SpreadRow>,
     windows: Vec<WindowRow>,
     servers: Vec<ServerRow>,
@@ -131,82 +260,28 @@
         self.spreads.iter().find(is)
     }
 
+    /// Works the figures out.
     pub fn of(scenario: &Scenario, outcome: &Outcome) -> Figures {
-        let all = visits(&outcome.ledger, outcome.to + 10 * SEC);
-        let centre = by_centre(&outcome.servers, &all);
-        let chances: Vec<_> =
-            (0..CHANCES).map(|nth| by_chance(&outcome.servers, &all, scenario.seed ^ nth << 32)).collect();
+        let arrivals = Arrivals::of(scenario, outcome);
         let until = outcome.fault_at.unwrap_or(outcome.to);
         let mut spreads = Vec::new();
         for (part, from, to) in [("health", outcome.from, until), ("fault", until, outcome.to)] {
             for width in [SEC, 5 * SEC] {
                 let frame = Frame { from, to, width };
-                for quantity in [Quantity::Rpcs, Quantity::Held, Quantity::Connections] {
-                    let look = |visits: &[Visit]| frame.windows(&outcome.servers, visits, quantity);
-                    let connections = quantity == Quantity::Connections;
-                    let seen = match connections {
-                        true => frame.connections(&outcome.servers, &outcome.connections),
-                        false => look(&all),
-                    };
-                    if seen.is_empty() {
-                        continue;
-                    }
-                    let referred = |some: &[Vec<Visit>]| match connections {
-                        true => Spread::default(),
-                        false => {
-                            Spread::middle(&some.iter().map(|one| Spread::of(&look(one))).collect::<Vec<_>>())
-                        }
-                    };
-                    let chance = referred(&chances);
-                    let centre = referred(std::slice::from_ref(&centre));
-                    let spread = Spread::of(&seen);
-                    let mean = seen.iter().map(Window::mean).sum::<f64>() / seen.len() as f64;
-                    spreads.push(SpreadRow {
-                        scenario: scenario.name.clone(),
-                        part,
-                        window_s: width as f64 / SEC as f64,
-                        quantity: quantity.name(),
-                        windows: seen.len(),
-                        mean: round(mean),
-                        peak: round(spread.peak),
-                        peak_worst: round(spread.peak_worst),
-                        p99: round(spread.p99),
-                        least: round(spread.least),
-                        least_worst: round(spread.least_worst),
-                        chance_peak: round(chance.peak),
-                        chance_peak_worst: round(chance.peak_worst),
-                        chance_least: round(chance.least),
-                        chance_least_worst: round(chance.least_worst),
-                        centre_peak: round(centre.peak),
-                        centre_peak_worst: round(centre.peak_worst),
-                    });
-                }
+                let row = |quantity| spread_row(scenario, outcome, &arrivals, part, frame, quantity);
+                spreads.extend(Quantity::ALL.into_iter().filter_map(row));
             }
         }
         let whole = Frame { from: outcome.from, to: outcome.to, width: 5 * SEC };
-        let idle = idle(&whole.windows(&outcome.servers, &all, Quantity::Rpcs), IDLE_ABOVE * 5.0);
+        let idle = idle(&whole.windows(&outcome.servers, &arrivals.seen, Quantity::Rpcs), IDLE_ABOVE * 5.0);
         let seconds = Frame { width: SEC, ..whole };
-        let mut windows = Vec::new();
-        for quantity in [Quantity::Rpcs, Quantity::Held] {
-            let look = |visits: &[Visit]| seconds.windows(&outcome.servers, visits, quantity);
-            let lines = look(&all).into_iter().zip(look(&chances[0])).zip(look(&centre));
-            windows.extend(lines.filter_map(|((seen, chance), centre)| {
-                let spread = seen.spread()?;
-                Some(WindowRow {
-                    t_s: round((seen.from - outcome.from) as f64 / SEC as f64),
-                    quantity: quantity.name(),
-                    mean: round(seen.mean()),
-                    peak: round(spread[0]),
-                    least: round(spread[2]),
-                    chance_peak: round(chance.spread()?[0]),
-                    centre_peak: round(centre.spread()?[0]),
-                })
-            }));
-        }
+        let windows = [Quantity::Rpcs, Quantity::Held].into_iter();
         Figures {
             run: run_row(scenario, outcome, until, idle),
             spreads,
-            windows,
+            windows: windows
+                .flat_map(|quantity| window_rows(outcome, &arrivals, seconds, quantity))
+                .collect(),
             servers: server_rows(outcome),
             gateways: gateway_rows(outcome),
         }
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -8,13 +8,17 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Scenario {
+    /// Names the tables.
     pub name: String,
+    /// The seed of all chance.
     #[serde(default = "one")]
     pub seed: u64,
     /// Seconds of arrivals before anything is measured, and measured ones.
     #[serde(default = "four")]
     pub warm_seconds: f64,
+    /// Seconds of arrivals that are measured.
     pub seconds: f64,
+    /// How many gateways.
     pub gateways: usize,
     /// Zone `g % len` is gateway `g`'s.
     pub zones: Vec<String>,
@@ -23,13 +27,17 @@
     pub same_number: Vec<(usize, usize)>,
     /// The service's settings in the gateway's nested form; `balancers`, `me`, `zone` and `localities` are added.
     pub settings: toml::Table,
+    /// What the front sends.
     pub load: Load,
+    /// Groups of servers.
     pub servers: Vec<Servers>,
+    /// The shared counter.
     #[serde(default)]
     pub counter: Counter,
     /// The settings have a version on which the gateways agree.
     #[serde(default)]
     pub agreement: Option<Agreement>,
+    /// What goes wrong.
     #[serde(default)]
     pub faults: Vec<Fault>,
 }
@@ -40,12 +48,14 @@
 pub struct Load {
     /// RPCs a second for each gateway on average (Poisson over the whole fleet).
     pub rate: f64,
+    /// How many customers.
     pub customers: usize,
     /// Sigma of the log-normal that customers' shares are drawn from; 0 gives all the same.
     #[serde(default)]
     pub skew: f64,
     /// Through how many gateways in a row each customer's RPCs come in.
     pub width: usize,
+    /// Classes of RPCs and their shares.
     pub methods: Vec<Method>,
     /// A tariff of the settings.
     pub plan: String,
@@ -54,12 +64,15 @@
     pub notice: f64,
 }
 
+/// A class of RPCs as it is sent.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Method {
     /// A class of the settings.
     pub name: String,
+    /// The share of all arrivals.
     pub share: f64,
+    /// Units of the plan's quota for each RPC.
     #[serde(default = "one_f")]
     pub units: f64,
 }
@@ -68,23 +81,33 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Servers {
+    /// How many servers.
     pub count: usize,
     /// Only in this zone.
     #[serde(default)]
     pub zone: Option<String>,
+    /// Their weight as listed.
     #[serde(default = "one_f")]
     pub weight: f64,
+    /// RPCs served at once.
     pub cores: usize,
+    /// RPCs that wait beyond those.
     pub queue: usize,
+    /// Connections beyond these are reset.
     #[serde(default = "table")]
     pub connections: usize,
+    /// Median service time, milliseconds (log-normal).
     pub service_ms: f64,
+    /// The log-normal's sigma.
     #[serde(default = "spread")]
     pub spread: f64,
+    /// The share of its speed at which a server works after its start.
     #[serde(default = "one_f")]
     pub cold_share: f64,
+    /// How long until it works at full speed.
     #[serde(default)]
     pub cold_seconds: f64,
+    /// Whether answers carry a load report.
     #[serde(default)]
     pub reports: bool,
 }
@@ -93,10 +116,13 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Agreement {
+    /// How long a lease is.
     pub lease: f64,
+    /// How far any clock may be off.
     pub clock: f64,
 }
 
+/// The shared counter.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Counter {
@@ -113,15 +139,22 @@
 /// Who an end of a link is, as `front`, `discovery`, `counter`, `gateways:3`, `gateways:0-9`, `servers:4-7` or `zone:a`.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Place {
+    /// The front.
     Front,
+    /// Discovery.
     Discovery,
+    /// The counter.
     Counter,
+    /// These gateways.
     Gateways(Range<usize>),
+    /// These servers.
     Servers(Range<usize>),
+    /// All gateways or servers of a zone.
     Zone(String),
 }
 
 impl Place {
+    /// Reads a place as scenarios write it.
     pub fn parse(text: &str) -> Result<Place, String> {
         let range = |text: &str| -> Option<Range<usize>> {
             let (from, to) = text.split_once('-').unwrap_or((text, text));
@@ -144,11 +177,15 @@
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Wire {
+    /// Nothing passes from `from`.
     pub cut_there: bool,
+    /// Nothing passes to `from`.
     pub cut_back: bool,
     /// Each way.
     pub delay_ms: f64,
+    /// The share that is lost.
     pub lose: f64,
+    /// Connections are reset.
     pub reset: bool,
     /// Accepts and says nothing.
     pub silent: bool,
@@ -160,116 +197,186 @@
 pub enum Fault {
     /// Gateways get SIGKILL, and start again after a while if told.
     Kill {
+        /// When it begins, seconds.
         at: f64,
+        /// The share of them that it hits.
         share: f64,
+        /// They start again so many seconds later, if told.
         back_after: Option<f64>,
     },
     /// Gateways get SIGTERM, likewise.
     Term {
+        /// When it begins, seconds.
         at: f64,
+        /// The share of them that it hits.
         share: f64,
+        /// They start again so many seconds later, if told.
         back_after: Option<f64>,
     },
     /// Gateways get SIGSTOP and later SIGCONT.
     Pause {
+        /// When it begins, seconds.
         at: f64,
+        /// The share of them that it hits.
         share: f64,
+        /// How long it holds, seconds.
         seconds: f64,
     },
     /// So many more gateways start, told of the larger fleet; the old ones are told by SIGHUP, each `share` of them.
     Grow {
+        /// When it begins, seconds.
         at: f64,
+        /// How many gateways start.
         count: usize,
+        /// The share of the old ones that is told.
         share: f64,
     },
     /// Servers are replaced by new, cold ones, evenly over `seconds`; an old one drains for `drain` and goes.
     Replace {
+        /// When it begins, seconds.
         at: f64,
+        /// The share of them that it hits.
         share: f64,
+        /// How long it holds, seconds.
         seconds: f64,
+        /// How long an old server drains, seconds.
         drain: f64,
     },
     /// One more server like the first group's, or the last one gone.
     Join {
+        /// When it begins, seconds.
         at: f64,
     },
+    /// The last server goes.
     Leave {
+        /// When it begins, seconds.
         at: f64,
     },
     /// All servers of a zone are down; the list says so after `told_after` if told, and they come back cold.
     ZoneDown {
+        /// When it begins, seconds.
         at: f64,
+        /// The zone.
         zone: String,
+        /// How long it holds, seconds.
         seconds: f64,
+        /// When the list says so, seconds after the beginning.
         told_after: Option<f64>,
     },
+    /// Servers serve so many times slower.
     Slow {
+        /// When it begins, seconds.
         at: f64,
+        /// The share of them that it hits.
         share: f64,
+        /// How many times.
         factor: f64,
+        /// How long it holds, seconds.
         seconds: f64,
     },
+    /// Servers answer every RPC 500 at once.
     FailsFast {
+        /// When it begins, seconds.
         at: f64,
+        /// The share of them that it hits.
         share: f64,
+        /// How long it holds, seconds.
         seconds: f64,
     },
+    /// Servers take bytes and say nothing.
     Silent {
+        /// When it begins, seconds.
         at: f64,
+        /// The share of them that it hits.
         share: f64,
+        /// How long it holds, seconds.
         seconds: f64,
     },
     /// A share of the gateways hears changes of the list so late, or nothing, or an older version once more.
     ListLate {
+        /// When it begins, seconds.
         at: f64,
+        /// The share of them that it hits.
         share: f64,
+        /// How long it holds, seconds.
         seconds: f64,
+        /// How late, seconds.
         late: f64,
     },
+    /// A share of the gateways hears no change of the list.
     ListStill {
+        /// When it begins, seconds.
         at: f64,
+        /// The share of them that it hits.
         share: f64,
+        /// How long it holds, seconds.
         seconds: f64,
     },
+    /// A share of the gateways hears an older version once more.
     ListBack {
+        /// When it begins, seconds.
         at: f64,
+        /// The share of them that it hits.
         share: f64,
+        /// How long it holds, seconds.
         seconds: f64,
+        /// How many versions back.
         versions: u64,
     },
+    /// A share of the gateways can't reach discovery.
     DiscoveryDown {
+        /// When it begins, seconds.
         at: f64,
+        /// The share of them that it hits.
         share: f64,
+        /// How long it holds, seconds.
         seconds: f64,
     },
+    /// The counter answers nothing.
     CounterStall {
+        /// When it begins, seconds.
         at: f64,
+        /// How long it holds, seconds.
         seconds: f64,
     },
+    /// Nobody listens at the counter's address.
     CounterDown {
+        /// When it begins, seconds.
         at: f64,
+        /// How long it holds, seconds.
         seconds: f64,
     },
+    /// The counter is replaced by an empty one.
     CounterEmpty {
+        /// When it begins, seconds.
         at: f64,
     },
     /// All arrivals come so many times as often.
     Burst {
+        /// When it begins, seconds.
         at: f64,
+        /// How many times.
         factor: f64,
+        /// How long it holds, seconds.
         seconds: f64,
     },
     /// A link between two places.
     Link {
+        /// When it begins, seconds.
         at: f64,
+        /// How long it holds, seconds.
         seconds: f64,
+        /// One end.
         from: String,
+        /// The other end.
         to: String,
+        /// What it does to what passes.
         wire: Wire,
     },
 }
 
 impl Fault {
+    /// When it begins, seconds.
     pub fn at(&self) -> f64 {
         use Fault::*;
         match *self {
@@ -328,6 +435,7 @@
         Scenario::from_table(table).map_err(|e| format!("{}: {e}", path.display()))
     }
 
+    /// Reads and checks a scenario.
     pub fn from_toml(text: &str) -> Result<Scenario, String> {
         Scenario::from_table(toml::from_str(text).map_err(|e| e.to_string())?)
     }
@@ -339,77 +447,79 @@
     }
 
     fn check(&self) -> Result<(), String> {
-        let fail = |what: String| Err(what);
         if self.gateways == 0 || self.zones.is_empty() || self.servers.iter().all(|group| group.count == 0) {
-            return fail("'gateways', 'zones' and 'servers' must not be empty".into());
+            return Err("'gateways', 'zones' and 'servers' must not be empty".into());
         }
         if !(self.seconds > 0.0 && self.seconds <= 3600.0 && (0.0..=600.0).contains(&self.warm_seconds)) {
-            return fail("'seconds' must be from 0 to 3600, 'warm_seconds' from 0 to 600".into());
+            return Err("'seconds' must be from 0 to 3600, 'warm_seconds' from 0 to 600".into());
         }
-        if self.load.width == 0 || self.load.width > self.gateways || self.load.customers == 0 {
-            return fail("'load.width' must be from 1 to 'gateways', 'load.customers' 1 or more".into());
+        self.check_load()?;
+        self.check_servers()?;
+        for (at, fault) in self.faults.iter().enumerate() {
+            self.check_fault(at, fault)?;
+        }
+        let beyond = |pair: &(usize, usize)| pair.0 >= self.gateways || pair.1 >= self.gateways;
+        if self.same_number.iter().any(beyond) {
+            return Err("same_number names a gateway beyond 'gateways'".into());
+        }
+        Ok(())
+    }
+
+    fn check_load(&self) -> Result<(), String> {
+        let load = &self.load;
+        if load.width == 0 || load.width > self.gateways || load.customers == 0 {
+            return Err("'load.width' must be from 1 to 'gateways', 'load.customers' 1 or more".into());
         }
-        if !(self.load.rate > 0.0 && self.load.rate.is_finite()) {
-            return fail("'load.rate' must be above nought".into());
+        if !(load.rate > 0.0 && load.rate.is_finite()) {
+            return Err("'load.rate' must be above nought".into());
         }
         let names = |list: &str| -> Vec<&str> {
             let entries = self.settings.get(list).and_then(toml::Value::as_array);
             entries.into_iter().flatten().filter_map(|entry| entry.get("name")?.as_str()).collect()
         };
-        if !names("tariffs").contains(&&*self.load.plan) {
-            return fail(format!("load.plan: no tariff named '{}' in the settings", self.load.plan));
+        if !names("tariffs").contains(&&*load.plan) {
+            return Err(format!("load.plan: no tariff named '{}' in the settings", load.plan));
         }
-        if let Some(method) =
-            self.load.methods.iter().find(|method| !names("classes").contains(&&*method.name))
-        {
-            return fail(format!("load.methods: no class named '{}' in the settings", method.name));
+        let classes = names("classes");
+        if let Some(method) = load.methods.iter().find(|method| !classes.contains(&&*method.name)) {
+            return Err(format!("load.methods: no class named '{}' in the settings", method.name));
         }
-        if self.load.methods.is_empty() {
-            return fail("'load.methods' must not be empty".into());
+        if load.methods.is_empty() {
+            return Err("'load.methods' must not be empty".into());
         }
+        Ok(())
+    }
+
+    fn check_servers(&self) -> Result<(), String> {
         for (at, group) in self.servers.iter().enumerate() {
             if group.zone.as_ref().is_some_and(|zone| !self.zones.contains(zone)) {
-                return fail(format!("servers[{at}].zone is none of 'zones'"));
+                return Err(format!("servers[{at}].zone is none of 'zones'"));
             }
             if !(group.weight > 0.0 && group.service_ms > 0.0 && group.cores > 0) {
-                return fail(format!(
+                return Err(format!(
                     "servers[{at}]: 'weight', 'service_ms' and 'cores' must be above nought"
                 ));
             }
         }
-        for (at, fault) in self.faults.iter().enumerate() {
-            if !(0.0..=self.seconds).contains(&fault.at()) || !(0.0..=1.0).contains(&fault.share()) {
-                return fail(format!("faults[{at}]: 'at' must lie in 'seconds', 'share' be from 0 to 1"));
-            }
-            match fault {
-                Fault::ZoneDown { zone, .. } if !self.zones.contains(zone) => {
-                    return fail(format!("faults[{at}].zone is none of 'zones'"));
-                }
-                Fault::Link { from, to, .. } => {
-                    let (from, to) = (Place::parse(from)?, Place::parse(to)?);
-                    let ok = match (&from, &to) {
-                        (Place::Front, Place::Gateways(_) | Place::Zone(_)) => true,
-                        (Place::Gateways(_) | Place::Zone(_), to) => {
-                            !matches!(to, Place::Front | Place::Gateways(_))
-                        }
-                        _ => false,
-                    };
-                    if !ok {
-                        return fail(format!(
-                            "faults[{at}]: a link leads from the front to gateways, or from gateways to servers, \
-                             discovery or the counter"
-                        ));
-                    }
-                }
-                _ => {}
-            }
+        Ok(())
+    }
+
+    fn check_fault(&self, at: usize, fault: &Fault) -> Result<(), String> {
+        if !(0.0..=self.seconds).contains(&fault.at()) || !(0.0..=1.0).contains(&fault.share()) {
+            return Err(format!("faults[{at}]: 'at' must lie in 'seconds', 'share' be from 0 to 1"));
         }
-        for (one, other) in &self.same_number {
-            if *one >= self.gateways || *other >= self.gateways {
-                return fail("same_number names a gateway beyond 'gateways'".into());
+        match fault {
+            Fault::ZoneDown { zone, .. } if !self.zones.contains(zone) => {
+                Err(format!("faults[{at}].zone is none of 'zones'"))
             }
+            Fault::Link { from, to, .. } if !can_link(&Place::parse(from)?, &Place::parse(to)?) => {
+                Err(format!(
+                    "faults[{at}]: a link leads from the front to gateways, or from gateways to servers, \
+                     discovery or the counter"
+                ))
+            }
+            _ => Ok(()),
         }
-        Ok(())
     }
 
     /// A field of a class of the settings.
@@ -433,53 +543,14 @@
     }
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    pub const SMALL: &str = r#"
-name = "small"
-seconds = 5.0
-gateways = 4
-zones = ["a", "b"]
-[settings]
-classes = [{ name = "read", credit = 1, onTime = 1.5, deadline = 3.0, idempotency = "free" }]
-tariffs = [{ name = "team", perSecond = 100.0, depth = 100.0 }]
-[load]
-rate = 5.0
-customers = 8
-width = 2
-plan = "team"
-methods = [{ name = "read", share = 1.0 }]
-[[servers]]
-count = 4
-cores = 4
-queue = 16
-service_ms = 5.0
-[[faults]]
-kind = "link"
-at = 1.0
-seconds = 1.0
-from = "zone:a"
-to = "servers:0-1"
-wire = { cut_back = true }
-"#;
-
-    #[test]
-    fn a_scenario_reads_and_what_is_wrong_is_named() {
-        let scenario = Scenario::from_toml(SMALL).unwrap();
-        assert_eq!((scenario.deadline("read"), scenario.idempotency("read")), (3.0, "free".to_string()));
-        assert_eq!(Place::parse("servers:0-1"), Ok(Place::Servers(0..2)));
-        for (was, is, named) in [
-            ("plan = \"team\"", "plan = \"none\"", "no tariff named 'none'"),
-            ("name = \"read\", share", "name = \"none\", share", "no class named 'none'"),
-            ("gateways = 4", "gateways = 4\nwhat = 1", "what"),
-            ("at = 1.0", "at = 9.0", "faults[0]"),
-            ("to = \"servers:0-1\"", "to = \"front\"", "a link leads"),
-            ("width = 2", "width = 9", "load.width"),
-        ] {
-            let error = Scenario::from_toml(&SMALL.replace(was, is)).unwrap_err();
-            assert!(error.contains(named), "{error}");
-        }
+/// Whether a link can lead from one place to another.
+fn can_link(from: &Place, to: &Place) -> bool {
+    match (from, to) {
+        (Place::Front, Place::Gateways(_) | Place::Zone(_)) => true,
+        (Place::Gateways(_) | Place::Zone(_), to) => !matches!(to, Place::Front | Place::Gateways(_)),
+        _ => false,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/standins/src/counter.rs
+++ b/crates/standins/src/counter.rs
@@ -9,6 +9,7 @@
 /// What the counter does. `Counter::become_` is the one place that changes it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
+    /// It answers calls.
     Serves,
     /// Takes calls and answers none until it serves again.
     Stalls,
@@ -26,10 +27,12 @@
     totals: HashMap<Vec<u8>, (f64, Nanos)>,
     conns: BTreeSet<Conn>,
     line: VecDeque<(Nanos, Conn, Vec<u8>)>,
+    /// Calls that came so far.
     pub calls: u64,
 }
 
 impl Counter {
+    /// A counter that takes this long for a call.
     pub fn new(cost: Nanos) -> Counter {
         Counter {
             state: State::Down,
@@ -51,6 +54,7 @@
         Ok(address)
     }
 
+    /// Changes what the counter does.
     pub fn become_(&mut self, io: &mut Io, state: State) -> std::io::Result<()> {
         let was = std::mem::replace(&mut self.state, state);
         if state == State::Down {
@@ -167,22 +171,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn calls_are_read_whole_or_not_at_all_and_nonsense_is_an_error() {
-        let call = b"*4\r\n$7\r\nINCRTTL\r\n$1\r\na\r\n$4\r\n-2.5\r\n$4\r\n4000\r\n";
-        for cut in 0..call.len() {
-            assert_eq!(parse(&call[..cut]), Ok(None), "cut at {cut}");
-        }
-        let (words, length) = parse(call).unwrap().unwrap();
-        assert_eq!((words.len(), length), (4, call.len()));
-        assert!(parse(b"*x\r\n").is_err() && parse(b"*1\r\n+a\r\n").is_err());
-        let mut counter = Counter::new(0);
-        assert_eq!(counter.call(0, &words), b"$4\r\n-2.5\r\n");
-        assert_eq!(counter.call(MS, &words), b"$2\r\n-5\r\n");
-        // A name is forgotten after its life.
-        assert_eq!(counter.call(4001 * MS, &words), b"$4\r\n-2.5\r\n");
-    }
-}
+mod tests;
