A change counts as told 6 s after discovery could be reached, whatever calls failed

Two more found on the way: failures were forgotten only when an object came (list_came), so a watch that stood for hours with nothing to tell and then ended was asked for after up to 6 s in place of 1; and any byte of an answer's head counted as a sign of life (Watch::feed), so that one that trickled was waited for up to its 16 KiB.

Change: the time that a call without an answer took is part of the rest behind it, 5 s together, 1 s being left for the next call; something is always left to draw from, so that a fleet does not ask in step. Any whole word of a watch, an empty line too, forgets the failures. Only the whole head and bytes of the body are signs of life.

protocol.rs: the longest rest is now 5 s, so the test of the rests asks for less than 5 s where it asked for less than 6, and for less still behind a call that took time; the herd's story tells the rest how long the call took. Stand-ins: Down (a peer that is down and comes up at its address), seeds of their own, status and catch_up in one place.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -230,6 +230,7 @@
             self.told(told);
         }
         if self.desk.has_list {
+            self.desk.watch.heard = now;
             self.desk.watch_later()
         } else {
             self.desk.dial_watch()
--- a/crates/gateway/src/gateway/to_list.rs
+++ b/crates/gateway/src/gateway/to_list.rs
@@ -12,9 +12,6 @@
         };
         let fed = watch.feed(net.now, net.input(id), &mut told);
         net.used(id, fed.unwrap_or(0));
-        if !told.is_empty() {
-            watch.fails = 0;
-        }
         if self.desk.watch_on == Some(id)
             && self.desk.watch.head_read
             && !std::mem::replace(&mut self.desk.watching, true)
@@ -90,8 +87,9 @@
 impl Desk {
     /// The watch is asked for after a rest of this gateway's own.
     pub(super) fn watch_later(&mut self) {
-        let rest = self.watch.again(self.pushed, self.fleet, self.stop_within, &mut self.chance);
-        self.timers.set(self.net.now + rest, What::Watch);
+        let (now, told) = (self.net.now, self.stop_within);
+        let rest = self.watch.again(now, self.pushed, self.fleet, told, &mut self.chance);
+        self.timers.set(now + rest, What::Watch);
     }
 
     pub(super) fn dial_watch(&mut self) {
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -17,6 +17,10 @@
 /// these bounds; a sixth of it the first time and half of it the second.
 pub const AGAIN_EACH: Nanos = 60_000_000;
 pub const AGAIN_LAST: std::ops::RangeInclusive<Nanos> = 1_000_000_000..=6_000_000_000;
+/// Whatever became of the calls before, a change counts as told so long after discovery had it and could be reached.
+pub const TOLD_WITHIN: Nanos = 6_000_000_000;
+/// Of that, the part that is left to the next call for its connection and its answer.
+pub const ANSWER_WITHIN: Nanos = 1_000_000_000;
 /// What applies where no time is told in which new work must stop after a drain.
 pub const STOP_WITHIN: Nanos = 2_000_000_000;
 /// An object longer than this is garbled; a list of ten thousand servers takes a quarter of it.
@@ -51,9 +55,11 @@
     pub head_read: bool,
     chunks: Chunks,
     objects: Objects,
+    /// When it was asked for, and from its answer's head on, when that or some of its body came last.
     pub heard: Nanos,
     /// When the object that is coming in began.
     began: Option<Nanos>,
+    /// Breaks since a watch last told something, if only that nothing changed.
     pub fails: u32,
     /// The longest object that is taken.
     pub object_most: usize,
@@ -90,14 +96,17 @@
     /// Whether it has said nothing for too long, or has not ended what it began to say: empty lines that go on behind half an
     /// object are no sign of life.
     pub fn is_silent(&self, now: Nanos) -> bool {
-        let since = self.began.unwrap_or(self.heard).min(self.heard);
-        now > since + if self.head_read { SILENCE } else { UNANSWERED }
+        now > self.alive_at() + if self.head_read { SILENCE } else { UNANSWERED }
+    }
+
+    /// Until when nothing can have been missed: the last sign of life, or when the call at hand was made.
+    fn alive_at(&self) -> Nanos {
+        self.began.unwrap_or(self.heard).min(self.heard)
     }
 
     /// Takes what came: how many bytes were used up, and the objects found, whatever white space stands in and between
     /// them. A garbled object ends the watch; one that is cut short is not taken.
     pub fn feed(&mut self, now: Nanos, input: &[u8], told: &mut Vec<Told>) -> Result<usize, &'static str> {
-        self.heard = now;
         let mut at = 0;
         if !self.head_read {
             let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
@@ -114,11 +123,12 @@
             if http::length(head.headers, Length::UntilClose) != Ok(Length::Chunked) {
                 return Err("watch-not-chunked");
             }
-            self.head_read = true;
+            (self.head_read, self.heard) = (true, now);
         }
         let (objects, most) = (&mut self.objects, self.object_most);
-        let (mut garbled, had) = (None, told.len());
+        let (mut garbled, mut spoke, had) = (None, false, told.len());
         let used = self.chunks.feed(&input[at..], |data| {
+            spoke |= !data.is_empty();
             if garbled.is_some() {
                 return; // what follows a fault means nothing
             }
@@ -129,6 +139,12 @@
             garbled = found.err();
         });
         at += used.map_err(|Bad(_, why)| why)?;
+        if spoke {
+            self.heard = now;
+        }
+        if spoke && garbled.is_none() && self.objects.depth == 0 {
+            self.fails = 0;
+        }
         let whole = told.len() > had || self.began.is_none();
         self.began = if whole { Some(now) } else { self.began }.filter(|_| self.objects.depth > 0);
         match garbled {
@@ -144,16 +160,26 @@
     /// cause of lost watches. The first rest stays within half of the told time in which new work must stop after a
     /// drain was told, since what a watch would have told counts from then. Harm: a list comes up to some seconds later
     /// than it could have. Where lists are `pushed` there is no such service to guard, and what the agent has counts as
-    /// told whether or not a watch is open: the rest is short.
-    pub fn again(&mut self, pushed: bool, gateways: u32, told: Nanos, chance: &mut fastrand::Rng) -> Nanos {
+    /// told whether or not a watch is open: the rest is short. What a call that had no answer took counts as part of the
+    /// rest, so that the next one is answered within [`TOLD_WITHIN`] of the first moment at which discovery can have been
+    /// reached again.
+    pub fn again(
+        &mut self,
+        now: Nanos,
+        pushed: bool,
+        gateways: u32,
+        told: Nanos,
+        chance: &mut fastrand::Rng,
+    ) -> Nanos {
         if pushed {
             self.fails += 1;
             return chance.u64(..AGAIN_PUSHED.min(told / 8).max(1));
         }
         let last = (AGAIN_EACH * Nanos::from(gateways)).clamp(*AGAIN_LAST.start(), *AGAIN_LAST.end());
         let rest = [(last / 6).min(told / 2), last / 2, last][self.fails.min(2) as usize];
+        let left = (TOLD_WITHIN - ANSWER_WITHIN).saturating_sub(now.saturating_sub(self.alive_at()));
         self.fails += 1;
-        chance.u64(..rest.max(1))
+        chance.u64(..rest.min(left.max(AGAIN_PUSHED)).max(1))
     }
 }
 
--- a/crates/gateway/tests/cuts.rs
+++ b/crates/gateway/tests/cuts.rs
@@ -9,7 +9,7 @@
 use gateway::servers::{Answer, Link};
 use martenramp::host::End;
 use standins::scripted::{
-    Peer, Program, SEC, WATCH, answer, chunk, entry, list, nowhere, rpc, say, settings,
+    Peer, Program, SEC, WATCH, answer, chunk, entry, list, nowhere, rpc, say, settings, status,
 };
 use std::net::SocketAddr;
 
@@ -207,10 +207,6 @@
 
 // ---- The same on connections.
 
-fn status(answer: &str) -> u16 {
-    answer.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap()
-}
-
 fn gateway(server: &Peer) -> Program {
     let known = list(3, true, &[entry("s0", server.address, "ready")]);
     let steady =
--- a/crates/gateway/tests/protocol.rs
+++ b/crates/gateway/tests/protocol.rs
@@ -261,12 +261,13 @@
 
 /// A list service as crowded ones are: it takes 20 calls a second in turn, works on those that nobody waits for any
 /// more as well, turns callers away while 100 are in line, and a caller hangs up after 2 s. All lost their watch at
-/// once and ask again after `rest`: how many still have none after so long.
-fn without_a_list(callers: u64, within: u64, mut rest: impl FnMut(u64, u32) -> u64) -> usize {
+/// once and ask again after `rest`, which is told how many calls failed and how long the last one took: how many still have
+/// no list after so long.
+fn without_a_list(callers: u64, within: u64, mut rest: impl FnMut(u64, u32, u64) -> u64) -> usize {
     let mut line = std::collections::VecDeque::new();
     let (mut fails, mut has) = (vec![1; callers as usize], vec![false; callers as usize]);
     let mut due: std::collections::BTreeSet<_> =
-        (0..callers).map(|caller| (rest(caller, 0), caller)).collect();
+        (0..callers).map(|caller| (rest(caller, 0, 0), caller)).collect();
     for turn in 0..within / (50 * MS) {
         let now = turn * 50 * MS;
         while let Some((_, caller)) = due.pop_first().filter(|at| at.0 <= now || !due.insert(*at)) {
@@ -274,8 +275,8 @@
             if !full {
                 line.push_back((now, caller));
             }
-            let fail = if full { now } else { now + 2 * SEC };
-            due.insert((fail + rest(caller, fails[caller as usize]), caller));
+            let took = if full { 0 } else { 2 * SEC };
+            due.insert((now + took + rest(caller, fails[caller as usize], took), caller));
             fails[caller as usize] += 1;
         }
         if let Some((came, caller)) = line.pop_front().filter(|call: &(u64, u64)| now < call.0 + 2 * SEC) {
@@ -288,37 +289,43 @@
 
 #[test]
 fn a_herd_that_lost_its_watch_at_once_gets_through_to_a_list_service_that_turns_callers_away() {
-    let in_step = |_, fails: u32| ((100 * MS) << fails.min(4)).min(SEC);
+    let in_step = |_, fails: u32, _| ((100 * MS) << fails.min(4)).min(SEC);
     assert!(without_a_list(100, 15 * SEC, in_step) > 30, "asked in step, the service works for nobody");
     let (mut chance, mut watches) = (fastrand::Rng::with_seed(7), Vec::new());
     watches.resize_with(100, || Watch::new(0, usize::MAX));
-    let left = without_a_list(100, 15 * SEC, |caller, _| {
-        watches[caller as usize].again(false, 100, 2 * SEC, &mut chance)
+    let left = without_a_list(100, 15 * SEC, |caller, _, took| {
+        watches[caller as usize].again(took, false, 100, 2 * SEC, &mut chance)
     });
     assert_eq!(left, 0);
 }
 
 #[test]
-fn rests_before_the_watch_is_asked_for_again_are_drawn_and_grow_with_the_fleet_but_not_past_6_s() {
-    let longest = |fleet: u32, fails: u32| {
+fn rests_before_the_watch_is_asked_for_again_are_drawn_and_grow_with_the_fleet_but_not_past_5_s() {
+    let longest = |fleet: u32, fails: u32, took: u64| {
         let mut chance = fastrand::Rng::with_seed(7);
         let mut watch = Watch::new(0, usize::MAX);
         watch.fails = fails;
-        (0..1000).map(|_| (watch.fails, watch.again(false, fleet, 2 * SEC, &mut chance)).1).max().unwrap()
+        (0..1000)
+            .map(|_| (watch.fails, watch.again(took, false, fleet, 2 * SEC, &mut chance)).1)
+            .max()
+            .unwrap()
             / MS
     };
-    assert!((950..1000).contains(&longest(3, 9)) && (5700..6000).contains(&longest(u32::MAX, 9)));
+    assert!((950..1000).contains(&longest(3, 9, 0)) && (4700..5000).contains(&longest(u32::MAX, 9, 0)));
+    // What a call without an answer took is part of the rest; something is always left, so that no fleet asks in step.
+    assert!((2600..2750).contains(&longest(u32::MAX, 9, 2250 * MS)));
+    assert!((230..250).contains(&longest(u32::MAX, 9, 60 * SEC)));
     let mut firsts: Vec<_> = (0..50).map(|seed| first_rest(seed, 100) / (100 * MS)).collect();
     firsts.sort_unstable();
     firsts.dedup();
     assert!(firsts.len() >= 9 && firsts.iter().all(|tenth| *tenth < 10), "spread over 1 s: {firsts:?}");
     let mut short = Watch::new(0, usize::MAX);
-    let rest = short.again(false, 100, 250 * MS, &mut fastrand::Rng::with_seed(1));
+    let rest = short.again(0, false, 100, 250 * MS, &mut fastrand::Rng::with_seed(1));
     assert!(rest < 125 * MS, "news of a drain is asked for within the time in which it must be heeded");
 }
 
 fn first_rest(seed: u64, fleet: u32) -> u64 {
-    Watch::new(0, usize::MAX).again(false, fleet, 2 * SEC, &mut fastrand::Rng::with_seed(seed))
+    Watch::new(0, usize::MAX).again(0, false, fleet, 2 * SEC, &mut fastrand::Rng::with_seed(seed))
 }
 
 fn call(serial: u64, name: u64) -> Call {
--- a/crates/gateway/tests/races.rs
+++ b/crates/gateway/tests/races.rs
@@ -3,15 +3,12 @@
 
 use standins::scripted::{
     Late, PATIENCE, Peer, Program, Reply, WATCH, answer, chunk, entry, list, nowhere, rpc, say, settings,
+    status,
 };
 use std::time::{Duration, Instant};
 
 const BIN: &str = env!("CARGO_BIN_EXE_martenramp");
 
-fn status(answer: &str) -> u16 {
-    answer.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap()
-}
-
 /// Settings that leave a connection and an RPC all the time that a late connection needs.
 fn patient_settings() -> String {
     let wide =
@@ -32,11 +29,6 @@
     Peer::new(|_, _| say(WATCH))
 }
 
-/// Returns once the gateway has dealt with all that was sent to it before.
-fn caught_up(gateway: &Program) {
-    assert_eq!(status(&gateway.client().ask("GET /-/healthy HTTP/1.1\r\n\r\n")), 200);
-}
-
 // ---- A connection to a server that comes up late: what was true when the attempt was asked for may not be any more.
 
 #[test]
@@ -63,7 +55,7 @@
     let gateway = under(&discovery, &[entry("s0", late.address, "ready")], &patient_settings());
     let mut client = gateway.client();
     client.send(&rpc("verify", 20_000));
-    caught_up(&gateway);
+    gateway.catch_up();
     let drains = [entry("s0", late.address, "draining"), entry("s1", other.address, "ready")];
     discovery.tell(0, &chunk(&list(4, false, &drains)));
     let mut server = late.open();
@@ -82,7 +74,7 @@
     let gateway = under(&discovery, &[entry("s0", late.address, "ready")], &patient_settings());
     let mut client = gateway.client();
     client.send(&rpc("verify", 20_000));
-    caught_up(&gateway);
+    gateway.catch_up();
     discovery.tell(0, &chunk(&list(4, false, &[entry("s0", moved.address, "ready")])));
     let mut server = late.open();
     assert!(gateway.line("\"not written\"").contains("server-moved"));
@@ -100,7 +92,7 @@
     assert_eq!(first.next().0, 0);
     let next = [entry("s0", first.address, "draining"), entry("s1", late.address, "ready")];
     discovery.tell(0, &chunk(&list(4, false, &next)));
-    caught_up(&gateway);
+    gateway.catch_up();
     // It may have run, and may be repeated for a second. The system asks again for the connection after one.
     first.reset(0);
     assert!(gateway.line("\"server\"").contains("\"reset\""));
@@ -129,7 +121,7 @@
     let mut gateway = under(&discovery, &[entry("s0", late.address, "ready")], &patient_settings());
     let mut client = gateway.client();
     client.send(&rpc("verify", 20_000));
-    caught_up(&gateway);
+    gateway.catch_up();
     gateway.signal("-TERM");
     gateway.line("\"stopping\"");
     let mut server = late.open();
@@ -210,7 +202,7 @@
     assert_eq!(server.next().0, 0);
     while client.nothing_came() {
         server.tell(0, "x");
-        caught_up(&gateway); // each byte is read by itself
+        gateway.catch_up(); // each byte is read by itself
     }
     let got = client.answer().unwrap();
     assert!(matches!(status(&got), 502 | 504) && !got.contains("xx"), "{got}");
@@ -232,21 +224,21 @@
     let mut paused = gateway.client();
     let message = rpc("verify", 20_000);
     paused.send(&message[..200]);
-    caught_up(&gateway);
+    gateway.catch_up();
     let begun = Instant::now();
     // All other places are taken by clients whose RPCs wait.
     let mut others: Vec<_> = (0..21).map(|_| gateway.client()).collect();
     for (number, client) in others.iter_mut().enumerate() {
         client.send(&rpc("read", 20_000).replace("0123456789abcdef", &format!("{number:016x}")));
     }
-    caught_up(&gateway);
+    gateway.catch_up();
     gateway.stand_still();
     // A message may pause for two seconds before its place is wanted: that is what is tested.
     std::thread::sleep(Duration::from_millis(2050).saturating_sub(begun.elapsed()));
     let _comes = gateway.client();
     paused.send(&message[200..]);
     gateway.signal("-CONT");
-    caught_up(&gateway);
+    gateway.catch_up();
     discovery.tell(0, &chunk(&list(4, false, &[entry("s0", server.address, "ready")])));
     let got = paused.answer();
     assert!(
@@ -283,7 +275,7 @@
     client.send(&rpc("verify", 20_000));
     assert_eq!(server.next().0, 0);
     client.send(&"x".repeat(1 << 20));
-    caught_up(&gateway);
+    gateway.catch_up();
     server.tell(0, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown");
     let got = client.answer().unwrap();
     assert!(got.ends_with("own") && got.contains("Connection: close"), "{got}");
@@ -296,7 +288,7 @@
     let gateway = under(&discovery, &[entry("s0", nowhere(), "draining")], &patient_settings());
     let mut client = gateway.client();
     client.send(&rpc("verify", 20_000));
-    caught_up(&gateway);
+    gateway.catch_up();
     client.send("GET /api/"); // and half a message more
     client.reset();
     gateway.line("left-before-answer");
@@ -356,7 +348,7 @@
     gateway.signal("-TERM");
     gateway.line("\"stopping\"");
     let mut fresh = gateway.client();
-    caught_up(&gateway); // it is taken
+    gateway.catch_up(); // it is taken
     assert!(rests.is_closed(), "the last call for resting connections");
     assert!(fresh.ask(&rpc("read", 2000)).ends_with("served"));
     drop(fresh);
@@ -370,7 +362,7 @@
     let mut gateway = under(&discovery, &[entry("s0", server.address, "ready")], &settings(""));
     let mut client = gateway.client();
     client.send(&rpc("submit", 2000)[..150]);
-    caught_up(&gateway);
+    gateway.catch_up();
     gateway.signal("-TERM");
     assert_eq!(status(&client.answer().unwrap()), 503);
     client.try_send(&rpc("submit", 2000)[150..]); // read after this side ended: never sent on
@@ -406,7 +398,7 @@
     let mut gateway = Program::start(BIN, discovery.address, "", &settings(""));
     let mut client = gateway.client();
     client.send(&rpc("verify", 2000));
-    caught_up(&gateway);
+    gateway.catch_up();
     gateway.signal("-TERM");
     assert_eq!(status(&client.answer().unwrap()), 503);
     drop(client);
@@ -444,7 +436,7 @@
     assert_eq!((discovery.next().0, discovery.next().0), (1, 2));
     // 6 s after it fell silent all counts as told, and 2 s later nothing new may go to what drains.
     assert!(silent.elapsed() < Duration::from_secs(8), "{:?}", silent.elapsed());
-    caught_up(&gateway);
+    gateway.catch_up();
     assert!(matches!(status(&gateway.client().ask(&rpc("read", 300))), 429 | 503));
     assert!(server.nothing_came(), "it stays up, and gets nothing new");
 }
@@ -465,7 +457,7 @@
         );
     }
     discovery.tell(5, &chunk(&list(4, false, &[entry("s0", server.address, "draining")])));
-    caught_up(&gateway);
+    gateway.catch_up();
     assert!(matches!(status(&gateway.client().ask(&rpc("read", 300))), 429 | 503));
     assert!(server.nothing_came());
 }
@@ -481,7 +473,7 @@
     let moved = Instant::now();
     assert_eq!(new.next().0, 0);
     old.tell(0, &chunk(&list(4, false, &[entry("s0", server.address, "draining")])));
-    caught_up(&gateway);
+    gateway.catch_up();
     assert!(matches!(status(&gateway.client().ask(&rpc("read", 300))), 429 | 503));
     let (number, asked) = new.next();
     assert!(number == 1 && asked.contains("from=4"), "{asked}");
@@ -500,13 +492,13 @@
         let piece = std::str::from_utf8(piece).unwrap();
         discovery.tell(0, &format!("{:x}\r\n{piece}\r\n", piece.len()));
     }
-    caught_up(&gateway);
+    gateway.catch_up();
     assert!(gateway.client().ask(&rpc("read", 2000)).ends_with("two"));
     // Half an object is not taken, whatever empty lines follow.
     let half = list(5, true, &[entry("s0", one.address, "ready")]);
     discovery.tell(0, &chunk(half.rsplit_once(',').unwrap().0));
     discovery.tell(0, "1\r\n\n\r\n");
-    caught_up(&gateway);
+    gateway.catch_up();
     assert!(gateway.client().ask(&rpc("read", 2000)).ends_with("two"));
     assert!(discovery.next().1.contains("from=4"), "what does not end is a break");
 }
@@ -555,7 +547,7 @@
     let mut clients: Vec<_> = (0..150).map(|_| gateway.client()).collect();
     for (number, client) in clients.iter_mut().enumerate() {
         client.send(&rpc("read", 20_000).replace("0123456789abcdef", &format!("{number:016x}")));
-        caught_up(&gateway); // so that each comes in a turn of its own
+        gateway.catch_up(); // so that each comes in a turn of its own
     }
     let used = processor_time(&gateway) - before;
     assert!(used < Duration::from_millis(2500), "{used:?} for 150 RPCs that wait");
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -1,7 +1,7 @@
 //! The program itself, started and spoken to over loopback: one short story for each failure met.
 
 use standins::scripted::{
-    self as fake, Peer, Program, WATCH, answer, chunk, entry, list, nowhere, rpc, say, settings,
+    self as fake, Peer, Program, WATCH, answer, chunk, entry, list, nowhere, rpc, say, settings, status,
 };
 use std::process::Command;
 
@@ -24,10 +24,6 @@
     told.and_then(|told| told.parse().ok()).unwrap()
 }
 
-fn status(answer: &str) -> u16 {
-    answer.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap()
-}
-
 #[test]
 fn an_rpc_passes_unchanged_and_its_answer_too_with_discovery_and_the_counter_down() {
     let server =
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -1,7 +1,7 @@
 //! The program under test as a process: started on a configuration file of its own, spoken to by signals and heard by
 //! its log lines. It is ended by its own id when it is dropped, also while a test unwinds.
 
-use crate::scripted::{Client, PATIENCE};
+use crate::scripted::{Client, PATIENCE, status};
 use rustix::process::{Pid, Signal, kill_process};
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
@@ -26,8 +26,23 @@
         Program::run(&mut Command::new(program), discovery, more, settings)
     }
 
+    /// The same with a seed of its own, which all that the program draws by chance comes from.
+    pub fn start_seeded(
+        program: &str,
+        seed: u64,
+        discovery: SocketAddr,
+        more: &str,
+        settings: &str,
+    ) -> Program {
+        let text = config("127.0.0.1:0", discovery, more, seed, settings);
+        let mut program = Program::spawn(&mut Command::new(program), &text).unwrap();
+        program.wait_started();
+        program
+    }
+
     pub fn run(command: &mut Command, discovery: SocketAddr, more: &str, settings: &str) -> Program {
-        let mut program = Program::spawn(command, &config("127.0.0.1:0", discovery, more, settings)).unwrap();
+        let mut program =
+            Program::spawn(command, &config("127.0.0.1:0", discovery, more, SEED, settings)).unwrap();
         program.wait_started();
         program
     }
@@ -74,13 +89,18 @@
         self.lines.try_iter().collect()
     }
 
+    /// Returns once the program has dealt with all that was sent to it before.
+    pub fn catch_up(&self) {
+        assert_eq!(status(&self.client().ask("GET /-/healthy HTTP/1.1\r\n\r\n")), 200);
+    }
+
     pub fn client(&self) -> Client {
         Client::new(self.address)
     }
 
     /// The configuration of this program with other peers.
     pub fn config(&self, discovery: SocketAddr, more: &str, settings: &str) -> String {
-        config(&self.address.to_string(), discovery, more, settings)
+        config(&self.address.to_string(), discovery, more, SEED, settings)
     }
 
     pub fn rewrite(&self, text: &str) {
@@ -128,10 +148,13 @@
     }
 }
 
-fn config(listen: &str, discovery: SocketAddr, more: &str, settings: &str) -> String {
+/// The seed of whoever needs none in particular.
+const SEED: u64 = 0x8c1f_30d2_7a5b_e964;
+
+fn config(listen: &str, discovery: SocketAddr, more: &str, seed: u64, settings: &str) -> String {
     format!(
         "{{\"name\":\"n0\",\"listen\":\"{listen}\",\"discovery\":\"{discovery}\",{more}\
-         \"seed\":\"8c1f30d27a5be964\",\"settings\":{settings}}}"
+         \"seed\":\"{seed:016x}\",\"settings\":{settings}}}"
     )
 }
 
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -34,7 +34,13 @@
 
 impl Peer {
     pub fn new(reply: impl Fn(usize, &str) -> Reply + Send + Sync + 'static) -> Peer {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Peer::listening(TcpListener::bind("127.0.0.1:0").unwrap(), reply)
+    }
+
+    fn listening(
+        listener: TcpListener,
+        reply: impl Fn(usize, &str) -> Reply + Send + Sync + 'static,
+    ) -> Peer {
         let address = listener.local_addr().unwrap();
         let (tell, seen) = channel();
         let streams = Arc::new(Mutex::new(Vec::new()));
@@ -65,7 +71,12 @@
 
     /// Writes on a connection, unasked.
     pub fn tell(&self, number: usize, text: &str) {
-        (&self.streams.lock().unwrap()[number]).write_all(text.as_bytes()).unwrap();
+        assert!(self.try_tell(number, text), "connection {number} is gone");
+    }
+
+    /// The same on a connection that may be gone: whether the system took it.
+    pub fn try_tell(&self, number: usize, text: &str) -> bool {
+        (&self.streams.lock().unwrap()[number]).write_all(text.as_bytes()).is_ok()
     }
 
     /// Resets a connection, with nothing more said on it.
@@ -78,6 +89,29 @@
     }
 }
 
+/// A peer that is down: connections to its address are refused until it opens. The address is kept for it meanwhile.
+pub struct Down {
+    pub address: SocketAddr,
+    socket: socket2::Socket,
+}
+
+impl Default for Down {
+    fn default() -> Down {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        let address = socket.local_addr().unwrap().as_socket().unwrap();
+        Down { address, socket }
+    }
+}
+
+impl Down {
+    /// Can be reached from now on.
+    pub fn open(self, reply: impl Fn(usize, &str) -> Reply + Send + Sync + 'static) -> Peer {
+        self.socket.listen(128).unwrap();
+        Peer::listening(TcpListener::from(self.socket), reply)
+    }
+}
+
 /// A server whose connections come up late: the system takes none until `open`, since its line of connections that wait to
 /// be accepted is one long and full.
 pub struct Late {
@@ -219,6 +253,11 @@
     }
 }
 
+/// The status of an answer.
+pub fn status(answer: &str) -> u16 {
+    answer.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap()
+}
+
 /// An RPC as a client sends it: `read` is idempotent, `submit` deduplicated, `verify` non-idempotent.
 pub fn rpc(method: &str, remaining_ms: u64) -> String {
     let lines = format!(
