--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -63,6 +63,8 @@
     pub crashed: Vec<String>,
     /// Calls that the counter got.
     pub count_calls: u64,
+    /// Bytes of the lines that told gateways lists or changes.
+    pub list_bytes: u64,
 }
 
 struct Gateway {
@@ -238,6 +240,7 @@
             lines: self.gateways.into_iter().map(|gateway| gateway.lines).collect(),
             crashed: self.crashed,
             count_calls: self.counter.with(|counter, _| counter.calls),
+            list_bytes: self.discovery.with(|discovery, _| discovery.told_bytes),
         }
     }
 }
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -105,6 +105,8 @@
     pub p99_ms: f64,
     /// Calls that the counter got.
     pub count_calls: u64,
+    /// Bytes of lists that discovery sent.
+    pub list_bytes: u64,
     /// Gateways that ended unasked, or badly.
     pub crashed: usize,
     /// How late the front sent, median, milliseconds.
@@ -432,6 +434,7 @@
         p50_ms: quantile(0.5),
         p99_ms: quantile(0.99),
         count_calls: outcome.count_calls,
+        list_bytes: outcome.list_bytes,
         crashed: outcome.crashed.len(),
         late_p50_ms: ms(p50),
         late_p99_ms: ms(p99),
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -148,6 +148,7 @@
         let server = record.u32()?;
         list.push(Listed {
             server,
+            service: 0,
             key: u64::from(server), // the same at every instance
             zone: record.u16()?,
             kind: record.u8()?,
@@ -167,6 +168,7 @@
         method: record.u16()?,
         plan: record.u16()?,
         customer: record.u64()?,
+        service: 0,
         deadline: nanos(record.f64()?),
         units: f64::from(record.f32()?),
         width: record.f32()? as u32,
