--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -15,18 +15,18 @@
 //! ```
 #![deny(missing_docs)]
 
-mod chance;
+pub mod chance;
 pub mod cli;
 mod clients;
 pub mod counter;
 pub mod gates;
-mod lifecycle;
+pub mod lifecycle;
 mod network;
-mod queue;
+pub mod queue;
 pub mod record;
 pub mod report;
 pub mod scenario;
-mod servers;
+pub mod servers;
 pub mod sweep;
 pub mod world;
 
--- a/crates/lab/src/lifecycle.rs
+++ b/crates/lab/src/lifecycle.rs
@@ -9,7 +9,10 @@
     /// It takes clients.
     Up,
     /// SIGTERM: no new clients; what it holds is answered until `until`, then it is gone.
-    Draining { until: Nanos },
+    Draining {
+        /// When it is gone.
+        until: Nanos,
+    },
     /// It is gone.
     Down,
 }
--- a/crates/lab/src/servers.rs
+++ b/crates/lab/src/servers.rs
@@ -30,6 +30,7 @@
     Full,
     /// Taken; done `after` from now, well or in an error.
     Serving {
+        /// How long from now its answer takes.
         after: Nanos,
         /// Answered ok.
         ok: bool,
--- a/crates/scale/src/hollow/agreeing.rs
+++ b/crates/scale/src/hollow/agreeing.rs
@@ -2,10 +2,13 @@
 //! machines, without its sockets and its log.
 
 use super::Nanos;
-use agreement::lists::{Lists, Seen};
-use agreement::rules::{Version, objections};
-use agreement::state::{Agreement, Content, Stand, Terms};
-use agreement::word::{Notice, Word};
+use agreement::lease::Content;
+use agreement::lists::{Announcement, ListedServer, Lists};
+use agreement::message::{LeaseMessage, ListNotice};
+use agreement::rules::objections;
+use agreement::state::{Agreement, Decision, Mode, Offer};
+use agreement::terms::Terms;
+use agreement::version::Version;
 use gateway::list::{Entry, Told};
 use martenramp::host::Settings;
 use std::collections::BTreeMap;
@@ -25,7 +28,7 @@
 
 impl VersionFile {
     pub fn new(version: Version, put_out: Nanos) -> VersionFile {
-        let (content, ground) = (version.content(), version.on_ground());
+        let (content, ground) = (version.content(), version.fallback_settings());
         VersionFile { version, content, ground, put_out }
     }
 }
@@ -35,7 +38,7 @@
     pub state: Agreement,
     held: Arc<VersionFile>,
     waits: Option<Arc<VersionFile>>,
-    acting: (Content, Stand),
+    acting: Decision,
     number: u32,
     zone: usize,
     lists: Lists,
@@ -59,13 +62,13 @@
         let (content, start) = (file.content, file.version.start);
         let mut state = Agreement::new(terms, Some(number), life, now, content, start);
         if fresh {
-            state.forget();
+            state.skip_recovery();
         }
         Agreeing {
             state,
             held: file,
             waits: None,
-            acting: (content, Stand::Ground),
+            acting: Decision { content, mode: Mode::Fallback },
             number,
             zone,
             lists: Lists::default(),
@@ -77,9 +80,9 @@
 
     /// What this gateway may act on now.
     pub fn settings(&self) -> Settings {
-        let told = match self.acting.1 {
-            Stand::Confirmed => &self.held.version.settings,
-            Stand::Ground => &self.held.ground,
+        let told = match self.acting.mode {
+            Mode::Confirmed => &self.held.version.settings,
+            Mode::Fallback => &self.held.ground,
         };
         let mut settings = told.clone();
         settings.insert("me".to_string(), self.number.to_string());
@@ -89,29 +92,32 @@
 
     /// The version that is acted on and confirmed.
     pub fn in_force(&self) -> Option<u64> {
-        (self.acting.1 == Stand::Confirmed).then_some(self.acting.0.version)
+        (self.acting.mode == Mode::Confirmed).then_some(self.acting.content.version)
     }
 
     /// Datagrams for all other gateways.
     pub fn tell(&mut self, now: Nanos) -> Vec<Vec<u8>> {
-        let mut datagrams: Vec<Vec<u8>> = self.state.tell(now).iter().map(Word::write).collect();
+        let mut datagrams: Vec<Vec<u8>> =
+            self.state.poll_messages(now).iter().map(LeaseMessage::encode).collect();
         if self.state.is_voter() && now >= self.tells_list_at {
-            self.tells_list_at = now + self.state.terms().every();
-            let number = self.number;
-            let told = self.lists.tells(now);
-            datagrams.extend(told.map(|(index, out)| Notice { number, index, out }.write()));
+            self.tells_list_at = now + self.state.terms().renewal_interval();
+            let gateway = self.number;
+            let told = self.lists.announcement(now);
+            datagrams.extend(
+                told.map(|Announcement { index, removed }| ListNotice { gateway, index, removed }.encode()),
+            );
         }
         datagrams
     }
 
     /// What may be acted on by now, if that has changed.
     pub fn look(&mut self, now: Nanos) -> Option<Settings> {
-        let acting = self.state.at(now);
+        let acting = self.state.evaluate(now);
         if acting == self.acting {
             return None;
         }
-        if self.held.content != acting.0
-            && let Some(new) = self.waits.take_if(|waits| waits.content == acting.0)
+        if self.held.content != acting.content
+            && let Some(new) = self.waits.take_if(|waits| waits.content == acting.content)
         {
             self.held = new;
         }
@@ -121,7 +127,7 @@
 
     /// When to look again, if a timer has to be set for it.
     pub fn looks_next(&mut self, now: Nanos) -> Option<Nanos> {
-        let next = self.state.next_look(now);
+        let next = self.state.next_evaluation(now);
         let sooner = self.looks_at <= now || next < self.looks_at;
         sooner.then(|| {
             self.looks_at = next;
@@ -131,22 +137,22 @@
 
     /// A datagram came: servers that get nothing new until the own list has caught up.
     pub fn hear(&mut self, now: Nanos, bytes: &[u8]) -> Vec<Entry> {
-        if let Some(notice) = Notice::read(bytes) {
+        if let Some(notice) = ListNotice::decode(bytes) {
             return self.hear_of_list(&notice);
         }
-        if let Some(word) = Word::read(bytes)
-            && self.state.hear(now, &word) == agreement::state::Heard::TwoContents
+        if let Some(word) = LeaseMessage::decode(bytes)
+            && self.state.receive(now, &word) == agreement::state::Receipt::TwoContents
         {
             self.waits = None;
         }
         Vec::new()
     }
 
-    fn hear_of_list(&mut self, notice: &Notice) -> Vec<Entry> {
-        if !self.state.terms().voters.contains(&notice.number) {
+    fn hear_of_list(&mut self, notice: &ListNotice) -> Vec<Entry> {
+        if !self.state.terms().voters.contains(&notice.gateway) {
             return Vec::new();
         }
-        let keys = self.lists.heard(notice.index, &notice.out);
+        let keys = self.lists.apply_notice(notice.index, &notice.removed);
         let known = keys.iter().filter_map(|key| self.entries.get(key).cloned());
         known.map(|entry| Entry { ready: false, ..entry }).collect()
     }
@@ -154,21 +160,21 @@
     /// What to make of a list: it is changed to what may be taken of it; servers released with it, or nothing where the
     /// whole list is passed over.
     pub fn judge(&mut self, now: Nanos, told: &mut Told) -> Option<Vec<Entry>> {
-        let seen = |entry: &Entry| Seen {
+        let seen = |entry: &Entry| ListedServer {
             key: martenramp::spread::key(&entry.name),
             ready: entry.ready,
             since: entry.since_ms.saturating_mul(MS),
         };
-        let list: Vec<Seen> = told.entries.iter().map(seen).collect();
-        let verdict = self.lists.told(now, told.index, told.whole, &list);
-        if verdict.empties {
+        let list: Vec<ListedServer> = told.entries.iter().map(seen).collect();
+        let verdict = self.lists.apply(now, told.index, told.whole, &list);
+        if verdict.is_empty {
             return None;
         }
         for (entry, seen) in told.entries.iter_mut().zip(&list) {
             self.entries.insert(seen.key, entry.clone());
             entry.ready &= !verdict.held_back.contains(&seen.key);
         }
-        told.whole &= !verdict.older;
+        told.whole &= !verdict.is_older;
         Some(verdict.released.iter().filter_map(|key| self.entries.get(key).cloned()).collect())
     }
 
@@ -179,7 +185,8 @@
         if newer.flat_map(|held| objections(&held.version, &file.version)).next().is_some() {
             return false;
         }
-        let taken = self.state.take(now, file.content, file.version.start).unwrap_or(false);
+        let offered = self.state.offer(now, file.content, file.version.start);
+        let taken = matches!(offered, Ok(Offer::Scheduled));
         if taken {
             self.waits = Some(file.clone());
         }
--- a/crates/scale/src/hollow/fleet.rs
+++ b/crates/scale/src/hollow/fleet.rs
@@ -10,12 +10,12 @@
 use super::traffic::{ControlLoad, Direction, Frame, Peer, Traffic};
 use super::{Nanos, SEC, nanos};
 use crate::alloc;
-use agreement::rules::{Ground, Version};
-use agreement::state::Terms;
+use agreement::terms::Terms;
+use agreement::version::{Fallback, Version};
 use lab::chance::{self, Stream};
 use lab::counter::Counter;
 use lab::queue::Queue;
-use lab::servers::{CallRef, Servers};
+use lab::servers::{AttemptRef, Servers};
 use martenramp::host::{End, Settings};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
@@ -31,8 +31,8 @@
 pub enum Event {
     Arrive,
     Wake { gateway: usize, life: u32, token: u32 },
-    AtServer { call: CallRef, server: u32, server_life: u32 },
-    Back { call: CallRef, how: End },
+    AtServer { call: AttemptRef, server: u32, server_life: u32 },
+    Back { call: AttemptRef, how: End },
     Freed { server: u32, server_life: u32 },
     CountAt { gateway: usize, life: u32, line: usize, name: u64, add: f64, forget: Nanos },
     CountBack { gateway: usize, life: u32, line: usize, bytes: Vec<u8> },
@@ -256,7 +256,7 @@
             let list = serde_json::from_str(&list).ok().and_then(|list| gateway::list::read(&list));
             let read = |hollow: &mut HollowGateway| {
                 list.into_iter().for_each(|told| hollow.told(now, told));
-                hollow.ask_again_after()
+                hollow.ask_again_after(now)
             };
             let rest = self.enter(now, gateway, life, Work::List, read).unwrap_or(0);
             self.lists_reached(now, gateway, &changes);
@@ -352,7 +352,7 @@
 
     /// The watch is over; it is asked for again after a rest.
     pub(super) fn watch_broke(&mut self, now: Nanos, gateway: usize, life: u32) {
-        let rests = |hollow: &mut HollowGateway| hollow.ask_again_after();
+        let rests = |hollow: &mut HollowGateway| hollow.ask_again_after(now);
         if let Some(rest) = self.enter(now, gateway, life, Work::List, rests) {
             self.counts.watches_broken += u64::from(now >= self.frame.from);
             self.queue.after(rest, Event::AskList { gateway, life });
@@ -379,7 +379,7 @@
         let name = format!("tariffs.{}.perSecond", self.load.plan);
         let rate = settings.get(&name).and_then(|text| text.parse::<f64>().ok()).unwrap_or(1.0);
         settings.insert(name, (rate * (1.0 + number as f64 * 1e-4)).to_string());
-        Version { number, start, ground: Ground::of(&self.settings), settings }
+        Version { number, start, fallback: Fallback::of(&self.settings), settings }
     }
 
     /// A new version is put out; it starts two leases after the last machine has it.
--- a/crates/scale/src/hollow/gateway.rs
+++ b/crates/scale/src/hollow/gateway.rs
@@ -26,7 +26,7 @@
     pub zones: &'a [String],
     pub services: u32,
     /// The file with a version, if the fleet agrees on its settings.
-    pub version: Option<(Arc<VersionFile>, agreement::state::Terms, bool)>,
+    pub version: Option<(Arc<VersionFile>, agreement::terms::Terms, bool)>,
 }
 
 /// A call-out that is open.
@@ -128,9 +128,9 @@
     }
 
     /// How long to rest before the watch is asked for again.
-    pub fn ask_again_after(&mut self) -> Nanos {
+    pub fn ask_again_after(&mut self, now: Nanos) -> Nanos {
         self.watching = false;
-        self.watch.again(self.pushed, self.fleet, self.stop_within, &mut self.chance)
+        self.watch.again(now, self.pushed, self.fleet, self.stop_within, &mut self.chance)
     }
 
     /// Bytes of the watch came; `server_numbers` gives the emulation's number of a server by its name.
--- a/crates/scale/src/hollow/rpcs.rs
+++ b/crates/scale/src/hollow/rpcs.rs
@@ -8,7 +8,7 @@
 use super::{Nanos, SEC, nanos};
 use lab::chance::{self, Stream};
 use lab::gates::Wish;
-use lab::servers::{CallRef, Take};
+use lab::servers::{AttemptRef, Disposition};
 use martenramp::host::{Arrival, End};
 use rand::Rng;
 use rand::distr::{Distribution, weighted::WeightedIndex};
@@ -185,7 +185,7 @@
         let nth = open.call_outs;
         open.call_outs += 1;
         hollow.call_outs.insert((rpc, nth), CallOut { server, sent: now });
-        let call = CallRef { gateway: gateway as u32, life, rpc, nth };
+        let call = AttemptRef { gateway: gateway as u32, incarnation: life, rpc, nth };
         let Some(to) = hollow.server(server).filter(|_| until > now) else {
             self.enter(now, gateway, life, work, |hollow| hollow.call_out_ended(now, rpc, nth, End::NotSent));
             return;
@@ -195,7 +195,7 @@
         if self.is_apart(region, server_region) {
             return self.queue.after(self.load.dial, Event::Back { call, how: End::NoConnection });
         }
-        let server_life = self.servers.all[to as usize].life;
+        let server_life = self.servers.all[to as usize].incarnation;
         let after = self.delay(region, server_region);
         self.queue.after(after, Event::AtServer { call, server: to, server_life });
         self.queue.at(until, Event::Back { call, how: End::TimedOut });
@@ -205,14 +205,14 @@
         server as usize % self.scenario.zones % self.scenario.regions
     }
 
-    pub(super) fn at_server(&mut self, now: Nanos, call: CallRef, server: u32, server_life: u32) {
+    pub(super) fn at_server(&mut self, now: Nanos, call: AttemptRef, server: u32, server_life: u32) {
         let region = self.places[call.gateway as usize].region;
         let back = self.delay(region, self.region_of_server(server));
-        let (after, how) = match self.servers.take(now, server, server_life, call) {
-            Take::Refused => (back, End::NoConnection),
-            Take::Full => (back, End::Full),
-            Take::Held => return,
-            Take::Serving { after, ok } => {
+        let (after, how) = match self.servers.accept(now, server, server_life, call) {
+            Disposition::Refused => (back, End::NoConnection),
+            Disposition::Full => (back, End::Full),
+            Disposition::Held => return,
+            Disposition::Serving { after, ok } => {
                 if let Some(visits) = self.load.visits.as_mut().filter(|_| now >= self.frame.from) {
                     visits.push(Visit { server: server as usize, at: now, done: now + after });
                 }
@@ -223,8 +223,8 @@
         self.queue.after(after, Event::Back { call, how });
     }
 
-    pub(super) fn call_ended(&mut self, now: Nanos, call: CallRef, how: End) {
-        let (gateway, life) = (call.gateway as usize, call.life);
+    pub(super) fn call_ended(&mut self, now: Nanos, call: AttemptRef, how: End) {
+        let (gateway, life) = (call.gateway as usize, call.incarnation);
         let open = self.places[gateway].hollow.as_ref().is_some_and(|hollow| {
             self.places[gateway].life == life && hollow.call_outs.contains_key(&(call.rpc, call.nth))
         });
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -97,6 +97,7 @@
 
 /// A peer that is down: connections to its address are refused until it opens. The address is kept for it meanwhile.
 pub struct Down {
+    /// Where it will listen.
     pub address: SocketAddr,
     socket: socket2::Socket,
 }
