--- /dev/null
+++ b/crates/scale/src/hollow/agreeing.rs
@@ -0,0 +1,188 @@
+//! A hollow gateway's part in the agreement on settings: what the program's `gateway::agreeing` does between its state
+//! machines, without its sockets and its log.
+
+use super::Nanos;
+use agreement::lists::{Lists, Seen};
+use agreement::rules::{Version, objections};
+use agreement::state::{Agreement, Content, Stand, Terms};
+use agreement::word::{Notice, Word};
+use gateway::list::{Entry, Told};
+use martenramp::host::Settings;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+const MS: Nanos = 1_000_000;
+
+/// A version of the settings as it lies on the machines.
+pub struct VersionFile {
+    pub version: Version,
+    pub content: Content,
+    /// What may be acted on while it can't be confirmed.
+    pub ground: Settings,
+    /// When it was put out.
+    pub put_out: Nanos,
+}
+
+impl VersionFile {
+    pub fn new(version: Version, put_out: Nanos) -> VersionFile {
+        let (content, ground) = (version.content(), version.on_ground());
+        VersionFile { version, content, ground, put_out }
+    }
+}
+
+/// One gateway's agreement.
+pub struct Agreeing {
+    pub state: Agreement,
+    held: Arc<VersionFile>,
+    waits: Option<Arc<VersionFile>>,
+    acting: (Content, Stand),
+    number: u32,
+    zone: usize,
+    lists: Lists,
+    /// Servers by their keys, as the own list told of them last.
+    entries: BTreeMap<u64, Entry>,
+    tells_list_at: Nanos,
+    /// When this gateway looks again, as the timer that is set has it.
+    looks_at: Nanos,
+}
+
+impl Agreeing {
+    pub fn new(
+        file: Arc<VersionFile>,
+        terms: Terms,
+        number: u32,
+        zone: usize,
+        life: u32,
+        fresh: bool,
+        now: Nanos,
+    ) -> Agreeing {
+        let (content, start) = (file.content, file.version.start);
+        let mut state = Agreement::new(terms, Some(number), life, now, content, start);
+        if fresh {
+            state.forget();
+        }
+        Agreeing {
+            state,
+            held: file,
+            waits: None,
+            acting: (content, Stand::Ground),
+            number,
+            zone,
+            lists: Lists::default(),
+            entries: BTreeMap::new(),
+            tells_list_at: 0,
+            looks_at: 0,
+        }
+    }
+
+    /// What this gateway may act on now.
+    pub fn settings(&self) -> Settings {
+        let told = match self.acting.1 {
+            Stand::Confirmed => &self.held.version.settings,
+            Stand::Ground => &self.held.ground,
+        };
+        let mut settings = told.clone();
+        settings.insert("me".to_string(), self.number.to_string());
+        settings.insert("zone".to_string(), self.zone.to_string());
+        settings
+    }
+
+    /// The version that is acted on and confirmed.
+    pub fn in_force(&self) -> Option<u64> {
+        (self.acting.1 == Stand::Confirmed).then_some(self.acting.0.version)
+    }
+
+    /// Datagrams for all other gateways.
+    pub fn tell(&mut self, now: Nanos) -> Vec<Vec<u8>> {
+        let mut datagrams: Vec<Vec<u8>> = self.state.tell(now).iter().map(Word::write).collect();
+        if self.state.is_voter() && now >= self.tells_list_at {
+            self.tells_list_at = now + self.state.terms().every();
+            let number = self.number;
+            let told = self.lists.tells(now);
+            datagrams.extend(told.map(|(index, out)| Notice { number, index, out }.write()));
+        }
+        datagrams
+    }
+
+    /// What may be acted on by now, if that has changed.
+    pub fn look(&mut self, now: Nanos) -> Option<Settings> {
+        let acting = self.state.at(now);
+        if acting == self.acting {
+            return None;
+        }
+        if self.held.content != acting.0
+            && let Some(new) = self.waits.take_if(|waits| waits.content == acting.0)
+        {
+            self.held = new;
+        }
+        self.acting = acting;
+        Some(self.settings())
+    }
+
+    /// When to look again, if a timer has to be set for it.
+    pub fn looks_next(&mut self, now: Nanos) -> Option<Nanos> {
+        let next = self.state.next_look(now);
+        let sooner = self.looks_at <= now || next < self.looks_at;
+        sooner.then(|| {
+            self.looks_at = next;
+            next
+        })
+    }
+
+    /// A datagram came: servers that get nothing new until the own list has caught up.
+    pub fn hear(&mut self, now: Nanos, bytes: &[u8]) -> Vec<Entry> {
+        if let Some(notice) = Notice::read(bytes) {
+            return self.hear_of_list(&notice);
+        }
+        if let Some(word) = Word::read(bytes)
+            && self.state.hear(now, &word) == agreement::state::Heard::TwoContents
+        {
+            self.waits = None;
+        }
+        Vec::new()
+    }
+
+    fn hear_of_list(&mut self, notice: &Notice) -> Vec<Entry> {
+        if !self.state.terms().voters.contains(&notice.number) {
+            return Vec::new();
+        }
+        let keys = self.lists.heard(notice.index, &notice.out);
+        let known = keys.iter().filter_map(|key| self.entries.get(key).cloned());
+        known.map(|entry| Entry { ready: false, ..entry }).collect()
+    }
+
+    /// What to make of a list: it is changed to what may be taken of it; servers released with it, or nothing where the
+    /// whole list is passed over.
+    pub fn judge(&mut self, now: Nanos, told: &mut Told) -> Option<Vec<Entry>> {
+        let seen = |entry: &Entry| Seen {
+            key: martenramp::spread::key(&entry.name),
+            ready: entry.ready,
+            since: entry.since_ms.saturating_mul(MS),
+        };
+        let list: Vec<Seen> = told.entries.iter().map(seen).collect();
+        let verdict = self.lists.told(now, told.index, told.whole, &list);
+        if verdict.empties {
+            return None;
+        }
+        for (entry, seen) in told.entries.iter_mut().zip(&list) {
+            self.entries.insert(seen.key, entry.clone());
+            entry.ready &= !verdict.held_back.contains(&seen.key);
+        }
+        told.whole &= !verdict.older;
+        Some(verdict.released.iter().filter_map(|key| self.entries.get(key).cloned()).collect())
+    }
+
+    /// A new file is on this machine; whether it waits now.
+    pub fn take_file(&mut self, now: Nanos, file: &Arc<VersionFile>) -> bool {
+        let newer = [Some(&self.held), self.waits.as_ref()].into_iter().flatten();
+        let newer = newer.filter(|held| file.version.number > held.version.number);
+        if newer.flat_map(|held| objections(&held.version, &file.version)).next().is_some() {
+            return false;
+        }
+        let taken = self.state.take(now, file.content, file.version.start).unwrap_or(false);
+        if taken {
+            self.waits = Some(file.clone());
+        }
+        taken
+    }
+}
--- /dev/null
+++ b/crates/scale/src/hollow/gateway.rs
@@ -0,0 +1,314 @@
+//! One gateway without sockets: the program's decision module, its list watch, its lines to the counter and its part in the
+//! agreement, fed the bytes that the sockets would bring. What it has to say is handed back as bytes.
+
+use super::Nanos;
+use super::agreeing::{Agreeing, VersionFile};
+use gateway::counter::{self, Call, Line};
+use gateway::list::{self, Told, Watch};
+use gateway::servers::Servers;
+use lab::gates::Wishes;
+use martenramp::brain::Brain;
+use martenramp::host::{Arrival, End, Ended, Listed, Settings};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+const MS: Nanos = 1_000_000;
+/// What the program takes of its memory for one object of the list where it is told 128 MB.
+const LIST_OBJECT_MOST: usize = (128 << 20) / 16;
+
+/// What a gateway is told at its start.
+pub struct Start<'a> {
+    pub number: u32,
+    pub zone: usize,
+    /// The seed of this life.
+    pub seed: u64,
+    pub settings: &'a Settings,
+    pub zones: &'a [String],
+    pub services: u32,
+    /// The file with a version, if the fleet agrees on its settings.
+    pub version: Option<(Arc<VersionFile>, agreement::state::Terms, bool)>,
+}
+
+/// A call-out that is open.
+#[derive(Clone, Copy, Debug)]
+pub struct CallOut {
+    pub server: u32,
+    pub sent: Nanos,
+}
+
+/// An RPC that has no final answer yet.
+#[derive(Clone, Copy, Debug)]
+pub struct OpenRpc {
+    pub arrived: Nanos,
+    pub deadline: Nanos,
+    pub call_outs: u16,
+}
+
+/// A gateway's state machines, and what its host has to remember for them.
+pub struct HollowGateway {
+    pub brain: Brain,
+    pub watch: Watch,
+    /// A watch is open, or being asked for.
+    pub watching: bool,
+    pub wishes: Wishes,
+    pub rpcs: BTreeMap<u32, OpenRpc>,
+    pub call_outs: BTreeMap<(u32, u16), CallOut>,
+    pub agreeing: Option<Agreeing>,
+    lines: [Line; counter::LINES],
+    servers: Servers,
+    names: BTreeMap<u32, u32>,
+    zones: Vec<String>,
+    /// Services of the deployment: a server's is told by its name.
+    services: u32,
+    /// Bytes of the watch that the state machine has not used up.
+    input: Vec<u8>,
+    chance: fastrand::Rng,
+    pushed: bool,
+    fleet: u32,
+    stop_within: Nanos,
+    last_call: u64,
+}
+
+/// What an agent's bytes came to at a gateway.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct ListOutcome {
+    /// The list was changed by this many entries.
+    pub entries: usize,
+    /// The watch is broken.
+    pub broken: Option<&'static str>,
+}
+
+impl HollowGateway {
+    pub fn new(start: &Start, now: Nanos) -> HollowGateway {
+        let mut settings = start.settings.clone();
+        settings.insert("me".to_string(), start.number.to_string());
+        settings.insert("zone".to_string(), start.zone.to_string());
+        let number = |name: &str| settings.get(name).and_then(|text| text.parse::<f64>().ok());
+        let stop_within = number("rules.stopSendingWithin").map_or(list::STOP_WITHIN, super::nanos);
+        let (pushed, fleet) = (
+            settings.get("membershipMode").is_some_and(|mode| mode == "push"),
+            number("balancers").map_or(1, |count| count as u32),
+        );
+        let agreeing = start.version.as_ref().map(|(file, terms, fresh)| {
+            let life = fastrand::Rng::with_seed(start.seed).u32(..);
+            Agreeing::new(file.clone(), terms.clone(), start.number, start.zone, life, *fresh, now)
+        });
+        let settings = agreeing.as_ref().map_or(settings, |agreeing| agreeing.settings());
+        HollowGateway {
+            brain: Brain::new(start.seed, settings),
+            watch: Watch::new(0, LIST_OBJECT_MOST),
+            watching: false,
+            wishes: Wishes::default(),
+            rpcs: BTreeMap::new(),
+            call_outs: BTreeMap::new(),
+            agreeing,
+            lines: Default::default(),
+            servers: Servers::default(),
+            names: BTreeMap::new(),
+            zones: start.zones.to_vec(),
+            services: start.services,
+            input: Vec::new(),
+            chance: fastrand::Rng::with_seed(start.seed.rotate_left(32)),
+            pushed,
+            fleet,
+            stop_within,
+            last_call: 0,
+        }
+    }
+
+    // ---- Discovery
+
+    /// The watch is asked for: the request's bytes.
+    pub fn ask(&mut self, now: Nanos) -> Vec<u8> {
+        let mut request = Vec::new();
+        self.watch.ask(&mut request, now);
+        self.watching = true;
+        self.input.clear();
+        request
+    }
+
+    /// How long to rest before the watch is asked for again.
+    pub fn ask_again_after(&mut self) -> Nanos {
+        self.watching = false;
+        self.watch.again(self.pushed, self.fleet, self.stop_within, &mut self.chance)
+    }
+
+    /// Bytes of the watch came; `server_numbers` gives the emulation's number of a server by its name.
+    pub fn list_came(&mut self, now: Nanos, bytes: &[u8]) -> ListOutcome {
+        self.input.extend_from_slice(bytes);
+        let mut told = Vec::new();
+        let fed = self.watch.feed(now, &self.input, &mut told);
+        self.input.drain(..fed.unwrap_or(0));
+        if !told.is_empty() {
+            self.watch.fails = 0;
+        }
+        let entries = told.iter().map(|told| told.entries.len()).sum();
+        told.into_iter().for_each(|told| self.told(now, told));
+        ListOutcome { entries, broken: fed.err() }
+    }
+
+    /// A list told by discovery, or held from before.
+    pub fn told(&mut self, now: Nanos, mut told: Told) {
+        self.watch.index = told.index;
+        let more = match &mut self.agreeing {
+            Some(agreeing) => agreeing.judge(now, &mut told),
+            None => Some(Vec::new()),
+        };
+        let Some(more) = more else { return };
+        let index = told.index;
+        self.list(now, told);
+        if !more.is_empty() {
+            self.list(now, Told { index, whole: false, entries: more });
+        }
+    }
+
+    /// As the program's `to_list` does: servers get numbers, zones places, and the module hears it.
+    fn list(&mut self, now: Nanos, told: Told) {
+        if told.whole {
+            self.servers.by_number.values_mut().for_each(|server| server.listed = false);
+        }
+        let mut list = Vec::with_capacity(told.entries.len());
+        for entry in &told.entries {
+            let came_up = entry.since_ms.saturating_mul(MS);
+            let number = if entry.gone {
+                let Some(number) = self.servers.known(&entry.name) else { continue };
+                self.servers.by_number.entry(number).and_modify(|server| server.listed = false);
+                number
+            } else {
+                self.servers.list(&entry.name, entry.address, came_up, entry.ready).0
+            };
+            let server = super::discovery::number_of(&entry.name);
+            self.names.insert(number, server);
+            list.push(Listed {
+                server: number,
+                service: server % self.services,
+                key: martenramp::spread::key(&entry.name),
+                zone: self.zones.iter().position(|zone| *zone == entry.zone).map_or(u16::MAX, |at| at as u16),
+                kind: u8::MAX,
+                cell: entry.cell,
+                ready: entry.ready,
+                weight: entry.weight,
+                came_up,
+            });
+        }
+        self.brain.listed(now, told.whole, &list);
+        self.servers.forget();
+        let left = &self.servers.by_number;
+        self.names.retain(|number, _| left.contains_key(number));
+    }
+
+    /// The emulation's number of a server that this gateway calls by a number of its own.
+    pub fn server(&self, number: u32) -> Option<u32> {
+        self.names.get(&number).copied()
+    }
+
+    // ---- RPCs
+
+    pub fn rpc(&mut self, now: Nanos, arrival: &Arrival) {
+        self.rpcs.insert(arrival.id, OpenRpc { arrived: now, deadline: arrival.deadline, call_outs: 0 });
+        self.brain.rpc(&mut self.wishes, now, arrival);
+    }
+
+    pub fn woke(&mut self, now: Nanos, token: u32) {
+        self.brain.woke(&mut self.wishes, now, token);
+    }
+
+    /// A call-out that is still open ended. The RPC, if its answer went to the client with it.
+    pub fn call_out_ended(&mut self, now: Nanos, rpc: u32, nth: u16, how: End) -> Option<OpenRpc> {
+        let open = self.call_outs.remove(&(rpc, nth))?;
+        let answered = if how == End::Ok { self.rpcs.remove(&rpc) } else { None };
+        let closed = answered.is_some();
+        let gone = !closed && !self.rpcs.contains_key(&rpc);
+        let took = now - open.sent;
+        let ended = Ended {
+            rpc,
+            server: open.server,
+            nth,
+            how,
+            took,
+            closed: closed || gone,
+            settled: 0.0,
+            load: Vec::new(),
+        };
+        self.brain.ended(&mut self.wishes, now, &ended);
+        answered
+    }
+
+    // ---- The counter
+
+    /// Writes a call on the line that the program would take: the line, the call's serial, and the bytes.
+    pub fn count(&mut self, now: Nanos, name: u64, add: f64, forget: Nanos) -> (usize, u64, Vec<u8>) {
+        self.last_call += 1;
+        let call = Call { serial: self.last_call, name, add, forget };
+        let carries = self.lines.iter().position(|line| line.carries(name));
+        let least = |line: &usize| self.lines[*line].written.len() + self.lines[*line].waiting.len();
+        let line = carries.or_else(|| (0..counter::LINES).min_by_key(least)).unwrap_or(0);
+        let mut out = Vec::new();
+        if !self.lines[line].up {
+            self.lines[line].opened(&mut out, now);
+        }
+        self.lines[line].call(&mut out, now, call);
+        (line, call.serial, out)
+    }
+
+    /// Bytes of the counter came on a line.
+    pub fn counter_came(&mut self, now: Nanos, line: usize, bytes: &[u8]) {
+        let mut ended = Vec::new();
+        if self.lines[line].feed(now, bytes, &mut ended).is_err() {
+            let broke = self.lines[line].broke();
+            ended.extend(broke.into_iter().map(|(call, how)| (call, how, 0.0)));
+        }
+        for (call, how, total) in ended {
+            self.brain.counted(&mut self.wishes, now, call.name, how, total);
+        }
+    }
+
+    /// The time of a call is over.
+    pub fn count_timed_out(&mut self, now: Nanos, line: usize, serial: u64) {
+        if let Some((call, how)) = self.lines[line].time_out(serial) {
+            self.brain.counted(&mut self.wishes, now, call.name, how, 0.0);
+        }
+    }
+
+    /// The regular look: pings that are due by line, and whether the watch has been silent for too long. A line without an
+    /// answer for too long is given up and opened again.
+    pub fn sweep(&mut self, now: Nanos) -> (Vec<(usize, Vec<u8>)>, bool) {
+        let mut pings = Vec::new();
+        for at in 0..self.lines.len() {
+            if self.lines[at].is_dead(now) {
+                for (call, how) in self.lines[at].broke() {
+                    self.brain.counted(&mut self.wishes, now, call.name, how, 0.0);
+                }
+            } else if self.lines[at].up && now > self.lines[at].wrote + counter::PING_EVERY {
+                let mut out = Vec::new();
+                self.lines[at].ping(&mut out, now);
+                pings.push((at, out));
+            }
+        }
+        (pings, self.watching && self.watch.is_silent(now))
+    }
+
+    // ---- The agreement
+
+    /// Looks at what may be acted on by now. Datagrams to all others, and whether the module got other settings.
+    pub fn agree(&mut self, now: Nanos) -> (Vec<Vec<u8>>, bool) {
+        let Some(agreeing) = &mut self.agreeing else { return (Vec::new(), false) };
+        let datagrams = agreeing.tell(now);
+        let settings = agreeing.look(now);
+        let changed = settings.is_some();
+        if let Some(settings) = settings {
+            self.brain.settle(now, settings);
+        }
+        (datagrams, changed)
+    }
+
+    /// Another gateway's datagram came.
+    pub fn hear(&mut self, now: Nanos, bytes: &[u8]) {
+        let Some(agreeing) = &mut self.agreeing else { return };
+        let held_back = agreeing.hear(now, bytes);
+        if !held_back.is_empty() {
+            let index = self.watch.index;
+            self.list(now, Told { index, whole: false, entries: held_back });
+        }
+    }
+}
--- /dev/null
+++ b/crates/scale/src/hollow/rpcs.rs
@@ -0,0 +1,303 @@
+//! The load on a hollow fleet: arrivals of RPCs, their call-outs to servers, and calls to the counter.
+
+use super::figures::{Counts, Work};
+use super::fleet::{Event, Fleet};
+use super::gateway::{CallOut, OpenRpc};
+use super::scenario::Scenario;
+use super::traffic::{Direction, Peer};
+use super::{Nanos, SEC, nanos};
+use lab::chance::{self, Stream};
+use lab::gates::Wish;
+use lab::servers::{CallRef, Take};
+use martenramp::host::{Arrival, End};
+use rand::Rng;
+use rand::distr::{Distribution, weighted::WeightedIndex};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Exp1, LogNormal};
+use rig::measure::Visit;
+
+const MS: Nanos = 1_000_000;
+/// What the program takes off a client's deadline.
+const MARGIN: Nanos = 5 * MS;
+/// The region that the counter and discovery's source are in.
+pub const HOME_REGION: usize = 0;
+/// Visits to servers are kept for the spread of the load where no more than so many are to be expected.
+const VISITS_MOST: f64 = 20e6;
+
+/// A tenant: the gateways through which its RPCs come in.
+struct Tenant {
+    first: u32,
+}
+
+struct Method {
+    class: u16,
+    deadline: Nanos,
+    units: f64,
+}
+
+/// Open-loop arrivals over all played gateways.
+pub struct Load {
+    pub plan: usize,
+    methods: Vec<Method>,
+    tenants: Vec<Tenant>,
+    by_tenant: WeightedIndex<f64>,
+    by_method: WeightedIndex<f64>,
+    rate: f64,
+    draws: ChaCha8Rng,
+    last_rpc: u32,
+    count_wait: Nanos,
+    dial: Nanos,
+    /// Call-outs that servers took, where they are kept.
+    pub visits: Option<Vec<Visit>>,
+}
+
+impl Load {
+    /// The scenario is checked: its shares are above nought.
+    pub fn new(scenario: &Scenario) -> Load {
+        let mut draws = chance::stream(scenario.seed, Stream::Arrivals);
+        let shares = LogNormal::new(0.0, scenario.load.skew).expect("the skew is checked");
+        let count = scenario.tenants_played();
+        let shares: Vec<f64> = (0..count).map(|_| shares.sample(&mut draws)).collect();
+        let played = scenario.played() as u32;
+        let tenants = (0..count).map(|_| Tenant { first: draws.random_range(0..played) }).collect();
+        let methods = scenario.load.methods.iter().map(|method| {
+            let class = scenario.class(&method.name).unwrap_or(0);
+            Method { class: class as u16, deadline: nanos(scenario.deadline(class)), units: method.units }
+        });
+        let settings = scenario.settings();
+        let time = |name: &str, default: Nanos| {
+            settings.get(name).and_then(|text| text.parse().ok()).map_or(default, nanos)
+        };
+        let rate = scenario.rate * f64::from(played);
+        let whole_fleet = scenario.played() == scenario.gateways && rate * scenario.seconds < VISITS_MOST;
+        Load {
+            plan: scenario.plan().unwrap_or(0),
+            methods: methods.collect(),
+            tenants,
+            by_tenant: WeightedIndex::new(shares).expect("there are tenants"),
+            by_method: WeightedIndex::new(scenario.load.methods.iter().map(|method| method.share))
+                .expect("shares are checked"),
+            rate,
+            draws,
+            last_rpc: 0,
+            count_wait: time("extra.countWait", gateway::counter::WAIT),
+            dial: time("ceilings.dialTimeout", gateway::servers::DIAL),
+            visits: whole_fleet.then(Vec::new),
+        }
+    }
+
+    fn gap(&mut self) -> Nanos {
+        let wait: f64 = Exp1.sample(&mut self.draws);
+        (wait / self.rate * SEC as f64).max(1.0) as Nanos
+    }
+}
+
+impl Fleet<'_> {
+    pub(super) fn arrive(&mut self, now: Nanos) {
+        if self.scenario.rate <= 0.0 {
+            return;
+        }
+        let gap = self.load.gap();
+        self.queue.after(gap, Event::Arrive);
+        let load = &mut self.load;
+        let tenant = load.by_tenant.sample(&mut load.draws);
+        let number = load.by_method.sample(&mut load.draws);
+        let (width, first) = (self.scenario.load.width, load.tenants[tenant].first as usize);
+        let start = load.draws.random_range(0..width);
+        let set = (0..width).map(|at| (first + (start + at) % width) % self.places.len());
+        let Some(gateway) = set.into_iter().find(|at| self.places[*at].hollow.is_some()) else {
+            self.count(now, |counts| (counts.rpcs, counts.cut) = (counts.rpcs + 1, counts.cut + 1));
+            return;
+        };
+        let load = &mut self.load;
+        load.last_rpc = load.last_rpc.wrapping_add(1);
+        let method = &load.methods[number];
+        let nth = load.draws.random_range(0..self.scenario.services_each());
+        let arrival = Arrival {
+            id: load.last_rpc,
+            method: method.class,
+            plan: load.plan as u16,
+            customer: tenant as u64 + 1,
+            service: self.scenario.service_met(gateway, nth),
+            deadline: now + method.deadline - MARGIN,
+            units: method.units,
+            width: width as u32,
+            first: first as u32,
+        };
+        self.count(now, |counts| counts.rpcs += 1);
+        let life = self.places[gateway].life;
+        self.enter(now, gateway, life, Work::Rpcs, |hollow| hollow.rpc(now, &arrival));
+    }
+
+    /// Counts something in the measured part of the run.
+    pub(super) fn count(&mut self, now: Nanos, counts: impl FnOnce(&mut Counts)) {
+        if now >= self.frame.from {
+            counts(&mut self.counts);
+        }
+    }
+
+    /// An RPC has its final answer: it counts if it came in the measured part of the run.
+    fn answered(&mut self, rpc: Option<OpenRpc>, counter: impl FnOnce(&mut Counts) -> &mut u64) {
+        if let Some(rpc) = rpc {
+            self.count(rpc.arrived, |counts| *counter(counts) += 1);
+        }
+    }
+
+    /// Carries out what a gateway asked of its host; `work` is what it was doing.
+    pub(super) fn carry_wishes(&mut self, now: Nanos, gateway: usize, work: Work) {
+        loop {
+            let Some(hollow) = &mut self.places[gateway].hollow else { return };
+            let wishes = std::mem::take(&mut hollow.wishes.0);
+            if wishes.is_empty() {
+                return;
+            }
+            for wish in wishes {
+                self.carry_wish(now, gateway, work, wish);
+            }
+        }
+    }
+
+    fn carry_wish(&mut self, now: Nanos, gateway: usize, work: Work, wish: Wish) {
+        let life = self.places[gateway].life;
+        let Some(hollow) = &mut self.places[gateway].hollow else { return };
+        match wish {
+            Wish::Wake { after, token } => self.queue.after(after, Event::Wake { gateway, life, token }),
+            Wish::PushBack { rpc, .. } => {
+                let answered = hollow.rpcs.remove(&rpc);
+                self.answered(answered, |counts| &mut counts.pushed_back);
+            }
+            Wish::Abort { rpc } => {
+                let answered = hollow.rpcs.remove(&rpc);
+                self.answered(answered, |counts| &mut counts.aborted);
+            }
+            Wish::CallOut { rpc, server, limit } => self.call_out(now, gateway, work, rpc, server, limit),
+            Wish::Count { name, add, forget } => self.call_counter(now, gateway, name, add, forget),
+        }
+    }
+
+    // ---- Call-outs
+
+    fn call_out(&mut self, now: Nanos, gateway: usize, work: Work, rpc: u32, server: u32, limit: Nanos) {
+        let life = self.places[gateway].life;
+        let Some(hollow) = &mut self.places[gateway].hollow else { return };
+        let Some(open) = hollow.rpcs.get_mut(&rpc) else { return };
+        let until = if limit == 0 { open.deadline } else { (now + limit).min(open.deadline) };
+        let nth = open.call_outs;
+        open.call_outs += 1;
+        hollow.call_outs.insert((rpc, nth), CallOut { server, sent: now });
+        let call = CallRef { gateway: gateway as u32, life, rpc, nth };
+        let Some(to) = hollow.server(server).filter(|_| until > now) else {
+            self.enter(now, gateway, life, work, |hollow| hollow.call_out_ended(now, rpc, nth, End::NotSent));
+            return;
+        };
+        self.count(now, |counts| counts.call_outs += 1);
+        let (region, server_region) = (self.places[gateway].region, self.region_of_server(to));
+        if self.is_apart(region, server_region) {
+            return self.queue.after(self.load.dial, Event::Back { call, how: End::NoConnection });
+        }
+        let server_life = self.servers.all[to as usize].life;
+        let after = self.delay(region, server_region);
+        self.queue.after(after, Event::AtServer { call, server: to, server_life });
+        self.queue.at(until, Event::Back { call, how: End::TimedOut });
+    }
+
+    fn region_of_server(&self, server: u32) -> usize {
+        server as usize % self.scenario.zones % self.scenario.regions
+    }
+
+    pub(super) fn at_server(&mut self, now: Nanos, call: CallRef, server: u32, server_life: u32) {
+        let region = self.places[call.gateway as usize].region;
+        let back = self.delay(region, self.region_of_server(server));
+        let (after, how) = match self.servers.take(now, server, server_life, call) {
+            Take::Refused => (back, End::NoConnection),
+            Take::Full => (back, End::Full),
+            Take::Held => return,
+            Take::Serving { after, ok } => {
+                if let Some(visits) = self.load.visits.as_mut().filter(|_| now >= self.frame.from) {
+                    visits.push(Visit { server: server as usize, at: now, done: now + after });
+                }
+                self.queue.after(after, Event::Freed { server, server_life });
+                (after + back, if ok { End::Ok } else { End::Error })
+            }
+        };
+        self.queue.after(after, Event::Back { call, how });
+    }
+
+    pub(super) fn call_ended(&mut self, now: Nanos, call: CallRef, how: End) {
+        let (gateway, life) = (call.gateway as usize, call.life);
+        let open = self.places[gateway].hollow.as_ref().is_some_and(|hollow| {
+            self.places[gateway].life == life && hollow.call_outs.contains_key(&(call.rpc, call.nth))
+        });
+        if !open {
+            return; // its time was over, or it had ended before its time
+        }
+        let ended = self.enter(now, gateway, life, Work::Rpcs, |hollow| {
+            hollow.call_out_ended(now, call.rpc, call.nth, how)
+        });
+        self.answered(ended.flatten(), |counts| &mut counts.ok);
+    }
+
+    // ---- The counter
+
+    fn call_counter(&mut self, now: Nanos, gateway: usize, name: u64, add: f64, forget: Nanos) {
+        let life = self.places[gateway].life;
+        let region = self.places[gateway].region;
+        let Some(hollow) = &mut self.places[gateway].hollow else { return };
+        let (line, serial, bytes) = hollow.count(now, name, add, forget);
+        self.count(now, |counts| counts.count_calls += 1);
+        self.traffic.add(now, gateway, Peer::Counter, Direction::Sent, bytes.len());
+        let machine = self.machine_of_name(name);
+        self.control.counter.add(now, machine, bytes.len());
+        self.queue.after(self.load.count_wait, Event::CountLimit { gateway, life, line, serial });
+        if !self.is_apart(region, HOME_REGION) {
+            let after = self.delay(region, HOME_REGION);
+            self.queue.after(after, Event::CountAt { gateway, life, line, name, add, forget });
+        }
+    }
+
+    /// Names are spread over the control machines by customer.
+    fn machine_of_name(&self, name: u64) -> usize {
+        (name >> 31) as usize % self.scenario.control_machines
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the fields of one event")]
+    pub(super) fn count_at(
+        &mut self,
+        now: Nanos,
+        gateway: usize,
+        life: u32,
+        line: usize,
+        name: u64,
+        add: f64,
+        forget: Nanos,
+    ) {
+        let Some(total) = self.counter.add(now, gateway as u32, name, add, forget) else { return };
+        let text = total.to_string();
+        let bytes = format!("${}\r\n{text}\r\n", text.len()).into_bytes();
+        let machine = self.machine_of_name(name);
+        self.control.counter.add(now, machine, bytes.len());
+        self.answer_later(gateway, life, line, bytes);
+    }
+
+    fn answer_later(&mut self, gateway: usize, life: u32, line: usize, bytes: Vec<u8>) {
+        let after = nanos(self.scenario.counter.latency_ms / 1e3)
+            + self.delay(self.places[gateway].region, HOME_REGION);
+        self.queue.after(after, Event::CountBack { gateway, life, line, bytes });
+    }
+
+    pub(super) fn count_back(&mut self, now: Nanos, gateway: usize, life: u32, line: usize, bytes: &[u8]) {
+        if self.places[gateway].life != life || self.is_apart(self.places[gateway].region, HOME_REGION) {
+            return;
+        }
+        self.traffic.add(now, gateway, Peer::Counter, Direction::Received, bytes.len());
+        self.enter(now, gateway, life, Work::Counter, |hollow| hollow.counter_came(now, line, bytes));
+    }
+
+    /// A line's sign of life, and its answer.
+    pub(super) fn ping(&mut self, now: Nanos, gateway: usize, life: u32, line: usize, bytes: &[u8]) {
+        self.traffic.add(now, gateway, Peer::Counter, Direction::Sent, bytes.len());
+        if !self.counter.stalled && !self.is_apart(self.places[gateway].region, HOME_REGION) {
+            self.answer_later(gateway, life, line, b"+PONG\r\n".to_vec());
+        }
+    }
+}
--- /dev/null
+++ b/crates/scale/src/hollow/script.rs
@@ -0,0 +1,263 @@
+//! The events of a scenario, step by step: what happens to servers, gateways, control machines and regions.
+
+use super::discovery::Status;
+use super::fleet::{Event, Fleet};
+use super::rpcs::HOME_REGION;
+use super::scenario::Event as Scripted;
+use super::{Nanos, nanos};
+use lab::lifecycle::pick;
+use rand::Rng;
+
+const MS: Nanos = 1_000_000;
+/// A ready server is drawn so often before the whole list is looked through.
+const DRAWS_MOST: usize = 64;
+
+/// One thing to do at a time.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// A server that is drawn now fails or is restarted.
+    Churn {
+        fail_share: f64,
+        drain: Nanos,
+        down: Nanos,
+    },
+    /// Servers of a zone that is drawn now fail together.
+    Rack {
+        servers: usize,
+        told_after: Nanos,
+        down: Nanos,
+    },
+    /// These servers fail now, are told to be gone after a while and come back.
+    Fail {
+        servers: Vec<u32>,
+        told_after: Nanos,
+        down: Nanos,
+    },
+    /// The list says this of them from now on.
+    List {
+        servers: Vec<u32>,
+        status: Status,
+    },
+    /// They go out of service, and the list says so.
+    Gone {
+        servers: Vec<u32>,
+    },
+    /// They start anew.
+    Back {
+        servers: Vec<u32>,
+    },
+    /// A server drains, `new` takes its place, and it goes.
+    Replace {
+        old: u32,
+        new: u32,
+        drain: Nanos,
+    },
+    PutOutVersion,
+    Apart {
+        region: Option<usize>,
+    },
+    KillGateways {
+        share: f64,
+        first: usize,
+        down: Nanos,
+    },
+    StartGateways {
+        gateways: Vec<usize>,
+    },
+    LoseMachines {
+        share: f64,
+        seconds: Nanos,
+    },
+    MachinesBack {
+        gateways: Vec<usize>,
+    },
+    StallCounter {
+        stalled: bool,
+    },
+}
+
+impl Fleet<'_> {
+    /// Puts all steps of the scenario's events on the clock.
+    pub(super) fn schedule_script(&mut self, from: Nanos) {
+        let mut spare = self.scenario.servers as u32;
+        for event in &self.scenario.events {
+            for (at, step) in self.steps(event, &mut spare) {
+                self.queue.at(from + at, Event::Step(step));
+            }
+        }
+    }
+
+    /// The steps of an event that are known beforehand; `spare` is the next server that is not listed yet.
+    fn steps(&mut self, event: &Scripted, spare: &mut u32) -> Vec<(Nanos, Step)> {
+        let every = |at: f64, seconds: f64, gap: f64, step: Step| -> Vec<(Nanos, Step)> {
+            let count = (seconds / gap).ceil() as usize;
+            (0..count).map(|nth| (nanos(at + nth as f64 * gap), step.clone())).collect()
+        };
+        match event {
+            Scripted::Churn { at, seconds, every: gap, fail_share, drain, down } => {
+                let (drain, down) = (nanos(*drain), nanos(*down));
+                every(*at, *seconds, *gap, Step::Churn { fail_share: *fail_share, drain, down })
+            }
+            Scripted::Rack { at, servers, told_after, down } => {
+                let (told_after, down) = (nanos(*told_after), nanos(*down));
+                vec![(nanos(*at), Step::Rack { servers: *servers, told_after, down })]
+            }
+            Scripted::ZoneDown { at, zone, told_after, seconds } => {
+                let names = self.scenario.zone_names();
+                let zone = names.iter().position(|name| name == zone).unwrap_or(0);
+                let servers = (0..self.scenario.servers).filter(|server| server % names.len() == zone);
+                let servers = servers.map(|server| server as u32).collect();
+                let (told_after, down) = (nanos(*told_after), nanos(*seconds));
+                vec![(nanos(*at), Step::Fail { servers, told_after, down })]
+            }
+            Scripted::Replace { at, share, seconds, drain } => {
+                let old = pick(self.scenario.servers as u32, *share, &mut self.draws);
+                let gap = seconds / old.len().max(1) as f64;
+                let drain = nanos(*drain);
+                let each = old.into_iter().enumerate().map(|(nth, old)| {
+                    *spare += 1;
+                    (nanos(at + gap * nth as f64), Step::Replace { old, new: *spare - 1, drain })
+                });
+                each.collect()
+            }
+            Scripted::Versions { at, seconds, every: gap } => every(*at, *seconds, *gap, Step::PutOutVersion),
+            Scripted::RegionApart { at, region, seconds } => vec![
+                (nanos(*at), Step::Apart { region: Some(*region) }),
+                (nanos(at + seconds), Step::Apart { region: None }),
+            ],
+            Scripted::RestartGateways { at, share, down } => {
+                vec![(nanos(*at), Step::KillGateways { share: *share, first: 0, down: nanos(*down) })]
+            }
+            Scripted::VotersLost { at, count, down } => {
+                vec![(nanos(*at), Step::KillGateways { share: 0.0, first: *count, down: nanos(*down) })]
+            }
+            Scripted::AgentsLost { at, share, seconds } => {
+                vec![(nanos(*at), Step::LoseMachines { share: *share, seconds: nanos(*seconds) })]
+            }
+            Scripted::CounterStalled { at, seconds } => vec![
+                (nanos(*at), Step::StallCounter { stalled: true }),
+                (nanos(at + seconds), Step::StallCounter { stalled: false }),
+            ],
+        }
+    }
+
+    /// Does one step; what it puts off goes on the clock.
+    pub(super) fn carry_out(&mut self, now: Nanos, step: Step) {
+        match step {
+            Step::Churn { fail_share, drain, down } => self.churn(now, fail_share, drain, down),
+            Step::Rack { servers, told_after, down } => {
+                let zone = self.draws.random_range(0..self.scenario.zones);
+                let of_zone = (0..self.scenario.servers as u32).filter(|server| {
+                    *server as usize % self.scenario.zones == zone && self.is_ready(*server)
+                });
+                let servers = of_zone.take(servers).collect();
+                self.fail(now, servers, told_after, down);
+            }
+            Step::Fail { servers, told_after, down } => self.fail(now, servers, told_after, down),
+            Step::List { servers, status } => {
+                servers.iter().for_each(|server| self.list(now, *server, status))
+            }
+            Step::Gone { servers } => {
+                for server in servers {
+                    self.servers.down(server);
+                    self.list(now, server, Status::Gone);
+                }
+            }
+            Step::Back { servers } => {
+                for server in servers {
+                    self.servers.replace(server, now);
+                    self.list(now, server, Status::Ready);
+                }
+            }
+            Step::Replace { old, new, drain } => {
+                self.list(now, old, Status::Draining);
+                self.servers.replace(new, now);
+                self.list(now, new, Status::Ready);
+                self.queue.after(drain, Event::Step(Step::Gone { servers: vec![old] }));
+            }
+            Step::PutOutVersion => self.put_out_version(now),
+            Step::Apart { region } => self.cut_region(now, region),
+            Step::KillGateways { share, first, down } => self.kill_gateways(share, first, down),
+            Step::StartGateways { gateways } => {
+                gateways.into_iter().for_each(|gateway| self.start(now, gateway, false));
+            }
+            Step::LoseMachines { share, seconds } => self.lose_machines(now, share, seconds),
+            Step::MachinesBack { gateways } => {
+                gateways.into_iter().for_each(|gateway| self.discovery.set_up(gateway, true));
+            }
+            Step::StallCounter { stalled } => self.counter.stalled = stalled,
+        }
+    }
+
+    // ---- Servers
+
+    fn is_ready(&self, server: u32) -> bool {
+        self.discovery.status(server) == Status::Ready && self.servers.all[server as usize].up
+    }
+
+    fn list(&mut self, now: Nanos, server: u32, status: Status) {
+        let came_up = self.servers.all[server as usize].came_up;
+        self.counts.list_changes += u64::from(now >= self.frame.from);
+        for (agent, at) in self.discovery.change(now, server, status, came_up / MS) {
+            self.queue.at(at, Event::AgentWrites { agent });
+        }
+    }
+
+    fn churn(&mut self, now: Nanos, fail_share: f64, drain: Nanos, down: Nanos) {
+        let count = self.discovery.servers() as u32;
+        let drawn = (0..DRAWS_MOST).map(|_| self.draws.random_range(0..count)).collect::<Vec<_>>();
+        let Some(server) = drawn.into_iter().chain(0..count).find(|server| self.is_ready(*server)) else {
+            return;
+        };
+        let servers = vec![server];
+        if self.draws.random::<f64>() < fail_share {
+            return self.fail(now, servers, drain, down);
+        }
+        self.list(now, server, Status::Draining);
+        self.queue.after(drain, Event::Step(Step::Gone { servers: servers.clone() }));
+        self.queue.after(down, Event::Step(Step::Back { servers }));
+    }
+
+    fn fail(&mut self, now: Nanos, servers: Vec<u32>, told_after: Nanos, down: Nanos) {
+        servers.iter().for_each(|server| self.servers.down(*server));
+        let told = Step::List { servers: servers.clone(), status: Status::Gone };
+        self.queue.at(now + told_after, Event::Step(told));
+        self.queue.at(now + down, Event::Step(Step::Back { servers }));
+    }
+
+    // ---- Gateways, control machines and regions
+
+    fn kill_gateways(&mut self, share: f64, first: usize, down: Nanos) {
+        let drawn = pick(self.places.len() as u32, share, &mut self.draws);
+        let gateways: Vec<usize> = (0..first).chain(drawn.into_iter().map(|at| at as usize)).collect();
+        gateways.iter().for_each(|gateway| self.kill(*gateway));
+        self.queue.after(down, Event::Step(Step::StartGateways { gateways }));
+    }
+
+    fn lose_machines(&mut self, now: Nanos, share: f64, seconds: Nanos) {
+        let machines = pick(self.scenario.control_machines as u32, share, &mut self.draws);
+        let lost = |gateway: &usize| machines.contains(&((gateway % self.scenario.control_machines) as u32));
+        let gateways: Vec<usize> = (0..self.places.len()).filter(lost).collect();
+        for gateway in &gateways {
+            self.discovery.set_up(*gateway, false);
+            let life = self.places[*gateway].life;
+            let watches = self.places[*gateway].hollow.as_ref().is_some_and(|hollow| hollow.watching);
+            if watches {
+                self.watch_broke(now, *gateway, life);
+            }
+        }
+        self.queue.after(seconds, Event::Step(Step::MachinesBack { gateways }));
+    }
+
+    fn cut_region(&mut self, now: Nanos, region: Option<usize>) {
+        self.apart = region;
+        for gateway in 0..self.places.len() {
+            let cut = self.is_apart(self.places[gateway].region, HOME_REGION);
+            let was = self.discovery.is_cut(gateway);
+            self.discovery.set_cut(gateway, cut);
+            if was && !cut {
+                self.agent_goes_on(now, gateway);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/scale/src/hollow/tables.rs
@@ -0,0 +1,399 @@
+//! Tables of a run. All but `processor.csv` come from the emulated clock and are the same for the same scenario and seed.
+
+use super::SEC;
+use super::figures::{InForce, Work};
+use super::fleet::Fleet;
+use super::traffic::{ControlLoad, Direction, Peer, Tally};
+use crate::ScaleError;
+use rig::measure::{Frame, Quantity, Server, Spread};
+use serde::Serialize;
+use std::path::Path;
+
+/// Windows in which the spread of RPCs over servers is looked at.
+const SPREAD_WINDOW: u64 = 5 * SEC;
+
+/// One run: what was played, and counts over its measured part.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct RunRow {
+    pub scenario: String,
+    pub seed: u64,
+    pub seconds: f64,
+    /// The size of the fleet, how many of it were played, and by how much their figures are multiplied.
+    pub gateways: usize,
+    pub played: usize,
+    pub multiplied_by: f64,
+    pub servers: usize,
+    pub services: usize,
+    pub services_met: usize,
+    pub servers_told: usize,
+    pub zones: usize,
+    pub regions: usize,
+    pub tenants: usize,
+    pub tenants_played: usize,
+    pub rate: f64,
+    pub rpcs: u64,
+    pub ok: u64,
+    pub pushed_back: u64,
+    pub aborted: u64,
+    pub cut: u64,
+    pub call_outs: u64,
+    pub count_calls: u64,
+    pub count_calls_per_rpc: f64,
+    /// Names that the counter holds at the end.
+    pub counter_names: usize,
+    pub list_changes: u64,
+    /// Bytes of lines that tell lists or changes, for each played gateway.
+    pub list_bytes_each: f64,
+    pub versions: u64,
+    pub watch_requests: u64,
+    pub watches_broken: u64,
+    /// RPCs of the busiest and of the least busy server over the mean, in the middle window of 5 s; nought where only a
+    /// sample of the fleet is played.
+    pub server_peak: f64,
+    pub server_least: f64,
+}
+
+/// Times until changes of one kind were in force at gateways.
+#[derive(Clone, Debug, Serialize)]
+pub struct InForceRow {
+    pub what: &'static str,
+    /// Pairs of a change and a gateway that it concerns, and those not in force at the end.
+    pub reached: u64,
+    pub missing: u64,
+    pub p50_ms: f64,
+    pub p99_ms: f64,
+    pub most_ms: f64,
+}
+
+/// What went between a gateway and one kind of peer, in one direction. Only voters send datagrams to other gateways: what
+/// they send is shown of one voter.
+#[derive(Clone, Debug, Serialize)]
+pub struct TrafficRow {
+    pub peer: &'static str,
+    pub direction: &'static str,
+    /// Of a gateway, a second: on average, and in the second in which the fleet had most bytes.
+    pub messages_per_s: f64,
+    pub bytes_per_s: f64,
+    pub peak_messages_per_s: f64,
+    pub peak_bytes_per_s: f64,
+}
+
+/// What control machines carry for the whole fleet.
+#[derive(Clone, Debug, Serialize)]
+pub struct ControlRow {
+    pub what: &'static str,
+    pub machines: usize,
+    /// Of one machine on average, a second.
+    pub messages_per_s: f64,
+    pub bytes_per_s: f64,
+    /// The most that one machine had in a second.
+    pub peak_messages_per_s: f64,
+    pub peak_bytes_per_s: f64,
+}
+
+/// One second of the run, all played gateways together.
+#[derive(Clone, Debug, Serialize)]
+pub struct SecondRow {
+    pub t_s: usize,
+    pub list_bytes: u64,
+    pub counter_calls: u64,
+    pub counter_bytes: u64,
+    pub datagrams: u64,
+    pub datagram_bytes: u64,
+}
+
+/// What the run took of this machine.
+#[derive(Clone, Debug, Serialize)]
+pub struct ProcessorRow {
+    pub what: &'static str,
+    pub value: f64,
+    pub unit: &'static str,
+}
+
+/// All tables of a run.
+#[derive(Clone, Debug)]
+pub struct Tables {
+    pub run: RunRow,
+    pub in_force: Vec<InForceRow>,
+    pub traffic: Vec<TrafficRow>,
+    pub control: Vec<ControlRow>,
+    pub seconds: Vec<SecondRow>,
+    pub processor: Vec<ProcessorRow>,
+    /// The most bytes for control that one gateway had in one second.
+    pub busiest_gateway_second: u32,
+}
+
+fn round(value: f64) -> f64 {
+    (value * 1e4).round() / 1e4
+}
+
+impl Tables {
+    /// The tables of a fleet that was played.
+    pub fn of(fleet: &Fleet) -> Tables {
+        Tables {
+            run: run_row(fleet),
+            in_force: in_force_rows(fleet),
+            traffic: traffic_rows(fleet),
+            control: control_rows(fleet),
+            seconds: second_rows(fleet),
+            processor: processor_rows(fleet),
+            busiest_gateway_second: fleet.traffic.busiest_gateway_second(),
+        }
+    }
+
+    /// Every table that depends on scenario and seed alone: its file's name and its text.
+    pub fn emulated(&self) -> Result<Vec<(&'static str, String)>, ScaleError> {
+        Ok(vec![
+            ("run.csv", csv(std::slice::from_ref(&self.run))?),
+            ("in-force.csv", csv(&self.in_force)?),
+            ("traffic.csv", csv(&self.traffic)?),
+            ("control.csv", csv(&self.control)?),
+            ("seconds.csv", csv(&self.seconds)?),
+        ])
+    }
+
+    /// Writes all tables into a folder.
+    pub fn write(&self, folder: &Path) -> Result<(), ScaleError> {
+        std::fs::create_dir_all(folder).map_err(|why| ScaleError::file(folder, why))?;
+        let mut all = self.emulated()?;
+        all.push(("processor.csv", csv(&self.processor)?));
+        for (name, text) in all {
+            let file = folder.join(name);
+            std::fs::write(&file, text).map_err(|why| ScaleError::file(&file, why))?;
+        }
+        Ok(())
+    }
+
+    /// The figures for a person.
+    pub fn shown(&self) -> String {
+        let run = &self.run;
+        let mut text = format!(
+            "{}: {} of {} gateways played (fleet figures multiplied by {:.1}), {} servers in {} services, {} told to each\n\
+             {} RPCs: {} ok, {} pushed back, {} aborted, {} cut; {} call-outs, {:.3} counter calls an RPC; \
+             busiest server {:.2}, least {:.2} of the mean\n\
+             {} changes of the list, {} versions, {} watch requests\n",
+            run.scenario,
+            run.played,
+            run.gateways,
+            run.multiplied_by,
+            run.servers,
+            run.services,
+            run.servers_told,
+            run.rpcs,
+            run.ok,
+            run.pushed_back,
+            run.aborted,
+            run.cut,
+            run.call_outs,
+            run.count_calls_per_rpc,
+            run.server_peak,
+            run.server_least,
+            run.list_changes,
+            run.versions,
+            run.watch_requests
+        );
+        for row in &self.in_force {
+            text += &format!(
+                "in force, {}: p50 {:.0} ms, p99 {:.0} ms, at most {:.0} ms; {} reached, {} not\n",
+                row.what, row.p50_ms, row.p99_ms, row.most_ms, row.reached, row.missing
+            );
+        }
+        for row in &self.traffic {
+            text += &format!(
+                "a gateway, {} {}: {:.2} messages/s, {:.0} B/s; in the peak second {:.1} and {:.0}\n",
+                row.peer,
+                row.direction,
+                row.messages_per_s,
+                row.bytes_per_s,
+                row.peak_messages_per_s,
+                row.peak_bytes_per_s
+            );
+        }
+        text += &format!("the busiest second of any gateway: {} B\n", self.busiest_gateway_second);
+        for row in &self.control {
+            text += &format!(
+                "one of {} control machines, {}: {:.0} messages/s, {:.0} B/s; most in a second {:.0} and {:.0}\n",
+                row.machines,
+                row.what,
+                row.messages_per_s,
+                row.bytes_per_s,
+                row.peak_messages_per_s,
+                row.peak_bytes_per_s
+            );
+        }
+        for row in &self.processor {
+            text += &format!("{}: {} {}\n", row.what, row.value, row.unit);
+        }
+        text
+    }
+}
+
+/// Rows as the text of a table.
+fn csv<Row: Serialize>(rows: &[Row]) -> Result<String, ScaleError> {
+    let fail = |why: String| ScaleError::Measurement { what: "table".to_string(), why };
+    let mut writer = csv::Writer::from_writer(Vec::new());
+    for row in rows {
+        writer.serialize(row).map_err(|why| fail(why.to_string()))?;
+    }
+    let bytes = writer.into_inner().map_err(|why| fail(why.to_string()))?;
+    String::from_utf8(bytes).map_err(|why| fail(why.to_string()))
+}
+
+fn run_row(fleet: &Fleet) -> RunRow {
+    let (scenario, counts) = (fleet.scenario, fleet.counts);
+    let spread = spread(fleet).unwrap_or_default();
+    RunRow {
+        scenario: scenario.name.clone(),
+        seed: scenario.seed,
+        seconds: scenario.seconds,
+        gateways: scenario.gateways,
+        played: scenario.played(),
+        multiplied_by: round(scenario.multiplied_by()),
+        servers: scenario.servers,
+        services: scenario.services,
+        services_met: scenario.services_each(),
+        servers_told: scenario.servers_told(),
+        zones: scenario.zones,
+        regions: scenario.regions,
+        tenants: scenario.tenants,
+        tenants_played: scenario.tenants_played(),
+        rate: scenario.rate,
+        rpcs: counts.rpcs,
+        ok: counts.ok,
+        pushed_back: counts.pushed_back,
+        aborted: counts.aborted,
+        cut: counts.cut,
+        call_outs: counts.call_outs,
+        count_calls: counts.count_calls,
+        count_calls_per_rpc: round(counts.count_calls as f64 / counts.rpcs.max(1) as f64),
+        counter_names: fleet.counter.names(),
+        list_changes: counts.list_changes,
+        list_bytes_each: round(counts.list_bytes as f64 / scenario.played() as f64),
+        versions: counts.versions,
+        watch_requests: counts.watch_requests,
+        watches_broken: counts.watches_broken,
+        server_peak: round(spread.peak),
+        server_least: round(spread.least),
+    }
+}
+
+/// How evenly RPCs came to the servers that were there throughout, as the rig measures it.
+fn spread(fleet: &Fleet) -> Option<Spread> {
+    let visits = fleet.load.visits.as_ref()?;
+    let (from, to) = (fleet.frame.from, fleet.frame.from + fleet.frame.seconds as u64 * SEC);
+    let all = 0..fleet.scenario.servers_in_all();
+    let listed = |server: usize| {
+        let changed = fleet.discovery.changes.iter().any(|change| change.server as usize == server);
+        server < fleet.scenario.servers && !changed
+    };
+    let ready = |server: usize| if listed(server) { vec![(0, u64::MAX)] } else { Vec::new() };
+    let servers: Vec<Server> = all.map(|server| Server { weight: 1.0, ready: ready(server) }).collect();
+    let windows = Frame { from, to, width: SPREAD_WINDOW }.windows(&servers, visits, Quantity::Rpcs);
+    Some(Spread::of(&windows))
+}
+
+fn in_force_rows(fleet: &Fleet) -> Vec<InForceRow> {
+    let row = |what, in_force: &InForce, missing| InForceRow {
+        what,
+        reached: in_force.times.len(),
+        missing,
+        p50_ms: round(in_force.quantile_ms(0.5)),
+        p99_ms: round(in_force.quantile_ms(0.99)),
+        most_ms: round(in_force.most_ms()),
+    };
+    let untold = fleet.discovery.untold(fleet.frame.from) as u64;
+    vec![
+        row("list", &fleet.lists_in_force, untold),
+        row("version", &fleet.versions_in_force, fleet.versions_not_in_force()),
+    ]
+}
+
+fn traffic_rows(fleet: &Fleet) -> Vec<TrafficRow> {
+    let voters = fleet.scenario.agreement.as_ref().map_or(1, |terms| terms.voters);
+    let seconds = fleet.frame.seconds;
+    let mut rows = Vec::new();
+    for peer in Peer::ALL {
+        for direction in Direction::ALL {
+            let total = fleet.traffic.total(peer, direction);
+            let by_voters = (peer, direction) == (Peer::Gateways, Direction::Sent);
+            let gateways = if by_voters { voters } else { fleet.scenario.played() } as f64;
+            let all = (0..seconds).map(|second| fleet.traffic.of_second(second, peer, direction));
+            let peak = all.max_by_key(|tally| tally.bytes).unwrap_or_default();
+            let each = |count: u64| round(count as f64 / gateways);
+            rows.push(TrafficRow {
+                peer: peer.name(),
+                direction: direction.name(),
+                messages_per_s: round(total.messages as f64 / gateways / seconds as f64),
+                bytes_per_s: round(total.bytes as f64 / gateways / seconds as f64),
+                peak_messages_per_s: each(peak.messages),
+                peak_bytes_per_s: each(peak.bytes),
+            });
+        }
+    }
+    rows
+}
+
+fn control_rows(fleet: &Fleet) -> Vec<ControlRow> {
+    let (machines, times) = (fleet.scenario.control_machines, fleet.scenario.multiplied_by());
+    let spans = (machines * fleet.frame.seconds) as f64;
+    let row = |what, load: &ControlLoad| {
+        let (total, peak): (Tally, Tally) = (load.total(), load.busiest_second());
+        ControlRow {
+            what,
+            machines,
+            messages_per_s: round(total.messages as f64 * times / spans),
+            bytes_per_s: round(total.bytes as f64 * times / spans),
+            peak_messages_per_s: round(peak.messages as f64 * times),
+            peak_bytes_per_s: round(peak.bytes as f64 * times),
+        }
+    };
+    vec![
+        row("discovery", &fleet.control.discovery),
+        row("counter", &fleet.control.counter),
+        row("datagrams", &fleet.control.datagrams),
+    ]
+}
+
+fn second_rows(fleet: &Fleet) -> Vec<SecondRow> {
+    let row = |second: usize| {
+        let of = |peer, direction| fleet.traffic.of_second(second, peer, direction);
+        let both = |peer| of(peer, Direction::Sent).bytes + of(peer, Direction::Received).bytes;
+        SecondRow {
+            t_s: second,
+            list_bytes: both(Peer::Discovery),
+            counter_calls: of(Peer::Counter, Direction::Sent).messages,
+            counter_bytes: both(Peer::Counter),
+            datagrams: of(Peer::Gateways, Direction::Received).messages,
+            datagram_bytes: both(Peer::Gateways),
+        }
+    };
+    (0..fleet.frame.seconds).map(row).collect()
+}
+
+fn processor_rows(fleet: &Fleet) -> Vec<ProcessorRow> {
+    let share = |value: f64| round(100.0 * value);
+    let milliseconds = |nanos: u64| round(nanos as f64 / 1e6);
+    let megabytes = |bytes: u64| round(bytes as f64 / (1 << 20) as f64);
+    let row = |what, value, unit| ProcessorRow { what, value, unit };
+    let names =
+        ["a gateway on lists", "a gateway on the counter", "a gateway on the agreement", "a gateway on RPCs"];
+    let mut rows: Vec<ProcessorRow> = Work::ALL
+        .into_iter()
+        .zip(names)
+        .map(|(work, name)| row(name, share(fleet.processor.share(work)), "% of a core"))
+        .collect();
+    let busiest = |quantile| share(fleet.processor.busiest_second(quantile));
+    rows.push(row("control in its busiest second, gateway at p50", busiest(0.5), "% of a core"));
+    rows.push(row("control in its busiest second, gateway at p99", busiest(0.99), "% of a core"));
+    rows.push(row("control in its busiest second, worst gateway", busiest(1.0), "% of a core"));
+    let changes = &fleet.processor.list_changes;
+    rows.push(row("a line of the list, p50", milliseconds(changes.value_at_quantile(0.5)), "ms"));
+    rows.push(row("a line of the list, p99", milliseconds(changes.value_at_quantile(0.99)), "ms"));
+    rows.push(row("a line of the list, at most", milliseconds(changes.max()), "ms"));
+    let memory = fleet.memory;
+    let each = |bytes: u64| megabytes(bytes / fleet.scenario.played() as u64);
+    rows.push(row("held a gateway, once started", each(memory.started), "MB"));
+    rows.push(row("held a gateway, at the end", each(memory.ended), "MB"));
+    rows.push(row("peak of the whole emulation", megabytes(memory.peak), "MB"));
+    rows
+}
