--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -55,6 +55,8 @@
     /// Gateways that ended unasked, or not with 0 after SIGTERM.
     pub crashed: Vec<String>,
     pub count_calls: u64,
+    /// Bytes of the lines that told gateways lists or changes.
+    pub list_bytes: u64,
 }
 
 struct Gateway {
@@ -643,6 +645,7 @@
             lines: self.gateways.into_iter().map(|gateway| gateway.lines).collect(),
             crashed: self.crashed,
             count_calls: self.counter.with(|counter, _| counter.calls),
+            list_bytes: self.discovery.with(|discovery, _| discovery.told_bytes),
         }
     }
 }
--- a/crates/scale/src/hollow/scenario.rs
+++ b/crates/scale/src/hollow/scenario.rs
@@ -279,9 +279,9 @@
 }
 
 impl Scenario {
-    /// Reads and checks a scenario file.
+    /// Reads and checks a scenario file, with what it `extends`.
     pub fn read(file: &Path) -> Result<Scenario, ScaleError> {
-        let text = std::fs::read_to_string(file).map_err(|why| ScaleError::file(file, why))?;
+        let text = lab::scenario::read_text(file).map_err(|why| ScaleError::scenario(file, why))?;
         Scenario::from_toml(file, &text)
     }
 
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -62,6 +62,8 @@
     agents: Vec<Agent>,
     doors: BTreeMap<Door, usize>,
     conns: BTreeMap<Conn, usize>,
+    /// Bytes of all lines that told a list or changes of it.
+    pub told_bytes: u64,
 }
 
 impl Discovery {
@@ -119,7 +121,7 @@
             at.told = back.min(at.told);
             let whole = self.whole(agent);
             for conn in self.agents[agent].watches.clone() {
-                line(io, conn, &whole);
+                self.told_bytes += line(io, conn, &whole);
             }
         }
         let at = &mut self.agents[agent];
@@ -157,7 +159,7 @@
         let text = object(known, false, changed.iter().map(|change| &change.1), &at.seen_at);
         at.told = known;
         for conn in at.watches.clone() {
-            line(io, conn, &text);
+            self.told_bytes += line(io, conn, &text);
         }
     }
 
@@ -187,8 +189,11 @@
     json!({"index": index, "snapshot": whole, "endpoints": entries}).to_string()
 }
 
-fn line(io: &mut Io, conn: Conn, text: &str) {
-    io.send(conn, format!("{:x}\r\n{text}\n\r\n", text.len() + 1).as_bytes());
+/// Writes a line as a chunk; how many bytes that takes.
+fn line(io: &mut Io, conn: Conn, text: &str) -> u64 {
+    let chunk = format!("{:x}\r\n{text}\n\r\n", text.len() + 1);
+    io.send(conn, chunk.as_bytes());
+    chunk.len() as u64
 }
 
 impl Service for Discovery {
@@ -217,10 +222,11 @@
         let at = &mut self.agents[agent];
         at.watches.push(conn);
         if from == 0 || from > at.told {
-            line(io, conn, &whole);
+            self.told_bytes += line(io, conn, &whole);
         } else if from < at.told {
             let changed = &self.changes[from as usize..at.told as usize];
-            line(io, conn, &object(at.told, false, changed.iter().map(|change| &change.1), &at.seen_at));
+            self.told_bytes +=
+                line(io, conn, &object(at.told, false, changed.iter().map(|change| &change.1), &at.seen_at));
         }
     }
 
