--- a/crates/scale/src/hollow/mod.rs
+++ b/crates/scale/src/hollow/mod.rs
@@ -4,7 +4,7 @@
 //!
 //! [`scenario`] says what is played, [`fleet`] plays it, [`tables`] writes what was found. The same scenario and seed give
 //! the same tables byte for byte, but for `processor.csv`, which holds what the run took of this machine. Figures are
-//! emulated. `docs/scale.md` says what each of them means.
+//! emulated. `docs/scale-hollow.md` says what each of them means.
 
 mod agreeing;
 mod discovery;
