--- a/crates/scale/src/hollow/agreeing.rs
+++ b/crates/scale/src/hollow/agreeing.rs
@@ -2,9 +2,10 @@
 //! machines, without its sockets and its log.
 
 use super::Nanos;
+use super::gateway::Agreed;
 use agreement::lists::{Lists, Seen};
 use agreement::rules::{Version, objections};
-use agreement::state::{Agreement, Content, Stand, Terms};
+use agreement::state::{Agreement, Content, Stand};
 use agreement::word::{Notice, Word};
 use gateway::list::{Entry, Told};
 use martenramp::host::Settings;
@@ -47,18 +48,11 @@
 }
 
 impl Agreeing {
-    pub fn new(
-        file: Arc<VersionFile>,
-        terms: Terms,
-        number: u32,
-        zone: usize,
-        life: u32,
-        fresh: bool,
-        now: Nanos,
-    ) -> Agreeing {
+    pub fn new(agreed: &Agreed, number: u32, zone: usize, life: u32, now: Nanos) -> Agreeing {
+        let file = agreed.file.clone();
         let (content, start) = (file.content, file.version.start);
-        let mut state = Agreement::new(terms, Some(number), life, now, content, start);
-        if fresh {
+        let mut state = Agreement::new(agreed.terms.clone(), Some(number), life, now, content, start);
+        if agreed.fresh {
             state.forget();
         }
         Agreeing {
--- a/crates/scale/src/hollow/discovery.rs
+++ b/crates/scale/src/hollow/discovery.rs
@@ -43,7 +43,7 @@
 pub struct Change {
     pub at: Nanos,
     pub server: u32,
-    status: Status,
+    pub status: Status,
     since_ms: u64,
 }
 
@@ -66,19 +66,31 @@
     untold: Vec<u32>,
     /// When it writes next, if that is set.
     writes_at: Option<Nanos>,
-    /// The version that it told last.
-    told: u64,
     is_up: bool,
     /// Its way to the source is cut.
     is_cut: bool,
 }
 
+/// An agent writes at this time.
+#[derive(Clone, Copy, Debug)]
+pub struct DueWrite {
+    pub agent: usize,
+    pub at: Nanos,
+}
+
 /// Lines that an agent writes at once, and which changes they bring into force.
 pub struct Lines {
     pub bytes: Rc<Vec<u8>>,
     pub changes: Vec<u32>,
 }
 
+/// Changes, by their places, as a line tells them.
+#[derive(Default)]
+struct Object {
+    places: Vec<u32>,
+    bytes: Rc<Vec<u8>>,
+}
+
 /// The true list, its changes and all agents.
 pub struct Discovery {
     zones: Vec<String>,
@@ -88,8 +100,8 @@
     agents: Vec<Agent>,
     /// By service, the agents whose gateways meet it.
     meets: Vec<Vec<u32>>,
-    /// The last object written, as agents with the same gap write the same.
-    last_object: (Vec<u32>, Rc<Vec<u8>>),
+    /// The object written last, as agents that tell the same changes write the same bytes.
+    last_object: Object,
 }
 
 impl Discovery {
@@ -106,7 +118,7 @@
             changes: Vec::new(),
             agents: Vec::new(),
             meets: vec![Vec::new(); services],
-            last_object: (Vec::new(), Rc::default()),
+            last_object: Object::default(),
         }
     }
 
@@ -119,7 +131,6 @@
             delay,
             untold: Vec::new(),
             writes_at: None,
-            told: 1,
             is_up: true,
             is_cut: false,
         });
@@ -149,8 +160,8 @@
         all.filter(|place| self.changes[**place as usize].at >= from).count()
     }
 
-    /// Changes the true list. Agents that have to write, and when.
-    pub fn change(&mut self, now: Nanos, server: u32, status: Status, since_ms: u64) -> Vec<(usize, Nanos)> {
+    /// Changes the true list. Agents that are to write for it and were not yet.
+    pub fn change(&mut self, now: Nanos, server: u32, status: Status, since_ms: u64) -> Vec<DueWrite> {
         self.listed[server as usize] = Listed { status, since_ms };
         let place = self.changes.len() as u32;
         self.changes.push(Change { at: now, server, status, since_ms });
@@ -160,17 +171,12 @@
             at.untold.push(place);
             if at.writes_at.is_none() && !at.is_cut {
                 at.writes_at = Some(now + at.delay);
-                to_write.push((*agent as usize, now + at.delay));
+                to_write.push(DueWrite { agent: *agent as usize, at: now + at.delay });
             }
         }
         to_write
     }
 
-    /// How many played gateways a change concerns.
-    pub fn concerned(&self, server: u32) -> usize {
-        self.meets[self.service_of(server) as usize].len()
-    }
-
     /// An agent writes what it may know by now and has not told; nothing if no watch is open or nothing is new.
     pub fn write(&mut self, now: Nanos, agent: usize, watch_is_open: bool) -> Option<Lines> {
         let at = &mut self.agents[agent];
@@ -181,7 +187,6 @@
         let (changes, delay) = (&self.changes, at.delay);
         let known = at.untold.partition_point(|place| changes[*place as usize].at + delay <= now);
         let told: Vec<u32> = at.untold.drain(..known).collect();
-        at.told = told.last().map_or(at.told, |place| u64::from(*place) + 2);
         (!told.is_empty()).then(|| Lines { bytes: self.object(&told), changes: told })
     }
 
@@ -196,16 +201,16 @@
         at.writes_at
     }
 
-    /// A change as one object of the list; later changes of a server stand for earlier ones.
+    /// Changes as one line of the list.
     fn object(&mut self, places: &[u32]) -> Rc<Vec<u8>> {
-        if self.last_object.0 != places {
+        if self.last_object.places != places {
             let changes = places.iter().map(|place| &self.changes[*place as usize]);
             let entries = changes.map(|change| self.entry(change.server, change.status, change.since_ms));
             let index = places.last().map_or(1, |place| u64::from(*place) + 2);
-            let object = chunk(&object(index, false, entries));
-            self.last_object = (places.to_vec(), Rc::new(object));
+            let bytes = Rc::new(chunk(&object(index, false, entries)));
+            self.last_object = Object { places: places.to_vec(), bytes };
         }
-        self.last_object.1.clone()
+        self.last_object.bytes.clone()
     }
 
     fn entry(&self, server: u32, status: Status, since_ms: u64) -> Entry {
@@ -236,12 +241,11 @@
         }
         let mut bytes = WATCH_HEAD.to_vec();
         let mut changes = Vec::new();
-        // An agent that is cut off from the source knows nothing newer than what it told.
+        // An agent that is cut off from the source tells nothing new.
         let cut = self.agents[agent].is_cut;
         if !cut && (from == 0 || from > self.index()) {
             changes = std::mem::take(&mut self.agents[agent].untold);
             bytes.extend_from_slice(&chunk(&self.whole(agent)));
-            self.agents[agent].told = self.index();
         } else if !cut {
             let untold = std::mem::take(&mut self.agents[agent].untold);
             let missed = untold.iter().filter(|place| u64::from(**place) + 2 > from);
--- a/crates/scale/src/hollow/fleet.rs
+++ b/crates/scale/src/hollow/fleet.rs
@@ -3,8 +3,8 @@
 use super::agreeing::VersionFile;
 use super::discovery::{Discovery, HEARTBEAT, HEARTBEAT_EVERY, Lines};
 use super::figures::{Counts, InForce, Processor, Work, processor_now};
-use super::gateway::{HollowGateway, Start};
-use super::rpcs::Load;
+use super::gateway::{Agreed, HollowGateway, Start};
+use super::rpcs::{CounterCall, Load};
 use super::scenario::Scenario;
 use super::script::Step;
 use super::traffic::{ControlLoad, Direction, Frame, Peer, Traffic};
@@ -34,7 +34,7 @@
     AtServer { call: CallRef, server: u32, server_life: u32 },
     Back { call: CallRef, how: End },
     Freed { server: u32, server_life: u32 },
-    CountAt { gateway: usize, life: u32, line: usize, name: u64, add: f64, forget: Nanos },
+    CountAt(CounterCall),
     CountBack { gateway: usize, life: u32, line: usize, bytes: Vec<u8> },
     CountLimit { gateway: usize, life: u32, line: usize, serial: u64 },
     AgentWrites { agent: usize },
@@ -192,9 +192,7 @@
             Event::AtServer { call, server, server_life } => self.at_server(now, call, server, server_life),
             Event::Back { call, how } => self.call_ended(now, call, how),
             Event::Freed { server, server_life } => self.servers.free(server, server_life),
-            Event::CountAt { gateway, life, line, name, add, forget } => {
-                self.count_at(now, gateway, life, line, name, add, forget);
-            }
+            Event::CountAt(call) => self.count_at(now, call),
             Event::CountBack { gateway, life, line, bytes } => {
                 self.count_back(now, gateway, life, line, &bytes)
             }
@@ -240,7 +238,7 @@
         place.life += 1;
         place.started = now;
         let life = place.life;
-        let version = place.file.clone().zip(self.terms.clone());
+        let agreed = place.file.clone().zip(self.terms.clone());
         let start = Start {
             number: gateway as u32,
             zone: place.zone,
@@ -248,7 +246,7 @@
             settings: &self.settings,
             zones: &self.zones,
             services: self.scenario.services as u32,
-            version: version.map(|(file, terms)| (file, terms, first)),
+            agreed: agreed.map(|(file, terms)| Agreed { file, terms, fresh: first }),
         };
         place.hollow = Some(HollowGateway::new(&start, now));
         let known = (self.scenario.discovery.known || !first).then(|| self.discovery.known(gateway));
@@ -361,12 +359,12 @@
 
     fn sweep(&mut self, now: Nanos, gateway: usize, life: u32) {
         let look = |hollow: &mut HollowGateway| hollow.sweep(now);
-        let Some((pings, silent)) = self.enter(now, gateway, life, Work::Counter, look) else { return };
+        let Some(outcome) = self.enter(now, gateway, life, Work::Counter, look) else { return };
         self.queue.after(SWEEP_EVERY, Event::Sweep { gateway, life });
-        for (line, bytes) in pings {
-            self.ping(now, gateway, life, line, &bytes);
+        for ping in outcome.pings {
+            self.ping(now, gateway, life, ping.line, &ping.bytes);
         }
-        if silent {
+        if outcome.watch_is_silent {
             self.watch_broke(now, gateway, life);
         }
     }
@@ -416,16 +414,9 @@
 
     /// A gateway looks at what it may act on and tells others what there is to tell.
     fn agree(&mut self, now: Nanos, gateway: usize, life: u32) {
-        let look = |hollow: &mut HollowGateway| {
-            let (datagrams, changed) = hollow.agree(now);
-            let next = hollow.agreeing.as_mut().and_then(|agreeing| agreeing.looks_next(now));
-            let in_force = hollow.agreeing.as_ref().and_then(|agreeing| agreeing.in_force());
-            (datagrams, next, in_force.filter(|_| changed))
-        };
-        let Some((datagrams, next, in_force)) = self.enter(now, gateway, life, Work::Agreement, look) else {
-            return;
-        };
-        for bytes in datagrams {
+        let look = |hollow: &mut HollowGateway| hollow.agree(now);
+        let Some(outcome) = self.enter(now, gateway, life, Work::Agreement, look) else { return };
+        for bytes in outcome.datagrams {
             self.traffic.add(now, gateway, Peer::Gateways, Direction::Sent, bytes.len());
             let bytes = Rc::new(bytes);
             for region in 0..self.scenario.regions {
@@ -433,10 +424,10 @@
                 self.queue.after(after, Event::Datagram { from: gateway, region, bytes: bytes.clone() });
             }
         }
-        if let Some(next) = next {
+        if let Some(next) = outcome.looks_next {
             self.queue.at(next, Event::Agree { gateway, life });
         }
-        if let Some(version) = in_force {
+        if let Some(version) = outcome.in_force {
             self.version_in_force(now, gateway, version);
         }
     }
--- a/crates/scale/src/hollow/gateway.rs
+++ b/crates/scale/src/hollow/gateway.rs
@@ -3,6 +3,7 @@
 
 use super::Nanos;
 use super::agreeing::{Agreeing, VersionFile};
+use agreement::state::Terms;
 use gateway::counter::{self, Call, Line};
 use gateway::list::{self, Told, Watch};
 use gateway::servers::Servers;
@@ -25,8 +26,47 @@
     pub settings: &'a Settings,
     pub zones: &'a [String],
     pub services: u32,
-    /// The file with a version, if the fleet agrees on its settings.
-    pub version: Option<(Arc<VersionFile>, agreement::state::Terms, bool)>,
+    /// What it agrees on with others, if the settings have a version.
+    pub agreed: Option<Agreed>,
+}
+
+/// The file with a version that a gateway starts on, and the terms of the agreement.
+pub struct Agreed {
+    pub file: Arc<VersionFile>,
+    pub terms: Terms,
+    /// Nothing has to be remembered: the fleet's first start.
+    pub fresh: bool,
+}
+
+/// A call to the counter that was written on a line.
+pub struct WrittenCall {
+    pub line: usize,
+    pub serial: u64,
+    pub bytes: Vec<u8>,
+}
+
+/// A sign of life that was written on a line to the counter.
+pub struct Ping {
+    pub line: usize,
+    pub bytes: Vec<u8>,
+}
+
+/// What the regular look came to.
+pub struct SweepOutcome {
+    pub pings: Vec<Ping>,
+    /// The watch has said nothing for too long.
+    pub watch_is_silent: bool,
+}
+
+/// What a look at the agreement came to.
+#[derive(Default)]
+pub struct AgreeOutcome {
+    /// For all other gateways.
+    pub datagrams: Vec<Vec<u8>>,
+    /// When to look again, if a timer has to be set.
+    pub looks_next: Option<Nanos>,
+    /// The version that began to be acted on just now, or is again.
+    pub in_force: Option<u64>,
 }
 
 /// A call-out that is open.
@@ -89,9 +129,9 @@
             settings.get("membershipMode").is_some_and(|mode| mode == "push"),
             number("balancers").map_or(1, |count| count as u32),
         );
-        let agreeing = start.version.as_ref().map(|(file, terms, fresh)| {
+        let agreeing = start.agreed.as_ref().map(|agreed| {
             let life = fastrand::Rng::with_seed(start.seed).u32(..);
-            Agreeing::new(file.clone(), terms.clone(), start.number, start.zone, life, *fresh, now)
+            Agreeing::new(agreed, start.number, start.zone, life, now)
         });
         let settings = agreeing.as_ref().map_or(settings, |agreeing| agreeing.settings());
         HollowGateway {
@@ -133,7 +173,7 @@
         self.watch.again(self.pushed, self.fleet, self.stop_within, &mut self.chance)
     }
 
-    /// Bytes of the watch came; `server_numbers` gives the emulation's number of a server by its name.
+    /// Bytes of the watch came.
     pub fn list_came(&mut self, now: Nanos, bytes: &[u8]) -> ListOutcome {
         self.input.extend_from_slice(bytes);
         let mut told = Vec::new();
@@ -236,19 +276,19 @@
 
     // ---- The counter
 
-    /// Writes a call on the line that the program would take: the line, the call's serial, and the bytes.
-    pub fn count(&mut self, now: Nanos, name: u64, add: f64, forget: Nanos) -> (usize, u64, Vec<u8>) {
+    /// Writes a call on the line that the program would take.
+    pub fn count(&mut self, now: Nanos, name: u64, add: f64, forget: Nanos) -> WrittenCall {
         self.last_call += 1;
         let call = Call { serial: self.last_call, name, add, forget };
         let carries = self.lines.iter().position(|line| line.carries(name));
         let least = |line: &usize| self.lines[*line].written.len() + self.lines[*line].waiting.len();
         let line = carries.or_else(|| (0..counter::LINES).min_by_key(least)).unwrap_or(0);
-        let mut out = Vec::new();
+        let mut bytes = Vec::new();
         if !self.lines[line].up {
-            self.lines[line].opened(&mut out, now);
+            self.lines[line].opened(&mut bytes, now);
         }
-        self.lines[line].call(&mut out, now, call);
-        (line, call.serial, out)
+        self.lines[line].call(&mut bytes, now, call);
+        WrittenCall { line, serial: call.serial, bytes }
     }
 
     /// Bytes of the counter came on a line.
@@ -272,34 +312,35 @@
 
     /// The regular look: pings that are due by line, and whether the watch has been silent for too long. A line without an
     /// answer for too long is given up and opened again.
-    pub fn sweep(&mut self, now: Nanos) -> (Vec<(usize, Vec<u8>)>, bool) {
+    pub fn sweep(&mut self, now: Nanos) -> SweepOutcome {
         let mut pings = Vec::new();
-        for at in 0..self.lines.len() {
-            if self.lines[at].is_dead(now) {
-                for (call, how) in self.lines[at].broke() {
+        for line in 0..self.lines.len() {
+            if self.lines[line].is_dead(now) {
+                for (call, how) in self.lines[line].broke() {
                     self.brain.counted(&mut self.wishes, now, call.name, how, 0.0);
                 }
-            } else if self.lines[at].up && now > self.lines[at].wrote + counter::PING_EVERY {
-                let mut out = Vec::new();
-                self.lines[at].ping(&mut out, now);
-                pings.push((at, out));
+            } else if self.lines[line].up && now > self.lines[line].wrote + counter::PING_EVERY {
+                let mut bytes = Vec::new();
+                self.lines[line].ping(&mut bytes, now);
+                pings.push(Ping { line, bytes });
             }
         }
-        (pings, self.watching && self.watch.is_silent(now))
+        SweepOutcome { pings, watch_is_silent: self.watching && self.watch.is_silent(now) }
     }
 
     // ---- The agreement
 
-    /// Looks at what may be acted on by now. Datagrams to all others, and whether the module got other settings.
-    pub fn agree(&mut self, now: Nanos) -> (Vec<Vec<u8>>, bool) {
-        let Some(agreeing) = &mut self.agreeing else { return (Vec::new(), false) };
+    /// Looks at what may be acted on by now, and gives the module other settings where that has changed.
+    pub fn agree(&mut self, now: Nanos) -> AgreeOutcome {
+        let Some(agreeing) = &mut self.agreeing else { return AgreeOutcome::default() };
         let datagrams = agreeing.tell(now);
         let settings = agreeing.look(now);
-        let changed = settings.is_some();
+        let in_force = settings.as_ref().and_then(|_| agreeing.in_force());
+        let looks_next = agreeing.looks_next(now);
         if let Some(settings) = settings {
             self.brain.settle(now, settings);
         }
-        (datagrams, changed)
+        AgreeOutcome { datagrams, looks_next, in_force }
     }
 
     /// Another gateway's datagram came.
--- a/crates/scale/src/hollow/rpcs.rs
+++ b/crates/scale/src/hollow/rpcs.rs
@@ -2,7 +2,7 @@
 
 use super::figures::{Counts, Work};
 use super::fleet::{Event, Fleet};
-use super::gateway::{CallOut, OpenRpc};
+use super::gateway::{CallOut, OpenRpc, WrittenCall};
 use super::scenario::Scenario;
 use super::traffic::{Direction, Peer};
 use super::{Nanos, SEC, nanos};
@@ -24,6 +24,17 @@
 /// Visits to servers are kept for the spread of the load where no more than so many are to be expected.
 const VISITS_MOST: f64 = 20e6;
 
+/// A call on its way to the counter, by the line that it was written on.
+#[derive(Clone, Copy, Debug)]
+pub struct CounterCall {
+    pub gateway: usize,
+    pub life: u32,
+    pub line: usize,
+    pub name: u64,
+    pub add: f64,
+    pub forget: Nanos,
+}
+
 /// A tenant: the gateways through which its RPCs come in.
 struct Tenant {
     first: u32,
@@ -243,7 +254,7 @@
         let life = self.places[gateway].life;
         let region = self.places[gateway].region;
         let Some(hollow) = &mut self.places[gateway].hollow else { return };
-        let (line, serial, bytes) = hollow.count(now, name, add, forget);
+        let WrittenCall { line, serial, bytes } = hollow.count(now, name, add, forget);
         self.count(now, |counts| counts.count_calls += 1);
         self.traffic.add(now, gateway, Peer::Counter, Direction::Sent, bytes.len());
         let machine = self.machine_of_name(name);
@@ -251,7 +262,8 @@
         self.queue.after(self.load.count_wait, Event::CountLimit { gateway, life, line, serial });
         if !self.is_apart(region, HOME_REGION) {
             let after = self.delay(region, HOME_REGION);
-            self.queue.after(after, Event::CountAt { gateway, life, line, name, add, forget });
+            let call = CounterCall { gateway, life, line, name, add, forget };
+            self.queue.after(after, Event::CountAt(call));
         }
     }
 
@@ -260,17 +272,8 @@
         (name >> 31) as usize % self.scenario.control_machines
     }
 
-    #[expect(clippy::too_many_arguments, reason = "the fields of one event")]
-    pub(super) fn count_at(
-        &mut self,
-        now: Nanos,
-        gateway: usize,
-        life: u32,
-        line: usize,
-        name: u64,
-        add: f64,
-        forget: Nanos,
-    ) {
+    pub(super) fn count_at(&mut self, now: Nanos, call: CounterCall) {
+        let CounterCall { gateway, life, line, name, add, forget } = call;
         let Some(total) = self.counter.add(now, gateway as u32, name, add, forget) else { return };
         let text = total.to_string();
         let bytes = format!("${}\r\n{text}\r\n", text.len()).into_bytes();
--- a/crates/scale/src/hollow/script.rs
+++ b/crates/scale/src/hollow/script.rs
@@ -198,8 +198,8 @@
     fn list(&mut self, now: Nanos, server: u32, status: Status) {
         let came_up = self.servers.all[server as usize].came_up;
         self.counts.list_changes += u64::from(now >= self.frame.from);
-        for (agent, at) in self.discovery.change(now, server, status, came_up / MS) {
-            self.queue.at(at, Event::AgentWrites { agent });
+        for write in self.discovery.change(now, server, status, came_up / MS) {
+            self.queue.at(write.at, Event::AgentWrites { agent: write.agent });
         }
     }
 
--- a/crates/scale/src/hollow/tables.rs
+++ b/crates/scale/src/hollow/tables.rs
@@ -1,9 +1,10 @@
 //! Tables of a run. All but `processor.csv` come from the emulated clock and are the same for the same scenario and seed.
 
-use super::SEC;
+use super::discovery::Status;
 use super::figures::{InForce, Work};
 use super::fleet::Fleet;
 use super::traffic::{ControlLoad, Direction, Peer, Tally};
+use super::{Nanos, SEC};
 use crate::ScaleError;
 use rig::measure::{Frame, Quantity, Server, Spread};
 use serde::Serialize;
@@ -277,17 +278,29 @@
     }
 }
 
-/// How evenly RPCs came to the servers that were there throughout, as the rig measures it.
+/// All servers with the spans in which each was listed as ready.
+fn ready_servers(fleet: &Fleet) -> Vec<Server> {
+    let listed_first = |server: usize| server < fleet.scenario.servers;
+    let first = |server| if listed_first(server) { vec![(0, Nanos::MAX)] } else { Vec::new() };
+    let all = 0..fleet.scenario.servers_in_all();
+    let mut servers: Vec<Server> = all.map(|server| Server { weight: 1.0, ready: first(server) }).collect();
+    for change in &fleet.discovery.changes {
+        let spans = &mut servers[change.server as usize].ready;
+        let open = spans.last_mut().filter(|span| span.1 == Nanos::MAX);
+        match (open, change.status) {
+            (None, Status::Ready) => spans.push((change.at, Nanos::MAX)),
+            (Some(span), Status::Draining | Status::Gone) => span.1 = change.at,
+            _ => {}
+        }
+    }
+    servers
+}
+
+/// How evenly RPCs came to the servers that were ready throughout a window, as the rig measures it.
 fn spread(fleet: &Fleet) -> Option<Spread> {
     let visits = fleet.load.visits.as_ref()?;
     let (from, to) = (fleet.frame.from, fleet.frame.from + fleet.frame.seconds as u64 * SEC);
-    let all = 0..fleet.scenario.servers_in_all();
-    let listed = |server: usize| {
-        let changed = fleet.discovery.changes.iter().any(|change| change.server as usize == server);
-        server < fleet.scenario.servers && !changed
-    };
-    let ready = |server: usize| if listed(server) { vec![(0, u64::MAX)] } else { Vec::new() };
-    let servers: Vec<Server> = all.map(|server| Server { weight: 1.0, ready: ready(server) }).collect();
+    let servers = ready_servers(fleet);
     let windows = Frame { from, to, width: SPREAD_WINDOW }.windows(&servers, visits, Quantity::Rpcs);
     Some(Spread::of(&windows))
 }
