martenramp-scale slopes: each cost of a gateway against its own size, with fitted exponents

Change: 15 costs (list, choosing a server, RPCs in flight, tenants, versions of the settings, agreement, calls to the counter) run the program's own code through its crates' public interface, without sockets: processor time of the thread, allocations, bytes at rest and at the peak, messages and bytes as encoded. Exponents are least squares on logarithms with their residual; a size that the smaller ones predict to go beyond the run's bounds is a row that says "cut off". `--program FILE` measures one real process, too. tests/guard.rs guards 24 exponents and those of one change of the list (one table: today's bound and the aim) by counts at two sizes; tests/bad_input.rs refuses 24 scenarios in one line that names the key, with nothing written.

--- a/crates/scale/src/alloc.rs
+++ b/crates/scale/src/alloc.rs
@@ -1,24 +1,47 @@
-//! A global allocator that counts: how often memory was asked for, how much is held, and the most that was held at once.
-//! A binary or test that wants counts installs [`Counting`] as its global allocator; without it all counts stay nought.
+//! A global allocator that counts: how often memory was asked for and how much, what is held, and the most that was held at
+//! once; for the whole process and for each thread. A binary or test that wants counts installs [`Counting`] as its global
+//! allocator; without it all counts stay nought.
 
 use std::alloc::{GlobalAlloc, Layout, System};
+use std::cell::Cell;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 
 static ALLOCATIONS: AtomicU64 = AtomicU64::new(0);
 static HELD: AtomicU64 = AtomicU64::new(0);
 static PEAK: AtomicU64 = AtomicU64::new(0);
 
-/// The system's allocator with counts for the whole process.
+// Constants without destructors, so that the allocator may use them at any time of a thread's life.
+thread_local! {
+    static THREAD: Cell<ThreadCounts> = const { Cell::new(ThreadCounts::NONE) };
+    static IS_COUNTED: Cell<bool> = const { Cell::new(true) };
+}
+
+/// The system's allocator with counts.
 pub struct Counting;
 
 fn took(bytes: usize) {
     ALLOCATIONS.fetch_add(1, Relaxed);
     let held = HELD.fetch_add(bytes as u64, Relaxed) + bytes as u64;
-    PEAK.fetch_max(held, Relaxed);
+    if held > PEAK.load(Relaxed) {
+        PEAK.fetch_max(held, Relaxed);
+    }
+    if IS_COUNTED.get() {
+        let mut counts = THREAD.get();
+        counts.allocations += 1;
+        counts.allocated += bytes as u64;
+        counts.held += bytes as i64;
+        counts.peak = counts.peak.max(counts.held);
+        THREAD.set(counts);
+    }
 }
 
 fn gave(bytes: usize) {
     HELD.fetch_sub(bytes as u64, Relaxed);
+    if IS_COUNTED.get() {
+        let mut counts = THREAD.get();
+        counts.held -= bytes as i64;
+        THREAD.set(counts);
+    }
 }
 
 // SAFETY: every call is handed on to the system's allocator as it came; only counters are kept beside it.
@@ -59,7 +82,8 @@
     }
 }
 
-/// What the allocator has counted up to a moment. Bytes are those asked for, without the allocator's own overhead.
+/// What the allocator has counted for the whole process up to a moment. Bytes are those asked for, without the allocator's
+/// own overhead.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
     /// Times that memory was asked for, a change of size among them.
@@ -70,12 +94,50 @@
     pub peak: u64,
 }
 
-/// The counts by now.
+/// What the allocator has counted for one thread up to a moment. What another thread gives back is not taken off.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ThreadCounts {
+    /// Times that memory was asked for, a change of size among them.
+    pub allocations: u64,
+    /// Bytes asked for in all of them.
+    pub allocated: u64,
+    /// Bytes held now; below nought where the thread gave back what it did not ask for.
+    pub held: i64,
+    /// The most bytes held at once since the last [`reset_thread_peak`].
+    pub peak: i64,
+}
+
+impl ThreadCounts {
+    const NONE: ThreadCounts = ThreadCounts { allocations: 0, allocated: 0, held: 0, peak: 0 };
+}
+
+/// The process's counts by now.
 pub fn counts() -> Counts {
     Counts { allocations: ALLOCATIONS.load(Relaxed), held: HELD.load(Relaxed), peak: PEAK.load(Relaxed) }
 }
 
-/// From now on the peak is counted anew, from what is held.
+/// From now on the process's peak is counted anew, from what is held.
 pub fn reset_peak() {
     PEAK.store(HELD.load(Relaxed), Relaxed);
 }
+
+/// This thread's counts by now.
+pub fn thread_counts() -> ThreadCounts {
+    THREAD.get()
+}
+
+/// From now on this thread's peak is counted anew, from what is held.
+pub fn reset_thread_peak() {
+    let mut counts = THREAD.get();
+    counts.peak = counts.held;
+    THREAD.set(counts);
+}
+
+/// Runs something whose memory is not the program's own (input of a measurement, an emulated peer): this thread's counts
+/// leave it out, both what it asks for and what it gives back.
+pub fn uncounted<T>(run: impl FnOnce() -> T) -> T {
+    let was = IS_COUNTED.replace(false);
+    let made = run();
+    IS_COUNTED.set(was);
+    made
+}
--- /dev/null
+++ b/crates/scale/src/deployment.rs
@@ -0,0 +1,131 @@
+//! The deployment that measurements are made in: its settings, and its servers as discovery lists them.
+
+use gateway::list::{Entry, Told};
+use martenramp::host::{Nanos, Settings};
+use serde_json::{Map, Value, json};
+use std::net::SocketAddr;
+
+/// Zones of the deployment; servers stand in them by turns.
+pub const ZONES: usize = 9;
+/// The version of the list that is told as a whole, and of the change after it.
+pub const WHOLE_INDEX: u64 = 1;
+pub const CHANGE_INDEX: u64 = 2;
+/// When measurements begin, by the module's clock.
+pub const START: Nanos = 1_000_000_000_000;
+
+/// Settings of a service, before they are flattened.
+#[derive(Clone, Copy, Debug)]
+pub struct Service {
+    /// How many gateways there are, and which of them this one is; none where it is not told.
+    pub fleet: usize,
+    pub number: Option<usize>,
+    /// How many plans the settings hold, and what each lets in: units a second, and so many at once.
+    pub plans: usize,
+    pub rate: f64,
+    pub burst: f64,
+}
+
+impl Service {
+    /// The first gateway of a fleet, with one plan that never binds.
+    pub fn of(fleet: usize) -> Service {
+        Service { fleet, number: Some(0), plans: 1, rate: 1e6, burst: 1e6 }
+    }
+
+    /// As the operators hand the settings over.
+    pub fn nested(&self) -> Map<String, Value> {
+        let plan = |number: usize| {
+            json!({"name": format!("plan{number}"), "perSecond": self.rate, "depth": self.burst,
+                "worth": 1.0, "price": 1.0})
+        };
+        let zones: Vec<String> = (0..ZONES).map(zone).collect();
+        let settings = json!({
+            "balancers": self.fleet, "zone": 0, "localities": zones, "shapes": ["m"],
+            "classes": [{"name": "read", "credit": 1, "onTime": 2.0, "deadline": 6.0, "idempotency": "free"}],
+            "tariffs": (0..self.plans).map(plan).collect::<Vec<_>>(),
+            "ceilings": {"attemptsCap": 3, "connIdle": 15.0, "dialTimeout": 0.25},
+            "extra": {"hasCounter": true, "largest": 1.0, "countWait": 0.05},
+        });
+        let mut nested = match settings {
+            Value::Object(nested) => nested,
+            _ => Map::new(),
+        };
+        if let Some(number) = self.number {
+            nested.insert("me".to_string(), json!(number));
+        }
+        nested
+    }
+
+    /// As the module reads them.
+    pub fn settings(&self) -> Settings {
+        martenramp::settings::flatten(&self.nested())
+    }
+}
+
+fn zone(number: usize) -> String {
+    format!("z{number}")
+}
+
+/// The number of a zone of this deployment.
+pub fn zone_number(name: &str) -> Option<u16> {
+    name.strip_prefix('z')?.parse().ok()
+}
+
+/// What discovery tells of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Status {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// A server of the deployment as the gateway reads it.
+pub fn entry(number: usize, status: Status) -> Entry {
+    let address = SocketAddr::from(([10, (number >> 16) as u8, (number >> 8) as u8, number as u8], 8000));
+    Entry {
+        name: format!("server-{number:06}"),
+        address,
+        zone: zone(number % ZONES),
+        kind: "m".to_string(),
+        cell: 0,
+        ready: status == Status::Ready,
+        gone: status == Status::Gone,
+        weight: 1.0,
+        since_ms: 0,
+    }
+}
+
+/// The whole list of so many servers.
+pub fn whole_list(servers: usize) -> Told {
+    let entries = (0..servers).map(|number| entry(number, Status::Ready)).collect();
+    Told { index: WHOLE_INDEX, whole: true, entries }
+}
+
+/// A change of some servers.
+pub fn change(servers: impl IntoIterator<Item = usize>, status: Status) -> Told {
+    let entries = servers.into_iter().map(|number| entry(number, status)).collect();
+    Told { index: CHANGE_INDEX, whole: false, entries }
+}
+
+/// A list or a change as discovery sends it: one JSON object on a line, as a chunk of the watch's answer.
+pub fn encode(told: &Told) -> Vec<u8> {
+    let entries: Vec<Value> = told.entries.iter().map(encode_entry).collect();
+    let object = json!({"index": told.index, "snapshot": told.whole, "endpoints": entries}).to_string();
+    format!("{:x}\r\n{object}\n\r\n", object.len() + 1).into_bytes()
+}
+
+fn encode_entry(entry: &Entry) -> Value {
+    let status = match (entry.gone, entry.ready) {
+        (true, _) => "gone",
+        (false, true) => "ready",
+        (false, false) => "draining",
+    };
+    let listed = standins::discovery::Entry {
+        name: entry.name.clone(),
+        address: entry.address,
+        zone: entry.zone.clone(),
+        status,
+        weight: entry.weight,
+        since_ms: entry.since_ms,
+    };
+    listed.json(entry.address)
+}
--- a/crates/scale/src/error.rs
+++ b/crates/scale/src/error.rs
@@ -14,6 +14,8 @@
     BadScenario { file: PathBuf, why: String },
     /// A file that can't be read or written.
     File { file: PathBuf, why: String },
+    /// The program itself refused what was given to it, for this reason code.
+    Refused { why: &'static str },
     /// A measurement that could not be made.
     Measurement { what: String, why: String },
 }
@@ -48,6 +50,7 @@
             ScaleError::BadScenario { file, why } | ScaleError::File { file, why } => {
                 write!(out, "{}: {why}", file.display())
             }
+            ScaleError::Refused { why } => write!(out, "refused by the program: {why}"),
             ScaleError::Measurement { what, why } => write!(out, "{what}: {why}"),
         }
     }
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -7,8 +7,13 @@
 
 pub mod added;
 pub mod alloc;
+pub mod deployment;
 pub mod error;
+pub mod fit;
 pub mod hollow;
+pub mod measure;
+pub mod player;
+pub mod replica;
 pub mod report;
 pub mod slopes;
 
--- /dev/null
+++ b/crates/scale/src/player.rs
@@ -0,0 +1,196 @@
+//! A gateway's path of an RPC without sockets: the module, its timers, its line to the counter, and servers and a counter
+//! that answer at once.
+
+use crate::ScaleError;
+use crate::alloc;
+use crate::deployment::{START, Service};
+use crate::measure::Traffic;
+use crate::replica::Replica;
+use gateway::counter::{Call, Line};
+use gateway::timers::Timers;
+use martenramp::host::{Arrival, End, Ended, Host, Nanos};
+use std::collections::{HashMap, VecDeque};
+
+/// How long a client waits, and a server takes where nothing else is told.
+const PATIENCE: Nanos = 6_000_000_000;
+const SERVED_IN: Nanos = 1_000_000;
+/// Through how many gateways a tenant's RPCs come in where nothing else is told.
+const WIDTH: u32 = 8;
+
+/// A call-out that is open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallOut {
+    pub rpc: u32,
+    pub server: u32,
+    pub attempt: u16,
+    pub sent: Nanos,
+}
+
+/// The module's host: keeps what it asks for.
+#[derive(Default)]
+pub struct Asked {
+    pub now: Nanos,
+    pub call_outs: VecDeque<CallOut>,
+    /// RPCs answered without a server.
+    pub turned_away: u64,
+    /// Calls to the counter that have not been written: name, amount, and for how long it is remembered.
+    pub counts: VecDeque<(u64, f64, Nanos)>,
+    pub timers: Timers<u32>,
+}
+
+impl Host for Asked {
+    fn call_out(&mut self, rpc: u32, server: u32, _limit: Nanos, _before: Nanos) {
+        self.call_outs.push_back(CallOut { rpc, server, attempt: 0, sent: self.now });
+    }
+
+    fn push_back(&mut self, _rpc: u32, _come_back: Nanos) {
+        self.turned_away += 1;
+    }
+
+    fn abort(&mut self, _rpc: u32) {
+        self.turned_away += 1;
+    }
+
+    fn wake(&mut self, after: Nanos, token: u32) {
+        self.timers.set(self.now + after, token);
+    }
+
+    fn count(&mut self, name: u64, add: f64, forget: Nanos) {
+        self.counts.push_back((name, add, forget));
+    }
+}
+
+/// One gateway that serves RPCs on its own clock.
+pub struct Player {
+    pub replica: Replica,
+    pub asked: Asked,
+    pub traffic: Traffic,
+    /// Time between two RPCs, and that a server takes.
+    pub every: Nanos,
+    pub served_in: Nanos,
+    /// The line to the counter, what is written on it, and the totals that the emulated counter holds.
+    line: Line,
+    written: Vec<u8>,
+    totals: HashMap<u64, f64>,
+    last_rpc: u32,
+    last_call: u64,
+}
+
+impl Player {
+    /// A gateway of this service with all servers listed.
+    pub fn new(service: &Service, servers: usize, every: Nanos) -> Result<Player, ScaleError> {
+        let mut replica = Replica::new(service)?;
+        let list = alloc::uncounted(|| crate::deployment::whole_list(servers));
+        replica.take(START, &list);
+        alloc::uncounted(|| drop(list));
+        let mut line = Line::default();
+        line.opened(&mut Vec::new(), START);
+        Ok(Player {
+            replica,
+            asked: Asked { now: START, ..Asked::default() },
+            traffic: Traffic::default(),
+            every,
+            served_in: SERVED_IN.min(every),
+            line,
+            written: Vec::new(),
+            totals: HashMap::new(),
+            last_rpc: 0,
+            last_call: 0,
+        })
+    }
+
+    /// Time goes on by one step; timers that come due ring.
+    pub fn step(&mut self) {
+        self.asked.now += self.every;
+        let now = self.asked.now;
+        while let Some(token) = self.asked.timers.due(now) {
+            self.replica.brain.woke(&mut self.asked, now, token);
+            self.answer_counts();
+        }
+    }
+
+    /// An RPC of a tenant comes in and goes as far as it can now.
+    pub fn begin(&mut self, tenant: u64, plan: u16) {
+        self.last_rpc += 1;
+        let now = self.asked.now;
+        let deadline = now + PATIENCE;
+        let (id, width) = (self.last_rpc, WIDTH);
+        let arrival =
+            Arrival { id, plan, customer: tenant, deadline, units: 1.0, width, ..Arrival::default() };
+        self.replica.brain.rpc(&mut self.asked, now, &arrival);
+        self.answer_counts();
+    }
+
+    /// The oldest open call-out ends well; false if there is none.
+    pub fn end_oldest(&mut self) -> bool {
+        let Some(open) = self.asked.call_outs.pop_front() else { return false };
+        let now = self.asked.now.max(open.sent + self.served_in);
+        self.asked.now = now;
+        let ended = Ended {
+            rpc: open.rpc,
+            server: open.server,
+            nth: open.attempt,
+            how: End::Ok,
+            took: now - open.sent,
+            closed: true,
+            settled: 0.0,
+            load: Vec::new(),
+        };
+        self.replica.brain.ended(&mut self.asked, now, &ended);
+        self.answer_counts();
+        true
+    }
+
+    /// An RPC from its arrival to its answer; an error if no server answered it.
+    pub fn serve(&mut self, tenant: u64, plan: u16) -> Result<(), ScaleError> {
+        self.step();
+        self.begin(tenant, plan);
+        let turned_away = self.asked.turned_away;
+        if !self.end_oldest() {
+            let why = format!("an RPC was not called out ({turned_away} turned away)");
+            return Err(ScaleError::Measurement { what: "serving RPCs".to_string(), why });
+        }
+        Ok(())
+    }
+
+    /// Traffic since the last look.
+    pub fn traffic(&mut self) -> Traffic {
+        std::mem::take(&mut self.traffic)
+    }
+
+    /// Calls to the counter are written on the line, and answered at once.
+    fn answer_counts(&mut self) {
+        while let Some((name, add, forget)) = self.asked.counts.pop_front() {
+            self.last_call += 1;
+            let now = self.asked.now;
+            self.written.clear();
+            self.line.call(&mut self.written, now, Call { serial: self.last_call, name, add, forget });
+            self.traffic.sent.add(self.written.len());
+            let total = alloc::uncounted(|| {
+                let total = self.totals.entry(name).or_insert(0.0);
+                *total += add;
+                *total
+            });
+            let answer = alloc::uncounted(|| counter_answer(total));
+            self.traffic.received.add(answer.len());
+            let mut ended = Vec::new();
+            let _ = self.line.feed(now, &answer, &mut ended);
+            alloc::uncounted(|| drop(answer));
+            for (call, how, total) in ended {
+                self.replica.brain.counted(&mut self.asked, now, call.name, how, total);
+            }
+        }
+    }
+}
+
+impl Drop for Player {
+    fn drop(&mut self) {
+        alloc::uncounted(|| drop(std::mem::take(&mut self.totals)));
+    }
+}
+
+/// A total as the counter answers it.
+pub fn counter_answer(total: f64) -> Vec<u8> {
+    let text = total.to_string();
+    format!("${}\r\n{text}\r\n", text.len()).into_bytes()
+}
--- /dev/null
+++ b/crates/scale/src/slopes/process.rs
@@ -0,0 +1,175 @@
+//! One process of the program on loopback, before a discovery that lists so many servers: how long until it is ready, the
+//! processor time of one change of the list, and the most memory that it has held. Figures of the whole process, measured
+//! by what the system tells of it.
+
+use crate::ScaleError;
+use crate::deployment::{Service, Status, change, encode, whole_list};
+use crate::replica::WATCH_HEAD;
+use serde::Serialize;
+use standins::scripted::{Client, Peer, Program, say};
+use std::path::Path;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+/// What is measured: servers listed and gateways in the fleet, as a probe of the landed program had them.
+const POINTS: [(usize, usize); 6] =
+    [(24, 5_800), (2_000, 1_000), (2_000, 5_800), (10_000, 1_000), (50_000, 3), (170_000, 3)];
+/// A process that is not ready by then never will be. One that asks for the list so often is refusing it.
+const READY_WITHIN: Duration = Duration::from_secs(90);
+const ASKS_MOST: usize = 20;
+/// How often it is looked whether it is ready.
+const LOOK_EVERY: Duration = Duration::from_millis(5);
+/// An empty line of the watch comes so often.
+const PULSE_EVERY: Duration = Duration::from_millis(900);
+/// Changes that are measured, and the time beyond which no further one is.
+const CHANGES: usize = 5;
+const CHANGES_WITHIN: Duration = Duration::from_secs(12);
+const HEALTHY: &str = "GET /-/healthy HTTP/1.1\r\n\r\n";
+const READY: &str = "GET /-/ready HTTP/1.1\r\n\r\n";
+const PULSE: &str = "1\r\n\n\r\n";
+const FILE: &str = "process.csv";
+
+/// One size.
+#[derive(Clone, Debug, Serialize)]
+struct ProcessRow {
+    servers: usize,
+    fleet: usize,
+    /// `measured`, or what happened in its place.
+    status: String,
+    /// From the start of the process on, seconds of the wall clock.
+    ready_s: f64,
+    /// Median over the changes, and how many there were.
+    change_cpu_ms: f64,
+    changes: usize,
+    peak_mb: f64,
+    list_bytes: usize,
+    change_bytes: usize,
+    /// How often it asked for the list until it was ready or given up.
+    asked_for_list: usize,
+}
+
+/// Measures the program at all sizes and keeps the table.
+pub fn run(program: &Path, out: &Path) -> Result<(), ScaleError> {
+    let mut rows = Vec::new();
+    for (servers, fleet) in POINTS {
+        let row = measure(program, servers, fleet)?;
+        println!("{row:?}");
+        rows.push(row);
+    }
+    crate::report::write_csv(&out.join(FILE), &rows)
+}
+
+fn measure(program: &Path, servers: usize, fleet: usize) -> Result<ProcessRow, ScaleError> {
+    let list = encode(&whole_list(servers));
+    let one = [servers / 2];
+    let changes = [Status::Draining, Status::Ready].map(|status| encode(&change(one, status)));
+    let changes = changes.map(|bytes| String::from_utf8_lossy(&bytes).into_owned());
+    let (list_bytes, change_bytes) = (list.len(), changes[0].len());
+    let mut answer = String::from_utf8_lossy(WATCH_HEAD).into_owned();
+    answer += &String::from_utf8_lossy(&list);
+    let discovery = Peer::new(move |_, _| say(&answer));
+    let settings = serde_json::Value::Object(Service::of(fleet).nested()).to_string();
+    let start = Instant::now();
+    let process = Program::run(&mut Command::new(program), discovery.address, "", &settings);
+    let mut watched = Watched { discovery, process, asked: 0, pulsed: Instant::now() };
+    let is_ready = watched.wait_ready(start)?;
+    let ready_s = start.elapsed().as_secs_f64();
+    let cpu = if is_ready { watched.changes(&changes)? } else { Vec::new() };
+    let status = if is_ready { "measured" } else { "never ready" };
+    Ok(ProcessRow {
+        servers,
+        fleet,
+        status: status.to_string(),
+        ready_s: if is_ready { ready_s } else { 0.0 },
+        change_cpu_ms: cpu.get(cpu.len() / 2).copied().unwrap_or(0.0),
+        changes: cpu.len(),
+        peak_mb: watched.peak_mb()?,
+        list_bytes,
+        change_bytes,
+        asked_for_list: watched.asked,
+    })
+}
+
+/// A process with its discovery.
+struct Watched {
+    discovery: Peer,
+    process: Program,
+    /// How often it has asked for the list: its last connection to discovery has the number below.
+    asked: usize,
+    pulsed: Instant,
+}
+
+impl Watched {
+    /// Whether it became ready.
+    fn wait_ready(&mut self, start: Instant) -> Result<bool, ScaleError> {
+        let mut client = Client::new(self.process.address);
+        while start.elapsed() < READY_WITHIN && self.asked < ASKS_MOST {
+            self.pulse();
+            match client.try_ask(READY) {
+                Some(answer) if answer.starts_with("HTTP/1.1 200") => return Ok(true),
+                Some(_) => std::thread::sleep(LOOK_EVERY),
+                // Too busy to answer for long.
+                None => client = Client::new(self.process.address),
+            }
+        }
+        Ok(false)
+    }
+
+    fn pulse(&mut self) {
+        while self.discovery.seen_now().is_some() {
+            self.asked += 1;
+        }
+        if self.asked > 0 && self.pulsed.elapsed() > PULSE_EVERY {
+            self.pulsed = Instant::now();
+            self.discovery.tell(self.asked - 1, PULSE);
+        }
+    }
+
+    /// Processor time of changes, milliseconds, in order of size.
+    fn changes(&mut self, changes: &[String; 2]) -> Result<Vec<f64>, ScaleError> {
+        let start = Instant::now();
+        let mut taken = Vec::new();
+        let quiet = self.cpu_of(None)?;
+        while taken.len() < CHANGES && start.elapsed() < CHANGES_WITHIN {
+            let change = &changes[taken.len() % 2];
+            taken.push((self.cpu_of(Some(change))? - quiet).max(0.0));
+        }
+        taken.sort_by(f64::total_cmp);
+        Ok(taken)
+    }
+
+    /// Processor time until a request that follows the change is answered: by then the change is taken, since answers are
+    /// written at the end of the turn that reads both.
+    fn cpu_of(&mut self, change: Option<&str>) -> Result<f64, ScaleError> {
+        self.pulse();
+        let mut client = Client::new(self.process.address);
+        client.try_ask(HEALTHY);
+        let before = self.cpu_ms()?;
+        if let Some(change) = change {
+            self.discovery.tell(self.asked.max(1) - 1, change);
+        }
+        if client.try_ask(HEALTHY).is_none() {
+            let why = "no answer after a change".to_string();
+            return Err(ScaleError::Measurement { what: "the process".to_string(), why });
+        }
+        Ok(self.cpu_ms()? - before)
+    }
+
+    fn cpu_ms(&self) -> Result<f64, ScaleError> {
+        let text = self.told_by_system("schedstat")?;
+        let nanos = text.split_whitespace().next().and_then(|text| text.parse::<f64>().ok());
+        Ok(nanos.unwrap_or(0.0) / 1e6)
+    }
+
+    fn peak_mb(&self) -> Result<f64, ScaleError> {
+        let text = self.told_by_system("status")?;
+        let line = text.lines().find(|line| line.starts_with("VmHWM:"));
+        let kib = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<f64>().ok());
+        Ok(kib.unwrap_or(0.0) / 1024.0)
+    }
+
+    fn told_by_system(&self, what: &str) -> Result<String, ScaleError> {
+        let file = format!("/proc/{}/{what}", self.process.child.id());
+        std::fs::read_to_string(&file).map_err(|e| ScaleError::file(Path::new(&file), e))
+    }
+}
--- /dev/null
+++ b/crates/scale/src/slopes/settings.rs
@@ -0,0 +1,132 @@
+//! Costs of a version of the settings: its file read, its content digested, checked against the one held, in force.
+
+use super::Cost;
+use super::scenario::{List, Settings};
+use crate::ScaleError;
+use crate::alloc::uncounted;
+use crate::deployment::{START, Service, whole_list};
+use crate::measure::{Operation, Traffic};
+use crate::player::Player;
+use crate::replica::Replica;
+use agreement::rules::{Ground, Version, objections};
+use gateway::config::Config;
+use serde_json::json;
+
+/// Servers listed and gateways in the fleet while the number of plans changes.
+const SERVERS: usize = 24;
+const FLEET: usize = 3;
+/// A version is run so many times at most.
+const VERSIONS: usize = 50;
+/// RPCs in a step.
+const BATCH: u64 = 100;
+const TENANTS: u64 = 50;
+
+/// The costs of this family.
+pub fn costs(scenario: &Settings, list: &List) -> Vec<Cost> {
+    let by_plans = |name, prepare: fn(usize) -> Result<Operation, ScaleError>| Cost {
+        family: "settings",
+        name,
+        size_name: "plans",
+        held: format!("servers {SERVERS}, fleet {FLEET}"),
+        sizes: scenario.plans.clone(),
+        prepare: Box::new(move |plans| prepare(plans as usize)),
+    };
+    let by_servers = Cost {
+        family: "settings",
+        name: "version in force",
+        size_name: "servers",
+        held: format!("plans 1, fleet {FLEET}"),
+        sizes: list.servers.clone(),
+        prepare: Box::new(|servers| in_force(1, servers as usize)),
+    };
+    vec![
+        by_plans("version file read", file_read),
+        by_plans("version digested", digested),
+        by_plans("version checked", checked),
+        by_plans("version in force", |plans| in_force(plans, SERVERS)),
+        by_plans("rpc under settings", rpc_under),
+        by_servers,
+    ]
+}
+
+fn service(plans: usize) -> Service {
+    Service { plans, ..Service::of(FLEET) }
+}
+
+fn version(number: u64, plans: usize) -> Version {
+    let settings = service(plans).settings();
+    Version { number, start: 0, ground: Ground::of(&settings), settings }
+}
+
+/// The file is read, as at a start and at SIGHUP.
+pub fn file_read(plans: usize) -> Result<Operation, ScaleError> {
+    let text = uncounted(|| {
+        let settings = service(plans).nested();
+        json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": 1, "settings": settings})
+            .to_string()
+    });
+    let step = move || {
+        let mut traffic = Traffic::default();
+        traffic.received.add(text.len());
+        let read = Config::read(&text, |_| None);
+        let failed = |why| ScaleError::Measurement { what: "reading a configuration".to_string(), why };
+        read.map(|_| traffic).map_err(failed)
+    };
+    Ok(Operation { step: Box::new(step), operations_per_step: 1, steps_most: VERSIONS })
+}
+
+/// The content by which gateways know that they hold the same.
+pub fn digested(plans: usize) -> Result<Operation, ScaleError> {
+    let version = version(1, plans);
+    let step = move || {
+        std::hint::black_box(version.content());
+        Ok(Traffic::default())
+    };
+    Ok(Operation { step: Box::new(step), operations_per_step: 1, steps_most: VERSIONS })
+}
+
+/// Whether a version may follow the one held.
+pub fn checked(plans: usize) -> Result<Operation, ScaleError> {
+    let (held, next) = (version(1, plans), version(2, plans));
+    let step = move || {
+        let why = objections(&held, &next);
+        if !why.is_empty() {
+            return Err(ScaleError::Measurement {
+                what: "checking a version".to_string(),
+                why: why.join("; "),
+            });
+        }
+        Ok(Traffic::default())
+    };
+    Ok(Operation { step: Box::new(step), operations_per_step: 1, steps_most: VERSIONS })
+}
+
+/// The module acts on a version from now on.
+pub fn in_force(plans: usize, servers: usize) -> Result<Operation, ScaleError> {
+    let mut replica = Replica::new(&service(plans))?;
+    let list = uncounted(|| whole_list(servers));
+    replica.take(START, &list);
+    uncounted(|| drop(list));
+    let next = uncounted(|| service(plans).settings());
+    let mut now = START;
+    let step = move || {
+        now += 1_000_000;
+        replica.brain.settle(now, next.clone());
+        Ok(Traffic::default())
+    };
+    Ok(Operation { step: Box::new(step), operations_per_step: 1, steps_most: VERSIONS })
+}
+
+/// An RPC while the settings hold so many plans.
+pub fn rpc_under(plans: usize) -> Result<Operation, ScaleError> {
+    let mut player = Player::new(&service(plans), SERVERS, 1_000_000)?;
+    let mut next = 0;
+    let step = move || {
+        for _ in 0..BATCH {
+            next += 1;
+            player.serve(next % TENANTS, (next % plans as u64) as u16)?;
+        }
+        Ok(player.traffic())
+    };
+    Ok(Operation { step: Box::new(step), operations_per_step: BATCH, steps_most: VERSIONS })
+}
