--- a/crates/scale/src/hollow/agreeing.rs
+++ b/crates/scale/src/hollow/agreeing.rs
@@ -2,12 +2,12 @@
 //! machines, without its sockets and its log.
 
 use super::Nanos;
+use super::gateway::Agreed;
 use agreement::lease::Content;
 use agreement::lists::{Announcement, ListedServer, Lists};
 use agreement::message::{LeaseMessage, ListNotice};
 use agreement::rules::objections;
 use agreement::state::{Agreement, Decision, Mode, Offer};
-use agreement::terms::Terms;
 use agreement::version::Version;
 use gateway::list::{Entry, Told};
 use martenramp::host::Settings;
@@ -50,18 +50,11 @@
 }
 
 impl Agreeing {
-    pub fn new(
-        file: Arc<VersionFile>,
-        terms: Terms,
-        number: u32,
-        zone: usize,
-        life: u32,
-        fresh: bool,
-        now: Nanos,
-    ) -> Agreeing {
+    pub fn new(agreed: &Agreed, number: u32, zone: usize, life: u32, now: Nanos) -> Agreeing {
+        let file = agreed.file.clone();
         let (content, start) = (file.content, file.version.start);
-        let mut state = Agreement::new(terms, Some(number), life, now, content, start);
-        if fresh {
+        let mut state = Agreement::new(agreed.terms.clone(), Some(number), life, now, content, start);
+        if agreed.fresh {
             state.skip_recovery();
         }
         Agreeing {
