--- a/crates/scale/src/error.rs
+++ b/crates/scale/src/error.rs
@@ -6,8 +6,6 @@
 /// Why a run was refused or could not be finished.
 #[derive(Debug)]
 pub enum ScaleError {
-    /// The subcommand has no measurement behind it yet.
-    NotBuilt { command: &'static str },
     /// A key of a scenario, or an argument, that can't be taken.
     BadKey { key: String, why: String },
     /// A scenario that can't be read as one; the parser's message names the key.
@@ -45,7 +43,6 @@
 impl fmt::Display for ScaleError {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            ScaleError::NotBuilt { command } => write!(out, "'{command}' is not built yet"),
             ScaleError::BadKey { key, why } => write!(out, "'{key}': {why}"),
             ScaleError::BadScenario { file, why } | ScaleError::File { file, why } => {
                 write!(out, "{}: {why}", file.display())
