--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -1,7 +1,7 @@
 //! Many processes of the program on the rig, a fault between or among them in each story. Verdicts are counts with wide
 //! margins, the same each time; how evenly the load came is measured by the rig's larger sizes (`docs/results.md`).
 
-use martenramp::spread::{self, Member};
+use martenramp::subsetting::{self, Endpoint};
 use rig::SEC;
 use rig::fleet::{Outcome, play};
 use rig::front::Outcome as End;
@@ -52,17 +52,17 @@
     // The front finds the dead within a second; nothing else is lost.
     assert!(share(figures.run.ok, figures.run.rpcs) > 0.9 && figures.run.lost == 0, "{:?}", figures.run);
     // Each gateway draws from the part that the table gives it, after its restart too.
-    let members: Vec<Member> = (0..40)
-        .map(|at| Member {
+    let members: Vec<Endpoint> = (0..40)
+        .map(|at| Endpoint {
             id: at,
-            key: spread::key(&format!("s{at:04}")),
+            key: subsetting::key(&format!("s{at:04}")),
             zone: at as u16 % 2,
             weight: 1.0,
             near: false,
         })
         .collect();
     let parts: Vec<BTreeSet<u32>> =
-        spread::parts(&members, 20, 18.0).into_iter().map(|part| part.into_iter().collect()).collect();
+        subsetting::subsets(&members, 20, 18.0).into_iter().map(|part| part.into_iter().collect()).collect();
     for from in [outcome.from, fault(&outcome) + 2 * SEC] {
         let rows: Vec<_> =
             outcome.ledger.iter().filter(|row| row.at >= from && row.at < from + 8 * SEC).collect();
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -4,7 +4,7 @@
 use crate::host::{Arrival, End, Ended, Host, Listed, Nanos, Settings};
 use crate::quota::Quota;
 use crate::samples::{SEC, answered, keep, median, number, secs, span};
-use crate::spread::{Member, Spread};
+use crate::subsetting::{Endpoint, Subsetter};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 
@@ -28,7 +28,7 @@
 const SILENT_AFTER: usize = 3; // of them, the last without an answer
 /// A gateway's part of the servers: each is met about so often, and by so many gateways at the least.
 const MEET: Nanos = SEC;
-const MET_BY: f64 = 18.0;
+const SUBSET_COUNT: f64 = 18.0;
 
 /// Where an RPC stands: `Held` waits for room, a server or the brake, `Claiming` for the counter's word.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -125,7 +125,7 @@
     /// When this life began: its part of a ceiling is empty then, since an earlier life may have spent it.
     born: Option<Nanos>,
     servers: BTreeMap<u32, Server>,
-    spread: Spread, // the servers that new work may go to, first those of this gateway's part
+    subsetter: Subsetter, // the servers that new work may go to, first those of this gateway's part
     customers: HashMap<u64, Customer>,
     customers_most: usize, // before those are forgotten that can be
     rpcs: HashMap<u32, Rpc>,
@@ -156,14 +156,14 @@
         let salt = chance.u64(..);
         let mut brain = Brain { settings: Arc::new(settings), chance, ..Brain::default() };
         let number = brain.settings.get("me").and_then(|number| number.parse().ok());
-        brain.spread = Spread::new(number, brain.gateways() as usize, salt);
+        brain.subsetter = Subsetter::new(number, brain.gateways() as usize, salt);
         brain
     }
 
     /// Other settings hold now. RPCs that are here keep theirs; customers follow with their next RPC.
     pub fn settle(&mut self, now: Nanos, settings: Settings) {
         self.settings = Arc::new(settings);
-        self.spread.resize(self.gateways() as usize);
+        self.subsetter.resize(self.gateways() as usize);
         self.share_out(now);
     }
 
@@ -208,14 +208,14 @@
 
     fn share_out(&mut self, now: Nanos) {
         self.nowhere.clear();
-        let member = |(id, server): (&u32, &Server)| {
+        let endpoint = |(id, server): (&u32, &Server)| {
             let Listed { key, zone: at, weight, .. } = server.listed;
-            Member { id: *id, key, zone: at, weight, near: f64::from(at) == self.setting("zone", -1.0) }
+            Endpoint { id: *id, key, zone: at, weight, near: f64::from(at) == self.setting("zone", -1.0) }
         };
-        let ready = self.servers.iter().filter(|(_, server)| server.listed.ready).map(member);
-        self.spread.list(ready.collect(), MET_BY);
+        let ready = self.servers.iter().filter(|(_, server)| server.listed.ready).map(endpoint);
+        self.subsetter.update(ready.collect(), SUBSET_COUNT);
         let is_cold = |id: &&u32| self.warmth(now, &self.servers[*id].listed) < 1.0;
-        self.spread.share(self.spread.order().iter().filter(is_cold).copied().collect());
+        self.subsetter.share(self.subsetter.order().iter().filter(is_cold).copied().collect());
     }
 
     pub fn rpc(&mut self, host: &mut dyn Host, now: Nanos, arrival: &Arrival) {
@@ -376,7 +376,7 @@
             server.open.push_back((id, nth, now));
             server.cold = (now, 1.0);
         }
-        self.spread.took(chosen);
+        self.subsetter.took(chosen);
         self.open.insert((id, nth), (chosen, key, now, soft));
         host.call_out(id, chosen, limit, before);
         self.wait.0 = 0;
@@ -683,12 +683,12 @@
 
     /// Guards against knowing nothing of any server: one of hundreds of gateways that calls out to all meets
     /// each seldom, learns too late which are slow or bad, and opens a connection for each call-out. So it
-    /// draws from a part of its own, even over the fleet (see `spread`), or from as many more as it meets
+    /// draws from a part of its own, even over the fleet (see `subsetting`), or from as many more as it meets
     /// often.
     fn part(&self, now: Nanos) -> usize {
         let since = self.ends.front().map_or(SEC, |first| now - first.0).max(SEC);
         let often = self.ends.len() as f64 / secs(since) * secs(MEET);
-        (often.ceil() as usize).max(self.spread.own())
+        (often.ceil() as usize).max(self.subsetter.subset_len())
     }
 
     /// A few drawn at random, the one that this gateway's own counts favour is taken. What can't take it is
@@ -707,12 +707,12 @@
         let (soft, typical) = (secs(rpc.soft), self.typical(now));
         let least = (9.0 / self.gateways()).clamp(1.0, 3.0);
         let is_cold = |id: &&u32| self.warmth(now, &self.servers[*id].listed) < 1.0;
-        self.spread.share(self.spread.shared().iter().filter(is_cold).copied().collect());
-        let carries = if self.spread.shared().is_empty() { 0.0 } else { self.carries(now) };
+        self.subsetter.share(self.subsetter.shared().iter().filter(is_cold).copied().collect());
+        let carries = if self.subsetter.shared().is_empty() { 0.0 } else { self.carries(now) };
         let (mut drawn, mut last_resort) = (Vec::new(), Vec::new());
-        let all = self.spread.order();
+        let all = self.subsetter.order();
         let (part, others) = all.split_at(self.part(now).min(all.len()));
-        let is_cold = |id: &&u32| self.spread.shared().contains(*id);
+        let is_cold = |id: &&u32| self.subsetter.shared().contains(*id);
         let mut ready: Vec<u32> = part.iter().chain(others.iter().filter(is_cold)).copied().collect();
         let own = ready.len();
         ready.extend(others.iter().filter(|id| !is_cold(id)));
@@ -736,12 +736,12 @@
                 || !in_group(&server.listed)
                 || !self.cold_room(now, server, carries)
             {
-                self.spread.passed_over(ready[place]);
+                self.subsetter.passed_over(ready[place]);
                 continue;
             }
             let unwell = server.rests(now, self.gateways()) || server.hangs(now, typical);
             if unwell {
-                self.spread.passed_over(ready[place]);
+                self.subsetter.passed_over(ready[place]);
             }
             if unwell { &mut last_resort } else { &mut drawn }.push(ready[place]);
         }
@@ -749,7 +749,7 @@
         let drawn = drawn.iter().take(few).map(|id| (*id, self.burden(now, *id, seldom)));
         let drawn: Vec<(u32, f64)> = drawn.collect();
         if seldom {
-            return self.spread.pick(&drawn);
+            return self.subsetter.pick(&drawn);
         }
         drawn.iter().min_by(|one, two| one.1.total_cmp(&two.1)).map(|least| least.0)
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,6 @@
 //! martenramp: admission decisions for a service sold by plan.
 //!
-//! [`brain`] holds every decision, [`spread`] which servers a gateway draws from, [`host`] what both need from whoever
+//! [`brain`] holds every decision, [`subsetting`] which servers a gateway draws from, [`host`] what both need from whoever
 //! runs them.
 //! A host hands events to a [`brain::Brain`] and carries out what comes back:
 //!
@@ -31,4 +31,7 @@
 mod quota;
 mod samples;
 pub mod settings;
-pub mod spread;
+pub mod subsetting;
+
+/// The earlier name of [`subsetting`].
+pub use subsetting as spread;
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -1,12 +1,12 @@
 //! Parts of the servers: even over the fleet, moved little by changes, the same for all who work them out; and turns.
 
-use martenramp::spread::{self, Member, Spread, key};
+use martenramp::subsetting::{self, Endpoint, Subsetter, key};
 use std::collections::BTreeSet;
 
-const MET_BY: f64 = 18.0;
+const SUBSET_COUNT: f64 = 18.0;
 
-fn members(count: usize, zones: u16) -> Vec<Member> {
-    let one = |at: usize| Member {
+fn members(count: usize, zones: u16) -> Vec<Endpoint> {
+    let one = |at: usize| Endpoint {
         id: at as u32,
         key: key(&format!("s{at:04}")),
         zone: at as u16 % zones,
@@ -16,11 +16,14 @@
     (0..count).map(one).collect()
 }
 
-fn parts(fleet: usize, members: &[Member]) -> Vec<BTreeSet<u32>> {
-    spread::parts(members, fleet, MET_BY).into_iter().map(|part| part.into_iter().collect()).collect()
+fn parts(fleet: usize, members: &[Endpoint]) -> Vec<BTreeSet<u32>> {
+    subsetting::subsets(members, fleet, SUBSET_COUNT)
+        .into_iter()
+        .map(|part| part.into_iter().collect())
+        .collect()
 }
 
-fn met(parts: &[BTreeSet<u32>], members: &[Member]) -> Vec<usize> {
+fn met(parts: &[BTreeSet<u32>], members: &[Endpoint]) -> Vec<usize> {
     members.iter().map(|member| parts.iter().filter(|part| part.contains(&member.id)).count()).collect()
 }
 
@@ -41,7 +44,7 @@
         let met = met(&parts, &members);
         let (least, most) = (*met.iter().min().unwrap(), *met.iter().max().unwrap());
         assert!(least as f64 * 1.25 >= most as f64, "{fleet} x {count}: in {least} to {most} parts");
-        let mean = MET_BY * count as f64 / fleet as f64;
+        let mean = SUBSET_COUNT * count as f64 / fleet as f64;
         let smallest = parts.iter().map(BTreeSet::len).min().unwrap();
         assert!(smallest >= ((mean * 0.9) as usize).max(1), "{fleet} x {count}: a part of {smallest}");
         // Every gateway has its share of every zone where there is one for it.
@@ -74,10 +77,13 @@
         for (number, salt) in [(0, 1), (0, 999), (fleet - 1, 5)] {
             let mut list = members.clone();
             list.rotate_left(number % count + 1);
-            let mut own = Spread::new(Some(number), fleet, salt);
-            own.list(list, MET_BY);
+            let mut own = Subsetter::new(Some(number), fleet, salt);
+            own.update(list, SUBSET_COUNT);
             assert_eq!(own.order().len(), count);
-            assert_eq!(own.order()[..own.own()].iter().copied().collect::<BTreeSet<_>>(), whole[number]);
+            assert_eq!(
+                own.order()[..own.subset_len()].iter().copied().collect::<BTreeSet<_>>(),
+                whole[number]
+            );
         }
     }
 }
@@ -85,7 +91,7 @@
 #[test]
 fn a_zone_that_goes_moves_nothing_in_the_others() {
     let all = members(60, 3);
-    let left: Vec<Member> = all.iter().copied().filter(|member| member.zone != 1).collect();
+    let left: Vec<Endpoint> = all.iter().copied().filter(|member| member.zone != 1).collect();
     let (before, after) = (parts(100, &all), parts(100, &left));
     // What is new is only what fills up parts that the zone left too small.
     assert!(moved(&before, &after) <= 0.02, "{}", moved(&before, &after));
@@ -101,13 +107,13 @@
     let met = met(&parts, &members);
     let mean = members.iter().map(|member| member.weight).sum::<f64>() / 40.0;
     for (member, met) in members.iter().zip(met) {
-        let want = (MET_BY * member.weight / mean).round().max(1.0);
+        let want = (SUBSET_COUNT * member.weight / mean).round().max(1.0);
         assert!(met as f64 >= want && met as f64 <= (want * 1.2).max(want + 1.0), "{met} for {want}");
     }
     // Few gateways: a heavy server is in all parts and its turns come more often there.
-    let mut spread = Spread::new(Some(0), 20, 1);
-    spread.list(members.clone(), MET_BY);
-    let own: Vec<u32> = spread.order()[..spread.own()].to_vec();
+    let mut spread = Subsetter::new(Some(0), 20, 1);
+    spread.update(members.clone(), SUBSET_COUNT);
+    let own: Vec<u32> = spread.order()[..spread.subset_len()].to_vec();
     let sent = send(&mut spread, &own, 2000, |_| 1.0);
     let each = |kind: u32| {
         let of: Vec<usize> = own.iter().filter(|id| **id % 5 == kind).map(|id| sent[*id as usize]).collect();
@@ -117,7 +123,7 @@
 }
 
 /// So many RPCs, each to one of three drawn at random, by what each bears: how many went to each server.
-fn send(spread: &mut Spread, own: &[u32], count: usize, bears: impl Fn(u32) -> f64) -> Vec<usize> {
+fn send(spread: &mut Subsetter, own: &[u32], count: usize, bears: impl Fn(u32) -> f64) -> Vec<usize> {
     let mut chance = fastrand::Rng::with_seed(3);
     let mut sent = vec![0; 60];
     for _ in 0..count {
@@ -131,9 +137,9 @@
 
 #[test]
 fn turns_come_out_nearly_even_pass_over_the_worst_and_are_not_caught_up_with() {
-    let mut spread = Spread::new(Some(3), 60, 5);
-    spread.list(members(60, 2), MET_BY);
-    let own: Vec<u32> = spread.order()[..spread.own()].to_vec();
+    let mut spread = Subsetter::new(Some(3), 60, 5);
+    spread.update(members(60, 2), SUBSET_COUNT);
+    let own: Vec<u32> = spread.order()[..spread.subset_len()].to_vec();
     // What they bear differs, as a few samples make it seem: all have had nearly as many turns.
     let sent = send(&mut spread, &own, own.len() * 20, |id| 1.0 + f64::from(id * 7 % 10) / 11.0);
     assert!(own.iter().all(|id| (15..=25).contains(&sent[*id as usize])), "{sent:?}");
@@ -146,11 +152,11 @@
 }
 
 /// A fleet of which each gateway sends one RPC in each round: how many went to each server.
-fn rounds(fleet: &mut [Spread], chance: &mut fastrand::Rng, count: usize) -> Vec<usize> {
+fn rounds(fleet: &mut [Subsetter], chance: &mut fastrand::Rng, count: usize) -> Vec<usize> {
     let mut sent = vec![0; 60];
     for _ in 0..count {
         for spread in fleet.iter_mut() {
-            let part = &spread.order()[..spread.own()];
+            let part = &spread.order()[..spread.subset_len()];
             let shared = spread.shared().iter().filter(|id| !part.contains(id));
             let three = chance.choose_multiple(part.iter().chain(shared).copied(), 3);
             let id = spread.pick(&three.iter().map(|id| (*id, 1.0)).collect::<Vec<_>>()).unwrap();
@@ -164,15 +170,15 @@
 #[test]
 fn what_is_new_gets_what_others_get_though_the_whole_fleet_draws_from_it() {
     let mut chance = fastrand::Rng::with_seed(8);
-    let mut fleet: Vec<Spread> =
-        (0..100).map(|number| Spread::new(Some(number), 100, number as u64)).collect();
-    fleet.iter_mut().for_each(|spread| spread.list(members(50, 2), MET_BY));
+    let mut fleet: Vec<Subsetter> =
+        (0..100).map(|number| Subsetter::new(Some(number), 100, number as u64)).collect();
+    fleet.iter_mut().for_each(|spread| spread.update(members(50, 2), SUBSET_COUNT));
     rounds(&mut fleet, &mut chance, 30);
     // Ten more come, cold. Were all owed even one turn by each gateway, they would have five times the mean; they get
     // under twice of it at first, though no cold budget holds them back here, and the mean in the long run.
     let new: Vec<u32> = (50..60).collect();
     for spread in &mut fleet {
-        spread.list(members(60, 2), MET_BY);
+        spread.update(members(60, 2), SUBSET_COUNT);
         spread.share(new.clone());
     }
     let each = |sent: &[usize], from: usize, to: usize| {
@@ -195,15 +201,15 @@
 #[test]
 fn a_turn_that_could_not_be_taken_is_lost() {
     let mut chance = fastrand::Rng::with_seed(4);
-    let mut fleet: Vec<Spread> =
-        (0..100).map(|number| Spread::new(Some(number), 100, number as u64)).collect();
-    fleet.iter_mut().for_each(|spread| spread.list(members(60, 2), MET_BY));
+    let mut fleet: Vec<Subsetter> =
+        (0..100).map(|number| Subsetter::new(Some(number), 100, number as u64)).collect();
+    fleet.iter_mut().for_each(|spread| spread.update(members(60, 2), SUBSET_COUNT));
     rounds(&mut fleet, &mut chance, 30);
     // One is bad for long, drawn and passed over: once it is well the fleet sends it no more than the others.
     let mut sent = vec![0; 60];
     for round in 0..40 {
         for spread in &mut fleet {
-            let part: Vec<u32> = spread.order()[..spread.own()].to_vec();
+            let part: Vec<u32> = spread.order()[..spread.subset_len()].to_vec();
             let mut three = chance.choose_multiple(part.iter().copied(), 3);
             if round < 30 && three.contains(&7) {
                 spread.passed_over(7);
@@ -221,13 +227,13 @@
 #[test]
 fn what_is_told_wrong_harms_only_a_little() {
     // A number beyond the fleet counts as the fleet's last; a list of nothing, or of one, is taken as it is.
-    let mut spread = Spread::new(Some(9), 4, 1);
-    spread.list(Vec::new(), MET_BY);
-    assert_eq!((spread.order().len(), spread.own(), spread.pick(&[])), (0, 0, None));
+    let mut spread = Subsetter::new(Some(9), 4, 1);
+    spread.update(Vec::new(), SUBSET_COUNT);
+    assert_eq!((spread.order().len(), spread.subset_len(), spread.pick(&[])), (0, 0, None));
     let mut odd = members(1, 1);
     odd[0].weight = f64::NAN;
-    spread.list(odd, MET_BY);
-    assert_eq!((spread.order(), spread.own()), (&[0][..], 1));
+    spread.update(odd, SUBSET_COUNT);
+    assert_eq!((spread.order(), spread.subset_len()), (&[0][..], 1));
     // Two with one number: each server is in at most one part more.
     let members = members(60, 2);
     let whole = parts(100, &members);
@@ -236,11 +242,11 @@
     let (met, wrong) = (met(&whole, &members), met(&twice, &members));
     assert!(met.iter().zip(&wrong).all(|(met, wrong)| met.abs_diff(*wrong) <= 1));
     // Without a number a part of the mean size is drawn by the life's salt.
-    let mut without = Spread::new(None, 100, 8);
-    without.list(members.clone(), MET_BY);
-    assert_eq!(without.own(), 11);
+    let mut without = Subsetter::new(None, 100, 8);
+    without.update(members.clone(), SUBSET_COUNT);
+    assert_eq!(without.subset_len(), 11);
     // A few gateways draw from all.
-    let mut few = Spread::new(Some(1), 4, 8);
-    few.list(members, MET_BY);
-    assert_eq!(few.own(), 60);
+    let mut few = Subsetter::new(Some(1), 4, 8);
+    few.update(members, SUBSET_COUNT);
+    assert_eq!(few.subset_len(), 60);
 }
