A list of any length is taken in pieces, and one that can't be is asked for after a rest

Need: an object over 8 MiB was refused and asked for again and again at once, so that a list of 170,000 servers was never taken; and the whole object was held as bytes, as a tree and as entries.

Change: Objects (objects.rs) takes an object apart as its bytes come and hands on each entry that is whole; entries are staged, with zones and types held once, and told with the end of their object. The bound on the object's length is gone; one entry, what stands around the entries, the brackets open and the memory of all entries together (a quarter of the configuration's) have bounds with reason codes of their own. From the second list in a row that can't be taken on, the watch rests 0.25 to 4 s. A watch that goes on by entries is alive, however long the object lasts. What of it is read in a turn is a third of what it was.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -37,12 +37,15 @@
 const SPARES: usize = 32;
 /// The clients' part of the descriptors, in tenths.
 const CLIENTS_TENTHS: usize = 6;
-/// What of the watch and of the counter may wait in a buffer.
+/// What of the counter may wait in a buffer.
 const OTHER_INPUT: usize = 64 << 10;
-/// Of the memory, the parts that buffers may take: all clients' together, all servers', and one line of the list.
+/// What of the watch may wait: more than a head, and no more than can be read in a small part of a turn.
+const LIST_INPUT: usize = HEAD_MOST + (8 << 10);
+/// Of the memory, the parts that may be taken: by all clients' buffers, all servers', and the entries of a list that is
+/// coming in.
 const CLIENTS_MEMORY: usize = 3;
 const LINKS_MEMORY: usize = 3;
-const LIST_MEMORY: usize = 16;
+const LIST_MEMORY: usize = 4;
 /// So many names of zones are kept.
 const ZONES_MOST: usize = 1024;
 const MESSAGE_MOST: usize = HEAD_MOST + BODY_MOST + 1024;
--- a/crates/gateway/src/gateway/agreeing.rs
+++ b/crates/gateway/src/gateway/agreeing.rs
@@ -177,7 +177,7 @@
         if entries.is_empty() {
             return;
         }
-        let names: Vec<&str> = entries.iter().map(|entry| entry.name.as_str()).collect();
+        let names: Vec<&str> = entries.iter().map(|entry| &*entry.name).collect();
         info!(self.desk.log, "list"; "why" => "late", "index" => held, "newer" => notice.index, "held_back" => names.join(","));
         let entries = entries.into_iter().map(|entry| Entry { ready: false, ..entry }).collect();
         self.list(Told { index: held, whole: false, entries });
--- a/crates/gateway/src/gateway/to_list.rs
+++ b/crates/gateway/src/gateway/to_list.rs
@@ -48,7 +48,7 @@
         // Zones beyond those that the settings name are told apart all the same.
         for entry in told.entries.iter().filter(|entry| !entry.gone) {
             if place(&desk.zones, &entry.zone).is_none() && desk.zones.len() < ZONES_MOST {
-                desk.zones.push(entry.zone.clone());
+                desk.zones.push(entry.zone.to_string());
             }
         }
         if told.whole {
@@ -91,6 +91,7 @@
     /// The watch is asked for after a rest of this gateway's own.
     pub(super) fn watch_later(&mut self) {
         let rest = self.watch.again(self.pushed, self.fleet, self.stop_within, &mut self.chance);
+        let rest = rest.max(self.watch.rest_untaken(&mut self.chance));
         self.timers.set(self.net.now + rest, What::Watch);
     }
 
@@ -99,7 +100,7 @@
             return;
         }
         self.watch.heard = self.net.now;
-        match self.net.connect(self.config.discovery, Peer::List, OTHER_INPUT) {
+        match self.net.connect(self.config.discovery, Peer::List, LIST_INPUT) {
             Ok(id) => self.watch_on = Some(id),
             Err(e) => {
                 warn!(self.log, "can't connect"; "to" => %self.config.discovery, "error" => %e);
@@ -110,7 +111,7 @@
 
     /// Discovery is elsewhere now. What the old watch tells until the new one speaks still counts.
     pub(super) fn move_watch(&mut self) {
-        let new = Watch::new(self.watch.index, self.watch.object_most);
+        let new = Watch::new(self.watch.index, self.watch.entries_memory);
         let watch = std::mem::replace(&mut self.watch, new);
         self.watching = false;
         if let Some(id) = self.watch_on.take() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod http;
 pub mod list;
 pub mod logs;
+pub mod objects;
 pub mod servers;
 pub mod timers;
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -1,9 +1,11 @@
 //! Discovery's list: the watch, a state machine fed the bytes of one open answer, and what its lines say.
 
 use crate::http::{self, Bad, Chunks, HEAD_MOST, HEADERS_MOST, Length};
+use crate::objects::{Fault, Objects, Part};
 use martenramp::host::Nanos;
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 /// An empty line comes every 2 s while nothing changes; silence for more than one of them and a half is a break. What a
 /// silent watch misses counts as told 6 s after it fell silent: by then another one has to have spoken.
@@ -19,8 +21,19 @@
 pub const AGAIN_LAST: std::ops::RangeInclusive<Nanos> = 1_000_000_000..=6_000_000_000;
 /// What applies where no time is told in which new work must stop after a drain.
 pub const STOP_WITHIN: Nanos = 2_000_000_000;
-/// An object longer than this is garbled; a list of ten thousand servers takes a quarter of it.
-const OBJECT_MOST: usize = 8 << 20;
+/// From the second list in a row on that can't be taken, the rest before the next call is at least so long, twice as long
+/// after each further one and up to the last, and drawn up to twice as long again. With the time that the watch takes to
+/// be answered it stays within the 6 s after which a change counts as told.
+const UNTAKEN_REST: Nanos = 250_000_000;
+const UNTAKEN_REST_LAST: Nanos = 2_000_000_000;
+/// A watch that stood for so long before such a list came is no further one in a row.
+const STOOD: Nanos = 5_000_000_000;
+/// What an entry's name takes beyond its letters.
+const ALLOCATION: usize = 16;
+/// So many different words for zones and types are shared among the entries; further ones take their own memory.
+const WORDS_MOST: usize = 256;
+/// The key under which an object holds its entries.
+const ENTRIES: &str = "endpoints";
 
 /// One object of the list, read as far as it makes sense.
 #[derive(Debug, PartialEq)]
@@ -30,12 +43,13 @@
     pub entries: Vec<Entry>,
 }
 
+/// One server as an object of the list names it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
-    pub name: String,
+    pub name: Box<str>,
     pub address: SocketAddr,
-    pub zone: String,
-    pub kind: String,
+    pub zone: Rc<str>,
+    pub kind: Rc<str>,
     pub cell: u16,
     pub ready: bool,
     pub gone: bool,
@@ -51,35 +65,43 @@
     pub head_read: bool,
     chunks: Chunks,
     objects: Objects,
+    staged: Staged,
     pub heard: Nanos,
-    /// When the object that is coming in began.
+    /// When the object that is coming in began, or went on by an entry.
     began: Option<Nanos>,
     pub fails: u32,
-    /// The longest object that is taken.
-    pub object_most: usize,
+    /// When it was asked for.
+    asked: Nanos,
+    /// So many objects in a row could not be taken.
+    untaken: u32,
+    /// Bytes that the entries of one object may take.
+    pub entries_memory: usize,
 }
 
 impl Watch {
-    /// A watch for what comes after this version, in objects of at most so many bytes.
-    pub fn new(index: u64, object_most: usize) -> Self {
-        let (head_read, chunks, objects) = (false, Chunks::default(), Objects::default());
+    /// A watch for what comes after this version, in objects whose entries take at most so many bytes.
+    pub fn new(index: u64, entries_memory: usize) -> Self {
         Watch {
             index,
-            head_read,
-            chunks,
-            objects,
+            head_read: false,
+            chunks: Chunks::default(),
+            objects: Objects::new(ENTRIES),
+            staged: Staged::new(entries_memory),
             heard: 0,
             began: None,
             fails: 0,
-            object_most: object_most.min(OBJECT_MOST),
+            asked: 0,
+            untaken: 0,
+            entries_memory,
         }
     }
 
     /// Starts over on a new connection: the message that asks for changes after the version held.
     pub fn ask(&mut self, out: &mut Vec<u8>, now: Nanos) {
         (self.head_read, self.chunks, self.heard) = (false, Chunks::default(), now);
-        self.began = None;
-        self.objects = Objects::default();
+        (self.began, self.asked) = (None, now);
+        self.objects = Objects::new(ENTRIES);
+        self.staged = Staged::new(self.entries_memory);
         let from = self.index;
         let text = format!(
             "GET /api/targets?watch=1&from={from} HTTP/1.1\r\nHost: discovery\r\nAccept: */*\r\n\r\n"
@@ -95,47 +117,62 @@
     }
 
     /// Takes what came: how many bytes were used up, and the objects found, whatever white space stands in and between
-    /// them. A garbled object ends the watch; one that is cut short is not taken.
+    /// them. Entries are staged as they come, and told with the end of their object. An object that can't be taken ends
+    /// the watch, and nothing of it is told; nor is anything of one that is cut short.
     pub fn feed(&mut self, now: Nanos, input: &[u8], told: &mut Vec<Told>) -> Result<usize, &'static str> {
         self.heard = now;
         let mut at = 0;
         if !self.head_read {
-            let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
-            let mut head = httparse::Response::new(&mut headers);
-            match head.parse(input) {
-                Ok(httparse::Status::Complete(length)) => at = length,
-                Ok(httparse::Status::Partial) if input.len() > HEAD_MOST => return Err("head-too-large"),
-                Ok(httparse::Status::Partial) => return Ok(0),
-                Err(_) => return Err("bad-head"),
-            }
-            if head.code != Some(200) {
-                return Err("watch-refused");
-            }
-            if http::length(head.headers, Length::UntilClose) != Ok(Length::Chunked) {
-                return Err("watch-not-chunked");
-            }
-            self.head_read = true;
+            at = match self.feed_head(input)? {
+                Some(length) => length,
+                None => return Ok(0),
+            };
         }
-        let (objects, most) = (&mut self.objects, self.object_most);
-        let (mut garbled, had) = (None, told.len());
+        let Watch { objects, staged, .. } = self;
+        let (mut fault, had) = (None, staged.parts);
         let used = self.chunks.feed(&input[at..], |data| {
-            if garbled.is_some() {
-                return; // what follows a fault means nothing
+            if fault.is_none() {
+                fault = objects.feed(data, |part| staged.take(part, told)).err();
             }
-            let found = objects.feed(data, most, |object| {
-                let object = serde_json::from_slice(object).ok().and_then(|object| read(&object));
-                object.map(|object| told.push(object)).ok_or("garbled-object")
-            });
-            garbled = found.err();
         });
+        let goes_on = staged.parts > had || self.began.is_none();
+        self.began = if goes_on { Some(now) } else { self.began }.filter(|_| self.objects.is_inside());
+        if let Some(fault) = fault {
+            self.untaken = if now > self.asked + STOOD { 1 } else { self.untaken + 1 };
+            return Err(fault.reason());
+        }
         at += used.map_err(|Bad(_, why)| why)?;
-        let whole = told.len() > had || self.began.is_none();
-        self.began = if whole { Some(now) } else { self.began }.filter(|_| self.objects.depth > 0);
-        match garbled {
-            Some(why) => Err(why),
-            None if self.chunks.is_over() => Err("watch-ended"),
-            None => Ok(at),
+        if self.chunks.is_over() { Err("watch-ended") } else { Ok(at) }
+    }
+
+    /// Takes the answer's head: how long it is, once it is whole.
+    fn feed_head(&mut self, input: &[u8]) -> Result<Option<usize>, &'static str> {
+        let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
+        let mut head = httparse::Response::new(&mut headers);
+        let length = match head.parse(input) {
+            Ok(httparse::Status::Complete(length)) => length,
+            Ok(httparse::Status::Partial) if input.len() > HEAD_MOST => return Err("head-too-large"),
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(_) => return Err("bad-head"),
+        };
+        if head.code != Some(200) {
+            return Err("watch-refused");
+        }
+        if http::length(head.headers, Length::UntilClose) != Ok(Length::Chunked) {
+            return Err("watch-not-chunked");
         }
+        self.head_read = true;
+        Ok(Some(length))
+    }
+
+    /// How long to wait at least before asking again, by how many watches in a row ended soon with an object that can't
+    /// be taken. Guards against a list over a bound, or of another form, that is asked for, written and read again without
+    /// end: the cause is at discovery and mostly lasts. One such object alone is taken for an accident. Harm: the first
+    /// list that can be taken again comes up to 4 s later.
+    pub fn rest_untaken(&self, chance: &mut fastrand::Rng) -> Nanos {
+        let Some(more) = self.untaken.checked_sub(2) else { return 0 };
+        let least = (UNTAKEN_REST << more.min(8)).min(UNTAKEN_REST_LAST);
+        least + chance.u64(..least)
     }
 
     /// How long to wait before asking again, drawn anew each time. Guards against a fleet that lost its watch at one
@@ -157,81 +194,87 @@
     }
 }
 
-/// Finds whole JSON objects in bytes that come in any pieces: they may be indented, stand on one line or follow each
-/// other with nothing between. Their content is not looked at.
-#[derive(Debug, Default)]
-struct Objects {
-    /// The object at hand, as far as it has come.
-    bytes: Vec<u8>,
-    /// How many brackets are open, and whether the last byte was inside a string, behind a backslash.
-    depth: usize,
-    quoted: bool,
-    escaped: bool,
+/// The entries of an object that has not ended. None of them counts before its end.
+#[derive(Debug)]
+struct Staged {
+    entries: Vec<Entry>,
+    words: Words,
+    /// Bytes that the entries take, and may take.
+    held: usize,
+    most: usize,
+    /// Parts of objects taken so far.
+    parts: u64,
 }
 
-impl Objects {
-    /// Hands on each object that is whole; what follows a fault is passed over.
-    fn feed(
-        &mut self,
-        mut data: &[u8],
-        most: usize,
-        mut found: impl FnMut(&[u8]) -> Result<(), &'static str>,
-    ) -> Result<(), &'static str> {
-        while !data.is_empty() {
-            if self.depth == 0 {
-                let blank = data.iter().take_while(|byte| byte.is_ascii_whitespace()).count();
-                data = &data[blank..];
-                if data.first().is_some_and(|byte| *byte != b'{') {
-                    return Err("garbled-object");
+impl Staged {
+    fn new(most: usize) -> Self {
+        Staged { entries: Vec::new(), words: Words::default(), held: 0, most, parts: 0 }
+    }
+
+    /// Takes an entry, or the end of the object: all of it is told then.
+    fn take(&mut self, part: Part, told: &mut Vec<Told>) -> Result<(), Fault> {
+        self.parts += 1;
+        let parsed = |text: &[u8]| serde_json::from_slice::<Value>(text).map_err(|_| Fault::Garbled);
+        match part {
+            Part::Element(text) => {
+                let entry = read_entry(&parsed(text)?, &mut self.words).ok_or(Fault::Garbled)?;
+                self.held += size_of::<Entry>() + entry.name.len() + ALLOCATION;
+                if self.held > self.most {
+                    return Err(Fault::TooMany);
                 }
+                self.entries.push(entry);
             }
-            let end = data.iter().position(|byte| self.ends_with(*byte)).map(|at| at + 1);
-            let part = &data[..end.unwrap_or(data.len())];
-            if self.bytes.len() + part.len() > most {
-                return Err("object-too-long");
-            }
-            data = &data[part.len()..];
-            self.bytes.extend_from_slice(part);
-            if end.is_some() {
-                found(&std::mem::take(&mut self.bytes))?;
+            Part::Frame(text) => {
+                let frame = read_frame(&parsed(text)?).ok_or(Fault::Garbled)?;
+                self.held = 0;
+                told.push(Told { entries: std::mem::take(&mut self.entries), ..frame });
             }
         }
         Ok(())
     }
+}
 
-    /// Takes one byte of an object; true if it is the last, or if it can't stand there: strings hold no bare line ends, so
-    /// that one tells of an object that was cut short.
-    fn ends_with(&mut self, byte: u8) -> bool {
-        match byte {
-            _ if std::mem::take(&mut self.escaped) => {}
-            b'\\' => self.escaped = self.quoted,
-            b'"' => self.quoted = !self.quoted,
-            _ if self.quoted => return byte < b' ',
-            b'{' | b'[' => self.depth += 1,
-            b'}' | b']' => self.depth -= 1,
-            _ => {}
+/// Words that many entries have in common, such as the names of zones, held once.
+#[derive(Debug, Default)]
+struct Words(Vec<Rc<str>>);
+
+impl Words {
+    fn shared(&mut self, word: &str) -> Rc<str> {
+        if let Some(known) = self.0.iter().find(|known| &***known == word) {
+            return known.clone();
+        }
+        let new: Rc<str> = word.into();
+        if self.0.len() < WORDS_MOST {
+            self.0.push(new.clone());
         }
-        self.depth == 0
+        new
     }
 }
 
+/// Reads an object whose entries were taken out of it.
+fn read_frame(object: &Value) -> Option<Told> {
+    object[ENTRIES].as_array().filter(|left| left.is_empty())?;
+    let (index, whole) = (object["index"].as_u64()?, object["snapshot"].as_bool()?);
+    Some(Told { index, whole, entries: Vec::new() })
+}
+
 /// Reads an object of the list; an entry that makes no sense makes the whole object garbled.
 pub fn read(object: &Value) -> Option<Told> {
-    let index = object["index"].as_u64()?;
-    let whole = object["snapshot"].as_bool()?;
-    let entries = object["endpoints"].as_array()?.iter().map(read_entry).collect::<Option<_>>()?;
-    Some(Told { index, whole, entries })
+    let (index, whole) = (object["index"].as_u64()?, object["snapshot"].as_bool()?);
+    let mut words = Words::default();
+    let entries = object[ENTRIES].as_array()?.iter().map(|entry| read_entry(entry, &mut words));
+    Some(Told { index, whole, entries: entries.collect::<Option<_>>()? })
 }
 
-fn read_entry(entry: &Value) -> Option<Entry> {
+fn read_entry(entry: &Value, words: &mut Words) -> Option<Entry> {
     let status = entry["status"].as_str()?;
     let gone = status == "gone";
     // What is gone need not have an address any more.
     let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
     let address = entry["address"].as_str().and_then(|text| text.parse().ok()).or(gone.then_some(nowhere))?;
-    let word = |name: &str| entry[name].as_str().unwrap_or_default().to_string();
+    let mut word = |name: &str| words.shared(entry[name].as_str().unwrap_or_default());
     Some(Entry {
-        name: entry["name"].as_str()?.to_string(),
+        name: entry["name"].as_str()?.into(),
         address,
         zone: word("zone"),
         kind: word("type"),
--- /dev/null
+++ b/crates/gateway/src/objects.rs
@@ -0,0 +1,229 @@
+//! JSON objects that come in any pieces, one behind the other, each with one array that may be of any length: its elements
+//! are handed on one by one, so that neither the object's bytes nor a tree of them are ever held whole.
+
+/// What of an object is held at most: one element, and all that stands around the elements.
+pub const ELEMENT_MOST: usize = 64 << 10;
+pub const FRAME_MOST: usize = 16 << 10;
+/// So many brackets may be open at once.
+pub const DEPTH_MOST: usize = 32;
+
+/// Why an object can't be taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// It is no JSON object of the form that is asked for.
+    Garbled,
+    /// One element, or what stands around the elements, is longer than its bound.
+    ElementTooLong,
+    FrameTooLong,
+    TooDeep,
+    /// All elements together take more memory than they may.
+    TooMany,
+}
+
+impl Fault {
+    /// The reason code for the log.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Fault::Garbled => "garbled-object",
+            Fault::ElementTooLong => "entry-too-long",
+            Fault::FrameTooLong => "object-too-long",
+            Fault::TooDeep => "object-too-deep",
+            Fault::TooMany => "list-too-long",
+        }
+    }
+}
+
+/// A part of an object that is whole.
+#[derive(Debug)]
+pub enum Part<'a> {
+    /// An element of the array; only the pairing of brackets and quotes has been looked at.
+    Element(&'a [u8]),
+    /// The object's end: the whole of it but for the array's elements, and looked at no further either.
+    Frame(&'a [u8]),
+}
+
+/// Where the next byte stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Place {
+    #[default]
+    Between,
+    Frame,
+    /// In the array, where an element may begin: as the first, behind a comma; or where only a comma or the end may come.
+    First,
+    Next,
+    Behind,
+    Element,
+}
+
+/// Brackets and quotes that are open.
+#[derive(Debug, Default)]
+struct Nesting {
+    depth: usize,
+    quoted: bool,
+    escaped: bool,
+}
+
+impl Nesting {
+    /// Takes one byte. Strings hold no bare line ends: one tells of an object that was cut short.
+    fn take(&mut self, byte: u8) -> Result<(), Fault> {
+        match byte {
+            _ if std::mem::take(&mut self.escaped) => {}
+            b'\\' => self.escaped = self.quoted,
+            b'"' => self.quoted = !self.quoted,
+            _ if self.quoted && byte < b' ' => return Err(Fault::Garbled),
+            _ if self.quoted => {}
+            b'{' | b'[' => self.depth += 1,
+            b'}' | b']' => self.depth = self.depth.checked_sub(1).ok_or(Fault::Garbled)?,
+            _ => {}
+        }
+        if self.depth > DEPTH_MOST { Err(Fault::TooDeep) } else { Ok(()) }
+    }
+}
+
+/// Takes objects apart whose array stands under one name, wherever among the object's keys.
+#[derive(Debug)]
+pub struct Objects {
+    /// The array's name as it is written, in quotes.
+    quoted_name: String,
+    place: Place,
+    nesting: Nesting,
+    /// What has come so far of the object at hand without its elements, and of the element at hand.
+    frame: Vec<u8>,
+    element: Vec<u8>,
+    /// The array has been met in this object.
+    met: bool,
+}
+
+impl Objects {
+    /// For objects whose array stands under this name.
+    pub fn new(name: &str) -> Self {
+        Objects {
+            quoted_name: format!("\"{name}\""),
+            place: Place::default(),
+            nesting: Nesting::default(),
+            frame: Vec::new(),
+            element: Vec::new(),
+            met: false,
+        }
+    }
+
+    /// Whether an object has begun and not ended.
+    pub fn is_inside(&self) -> bool {
+        self.place != Place::Between
+    }
+
+    /// Hands on each part that is whole. After a fault nothing more may be fed.
+    pub fn feed(
+        &mut self,
+        mut data: &[u8],
+        mut found: impl FnMut(Part) -> Result<(), Fault>,
+    ) -> Result<(), Fault> {
+        while let Some((byte, rest)) = data.split_first() {
+            match self.place {
+                Place::Element => {
+                    data = self.feed_element(data, &mut found)?;
+                    continue;
+                }
+                Place::Frame => self.feed_frame(*byte, &mut found)?,
+                _ if byte.is_ascii_whitespace() => {}
+                Place::Between if *byte == b'{' => {
+                    self.place = Place::Frame;
+                    self.feed_frame(*byte, &mut found)?;
+                }
+                Place::First | Place::Next if *byte == b'{' => {
+                    self.place = Place::Element;
+                    continue;
+                }
+                Place::Behind if *byte == b',' => self.place = Place::Next,
+                Place::First | Place::Behind if *byte == b']' => {
+                    self.place = Place::Frame;
+                    self.feed_frame(*byte, &mut found)?;
+                }
+                _ => return Err(Fault::Garbled),
+            }
+            data = rest;
+        }
+        Ok(())
+    }
+
+    /// Takes what there is of an element; what stands behind it is told back.
+    fn feed_element<'a>(
+        &mut self,
+        data: &'a [u8],
+        found: &mut impl FnMut(Part) -> Result<(), Fault>,
+    ) -> Result<&'a [u8], Fault> {
+        // An element stands within the object and its array.
+        let outside = 2;
+        let mut end = None;
+        for (at, byte) in data.iter().enumerate() {
+            self.nesting.take(*byte)?;
+            if self.nesting.depth == outside {
+                end = Some(at + 1);
+                break;
+            }
+        }
+        let (part, rest) = data.split_at(end.unwrap_or(data.len()));
+        if self.element.len() + part.len() > ELEMENT_MOST {
+            return Err(Fault::ElementTooLong);
+        }
+        if end.is_none() {
+            self.element.extend_from_slice(part);
+            return Ok(rest);
+        }
+        self.place = Place::Behind;
+        if self.element.is_empty() {
+            found(Part::Element(part))?;
+        } else {
+            self.element.extend_from_slice(part);
+            found(Part::Element(&self.element))?;
+            self.element.clear();
+        }
+        Ok(rest)
+    }
+
+    /// Takes a byte of what stands around the elements.
+    fn feed_frame(
+        &mut self,
+        byte: u8,
+        found: &mut impl FnMut(Part) -> Result<(), Fault>,
+    ) -> Result<(), Fault> {
+        let opens = byte == b'[' && !self.nesting.quoted && self.nesting.depth == 1 && self.is_named();
+        self.nesting.take(byte)?;
+        self.keep(byte)?;
+        if opens {
+            if std::mem::replace(&mut self.met, true) {
+                return Err(Fault::Garbled);
+            }
+            self.place = Place::First;
+        } else if self.nesting.depth == 0 {
+            if !std::mem::take(&mut self.met) {
+                return Err(Fault::Garbled);
+            }
+            self.place = Place::Between;
+            found(Part::Frame(&self.frame))?;
+            self.frame.clear();
+        }
+        Ok(())
+    }
+
+    /// Keeps a byte of the frame; of white space outside strings, one.
+    fn keep(&mut self, byte: u8) -> Result<(), Fault> {
+        let blank = |byte: u8| byte.is_ascii_whitespace();
+        if blank(byte) && !self.nesting.quoted && self.frame.last().is_some_and(|last| blank(*last)) {
+            return Ok(());
+        }
+        if self.frame.len() >= FRAME_MOST {
+            return Err(Fault::FrameTooLong);
+        }
+        self.frame.push(byte);
+        Ok(())
+    }
+
+    /// Whether the key that the frame ends with is the array's. A quote inside a string has a backslash before it, so
+    /// that a string that only ends like the key is none.
+    fn is_named(&self) -> bool {
+        let key = self.frame.trim_ascii_end().strip_suffix(b":").map(<[u8]>::trim_ascii_end);
+        let before = key.and_then(|key| key.strip_suffix(self.quoted_name.as_bytes()));
+        before.is_some_and(|before| matches!(before.trim_ascii_end().last(), Some(b'{' | b',')))
+    }
+}
