Servers and RPCs name their service, one and the same so far

Need: at 170,000 servers in 7,100 services a gateway can work out and hold subsets only of the services that it is asked for.

Change: Listed and Arrival have a service each; 0 is the one service of a deployment that tells none. Hosts pass 0 as yet.

--- a/crates/gateway/src/gateway/to_clients.rs
+++ b/crates/gateway/src/gateway/to_clients.rs
@@ -69,6 +69,7 @@
             method: message.method,
             plan: message.plan,
             customer: message.customer,
+            service: 0,
             deadline,
             units: message.units,
             width: message.width,
--- a/crates/gateway/src/gateway/to_list.rs
+++ b/crates/gateway/src/gateway/to_list.rs
@@ -68,6 +68,7 @@
             };
             list.push(Listed {
                 server: number,
+                service: 0,
                 key: martenramp::spread::key(&entry.name),
                 zone: place(&desk.zones, &entry.zone).map_or(u16::MAX, |at| at as u16),
                 kind: place(&desk.kinds, &entry.kind).map_or(u8::MAX, |at| at as u8),
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -285,6 +285,7 @@
             method: method_number,
             plan,
             customer,
+            service: 0,
             deadline: deadline.saturating_sub(MARGIN),
             units,
             width,
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -85,6 +85,7 @@
                 let server = record.u32()?;
                 list.push(Listed {
                     server,
+                    service: 0,
                     key: u64::from(server), // the same at every instance
                     zone: record.u16()?,
                     kind: record.u8()?,
@@ -104,6 +105,7 @@
                 method: record.u16()?,
                 plan: record.u16()?,
                 customer: record.u64()?,
+                service: 0,
                 deadline: nanos(record.f64()?),
                 units: f64::from(record.f32()?),
                 width: record.f32()? as u32,
--- a/src/host.rs
+++ b/src/host.rs
@@ -30,6 +30,8 @@
     pub method: u16,
     pub plan: u16,
     pub customer: u64,
+    /// The service that is asked for, as [`Listed::service`] numbers it.
+    pub service: u32,
     /// Clock time at which the client gives up.
     pub deadline: Nanos,
     pub units: f64,
@@ -42,6 +44,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Listed {
     pub server: u32,
+    /// The service that it belongs to: an RPC goes only to servers of the service that it asks for. 0 is the one service of a
+    /// deployment that tells none. The number is this gateway's own and may differ at others.
+    pub service: u32,
     /// The same at every gateway, whatever numbers they give.
     pub key: u64,
     pub zone: u16,
