A list comes into force in batches over turns, servers by service, one entry's work for a change

Change: Changes compares an object with what is held and hands on what is other than it was in batches, what leaves first, within 1,024 units of work a turn; nothing is told before the whole object was compared, and what the watch says meanwhile stays unread. Servers are known by the key of their names and hold what the module was told; those off the list with connections left stand in a set of their own, and idle connections are looked for among the servers that connections lead to. Entries are read by serde with no tree between. With the key 'services' an entry tells its service by the first part of its name and an RPC by its class; servers of services that no class asks for are dropped as they are read, and an entry that tells none is named in one line and not taken. Without the key all are of service 0, as before.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,12 +1,14 @@
 //! What a gateway is told at its start: the configuration file, and the environment for what it leaves out.
 
 use crate::counter;
+use crate::services::Services;
 use agreement::Nanos;
 use agreement::rules::{Ground, Version};
 use agreement::state::Terms;
 use martenramp::host::Settings;
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 pub struct Config {
     pub name: String,
@@ -24,6 +26,7 @@
     pub settings: Settings,
     pub methods: Vec<Method>,
     pub plans: Vec<String>,
+    pub services: Rc<Services>,
     /// The most units that one RPC may take, and how many gateways there are.
     pub units_most: f64,
     pub gateways: u32,
@@ -99,6 +102,7 @@
                 Method { name, marked: how == Some("guarded"), idempotent: how == Some("free") }
             })
             .collect();
+        let services = Services::read(&all["services"], &names("classes"))?;
         let plans = names("tariffs");
         if methods.is_empty() || plans.is_empty() {
             return Err("'settings' names no classes or no tariffs".to_string());
@@ -124,6 +128,7 @@
             settings,
             methods,
             plans,
+            services: Rc::new(services),
             units_most: counter::AMOUNT_MOST,
             gateways: u32::MAX,
             agreement,
--- /dev/null
+++ b/crates/gateway/src/directory.rs
@@ -0,0 +1,54 @@
+//! The names that entries of the list use, as the numbers that the module knows them by.
+
+use crate::entry::Entry;
+use martenramp::host::{Listed, Nanos};
+use std::collections::HashMap;
+
+const MS: Nanos = 1_000_000;
+/// So many names of zones are kept.
+const ZONES_MOST: usize = 1024;
+
+/// Zones and kinds by name.
+#[derive(Debug, Default)]
+pub struct Directory {
+    zones: HashMap<Box<str>, u16>,
+    kinds: Vec<String>,
+}
+
+impl Directory {
+    /// The zones and kinds that the settings name, numbered in this order.
+    pub fn new(zones: Vec<String>, kinds: Vec<String>) -> Self {
+        let mut directory = Directory { kinds, ..Directory::default() };
+        zones.iter().for_each(|zone| _ = directory.zone(zone));
+        directory
+    }
+
+    /// The number of a zone; those beyond what the settings name are told apart all the same.
+    fn zone(&mut self, name: &str) -> u16 {
+        if let Some(number) = self.zones.get(name) {
+            return *number;
+        }
+        let number = self.zones.len() as u16;
+        if self.zones.len() >= ZONES_MOST {
+            return u16::MAX;
+        }
+        self.zones.insert(name.into(), number);
+        number
+    }
+
+    /// What the module is told of an entry with this key; the server's number is filled in when it is taken.
+    pub fn listed(&mut self, key: u64, entry: &Entry) -> Listed {
+        let kind = self.kinds.iter().position(|known| **known == *entry.kind);
+        Listed {
+            server: 0,
+            service: entry.service,
+            key,
+            zone: if entry.gone { u16::MAX } else { self.zone(&entry.zone) },
+            kind: kind.map_or(u8::MAX, |at| at as u8),
+            cell: entry.cell,
+            ready: entry.ready,
+            weight: entry.weight,
+            came_up: entry.since_ms.saturating_mul(MS),
+        }
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,19 +1,22 @@
 //! Ties the module to its peers: takes what the state machines find to the module, and carries out what the
 //! module asks for. It decides nothing.
 
+use crate::changes::{Batch, Change, Changes, WORK_A_TURN};
 use crate::clients::{self, Client, Got};
 use crate::config::Config;
 use crate::counter::{self, Call, Line};
+use crate::directory::Directory;
 use crate::driver::{ACCEPT_AGAIN, Ending, Net, Peer, Turned};
 use crate::http::{BODY_MOST, Bad, HEAD_MOST};
 use crate::list::{self, Told, Watch};
 use crate::servers::{self, Answer, Attempt, Body, Link, Server, Servers, Stage};
 use crate::timers::Timers;
 use martenramp::brain::Brain;
-use martenramp::host::{Arrival, End, Ended, Host, Listed, Nanos};
+use martenramp::host::{Arrival, End, Ended, Host, Nanos};
 use slog::{Logger, info, warn};
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 mod agreeing;
 mod to_clients;
@@ -46,8 +49,6 @@
 const CLIENTS_MEMORY: usize = 3;
 const LINKS_MEMORY: usize = 3;
 const LIST_MEMORY: usize = 4;
-/// So many names of zones are kept.
-const ZONES_MOST: usize = 1024;
 const MESSAGE_MOST: usize = HEAD_MOST + BODY_MOST + 1024;
 
 /// What a timer is for.
@@ -64,6 +65,8 @@
     Stay,
     Linger,
     Agree,
+    /// More of a list is to be brought into force.
+    Changes,
 }
 
 /// Where an RPC stands here: with the module, out at a server, or answered while a call-out is still out.
@@ -74,6 +77,14 @@
     Answered,
 }
 
+/// An object of the list that waits for its turn.
+enum Pending {
+    /// As discovery told it.
+    Told(Told),
+    /// What is to be taken of one.
+    Judged(Told),
+}
+
 struct Rpc {
     stand: Stand,
     /// Whose buffer holds the message, as long as that client is there.
@@ -120,6 +131,11 @@
     watching: bool,
     /// The watch at the address that an earlier configuration told, heeded until the one at the new speaks.
     old_watch: Option<(usize, Watch)>,
+    /// Objects of the list that came and are not in force yet, and the one that is being brought into force.
+    pending: VecDeque<Pending>,
+    changes: Option<Changes>,
+    /// A timer is set for the next batch of them.
+    goes_on: bool,
     /// Two sets: the one from `lines_from` on is used; the other's lines, where they stand, only end what they carry.
     lines: [Line; 2 * counter::LINES],
     lines_on: [Option<usize>; 2 * counter::LINES],
@@ -145,8 +161,7 @@
     dial: Nanos,
     idle: Nanos,
     count_wait: Nanos,
-    zones: Vec<String>,
-    kinds: Vec<String>,
+    directory: Directory,
     columns: Vec<String>,
     /// Whether discovery pushes its lists, so that asking costs it nothing.
     pushed: bool,
@@ -172,8 +187,7 @@
             idle: idle as Nanos,
             count_wait: span("extra.countWait", counter::WAIT),
             rpcs_most: config.setting("ceilings.maxOpen").map_or(usize::MAX, |most| most as usize),
-            zones: config.list("localities"),
-            kinds: config.list("shapes"),
+            directory: Directory::new(config.list("localities"), config.list("shapes")),
             columns: config.list("reporting.columns"),
             clients_most,
             spares,
@@ -190,7 +204,10 @@
             servers: Servers::default(),
             links: BTreeMap::new(),
             to_write: VecDeque::new(),
-            watch: Watch::new(0, config.memory / LIST_MEMORY),
+            watch: Watch::of_services(0, config.memory / LIST_MEMORY, config.services.clone()),
+            pending: VecDeque::new(),
+            changes: None,
+            goes_on: false,
             stop_within: span("rules.stopSendingWithin", list::STOP_WITHIN),
             pushed: config.settings.get("membershipMode").is_some_and(|mode| mode == "push"),
             fleet: config.setting("balancers").map_or(1, |count| count as u32),
@@ -228,7 +245,8 @@
     fn start(&mut self, now: Nanos) {
         self.desk.net.now = now;
         self.begin_to_agree();
-        let known = self.desk.config.known.take().and_then(|known| list::read(&known));
+        let known =
+            self.desk.config.known.take().and_then(|known| list::read(&known, &self.desk.config.services));
         if let Some(told) = known.filter(|told| !told.entries.is_empty()) {
             self.told(told);
         }
@@ -284,12 +302,17 @@
             desk.move_lines();
         }
         if let Some(told) = new.agreement.filter(|_| agreed) {
-            self.take_version(told.version, new.methods, new.plans);
+            let services = Rc::new(self.desk.config.services.with_classes_of(&new.services));
+            self.take_version(told.version, new.methods, new.plans, services);
         }
     }
 
+    /// A list's next batch goes before all that the turn brings: what is sent to a server in this turn is written in it.
     fn woke(&mut self) {
         self.agree();
+        if self.desk.goes_on {
+            self.go_on_with_list();
+        }
     }
 
     fn heard(&mut self, bytes: &[u8]) {
@@ -393,6 +416,7 @@
                 }
                 What::Linger => self.desk.close_clients(true),
                 What::Agree => self.agree(),
+                What::Changes => {} // the turn has begun with it
             }
             self.settle();
         }
@@ -506,6 +530,12 @@
         }
     }
 
+    /// The servers that connections lead to.
+    fn met(&self) -> impl Iterator<Item = &Server> {
+        let numbers: BTreeSet<u32> = self.links.values().map(|link| link.server).collect();
+        numbers.into_iter().filter_map(|number| self.servers.by_number.get(&number))
+    }
+
     /// Since when a client's message is waited for.
     fn begun(&self, id: usize) -> Nanos {
         let begun = self.clients.get(&id).filter(|client| client.served > 0).map(|client| client.since);
@@ -545,10 +575,10 @@
                 _ => self.end_client(id, why),
             }
         }
-        let idle = self.servers.by_number.values().flat_map(|server| &server.idle);
+        let idle = self.met().flat_map(|server| &server.idle);
         let idle: Vec<usize> = idle.filter(|idle| now >= idle.1 + self.idle).map(|idle| idle.0).collect();
         idle.into_iter().for_each(|id| self.end_link(id, "idle"));
-        if let Some(id) = self.watch_on.filter(|_| self.watch.is_silent(now)) {
+        if let Some(id) = self.watch_on.filter(|_| !self.takes_list() && self.watch.is_silent(now)) {
             self.watch_broke(id, "silent");
         }
         for at in 0..self.lines.len() {
--- a/crates/gateway/src/gateway/agreeing.rs
+++ b/crates/gateway/src/gateway/agreeing.rs
@@ -3,7 +3,8 @@
 
 use super::*;
 use crate::config::Method;
-use crate::list::Entry;
+use crate::entry::Entry;
+use crate::services::Services;
 use agreement::lists::{Lists, Seen};
 use agreement::rules::{Version, objections};
 use agreement::state::{Agreement, Content, Heard, Stand};
@@ -14,6 +15,7 @@
     version: Version,
     methods: Vec<Method>,
     plans: Vec<String>,
+    services: Rc<Services>,
 }
 
 pub(super) struct Pact {
@@ -65,7 +67,12 @@
         if told.fresh {
             state.forget();
         }
-        let held = Held { version: told.version, methods: Vec::new(), plans: Vec::new() };
+        let held = Held {
+            version: told.version,
+            methods: Vec::new(),
+            plans: Vec::new(),
+            services: desk.config.services.clone(),
+        };
         let acting = (content, Stand::Ground);
         info!(desk.log, "agreeing"; "peers" => %heard_at, "voter" => state.is_voter(), "bound_ms" => state.terms().bound() / MS);
         self.pact = Some(Pact {
@@ -96,6 +103,7 @@
             pact.held = new;
             self.desk.config.methods = std::mem::take(&mut pact.held.methods);
             self.desk.config.plans = std::mem::take(&mut pact.held.plans);
+            self.desk.config.services = pact.held.services.clone();
         }
         pact.acting = acting;
         let version = &pact.held.version;
@@ -180,13 +188,13 @@
         let names: Vec<&str> = entries.iter().map(|entry| &*entry.name).collect();
         info!(self.desk.log, "list"; "why" => "late", "index" => held, "newer" => notice.index, "held_back" => names.join(","));
         let entries = entries.into_iter().map(|entry| Entry { ready: false, ..entry }).collect();
-        self.list(Told { index: held, whole: false, entries });
+        self.list(Told { index: held, entries, ..Told::default() });
     }
 
     /// What to make of a list: it is changed to what may be taken of it, and what comes after it is told back; nothing
     /// where it is passed over.
     pub(super) fn judge_list(&mut self, told: &mut Told) -> Option<Told> {
-        let mut more = Told { index: told.index, whole: false, entries: Vec::new() };
+        let mut more = Told { index: told.index, ..Told::default() };
         let Some(pact) = &mut self.pact else { return Some(more) };
         let seen = |entry: &Entry| Seen {
             key: martenramp::spread::key(&entry.name),
@@ -209,22 +217,29 @@
         if verdict.empties {
             return None;
         }
+        let held_back: HashSet<u64> = verdict.held_back.into_iter().collect();
         for (entry, seen) in told.entries.iter_mut().zip(&list) {
             pact.entries.insert(seen.key, entry.clone());
-            entry.ready &= !verdict.held_back.contains(&seen.key);
+            entry.ready &= !held_back.contains(&seen.key);
         }
         // What an older list lacks stays: its changes are taken, not its gaps.
         told.whole &= !verdict.older;
         more.entries = verdict.released.iter().filter_map(|key| pact.entries.get(key).cloned()).collect();
         if told.whole && pact.entries.len() > 2 * list.len().max(64) {
-            let named: Vec<u64> = list.iter().map(|seen| seen.key).collect();
+            let named: HashSet<u64> = list.iter().map(|seen| seen.key).collect();
             pact.entries.retain(|key, _| named.contains(key));
         }
         Some(more)
     }
 
     /// SIGHUP brought a file with a version.
-    pub(super) fn take_version(&mut self, version: Version, methods: Vec<Method>, plans: Vec<String>) {
+    pub(super) fn take_version(
+        &mut self,
+        version: Version,
+        methods: Vec<Method>,
+        plans: Vec<String>,
+        services: Rc<Services>,
+    ) {
         let Some(pact) = &mut self.pact else { return };
         let (now, content) = (self.desk.net.now.saturating_add_signed(pact.clock_off), version.content());
         let (log, number) = (&self.desk.log, content.version);
@@ -240,7 +255,7 @@
                 let start = pact.state.waiting().map_or(0, |waits| waits.1);
                 info!(log, "settings"; "why" => "waits", "version" => number, "digest" => short(content),
                     "starts_in_ms" => start.saturating_sub(now) / MS);
-                pact.waits = Some(Held { version, methods, plans });
+                pact.waits = Some(Held { version, methods, plans, services });
             }
             Ok(false) => {
                 info!(log, "settings"; "why" => "held-already", "version" => number, "digest" => short(content))
--- a/crates/gateway/src/gateway/to_clients.rs
+++ b/crates/gateway/src/gateway/to_clients.rs
@@ -69,7 +69,7 @@
             method: message.method,
             plan: message.plan,
             customer: message.customer,
-            service: 0,
+            service: self.desk.config.services.of_class(message.method),
             deadline,
             units: message.units,
             width: message.width,
--- a/crates/gateway/src/gateway/to_list.rs
+++ b/crates/gateway/src/gateway/to_list.rs
@@ -1,9 +1,14 @@
 //! The gateway's side of discovery: the watch is kept up, and the module and the pools hear what it tells.
 
 use super::*;
+use martenramp::host::Listed;
 
 impl Gateway {
+    /// Bytes of a watch. While a list is brought into force no more is read: what comes waits at discovery's side.
     pub(super) fn list_came(&mut self, id: usize) {
+        if self.desk.takes_list() {
+            return;
+        }
         let mut told = Vec::new();
         let Desk { net, watch, old_watch, .. } = &mut self.desk;
         let watch = match old_watch {
@@ -30,65 +35,121 @@
         }
     }
 
-    /// The list told by discovery, or held from before. Where the fleet agrees, what is older than what is known here, or
-    /// would leave nothing, changes only what it may.
-    pub(super) fn told(&mut self, mut told: Told) {
+    /// The list told by discovery, or held from before.
+    pub(super) fn told(&mut self, told: Told) {
         self.desk.watch.index = told.index;
-        if let Some(more) = self.judge_list(&mut told) {
-            self.list(told);
-            if !more.entries.is_empty() {
-                self.list(more);
-            }
+        if let Some(name) = &told.first_untold {
+            warn!(self.desk.log, "list"; "why" => "no-service", "index" => told.index, "server" => &**name, "entries" => told.untold);
         }
+        self.desk.pending.push_back(Pending::Told(told));
+        self.bring_into_force();
     }
 
+    /// A change that was not told by the own discovery. It goes before what that told in the meantime and is yet to be
+    /// judged, since it is looked at then.
     pub(super) fn list(&mut self, told: Told) {
-        let desk = &mut self.desk;
-        let place = |names: &[String], name: &str| names.iter().position(|known| known == name);
-        // Zones beyond those that the settings name are told apart all the same.
-        for entry in told.entries.iter().filter(|entry| !entry.gone) {
-            if place(&desk.zones, &entry.zone).is_none() && desk.zones.len() < ZONES_MOST {
-                desk.zones.push(entry.zone.to_string());
+        let pending = &mut self.desk.pending;
+        let told_at = pending.iter().position(|waits| matches!(waits, Pending::Told(_)));
+        pending.insert(told_at.unwrap_or(pending.len()), Pending::Judged(told));
+        self.bring_into_force();
+    }
+
+    /// The next batch is due, and once all is in force, what the watch said in the meantime.
+    pub(super) fn go_on_with_list(&mut self) {
+        self.desk.goes_on = false;
+        self.bring_into_force();
+        if self.desk.takes_list() {
+            return;
+        }
+        let old = self.desk.old_watch.as_ref().map(|old| old.0);
+        for id in [old, self.desk.watch_on].into_iter().flatten() {
+            if !self.desk.net.input(id).is_empty() || self.desk.net.ended(id).is_some() {
+                self.list_came(id);
             }
         }
-        if told.whole {
-            desk.servers.by_number.values_mut().for_each(|server| server.listed = false);
+    }
+
+    /// Brings what waits into force, as far as the work of one turn goes. The first list is taken at once: without one
+    /// nothing can be sent anywhere.
+    fn bring_into_force(&mut self) {
+        if self.desk.goes_on {
+            return;
         }
-        let mut list = Vec::new();
-        for entry in &told.entries {
-            let came_up = entry.since_ms.saturating_mul(MS);
-            let number = if entry.gone {
-                let Some(number) = desk.servers.known(&entry.name) else { continue };
-                desk.servers.by_number.entry(number).and_modify(|server| server.listed = false);
-                number
-            } else {
-                let (number, stale) = desk.servers.list(&entry.name, entry.address, came_up, entry.ready);
-                stale.into_iter().for_each(|id| desk.end_link(id, "server-moved"));
-                number
+        let mut work = if self.desk.has_list { WORK_A_TURN } else { usize::MAX };
+        loop {
+            if self.desk.changes.is_none() && !self.begin_changes() {
+                return;
+            }
+            let Desk { changes, servers, directory, .. } = &mut self.desk;
+            let Some(at_hand) = changes else { return };
+            let Some(batch) = at_hand.next(servers, directory, &mut work) else { break };
+            let done = at_hand.is_done().then(|| self.desk.changes.take()).flatten();
+            self.apply(batch);
+            if let Some(done) = done {
+                self.desk.has_list = true;
+                self.desk.log_turns(&done);
+            }
+        }
+        self.desk.changes.iter_mut().for_each(Changes::rest);
+        self.desk.goes_on = true;
+        self.desk.timers.set(self.desk.net.now + 1, What::Changes);
+    }
+
+    /// Takes up the next object that waits; false if there is none. Where the fleet agrees, what is older than what is
+    /// known here, or would leave nothing, changes only what it may.
+    fn begin_changes(&mut self) -> bool {
+        let told = loop {
+            match self.desk.pending.pop_front() {
+                None => return false,
+                Some(Pending::Judged(told)) => break told,
+                Some(Pending::Told(mut told)) => {
+                    let Some(more) = self.judge_list(&mut told) else { continue };
+                    if !more.entries.is_empty() {
+                        self.desk.pending.push_front(Pending::Judged(more));
+                    }
+                    break told;
+                }
+            }
+        };
+        self.desk.changes = Some(Changes::new(told));
+        true
+    }
+
+    /// Tells the module and the pools of a batch.
+    fn apply(&mut self, batch: Batch) {
+        let desk = &mut self.desk;
+        let mut list = Vec::with_capacity(batch.leaving.len() + batch.coming.len());
+        for Change { listed, address } in batch.leaving.into_iter().chain(batch.coming) {
+            let Some(address) = address else {
+                if let Some((listed, idle)) = desk.servers.take_off(listed.key) {
+                    idle.into_iter().for_each(|id| desk.end_link(id, "server-gone"));
+                    list.push(listed);
+                }
+                continue;
             };
-            list.push(Listed {
-                server: number,
-                service: 0,
-                key: martenramp::spread::key(&entry.name),
-                zone: place(&desk.zones, &entry.zone).map_or(u16::MAX, |at| at as u16),
-                kind: place(&desk.kinds, &entry.kind).map_or(u8::MAX, |at| at as u8),
-                cell: entry.cell,
-                ready: entry.ready,
-                weight: entry.weight,
-                came_up,
-            });
-        }
-        self.brain.listed(desk.net.now, told.whole, &list);
-        desk.has_list = true;
-        let gone = desk.servers.by_number.values_mut().filter(|server| !server.listed);
-        let idle: Vec<usize> =
-            gone.flat_map(|server| std::mem::take(&mut server.idle)).map(|idle| idle.0).collect();
-        idle.into_iter().for_each(|id| desk.end_link(id, "server-gone"));
+            let (server, stale) = desk.servers.list(&listed, address);
+            stale.into_iter().for_each(|id| desk.end_link(id, "server-moved"));
+            list.push(Listed { server, ..listed });
+        }
+        self.brain.listed(desk.net.now, false, &list);
         desk.servers.forget();
     }
 }
 
 impl Desk {
+    /// Whether an object of the list has come and is not yet in force.
+    pub(super) fn takes_list(&self) -> bool {
+        self.changes.is_some() || !self.pending.is_empty()
+    }
+
+    /// A list that took more than one turn leaves a line.
+    fn log_turns(&self, done: &Changes) {
+        if done.turns() > 1 {
+            info!(self.log, "list in force"; "index" => done.index(), "changed" => done.changed(), "turns" => done.turns(),
+                "servers" => self.servers.by_number.len());
+        }
+    }
+
     /// The watch is asked for after a rest of this gateway's own.
     pub(super) fn watch_later(&mut self) {
         let rest = self.watch.again(self.pushed, self.fleet, self.stop_within, &mut self.chance);
@@ -112,7 +173,7 @@
 
     /// Discovery is elsewhere now. What the old watch tells until the new one speaks still counts.
     pub(super) fn move_watch(&mut self) {
-        let new = Watch::new(self.watch.index, self.watch.entries_memory);
+        let new = self.watch.anew();
         let watch = std::mem::replace(&mut self.watch, new);
         self.watching = false;
         if let Some(id) = self.watch_on.take() {
--- a/crates/gateway/src/gateway/to_servers.rs
+++ b/crates/gateway/src/gateway/to_servers.rs
@@ -231,7 +231,7 @@
 
     /// Closes the connection to a server that has been idle for longest.
     pub(super) fn shed_link(&mut self) -> bool {
-        let oldest = self.servers.by_number.values().filter_map(|server| server.idle.first());
+        let oldest = self.met().filter_map(|server| server.idle.first());
         let Some(id) = oldest.min_by_key(|idle| idle.1).map(|idle| idle.0) else { return false };
         self.end_link(id, "made-room");
         true
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,14 +1,18 @@
 //! martenramp on sockets: HTTP/1.1 between clients and servers, discovery's watch and the shared counter,
 //! around the decision module. Files go by peer; `driver` alone knows sockets, `gateway` ties all together.
 
+pub mod changes;
 pub mod clients;
 pub mod config;
 pub mod counter;
+pub mod directory;
 pub mod driver;
+pub mod entry;
 pub mod gateway;
 pub mod http;
 pub mod list;
 pub mod logs;
 pub mod objects;
 pub mod servers;
+pub mod services;
 pub mod timers;
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -1,10 +1,11 @@
 //! Discovery's list: the watch, a state machine fed the bytes of one open answer, and what its lines say.
 
+use crate::entry::{Entry, Words};
 use crate::http::{self, Bad, Chunks, HEAD_MOST, HEADERS_MOST, Length};
 use crate::objects::{Fault, Objects, Part};
+use crate::services::{Service, Services};
 use martenramp::host::Nanos;
 use serde_json::Value;
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// An empty line comes every 2 s while nothing changes; silence for more than one of them and a half is a break. What a
@@ -28,33 +29,35 @@
 const UNTAKEN_REST_LAST: Nanos = 2_000_000_000;
 /// A watch that stood for so long before such a list came is no further one in a row.
 const STOOD: Nanos = 5_000_000_000;
-/// What an entry's name takes beyond its letters.
-const ALLOCATION: usize = 16;
-/// So many different words for zones and types are shared among the entries; further ones take their own memory.
-const WORDS_MOST: usize = 256;
 /// The key under which an object holds its entries.
 const ENTRIES: &str = "endpoints";
 
 /// One object of the list, read as far as it makes sense.
-#[derive(Debug, PartialEq)]
+#[derive(Debug, Default, PartialEq)]
 pub struct Told {
     pub index: u64,
     pub whole: bool,
     pub entries: Vec<Entry>,
+    /// How many entries were left out since their names tell no service, and the first of these names.
+    pub untold: usize,
+    pub first_untold: Option<Box<str>>,
 }
 
-/// One server as an object of the list names it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Entry {
-    pub name: Box<str>,
-    pub address: SocketAddr,
-    pub zone: Rc<str>,
-    pub kind: Rc<str>,
-    pub cell: u16,
-    pub ready: bool,
-    pub gone: bool,
-    pub weight: f64,
-    pub since_ms: u64,
+impl Told {
+    /// Takes an entry in, unless it is of no service that is asked for here.
+    fn take(&mut self, mut entry: Entry, services: &Services) {
+        match services.of_server(&entry.name) {
+            Service::Asked(number) => {
+                entry.service = number;
+                self.entries.push(entry);
+            }
+            Service::NotAsked => {}
+            Service::Untold => {
+                self.untold += 1;
+                self.first_untold.get_or_insert(entry.name);
+            }
+        }
+    }
 }
 
 /// The watch: what was heard last, and the answer that is open.
@@ -76,32 +79,46 @@
     untaken: u32,
     /// Bytes that the entries of one object may take.
     pub entries_memory: usize,
+    /// Of other services no entry is held.
+    services: Rc<Services>,
 }
 
 impl Watch {
-    /// A watch for what comes after this version, in objects whose entries take at most so many bytes.
+    /// A watch for what comes after this version, in objects whose entries take at most so many bytes, where the deployment
+    /// tells no services.
     pub fn new(index: u64, entries_memory: usize) -> Self {
+        Watch::of_services(index, entries_memory, Rc::default())
+    }
+
+    /// The same for the servers of some services.
+    pub fn of_services(index: u64, entries_memory: usize, services: Rc<Services>) -> Self {
         Watch {
             index,
             head_read: false,
             chunks: Chunks::default(),
             objects: Objects::new(ENTRIES),
-            staged: Staged::new(entries_memory),
+            staged: Staged::new(entries_memory, services.clone()),
             heard: 0,
             began: None,
             fails: 0,
             asked: 0,
             untaken: 0,
             entries_memory,
+            services,
         }
     }
 
+    /// Another watch for what comes after the same version.
+    pub fn anew(&self) -> Self {
+        Watch::of_services(self.index, self.entries_memory, self.services.clone())
+    }
+
     /// Starts over on a new connection: the message that asks for changes after the version held.
     pub fn ask(&mut self, out: &mut Vec<u8>, now: Nanos) {
         (self.head_read, self.chunks, self.heard) = (false, Chunks::default(), now);
         (self.began, self.asked) = (None, now);
         self.objects = Objects::new(ENTRIES);
-        self.staged = Staged::new(self.entries_memory);
+        self.staged = Staged::new(self.entries_memory, self.services.clone());
         let from = self.index;
         let text = format!(
             "GET /api/targets?watch=1&from={from} HTTP/1.1\r\nHost: discovery\r\nAccept: */*\r\n\r\n"
@@ -194,94 +211,62 @@
     }
 }
 
-/// The entries of an object that has not ended. None of them counts before its end.
+/// An object that has not ended. Nothing of it counts before its end.
 #[derive(Debug)]
 struct Staged {
-    entries: Vec<Entry>,
+    told: Told,
     words: Words,
-    /// Bytes that the entries take, and may take.
-    held: usize,
+    services: Rc<Services>,
+    /// Bytes that the entries may take.
     most: usize,
+    held: usize,
     /// Parts of objects taken so far.
     parts: u64,
 }
 
 impl Staged {
-    fn new(most: usize) -> Self {
-        Staged { entries: Vec::new(), words: Words::default(), held: 0, most, parts: 0 }
+    fn new(most: usize, services: Rc<Services>) -> Self {
+        Staged { told: Told::default(), words: Words::default(), services, most, held: 0, parts: 0 }
     }
 
     /// Takes an entry, or the end of the object: all of it is told then.
     fn take(&mut self, part: Part, told: &mut Vec<Told>) -> Result<(), Fault> {
         self.parts += 1;
-        let parsed = |text: &[u8]| serde_json::from_slice::<Value>(text).map_err(|_| Fault::Garbled);
         match part {
             Part::Element(text) => {
-                let entry = read_entry(&parsed(text)?, &mut self.words).ok_or(Fault::Garbled)?;
-                self.held += size_of::<Entry>() + entry.name.len() + ALLOCATION;
+                let mut from = serde_json::Deserializer::from_slice(text);
+                let entry = Entry::read(&mut from, &mut self.words).ok_or(Fault::Garbled)?;
+                let (memory, had) = (entry.memory(), self.told.entries.len());
+                self.told.take(entry, &self.services);
+                self.held += if self.told.entries.len() > had { memory } else { 0 };
                 if self.held > self.most {
                     return Err(Fault::TooMany);
                 }
-                self.entries.push(entry);
             }
             Part::Frame(text) => {
-                let frame = read_frame(&parsed(text)?).ok_or(Fault::Garbled)?;
+                let frame = serde_json::from_slice(text).ok().and_then(|frame| read_frame(&frame));
+                let (index, whole) = frame.ok_or(Fault::Garbled)?;
                 self.held = 0;
-                told.push(Told { entries: std::mem::take(&mut self.entries), ..frame });
+                told.push(Told { index, whole, ..std::mem::take(&mut self.told) });
             }
         }
         Ok(())
     }
 }
 
-/// Words that many entries have in common, such as the names of zones, held once.
-#[derive(Debug, Default)]
-struct Words(Vec<Rc<str>>);
-
-impl Words {
-    fn shared(&mut self, word: &str) -> Rc<str> {
-        if let Some(known) = self.0.iter().find(|known| &***known == word) {
-            return known.clone();
-        }
-        let new: Rc<str> = word.into();
-        if self.0.len() < WORDS_MOST {
-            self.0.push(new.clone());
-        }
-        new
-    }
-}
-
-/// Reads an object whose entries were taken out of it.
-fn read_frame(object: &Value) -> Option<Told> {
+/// Reads an object whose entries were taken out of it: its version, and whether it is a whole list.
+fn read_frame(object: &Value) -> Option<(u64, bool)> {
     object[ENTRIES].as_array().filter(|left| left.is_empty())?;
-    let (index, whole) = (object["index"].as_u64()?, object["snapshot"].as_bool()?);
-    Some(Told { index, whole, entries: Vec::new() })
+    Some((object["index"].as_u64()?, object["snapshot"].as_bool()?))
 }
 
 /// Reads an object of the list; an entry that makes no sense makes the whole object garbled.
-pub fn read(object: &Value) -> Option<Told> {
-    let (index, whole) = (object["index"].as_u64()?, object["snapshot"].as_bool()?);
+pub fn read(object: &Value, services: &Services) -> Option<Told> {
+    let mut told =
+        Told { index: object["index"].as_u64()?, whole: object["snapshot"].as_bool()?, ..Told::default() };
     let mut words = Words::default();
-    let entries = object[ENTRIES].as_array()?.iter().map(|entry| read_entry(entry, &mut words));
-    Some(Told { index, whole, entries: entries.collect::<Option<_>>()? })
-}
-
-fn read_entry(entry: &Value, words: &mut Words) -> Option<Entry> {
-    let status = entry["status"].as_str()?;
-    let gone = status == "gone";
-    // What is gone need not have an address any more.
-    let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
-    let address = entry["address"].as_str().and_then(|text| text.parse().ok()).or(gone.then_some(nowhere))?;
-    let mut word = |name: &str| words.shared(entry[name].as_str().unwrap_or_default());
-    Some(Entry {
-        name: entry["name"].as_str()?.into(),
-        address,
-        zone: word("zone"),
-        kind: word("type"),
-        cell: entry["group"].as_u64().unwrap_or(0) as u16,
-        ready: status == "ready",
-        gone,
-        weight: entry["weight"].as_f64().filter(|weight| weight.is_finite()).unwrap_or(1.0),
-        since_ms: entry["since_ms"].as_f64().unwrap_or(0.0) as u64,
-    })
+    for entry in object[ENTRIES].as_array()? {
+        told.take(Entry::read(entry, &mut words)?, services);
+    }
+    Some(told)
 }
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -4,8 +4,8 @@
 use crate::clients::Rpc;
 use crate::driver::Ending;
 use crate::http::{self, BODY_MOST, Chunks, HEAD_MOST, HEADERS_MOST, Length};
-use martenramp::host::{End, Nanos};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use martenramp::host::{End, Listed, Nanos};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::Write;
 use std::net::SocketAddr;
 
@@ -66,50 +66,94 @@
     pub idle: Vec<(usize, Nanos)>,
     pub open: usize,
     pub listed: bool,
+    /// What the module was told of it last.
+    pub told: Listed,
 }
 
-/// All servers, by name and by number.
+impl Server {
+    fn new(told: &Listed, address: SocketAddr) -> Self {
+        Server {
+            address,
+            came_up: told.came_up,
+            ready: told.ready,
+            idle: Vec::new(),
+            open: 0,
+            listed: true,
+            told: told.clone(),
+        }
+    }
+
+    /// Whether the list said the same of it before, whatever the number there.
+    pub fn is_listed_as(&self, listed: &Listed, address: SocketAddr) -> bool {
+        let is_same = |one: &Listed, two: &Listed| {
+            (one.service, one.key, one.zone, one.kind, one.cell)
+                == (two.service, two.key, two.zone, two.kind, two.cell)
+                && (one.ready, one.weight.to_bits(), one.came_up)
+                    == (two.ready, two.weight.to_bits(), two.came_up)
+        };
+        self.listed && self.address == address && is_same(&self.told, listed)
+    }
+
+    fn take_idle(&mut self) -> Vec<usize> {
+        std::mem::take(&mut self.idle).into_iter().map(|idle| idle.0).collect()
+    }
+}
+
+/// All servers, by the key of their names and by number.
 #[derive(Debug, Default)]
 pub struct Servers {
-    numbers: HashMap<String, u32>,
+    numbers: BTreeMap<u64, u32>,
     pub by_number: BTreeMap<u32, Server>,
+    /// Those that are not listed any more, and are held for their connections.
+    left: BTreeSet<u32>,
     pub reuses: Reuses,
     last: u32,
 }
 
 impl Servers {
-    /// The number of a listed server and the idle connections to what it was before: those to another address
-    /// or an earlier life are of no more use.
-    pub fn list(
-        &mut self,
-        name: &str,
-        address: SocketAddr,
-        came_up: Nanos,
-        ready: bool,
-    ) -> (u32, Vec<usize>) {
+    /// Takes a listed server: its number, and the idle connections to what it was before: those to another address or an
+    /// earlier life are of no more use.
+    pub fn list(&mut self, listed: &Listed, address: SocketAddr) -> (u32, Vec<usize>) {
         let last = &mut self.last;
-        let number = *self.numbers.entry(name.to_string()).or_insert_with(|| {
+        let number = *self.numbers.entry(listed.key).or_insert_with(|| {
             *last += 1;
             *last
         });
-        let fresh = || Server { address, came_up, ready, idle: Vec::new(), open: 0, listed: true };
-        let server = self.by_number.entry(number).or_insert_with(fresh);
-        let moved = server.address != address || server.came_up != came_up;
-        (server.address, server.came_up) = (address, came_up);
-        (server.listed, server.ready) = (true, ready);
-        let stale = if moved { std::mem::take(&mut server.idle) } else { Vec::new() };
-        (number, stale.into_iter().map(|idle| idle.0).collect())
+        self.left.remove(&number);
+        let told = Listed { server: number, ..listed.clone() };
+        let server = self.by_number.entry(number).or_insert_with(|| Server::new(&told, address));
+        let moved = server.address != address || server.came_up != told.came_up;
+        let stale = if moved { server.take_idle() } else { Vec::new() };
+        (server.address, server.came_up) = (address, told.came_up);
+        (server.listed, server.ready) = (true, told.ready);
+        server.told = told;
+        (number, stale)
     }
 
-    pub fn known(&self, name: &str) -> Option<u32> {
-        self.numbers.get(name).copied()
+    /// Takes a server off the list: what the module is to be told, and the idle connections, which are of no more use.
+    pub fn take_off(&mut self, key: u64) -> Option<(Listed, Vec<usize>)> {
+        let number = *self.numbers.get(&key)?;
+        let server = self.by_number.get_mut(&number)?;
+        (server.listed, server.ready, server.told.ready) = (false, false, false);
+        self.left.insert(number);
+        Some((server.told.clone(), server.take_idle()))
     }
 
-    /// Takes servers off that are no longer listed and have no connection left.
+    /// The server with this key, listed or held for its connections.
+    pub fn held(&self, key: u64) -> Option<&Server> {
+        self.by_number.get(self.numbers.get(&key)?)
+    }
+
+    /// Drops those that are not listed any more and have no connection left.
     pub fn forget(&mut self) {
-        self.by_number.retain(|_, server| server.listed || server.open > 0);
-        let left = &self.by_number;
-        self.numbers.retain(|_, number| left.contains_key(number));
+        let Servers { numbers, by_number, left, .. } = self;
+        left.retain(|number| {
+            let over = by_number.get(number).is_none_or(|server| server.open == 0);
+            if over && let Some(server) = by_number.remove(number) {
+                numbers.remove(&server.told.key);
+            }
+            !over
+        });
     }
 }
 
