--- a/crates/agreement/src/lists.rs
+++ b/crates/agreement/src/lists.rs
@@ -3,7 +3,7 @@
 //! back by anything older, and a good list is never emptied.
 
 use crate::Nanos;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A removal is remembered for so long.
 const REMOVAL_MEMORY: Nanos = 600_000_000_000;
@@ -102,7 +102,8 @@
             }
         }
         if whole && !review.is_older {
-            let gone = |key: &u64| !list.iter().any(|server| server.key == *key);
+            let named: BTreeSet<u64> = list.iter().map(|server| server.key).collect();
+            let gone = |key: &u64| !named.contains(key);
             let gone: Vec<(u64, Nanos)> =
                 self.ready.iter().filter(|(key, _)| gone(key)).map(|(key, since)| (*key, *since)).collect();
             gone.into_iter().for_each(|(key, since)| self.remove(now, key, index, since));
--- a/crates/scale/src/hollow/fleet.rs
+++ b/crates/scale/src/hollow/fleet.rs
@@ -12,6 +12,7 @@
 use crate::alloc;
 use agreement::terms::Terms;
 use agreement::version::{Fallback, Version};
+use gateway::services::Services;
 use lab::chance::{self, Stream};
 use lab::counter::Counter;
 use lab::queue::Queue;
@@ -251,7 +252,9 @@
         place.hollow = Some(HollowGateway::new(&start, now));
         let known = (self.scenario.discovery.known || !first).then(|| self.discovery.known(gateway));
         if let Some((list, changes)) = known {
-            let list = serde_json::from_str(&list).ok().and_then(|list| gateway::list::read(&list));
+            let list = serde_json::from_str(&list)
+                .ok()
+                .and_then(|list| gateway::list::read(&list, &Services::default()));
             let read = |hollow: &mut HollowGateway| {
                 list.into_iter().for_each(|told| hollow.told(now, told));
                 hollow.ask_again_after(now)
--- a/crates/scale/src/replica.rs
+++ b/crates/scale/src/replica.rs
@@ -2,8 +2,10 @@
 //! decision module, fed the bytes of the watch's answer.
 
 use crate::ScaleError;
-use crate::deployment::{START, Service, zone_number};
-use gateway::list::{Entry, Told, Watch};
+use crate::deployment::{START, Service, zones};
+use gateway::changes::{Change, Changes};
+use gateway::directory::Directory;
+use gateway::list::{Told, Watch};
 use gateway::servers::Servers;
 use martenramp::brain::Brain;
 use martenramp::host::{Listed, Nanos};
@@ -45,6 +47,7 @@
 pub struct Replica {
     watch: Watch,
     servers: Servers,
+    directory: Directory,
     pub brain: Brain,
 }
 
@@ -53,7 +56,13 @@
     pub fn new(service: &Service) -> Result<Replica, ScaleError> {
         let mut watch = Watch::new(0, OBJECT_MOST);
         feed(&mut watch, WATCH_HEAD, &mut Vec::new())?;
-        Ok(Replica { watch, servers: Servers::default(), brain: Brain::new(1, service.settings()) })
+        let directory = Directory::new(zones(), Vec::new());
+        Ok(Replica {
+            watch,
+            servers: Servers::default(),
+            directory,
+            brain: Brain::new(1, service.settings()),
+        })
     }
 
     /// Bytes of the watch came: what they tell is taken.
@@ -64,35 +73,34 @@
         Ok(())
     }
 
-    /// Takes a list or a change, as `Gateway::list` does for its connections' sake and the module's.
+    /// Takes a list or a change, as the gateway does for its connections' sake and the module's, but all in one turn.
     pub fn take(&mut self, now: Nanos, told: &Told) {
-        if told.whole {
-            self.servers.by_number.values_mut().for_each(|server| server.listed = false);
+        for list in batches(told.clone(), &mut self.servers, &mut self.directory) {
+            self.brain.listed(now, false, &list);
         }
-        let list: Vec<Listed> = told.entries.iter().filter_map(|entry| self.listed(entry)).collect();
-        self.brain.listed(now, told.whole, &list);
         self.servers.forget();
     }
+}
 
-    fn listed(&mut self, entry: &Entry) -> Option<Listed> {
-        let came_up = entry.since_ms.saturating_mul(1_000_000);
-        let server = if entry.gone {
-            let known = self.servers.known(&entry.name)?;
-            self.servers.by_number.entry(known).and_modify(|server| server.listed = false);
-            known
-        } else {
-            self.servers.list(&entry.name, entry.address, came_up, entry.ready).0
-        };
-        Some(Listed {
-            service: 0,
-            server,
-            key: martenramp::spread::key(&entry.name),
-            zone: zone_number(&entry.zone).unwrap_or(u16::MAX),
-            kind: 0,
-            cell: entry.cell,
-            ready: entry.ready,
-            weight: entry.weight,
-            came_up,
-        })
+/// Brings a list or a change into force in the table of servers: what the module is to be told, batch by batch.
+pub fn batches(told: Told, servers: &mut Servers, directory: &mut Directory) -> Vec<Vec<Listed>> {
+    let mut changes = Changes::new(told);
+    let mut lists = Vec::new();
+    while !changes.is_done() {
+        let mut work = usize::MAX;
+        let Some(batch) = changes.next(servers, directory, &mut work) else { break };
+        let changed = batch.leaving.into_iter().chain(batch.coming);
+        lists.push(changed.filter_map(|change| listed(change, servers)).collect());
+    }
+    lists
+}
+
+fn listed(change: Change, servers: &mut Servers) -> Option<Listed> {
+    match change.address {
+        Some(address) => {
+            let (server, _) = servers.list(&change.listed, address);
+            Some(Listed { server, ..change.listed })
+        }
+        None => servers.take_off(change.listed.key).map(|(listed, _)| listed),
     }
 }
