Tests can hold the program inside a turn of its loop; set-up of stories shared

Stories of events that come while a turn is under way had no way to order them. Program::hold_turn has the program read its configuration from a named pipe that says nothing: what came before, and timers due by then, are found at the begin of that turn, what comes later is not. Clients can end their sending alone.

--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -1,7 +1,7 @@
 //! The program itself, started and spoken to over loopback: one short story for each failure met.
 
 use standins::scripted::{
-    self as fake, Peer, Program, WATCH, answer, chunk, entry, list, nowhere, rpc, say, settings,
+    self as fake, Peer, Program, WATCH, answer, chunk, entry, list, nowhere, rpc, say, settings, told_wait_ms,
 };
 use std::process::Command;
 
@@ -18,12 +18,6 @@
     Program::start(BIN, nowhere(), &more, &settings(""))
 }
 
-/// How long the gateway tells a server that it waits.
-fn waits(message: &str) -> u64 {
-    let told = message.split("X-Remaining-Ms: ").nth(1).and_then(|rest| rest.split('\r').next());
-    told.and_then(|told| told.parse().ok()).unwrap()
-}
-
 fn status(answer: &str) -> u16 {
     answer.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap()
 }
@@ -44,7 +38,7 @@
     assert!(seen.contains("X-Txn: 0123456789abcdef\r\n") && seen.contains("Idempotency-Key: k1\r\n"));
     // A non-idempotent one is waited for until its deadline: somewhat less than the client waits.
     assert_eq!(status(&client.ask(&rpc("verify", 2000))), 200);
-    assert!(waits(&server.next().1) <= 1995);
+    assert!(told_wait_ms(&server.next().1) <= 1995);
     // Both connections are used again.
     assert_eq!(status(&client.ask(&rpc("read", 2000))), 200);
     assert_eq!(server.next().0, 0);
@@ -421,7 +415,7 @@
     std::thread::sleep(std::time::Duration::from_millis(700)); // the time that passes is what is tested
     gateway.signal("-CONT");
     assert_eq!(status(&client.answer().unwrap()), 200);
-    let wait = waits(&server.next().1);
+    let wait = told_wait_ms(&server.next().1);
     assert!(wait < 1600, "{wait} ms are left of 2000, 700 of them passed");
 }
 
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -3,13 +3,15 @@
 
 use crate::scripted::{Client, PATIENCE};
 use rustix::process::{Pid, Signal, kill_process};
-use std::io::{BufRead, BufReader};
+use std::fs::{File, OpenOptions};
+use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
+use std::os::unix::fs::OpenOptionsExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, channel};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// One process of the program.
 pub struct Program {
@@ -114,12 +116,73 @@
         }
     }
 
+    /// Holds the program inside a turn of its loop, until [`HeldTurn::go_on`]: it is told to read its configuration again,
+    /// from a pipe that says nothing. All that `before` brings, and timers that come due during it, are found at the begin
+    /// of that turn; what comes later is not.
+    pub fn hold_turn(&self, before: impl FnOnce()) -> HeldTurn<'_> {
+        let text = std::fs::read_to_string(&self.file).unwrap();
+        // A turn before is held, too, while the other's events and its signal gather.
+        let first = self.hold_at_pipe();
+        self.make_pipe();
+        before();
+        self.signal("-HUP");
+        write_all_to(first, &text);
+        HeldTurn { program: self, pipe: self.open_pipe(), text }
+    }
+
+    fn hold_at_pipe(&self) -> File {
+        self.make_pipe();
+        self.signal("-HUP");
+        self.open_pipe()
+    }
+
+    /// Puts a new named pipe in the place of the configuration file.
+    fn make_pipe(&self) {
+        use rustix::fs::{CWD, FileType, Mode};
+        std::fs::remove_file(&self.file).unwrap();
+        rustix::fs::mknodat(CWD, &self.file, FileType::Fifo, Mode::RUSR | Mode::WUSR, 0).unwrap();
+    }
+
+    /// The writing end of the pipe, once the program has opened it to read: without blocking it can't be opened before.
+    fn open_pipe(&self) -> File {
+        let until = Instant::now() + PATIENCE;
+        let nonblocking = rustix::fs::OFlags::NONBLOCK.bits() as i32;
+        loop {
+            match OpenOptions::new().write(true).custom_flags(nonblocking).open(&self.file) {
+                Ok(pipe) => return pipe,
+                Err(e) => assert!(Instant::now() < until, "the configuration is not read again: {e}"),
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     /// Whether it has ended, and how.
     pub fn ended(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().ok().flatten()
     }
 }
 
+/// A program that is held inside a turn.
+pub struct HeldTurn<'a> {
+    program: &'a Program,
+    pipe: File,
+    text: String,
+}
+
+impl HeldTurn<'_> {
+    /// Lets the turn go on, with the configuration as it was.
+    pub fn go_on(self) {
+        std::fs::remove_file(&self.program.file).unwrap();
+        self.program.rewrite(&self.text);
+        write_all_to(self.pipe, &self.text);
+    }
+}
+
+/// Writes a text that a pipe takes at once, and closes it.
+fn write_all_to(mut pipe: File, text: &str) {
+    pipe.write_all(text.as_bytes()).unwrap();
+}
+
 impl Drop for Program {
     fn drop(&mut self) {
         let _ = self.child.kill();
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -209,6 +209,11 @@
         self.0.get_ref().take_error().unwrap()
     }
 
+    /// Ends this side's sending; the other side's may go on.
+    pub fn end_sending(&self) {
+        self.0.get_ref().shutdown(std::net::Shutdown::Write).unwrap();
+    }
+
     /// Resets it.
     pub fn reset(self) {
         rustix::net::connect_unspec(self.0.get_ref()).unwrap();
@@ -235,6 +240,12 @@
     }
 }
 
+/// How long the gateway tells a server that it waits, in milliseconds.
+pub fn told_wait_ms(message: &str) -> u64 {
+    let told = message.split("X-Remaining-Ms: ").nth(1).and_then(|rest| rest.split('\r').next());
+    told.and_then(|told| told.parse().ok()).expect("a message that tells its time")
+}
+
 /// An entry of the list, and a whole list or a change of it as a chunk of the watch.
 pub fn entry(name: &str, address: SocketAddr, status: &str) -> String {
     format!(
