A last look at the client as its attempt is written; times told are those of that moment

Observed, with stories that order it each time: an attempt began for a client that had closed 40 ms to 3 s before. The close lay unread: it came while the turn was under way (the look at the sockets is over then), behind 300 other events (one look brings 256 to light), or behind bytes of the client's own. On a tenth of a core such turns last beyond 0.1 s. And a further attempt told its server the time left at the turn's begin (9497 ms where less than 9000 were left), or was written though its time had passed within the turn. At fault: write_attempts asked what was known at the last look, by the turn's time.

- to_clients.rs: client_stays reads the client before an attempt is written, until nothing more comes; a client that sends on without end has its attempt put off by a millisecond.
Cost: a read for each attempt.
- gateway.rs: catch_up moves the turn's time on before each attempt is written.
- gateway.rs, accepted: what came with a new connection is read as it is taken; the wait of both counted only as long as the turn that took it (told 9593 ms where 8998 were left, after the process had stood still).
- clients.rs: the time of a command sent behind another runs from when it was read, not from that one's answer (five commands with 1.5 s each, behind a server that says nothing, were answered within 2.4 s, now within 2 s).

Checked and excluded: both events in one look, in either order, were held before (Desk::obstacle asks after the whole look), as was a connection of a further attempt that comes up late.

A client that half-closes has gone: nothing tells it from one that closes.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -3,6 +3,7 @@
 use crate::config::Config;
 use crate::http::{self, BODY_MOST, Bad, HEAD_MOST, HEADERS_MOST, Length};
 use martenramp::host::Nanos;
+use std::collections::VecDeque;
 use std::io::Write;
 use std::ops::Range;
 
@@ -17,6 +18,9 @@
 /// A connection without an RPC for this long is closed; clients open another when they need it.
 pub const IDLE: Nanos = 10_000_000_000;
 
+/// So many times of reading are told apart of what lies in a buffer; what comes later counts as read with the last.
+const READS_MOST: usize = 64;
+
 /// An RPC as it lies in the read buffer of its connection, which keeps it until it is answered.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Rpc {
@@ -58,6 +62,10 @@
     pub rpc: Option<(u32, usize)>,
     /// When the first byte of the message that is coming in was read, or (between RPCs) the last answer went.
     pub since: Nanos,
+    /// When the first byte of the message at hand was read, which may lie before the answer to the one ahead of it.
+    pub came: Nanos,
+    /// Up to which byte the buffer was filled by when, in order.
+    pub reads: VecDeque<(usize, Nanos)>,
     /// Part of a message is in the buffer, and so many bytes of it have been looked at.
     pub partial: bool,
     pub looked_at: usize,
@@ -85,10 +93,28 @@
         self.rpc.is_none() && self.closing.is_none() && now >= self.since + least
     }
 
+    /// Notes that the buffer holds so many bytes by this time. Guards against counting the time of a message that came
+    /// behind another from that one's answer. Harm: of more than [`READS_MOST`] pieces the last count as read too early.
+    pub fn filled(&mut self, length: usize, now: Nanos) {
+        let is_full = self.reads.len() >= READS_MOST;
+        match self.reads.back_mut() {
+            Some(last) if last.0 >= length => {}
+            Some(last) if is_full => last.0 = length,
+            _ => self.reads.push_back((length, now)),
+        }
+    }
+
+    /// So many bytes at the buffer's front are used.
+    pub fn used(&mut self, bytes: usize) {
+        self.reads.iter_mut().for_each(|read| read.0 = read.0.saturating_sub(bytes));
+        self.reads.retain(|read| read.0 > 0);
+    }
+
     /// Looks at all that the buffer holds; called while no RPC is at hand.
     pub fn look(&mut self, config: &Config, now: Nanos, input: &[u8]) -> Result<Got, Bad> {
         if !self.partial && !input.is_empty() {
             (self.partial, self.since) = (true, now);
+            self.came = self.reads.front().map_or(now, |read| read.1);
         }
         self.looked_at = input.len();
         let got = parse(config, input)?;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,6 +14,7 @@
 use slog::{Logger, info, warn};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
+use std::time::Instant;
 
 mod agreeing;
 mod to_clients;
@@ -45,6 +46,8 @@
 const LIST_MEMORY: usize = 16;
 /// So many names of zones are kept.
 const ZONES_MOST: usize = 1024;
+/// So many times a client that sends on is read before an attempt is written for it.
+const LOOKS: usize = 16;
 const MESSAGE_MOST: usize = HEAD_MOST + BODY_MOST + 1024;
 
 /// What a timer is for.
@@ -53,6 +56,8 @@
     Wake(u32),
     CallOut(usize, u32, u16),
     Dial(usize),
+    /// An attempt that was put off is to be written on this connection.
+    Write(usize),
     Count(usize, u64),
     Overdue(u32),
     Sweep,
@@ -151,6 +156,9 @@
     fleet: u32,
     /// New work to a server must stop so long after its drain was told.
     stop_within: Nanos,
+    /// When this turn began, and how far [`Desk::catch_up`] has moved its time on since.
+    woke_at: Instant,
+    caught_up: Nanos,
     /// For rests that must not be in step with other gateways'; the module has a source of its own.
     chance: fastrand::Rng,
 }
@@ -192,6 +200,8 @@
             pushed: config.settings.get("membershipMode").is_some_and(|mode| mode == "push"),
             fleet: config.setting("balancers").map_or(1, |count| count as u32),
             chance: fastrand::Rng::with_seed(config.seed.rotate_left(32)),
+            woke_at: Instant::now(),
+            caught_up: 0,
             watch_on: None,
             watching: false,
             old_watch: None,
@@ -223,7 +233,7 @@
     /// Begins with the list held from before; discovery and the counter may be down. With a list the watch is asked for
     /// after a rest, since most of the fleet may start at this moment.
     fn start(&mut self, now: Nanos) {
-        self.desk.net.now = now;
+        (self.desk.net.now, self.desk.woke_at) = (now, Instant::now());
         self.begin_to_agree();
         let known = self.desk.config.known.take().and_then(|known| list::read(&known));
         if let Some(told) = known.filter(|told| !told.entries.is_empty()) {
@@ -286,6 +296,10 @@
     }
 
     fn woke(&mut self) {
+        let desk = &mut self.desk;
+        // The driver takes the last turn to have begun at the time that was told then.
+        desk.net.late += std::mem::take(&mut desk.caught_up);
+        desk.woke_at = Instant::now();
         self.agree();
     }
 
@@ -314,6 +328,10 @@
         let spare = self.desk.clients.len() >= self.desk.clients_most && !self.desk.shed_client();
         let client = Client { since: self.desk.net.now, spare, ..Client::default() };
         self.desk.clients.insert(id, client);
+        // What it sent behind its connection may have waited as long as that did, which is known now and not in the turn
+        // that would read it.
+        self.desk.net.read(id, false);
+        self.desk.again.push_back(id);
     }
 
     fn accept_later(&mut self) {
@@ -374,6 +392,7 @@
                 What::Wake(token) => self.brain.woke(&mut self.desk, now, token),
                 What::CallOut(id, rpc, nth) => self.desk.call_out_over(id, rpc, nth),
                 What::Dial(id) => self.desk.dial_over(id),
+                What::Write(id) => self.desk.to_write.push_back(id),
                 What::Count(line, serial) => {
                     if let Some((call, how)) = self.desk.lines[line].time_out(serial) {
                         self.desk.counted.push_back((call, how, 0.0));
@@ -398,7 +417,13 @@
 
     fn write_attempts(&mut self) {
         while let Some(id) = self.desk.to_write.pop_front() {
-            self.desk.write_attempt(id);
+            self.desk.catch_up();
+            if self.client_stays(id) {
+                self.desk.write_attempt(id);
+            } else {
+                // Timers are looked at once a turn, so this is for the next one.
+                self.desk.timers.set(self.desk.net.now + MS, What::Write(id));
+            }
             self.settle();
         }
     }
@@ -476,6 +501,15 @@
 }
 
 impl Desk {
+    /// Moves the turn's time on to what it is by now. Guards against telling a server more time than is left, and against
+    /// attempts whose time passed while the turn lasted. Harm: the time is read once more for each attempt.
+    fn catch_up(&mut self) {
+        let lasted = self.woke_at.elapsed().as_nanos() as Nanos;
+        let further = lasted.saturating_sub(self.caught_up);
+        self.caught_up += further;
+        self.net.now += further;
+    }
+
     fn fresh_rpc(&mut self) -> u32 {
         loop {
             self.last_rpc = self.last_rpc.wrapping_add(1);
--- a/crates/gateway/src/gateway/to_clients.rs
+++ b/crates/gateway/src/gateway/to_clients.rs
@@ -4,8 +4,9 @@
 
 impl Gateway {
     pub(super) fn client_came(&mut self, id: usize) {
-        let now = self.desk.net.now;
+        let came = self.desk.net.now - self.desk.net.late;
         let Some(client) = self.desk.clients.get_mut(&id) else { return };
+        client.filled(self.desk.net.input(id).len(), came);
         if client.closing.is_some() {
             let length = self.desk.net.input(id).len();
             self.desk.net.used(id, length);
@@ -16,7 +17,6 @@
             self.desk.net.keep(id, length);
         } else if client.rpc.is_none() && !self.desk.net.input(id).is_empty() && self.desk.net.is_sent(id) {
             // The answer before this message is out: one that reads none can't fill the buffer with them.
-            let came = now - self.desk.net.late;
             match client.look(&self.desk.config, came, self.desk.net.input(id)) {
                 // Guards the memory against many long messages at once; servers' buffers have a part of their own.
                 // Harm: a long message is turned away that might have found room a little later.
@@ -63,7 +63,7 @@
         let id = self.desk.fresh_rpc();
         let Some(at) = self.desk.clients.get_mut(&client) else { return };
         at.rpc = Some((id, end));
-        let deadline = (at.since + message.remaining_ms * MS).saturating_sub(MARGIN).max(now);
+        let deadline = (at.came + message.remaining_ms * MS).saturating_sub(MARGIN).max(now);
         let arrival = Arrival {
             id,
             method: message.method,
@@ -101,6 +101,26 @@
         }
     }
 
+    /// A last look at the client for whom an attempt is about to be written on this connection: whether all that it sent by
+    /// now is read, and with it its leaving. Guards against a close that lies unread: it came while the turn lasted, behind
+    /// what others sent, or behind bytes of its own. Covers busy turns, small parts of a core and floods. Harm: a read for
+    /// each attempt; one whose client sends on without end is put off until its time is over.
+    pub(super) fn client_stays(&mut self, link: usize) -> bool {
+        let attempt = self.desk.links.get(&link).and_then(Link::attempt);
+        let Some(rpc) = attempt.and_then(|attempt| self.desk.rpcs.get(&attempt.rpc)) else { return true };
+        let client = rpc.client;
+        for _ in 0..LOOKS {
+            let before = self.desk.net.input(client).len();
+            self.desk.net.read(client, false);
+            let net = &self.desk.net;
+            if net.input(client).len() == before && !net.is_full(client) && net.ended(client).is_none() {
+                return true;
+            }
+            self.client_came(client);
+        }
+        false
+    }
+
     pub(super) fn client_left(&mut self, id: usize, why: &'static str) {
         let rpc = self.desk.clients.get(&id).and_then(|client| client.rpc).map(|rpc| rpc.0);
         self.desk.end_client(id, if rpc.is_some() { "left-before-answer" } else { why });
@@ -134,6 +154,7 @@
         let length = at.rpc.take().map_or(0, |rpc| rpc.1);
         at.served += 1;
         at.since = self.net.now;
+        at.used(length);
         self.net.used(client, length);
         if close {
             at.closing = Some(match at.floods {
@@ -153,6 +174,7 @@
         self.net.used(client, length);
         if let Some(at) = self.clients.get_mut(&client) {
             (at.partial, at.since) = (false, self.net.now);
+            at.used(length);
             at.served += 1;
             at.closing = close.then_some(if self.stopping { "stopping" } else { "too-many-clients" });
         }
