--- a/crates/scale/src/slopes/process.rs
+++ b/crates/scale/src/slopes/process.rs
@@ -6,7 +6,9 @@
 use crate::deployment::{Service, Status, change, encode, whole_list};
 use crate::replica::WATCH_HEAD;
 use serde::Serialize;
-use standins::scripted::{Client, Peer, Program, say};
+use standins::scripted::{Peer, Program, say};
+use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
 use std::path::Path;
 use std::process::Command;
 use std::time::{Duration, Instant};
@@ -20,7 +22,7 @@
 /// How often it is looked whether it is ready.
 const LOOK_EVERY: Duration = Duration::from_millis(5);
 /// An empty line of the watch comes so often.
-const PULSE_EVERY: Duration = Duration::from_millis(900);
+const PULSE_EVERY: Duration = Duration::from_millis(1500);
 /// Changes that are measured, and the time beyond which no further one is.
 const CHANGES: usize = 5;
 const CHANGES_WITHIN: Duration = Duration::from_secs(12);
@@ -102,26 +104,45 @@
 impl Watched {
     /// Whether it became ready.
     fn wait_ready(&mut self, start: Instant) -> Result<bool, ScaleError> {
-        let mut client = Client::new(self.process.address);
         while start.elapsed() < READY_WITHIN && self.asked < ASKS_MOST {
-            self.pulse();
-            match client.try_ask(READY) {
-                Some(answer) if answer.starts_with("HTTP/1.1 200") => return Ok(true),
-                Some(_) => std::thread::sleep(LOOK_EVERY),
-                // Too busy to answer for long.
-                None => client = Client::new(self.process.address),
+            if self.answer(READY)?.starts_with("HTTP/1.1 200") {
+                return Ok(true);
             }
+            std::thread::sleep(LOOK_EVERY);
         }
         Ok(false)
     }
 
+    /// Keeps the watch up while nothing changes. One that was asked for more than once is being refused, and may be closed.
     fn pulse(&mut self) {
         while self.discovery.seen_now().is_some() {
             self.asked += 1;
+            self.pulsed = Instant::now();
         }
-        if self.asked > 0 && self.pulsed.elapsed() > PULSE_EVERY {
+        if self.asked == 1 && self.pulsed.elapsed() > PULSE_EVERY {
             self.pulsed = Instant::now();
-            self.discovery.tell(self.asked - 1, PULSE);
+            self.discovery.tell(0, PULSE);
+        }
+    }
+
+    /// The beginning of the answer to a request on a connection of its own, however long it takes.
+    fn answer(&mut self, request: &str) -> Result<String, ScaleError> {
+        let failed = |e: std::io::Error| ScaleError::Measurement {
+            what: "asking the process".to_string(),
+            why: e.to_string(),
+        };
+        let start = Instant::now();
+        let mut stream = TcpStream::connect(self.process.address).map_err(failed)?;
+        stream.set_read_timeout(Some(PULSE_EVERY)).map_err(failed)?;
+        stream.write_all(request.as_bytes()).map_err(failed)?;
+        let mut bytes = [0; 512];
+        loop {
+            self.pulse();
+            match stream.read(&mut bytes) {
+                Ok(length) => return Ok(String::from_utf8_lossy(&bytes[..length]).into_owned()),
+                Err(e) if e.kind() == ErrorKind::WouldBlock && start.elapsed() < READY_WITHIN => {}
+                Err(e) => return Err(failed(e)),
+            }
         }
     }
 
@@ -141,17 +162,12 @@
     /// Processor time until a request that follows the change is answered: by then the change is taken, since answers are
     /// written at the end of the turn that reads both.
     fn cpu_of(&mut self, change: Option<&str>) -> Result<f64, ScaleError> {
-        self.pulse();
-        let mut client = Client::new(self.process.address);
-        client.try_ask(HEALTHY);
+        self.answer(HEALTHY)?;
         let before = self.cpu_ms()?;
         if let Some(change) = change {
             self.discovery.tell(self.asked.max(1) - 1, change);
         }
-        if client.try_ask(HEALTHY).is_none() {
-            let why = "no answer after a change".to_string();
-            return Err(ScaleError::Measurement { what: "the process".to_string(), why });
-        }
+        self.answer(HEALTHY)?;
         Ok(self.cpu_ms()? - before)
     }
 
