Where no descriptor is left, an idle connection gives way for the watch, the counter, a server

Need: idle clients may fill the descriptors while discovery is down; the watch, the counter, servers, SIGHUP and SIGTERM must go on. Within the configured limit the program held that. Where the process was given further descriptors by others, so that the limit is reached, it did not: a connection to the counter or to discovery that found no descriptor was only tried later (line_for, dial_watch), one to a server gave up unless a server's connection was idle (link_to), and SIGHUP could not open its file and kept the old configuration (reload). Accepting was the only one that let an idle client go.

Change: Desk::connect lets the connection that was idle longest go where the system refuses a descriptor; reload does so before it reads the file. link_to tried again after any error; now it does so only where descriptors are lacking.

Tests: one story at a limit told by the configuration, and the same with seven inherited descriptors and `ulimit -n 22`: newcomers take the place of the longest idle; counter, server, the watch on discovery's return, SIGHUP, SIGTERM.

--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -405,7 +405,8 @@
     })
 }
 
-fn out_of_descriptors(e: &io::Error) -> bool {
+/// Whether an error tells that the process, or the system, has no descriptor or no memory left for one.
+pub fn out_of_descriptors(e: &io::Error) -> bool {
     use rustix::io::Errno;
     let codes = [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM];
     e.raw_os_error().is_some_and(|code| codes.iter().any(|known| known.raw_os_error() == code))
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,7 +4,7 @@
 use crate::clients::{self, Client, Got};
 use crate::config::Config;
 use crate::counter::{self, Call, Line};
-use crate::driver::{ACCEPT_AGAIN, Ending, Net, Peer, Turned};
+use crate::driver::{ACCEPT_AGAIN, Ending, Net, Peer, Turned, out_of_descriptors};
 use crate::http::{BODY_MOST, Bad, HEAD_MOST};
 use crate::list::{self, Told, Watch};
 use crate::servers::{self, Answer, Attempt, Body, Link, Server, Servers, Stage};
@@ -13,6 +13,7 @@
 use martenramp::host::{Arrival, End, Ended, Host, Listed, Nanos};
 use slog::{Logger, info, warn};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::io;
 use std::net::SocketAddr;
 
 mod agreeing;
@@ -265,6 +266,9 @@
     /// else is for the next start. The list, calls and RPCs go on. Guards against a file that can't be read: the old one stays. Harm: so does a mistake in it.
     fn reload(&mut self) {
         let desk = &mut self.desk;
+        if !descriptor_is_left() {
+            desk.shed(); // the file needs one
+        }
         let new = match (self.read_again)() {
             Ok(new) => new,
             Err(why) => return warn!(desk.log, "configuration kept"; "error" => why),
@@ -323,7 +327,7 @@
 
     /// Closes an idle connection to free its descriptor; false if there is none.
     fn shed(&mut self) -> bool {
-        self.desk.shed_link() || self.desk.shed_client()
+        self.desk.shed()
     }
 
     /// A connection that was begun here stands.
@@ -421,6 +425,11 @@
     }
 }
 
+/// Whether this process can open one more file.
+fn descriptor_is_left() -> bool {
+    rustix::io::fcntl_dupfd_cloexec(rustix::stdio::stderr(), 0).is_ok()
+}
+
 fn shown(address: Option<SocketAddr>) -> String {
     address.map_or_else(String::new, |address| address.to_string())
 }
@@ -477,6 +486,20 @@
 }
 
 impl Desk {
+    /// Closes an idle connection to free its descriptor; false if there is none.
+    fn shed(&mut self) -> bool {
+        self.shed_link() || self.shed_client()
+    }
+
+    /// Begins a connection. Guards against descriptors that others fill (idle clients, or whatever else the process was
+    /// given): an idle connection gives way. Harm: a client that rested opens another one.
+    fn connect(&mut self, address: SocketAddr, peer: Peer, most: usize) -> io::Result<usize> {
+        match self.net.connect(address, peer, most) {
+            Err(e) if out_of_descriptors(&e) && self.shed() => self.net.connect(address, peer, most),
+            connected => connected,
+        }
+    }
+
     fn fresh_rpc(&mut self) -> u32 {
         loop {
             self.last_rpc = self.last_rpc.wrapping_add(1);
--- a/crates/gateway/src/gateway/to_counter.rs
+++ b/crates/gateway/src/gateway/to_counter.rs
@@ -25,7 +25,7 @@
         if self.lines_on[line].is_none() {
             let address = self.config.counter?;
             self.lines[line].heard = now;
-            match self.net.connect(address, Peer::Counter(line), OTHER_INPUT) {
+            match self.connect(address, Peer::Counter(line), OTHER_INPUT) {
                 Ok(id) => self.lines_on[line] = Some(id),
                 Err(e) => {
                     warn!(self.log, "can't connect"; "to" => %address, "error" => %e);
--- a/crates/gateway/src/gateway/to_list.rs
+++ b/crates/gateway/src/gateway/to_list.rs
@@ -97,7 +97,7 @@
             return;
         }
         self.watch.heard = self.net.now;
-        match self.net.connect(self.config.discovery, Peer::List, OTHER_INPUT) {
+        match self.connect(self.config.discovery, Peer::List, OTHER_INPUT) {
             Ok(id) => self.watch_on = Some(id),
             Err(e) => {
                 warn!(self.log, "can't connect"; "to" => %self.config.discovery, "error" => %e);
--- a/crates/gateway/src/gateway/to_servers.rs
+++ b/crates/gateway/src/gateway/to_servers.rs
@@ -30,8 +30,7 @@
             return None;
         }
         let Server { address, came_up, .. } = *self.servers.by_number.get(&server)?;
-        let dial = |net: &mut Net| net.connect(address, Peer::Server, MESSAGE_MOST);
-        let id = dial(&mut self.net).or_else(|e| if self.shed_link() { dial(&mut self.net) } else { Err(e) });
+        let id = self.connect(address, Peer::Server, MESSAGE_MOST);
         let id = id.map_err(|e| warn!(self.log, "can't connect"; "to" => %address, "error" => %e)).ok()?;
         self.links.insert(id, Link::new(server, came_up));
         if let Some(at) = self.servers.by_number.get_mut(&server) {
--- a/crates/gateway/tests/discovery_terms.rs
+++ b/crates/gateway/tests/discovery_terms.rs
@@ -1,14 +1,18 @@
 //! What the operators hold the program to while discovery is away and when it is back: changes count as told in time
-//! whatever became of the calls before, and a fleet that starts is ready in time. Each story brings the bad event on every run. `docs/races.md` lists the windows.
+//! whatever became of the calls before, idle clients leave the descriptors that everything else needs, and a fleet that
+//! starts is ready in time. Each story brings the bad event on every run. `docs/races.md` lists the windows.
 
 use standins::scripted::{
-    Down, Peer, Program, Reply, WATCH, answer, chunk, entry, list, rpc, say, settings, status,
+    Client, Down, Peer, Program, Reply, WATCH, answer, chunk, entry, list, rpc, say, settings, status,
 };
+use std::collections::BTreeSet;
+use std::process::Command;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 const BIN: &str = env!("CARGO_BIN_EXE_martenramp");
 const READY: &str = "GET /-/ready HTTP/1.1\r\n\r\n";
+const HEALTHY: &str = "GET /-/healthy HTTP/1.1\r\n\r\n";
 /// An empty line of a watch: nothing changed.
 const PULSE: &str = "1\r\n\n\r\n";
 
@@ -185,6 +189,101 @@
     });
 }
 
+// ---- Descriptors: idle clients hold what they may, and everything else keeps what it needs.
+
+/// Far more clients than there are descriptors, each served once and resting then.
+fn crowd(gateway: &Program) -> Vec<Client> {
+    let served = |_| {
+        let mut client = gateway.client();
+        assert_eq!(status(&client.ask(HEALTHY)), 200, "a newcomer is served");
+        client
+    };
+    (0..60).map(served).collect()
+}
+
+/// An RPC of a customer that draws from the counter.
+fn counted_rpc() -> String {
+    rpc("read", 15_000).replace("spread=1", "spread=2")
+}
+
+/// The same crowd, and the connection to a server that the newest of them needs: where nothing else bounds the descriptors,
+/// it takes the one that accepting leaves free.
+fn crowd_that_asks(gateway: &Program) -> Vec<Client> {
+    let mut idle = crowd(gateway);
+    let newest = idle.last_mut().expect("a crowd");
+    assert_eq!(status(&newest.ask(&counted_rpc())), 200);
+    idle
+}
+
+/// Descriptors that a process holds, by number.
+fn held(gateway: &Program) -> BTreeSet<usize> {
+    let all = std::fs::read_dir(format!("/proc/{}/fd", gateway.child.id())).unwrap();
+    all.map(|one| one.unwrap().file_name().to_str().unwrap().parse().unwrap()).collect()
+}
+
+/// A program that may hold so many descriptors is crowded by idle clients while discovery is down, and at each turn after.
+fn crowded(command: &mut Command, limit: usize) {
+    let (server, down) = (server(), Down::default());
+    let counter = Peer::new(|_, call| say(if call == "PING" { "+PONG\r\n" } else { "$1\r\n2\r\n" }));
+    let counted =
+        pushed().replacen('{', "{\"extra\":{\"hasCounter\":true,\"countWait\":15.0,\"largest\":8},", 1);
+    let limits = format!("\"limits\":{{\"sockets\":{limit}}},\"counter\":\"{}\",", counter.address);
+    let more = format!("{limits}{}", known(&[("s0", &server)]));
+    let mut gateway = Program::run(command, down.address, &more, &counted);
+    // Numbers beyond the limit were there before the process began and are none of its own.
+    let inherited = held(&gateway).split_off(&limit);
+    let holds = |gateway: &Program| held(gateway).difference(&inherited).count();
+
+    // The longest idle of them have given way, and only those.
+    let mut idle = crowd(&gateway);
+    let open: Vec<bool> = idle.iter_mut().map(Client::nothing_came).collect();
+    assert!(open.is_sorted() && !open[0] && open[59], "{open:?}");
+    // With the rest still there, the server's connection and the counter's come up.
+    assert_eq!(status(&gateway.client().ask(&counted_rpc())), 200);
+    assert!(server.next().0 == 0 && counter.next().1.starts_with("INCRTTL "));
+    assert!(holds(&gateway) <= limit, "{:?}", held(&gateway));
+
+    // Discovery comes back while idle clients hold all that there is to hold.
+    let idle = crowd_that_asks(&gateway);
+    let reachable = Instant::now();
+    let discovery = down.open(|_, _| say(WATCH));
+    assert!(discovery.next().1.contains("from=3"));
+    assert!(reachable.elapsed() < TOLD_WITHIN, "{:?}", reachable.elapsed());
+    drop(idle);
+
+    // SIGHUP moves discovery: the file is read, and a second watch opened beside the first.
+    let idle = crowd_that_asks(&gateway);
+    let next = Peer::new(|_, _| say(WATCH));
+    gateway.rewrite(&gateway.config(next.address, &limits, &counted));
+    gateway.signal("-HUP");
+    let moved = Instant::now();
+    assert!(next.next().1.contains("from=3"));
+    assert!(moved.elapsed() < TOLD_WITHIN, "{:?}", moved.elapsed());
+    assert!(holds(&gateway) <= limit, "{:?}", held(&gateway));
+    drop(idle);
+
+    let idle = crowd(&gateway);
+    gateway.signal("-TERM");
+    gateway.line("\"stopping\"");
+    assert_eq!(status(&gateway.client().ask(&counted_rpc())), 200);
+    drop(idle);
+    assert!(gateway.child.wait().unwrap().success());
+}
+
+#[test]
+fn idle_clients_leave_the_watch_the_counter_and_the_servers_their_part_of_the_descriptors() {
+    crowded(&mut Command::new(BIN), 64);
+}
+
+/// What else the process was given, here seven inherited descriptors, takes the parts that are kept.
+#[test]
+fn where_no_descriptor_is_left_at_all_the_longest_idle_client_gives_way_for_any_connection() {
+    let mut limited = Command::new("sh");
+    let inherits: String = (3..10).map(|at| format!("exec {at}</dev/null; ")).collect();
+    limited.args(["-c", &format!("{inherits}ulimit -n 22; exec {BIN} \"$@\""), "sh"]);
+    crowded(&mut limited, 22);
+}
+
 // ---- Restarts: a whole fleet at once, on a machine that has other work.
 
 const FLEET: u64 = 20;
