--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -18,6 +18,9 @@
 /// However many servers leave, of each batch so much is for what comes: no list empties what it only replaces.
 const COMING_SHARE: usize = 4;
 
+/// The memory of so many compared entries is given back at once: all of it would be a whole turn's work.
+const FREED_AT_ONCE: usize = 4096;
+
 /// One server that is other than it was.
 #[derive(Debug)]
 pub struct Change {
@@ -125,7 +128,7 @@
             && let Some(entry) = self.entries.pop()
         {
             *work -= 1;
-            if self.entries.len() < self.entries.capacity() / 2 {
+            if self.entries.capacity() - self.entries.len() >= FREED_AT_ONCE {
                 self.entries.shrink_to_fit();
             }
             let key = spread::key(&entry.name);
