Subsets per service: only of services asked for, and only where the list changed

Need: every change of the list walked all servers and worked all subsets out anew; every RPC copied the whole list.

Change: the module knows the ready servers of each service. It works a subset out when an RPC first asks for the service (service 0 from the start), holds it until the service is unused for ten minutes and another is asked for, and follows a change only in the services that it touches. A choice copies the subset and the cold servers; the others only where none of those is able.

Times are not measured yet. A service's table is still worked out whole when its list changes.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -5,7 +5,7 @@
 use crate::quota::Quota;
 use crate::samples::{SEC, answered, keep, median, number, secs, span};
 use crate::subsetting::{Endpoint, Subsetter};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 
 const MS: Nanos = 1_000_000;
@@ -29,6 +29,8 @@
 /// A gateway's part of the servers: each is met about so often, and by so many gateways at the least.
 const MEET: Nanos = SEC;
 const SUBSET_COUNT: f64 = 18.0;
+/// A service that was not asked for in this time is dropped when another is asked for first.
+const UNUSED: Nanos = 600 * SEC;
 
 /// Where an RPC stands: `Held` waits for room, a server or the brake, `Claiming` for the counter's word.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -47,6 +49,7 @@
     rules: Arc<Settings>, // those it came in under
     method: u16,
     customer: u64,
+    service: u32,
     units: f64,
     urgency: f64,
     patient: bool,
@@ -118,6 +121,14 @@
     }
 }
 
+/// A service that this gateway was asked for.
+#[derive(Default)]
+struct Service {
+    subsetter: Subsetter, // its servers that new work may go to, first this gateway's subset
+    asked_at: Nanos,
+    ends: VecDeque<Nanos>, // of call-outs that may have run
+}
+
 #[derive(Default)]
 pub struct Brain {
     settings: Arc<Settings>,
@@ -125,7 +136,10 @@
     /// When this life began: its part of a ceiling is empty then, since an earlier life may have spent it.
     born: Option<Nanos>,
     servers: BTreeMap<u32, Server>,
-    subsetter: Subsetter, // the servers that new work may go to, first those of this gateway's part
+    ready: BTreeMap<u32, BTreeSet<u32>>, // by service
+    leaving: BTreeSet<u32>,              // not ready, and with call-outs open
+    services: BTreeMap<u32, Service>,
+    salt: u64,
     customers: HashMap<u64, Customer>,
     customers_most: usize, // before those are forgotten that can be
     rpcs: HashMap<u32, Rpc>,
@@ -139,9 +153,10 @@
     wait: (Nanos, f64),
     brake: (Nanos, bool),
     typical: (Nanos, Nanos),
-    /// Until when a method that found no server is taken to find none, unless an attempt ends or the list
-    /// changes: a look at all servers for each customer that waits would take the core of a small gateway.
-    nowhere: BTreeMap<u16, Nanos>,
+    /// Until when a method of a service that found no server is taken to find none, unless an attempt ends or
+    /// the list changes: a look at all servers for each customer that waits would take the core of a small
+    /// gateway.
+    nowhere: BTreeMap<(u32, u16), Nanos>,
     /// Last ends of count calls, when the next is free, after what gap, and the customers waiting for one.
     counter: VecDeque<bool>,
     counter_rest: Nanos,
@@ -154,17 +169,23 @@
     pub fn new(seed: u64, settings: Settings) -> Self {
         let mut chance = fastrand::Rng::with_seed(seed);
         let salt = chance.u64(..);
-        let mut brain = Brain { settings: Arc::new(settings), chance, ..Brain::default() };
-        let number = brain.settings.get("me").and_then(|number| number.parse().ok());
-        brain.subsetter = Subsetter::new(number, brain.gateways() as usize, salt);
+        let mut brain = Brain { settings: Arc::new(settings), chance, salt, ..Brain::default() };
+        brain.ask_for(0, 0);
         brain
     }
 
     /// Other settings hold now. RPCs that are here keep theirs; customers follow with their next RPC.
     pub fn settle(&mut self, now: Nanos, settings: Settings) {
         self.settings = Arc::new(settings);
-        self.subsetter.resize(self.gateways() as usize);
-        self.share_out(now);
+        self.nowhere.clear();
+        let gateways = self.gateways() as usize;
+        self.services.values_mut().for_each(|service| service.subsetter.resize(gateways));
+        self.services
+            .keys()
+            .copied()
+            .collect::<Vec<u32>>()
+            .into_iter()
+            .for_each(|at| self.share_out(now, at));
     }
 
     // ---- Settings: each is picked where it is needed; what is missing or can't be read takes the default.
@@ -193,32 +214,78 @@
     /// Discovery's list, whole or only what changed. A server off the whole list is gone.
     pub fn listed(&mut self, now: Nanos, whole: bool, list: &[Listed]) {
         self.born.get_or_insert(now);
-        self.servers.values_mut().filter(|_| whole).for_each(|server| server.listed.ready = false);
+        self.nowhere.clear();
+        let mut changed = BTreeSet::new();
+        if whole {
+            self.servers.values_mut().for_each(|server| server.listed.ready = false);
+            self.leaving.extend(self.servers.keys());
+            changed.extend(std::mem::take(&mut self.ready).into_keys());
+        }
         for listed in list {
             let server = self.servers.entry(listed.server).or_default();
             if server.listed.came_up != listed.came_up {
                 server.ends.clear(); // a new life: what the old one showed says nothing, and it is cold
                 server.cold = (now, self.chance.f64());
             }
-            server.listed = listed.clone();
+            let was = std::mem::replace(&mut server.listed, listed.clone());
+            if was.ready && self.ready.entry(was.service).or_default().remove(&listed.server) {
+                changed.insert(was.service);
+            }
+            if listed.ready {
+                changed.insert(listed.service);
+                self.ready.entry(listed.service).or_default().insert(listed.server);
+            } else {
+                self.leaving.insert(listed.server);
+            }
         }
-        self.servers.retain(|_, server| server.listed.ready || !server.open.is_empty());
-        self.share_out(now);
+        self.forget_servers();
+        changed.into_iter().for_each(|service| self.share_out(now, service));
     }
 
-    fn share_out(&mut self, now: Nanos) {
-        self.nowhere.clear();
-        let endpoint = |(id, server): (&u32, &Server)| {
-            let Listed { key, zone: at, weight, .. } = server.listed;
-            Endpoint { id: *id, key, zone: at, weight, near: f64::from(at) == self.setting("zone", -1.0) }
+    /// Forgets servers that are not ready and have no call-outs open.
+    fn forget_servers(&mut self) {
+        self.leaving.retain(|id| {
+            let Some(server) = self.servers.get(id).filter(|server| !server.listed.ready) else {
+                return false;
+            };
+            let open = !server.open.is_empty();
+            if !open {
+                self.servers.remove(id);
+            }
+            open
+        });
+    }
+
+    /// Subsets are worked out and held only for services that RPCs ask for; 0 is one from the start.
+    fn ask_for(&mut self, now: Nanos, service: u32) {
+        if let Some(known) = self.services.get_mut(&service) {
+            known.asked_at = now;
+            return;
+        }
+        self.services.retain(|number, at| *number == 0 || now.saturating_sub(at.asked_at) < UNUSED);
+        let number = self.settings.get("me").and_then(|number| number.parse().ok());
+        let subsetter = Subsetter::new(number, self.gateways() as usize, self.salt);
+        self.services.insert(service, Service { subsetter, asked_at: now, ..Service::default() });
+        self.share_out(now, service);
+    }
+
+    /// Works out this gateway's subset of a service that it was asked for, of the servers ready now.
+    fn share_out(&mut self, now: Nanos, service: u32) {
+        let Some(mut at) = self.services.remove(&service) else { return };
+        let near = self.setting("zone", -1.0);
+        let endpoint = |id: &u32| {
+            let Listed { key, zone, weight, .. } = self.servers[id].listed;
+            Endpoint { id: *id, key, zone, weight, near: f64::from(zone) == near }
         };
-        let ready = self.servers.iter().filter(|(_, server)| server.listed.ready).map(endpoint);
-        self.subsetter.update(ready.collect(), SUBSET_COUNT);
+        let endpoints = self.ready.get(&service).into_iter().flatten().map(endpoint);
+        at.subsetter.update(endpoints.collect(), SUBSET_COUNT);
         let is_cold = |id: &&u32| self.warmth(now, &self.servers[*id].listed) < 1.0;
-        self.subsetter.share(self.subsetter.order().iter().filter(is_cold).copied().collect());
+        at.subsetter.share(at.subsetter.order().iter().filter(is_cold).copied().collect());
+        self.services.insert(service, at);
     }
 
     pub fn rpc(&mut self, host: &mut dyn Host, now: Nanos, arrival: &Arrival) {
+        self.ask_for(now, arrival.service);
         let plan = |name: &str, default| self.setting(&format!("tariffs.{}.{name}", arrival.plan), default);
         let (width, store) = (f64::from(arrival.width.max(1)), (plan("perSecond", 0.0), plan("depth", 0.0)));
         let ceiling = (plan("ceilingRate", 0.0), plan("hardBurst", 0.0));
@@ -245,6 +312,7 @@
             rules: self.settings.clone(),
             method: arrival.method,
             customer: arrival.customer,
+            service: arrival.service,
             units: arrival.units.max(0.0),
             urgency,
             patient: urgency < most_urgent / 2.0,
@@ -313,7 +381,7 @@
     /// Takes a held RPC as far as it can go now and says when to look again; `ahead` units go first.
     fn advance(&mut self, host: &mut dyn Host, now: Nanos, id: u32, ahead: &mut f64) -> Nanos {
         let Some(rpc) = self.rpcs.get(&id) else { return Nanos::MAX };
-        let Rpc { customer: key, method, units, soft, patient, drawn, .. } = *rpc;
+        let Rpc { customer: key, service, method, units, soft, patient, drawn, .. } = *rpc;
         let ran = rpc.ran.is_some(); // and bound to a group, maybe
         // Too little time left for an answer in time, or no further call-out allowed: it ends here.
         let latest = self.latest(now, rpc);
@@ -341,10 +409,10 @@
         let crowded = self.crowded(now, soft, patient);
         let held = !drawn && patient && self.braked(now, key);
         let most = secs(soft) * if patient { PATIENT_SHARE } else { URGENT_SHARE };
-        let held = held || !ran && self.nowhere.get(&method).is_some_and(|until| now < *until);
+        let held = held || !ran && self.nowhere.get(&(service, method)).is_some_and(|until| now < *until);
         let Some(server) = (if held { None } else { self.choose(now, id, crowded.then_some(most)) }) else {
             if !held && !ran {
-                self.nowhere.insert(method, now + RECHECK);
+                self.nowhere.insert((service, method), now + RECHECK);
             }
             return (now + RECHECK).min(latest);
         };
@@ -375,8 +443,9 @@
         if let Some(server) = self.servers.get_mut(&chosen) {
             server.open.push_back((id, nth, now));
             server.cold = (now, 1.0);
+            let service = self.services.get_mut(&server.listed.service);
+            service.into_iter().for_each(|service| service.subsetter.took(chosen));
         }
-        self.subsetter.took(chosen);
         self.open.insert((id, nth), (chosen, key, now, soft));
         host.call_out(id, chosen, limit, before);
         self.wait.0 = 0;
@@ -397,6 +466,8 @@
                 keep(&mut server.ends, (now, ended.took, ended.how == End::Ok), KEPT);
             }
             server.held = told.map_or(server.held, |held| (now, held.max(0.0)));
+            let service = self.services.get_mut(&server.listed.service).filter(|_| !never_ran);
+            service.into_iter().for_each(|service| keep(&mut service.ends, now, 2 * KEPT));
         }
         if !never_ran {
             keep(&mut self.ends, (now, ended.took, ended.how == End::Ok), 2 * KEPT);
@@ -685,10 +756,18 @@
     /// each seldom, learns too late which are slow or bad, and opens a connection for each call-out. So it
     /// draws from a part of its own, even over the fleet (see `subsetting`), or from as many more as it meets
     /// often.
-    fn part(&self, now: Nanos) -> usize {
-        let since = self.ends.front().map_or(SEC, |first| now - first.0).max(SEC);
-        let often = self.ends.len() as f64 / secs(since) * secs(MEET);
-        (often.ceil() as usize).max(self.subsetter.subset_len())
+    fn drawn_from(now: Nanos, service: &Service) -> usize {
+        let since = service.ends.front().map_or(SEC, |first| now - first).max(SEC);
+        let often = service.ends.len() as f64 / secs(since) * secs(MEET);
+        (often.ceil() as usize).max(service.subsetter.subset_len())
+    }
+
+    fn choose(&mut self, now: Nanos, id: u32, most: Option<f64>) -> Option<u32> {
+        let number = self.rpcs[&id].service;
+        let mut service = self.services.remove(&number)?;
+        let chosen = self.choose_of(&mut service, now, id, most);
+        self.services.insert(number, service);
+        chosen
     }
 
     /// A few drawn at random, the one that this gateway's own counts favour is taken. What can't take it is
@@ -698,7 +777,7 @@
     /// meets servers seldom, and there to one that answered quickly just now or has room while cold. Guards
     /// against a few slow servers met by chance that stop a gateway with few answers. Harm: what was quick
     /// may be full by now.
-    fn choose(&mut self, now: Nanos, id: u32, most: Option<f64>) -> Option<u32> {
+    fn choose_of(&mut self, service: &mut Service, now: Nanos, id: u32, most: Option<f64>) -> Option<u32> {
         let mut chance = self.chance.fork();
         let rpc = &self.rpcs[&id];
         let group = rpc.ran.filter(|_| rpc.is("idempotency", "guarded") && !rpc.is("group", "all"));
@@ -707,21 +786,30 @@
         let (soft, typical) = (secs(rpc.soft), self.typical(now));
         let least = (9.0 / self.gateways()).clamp(1.0, 3.0);
         let is_cold = |id: &&u32| self.warmth(now, &self.servers[*id].listed) < 1.0;
-        self.subsetter.share(self.subsetter.shared().iter().filter(is_cold).copied().collect());
-        let carries = if self.subsetter.shared().is_empty() { 0.0 } else { self.carries(now) };
+        service.subsetter.share(service.subsetter.shared().iter().filter(is_cold).copied().collect());
+        let carries =
+            if service.subsetter.shared().is_empty() { 0.0 } else { self.carries(now, rpc.service) };
         let (mut drawn, mut last_resort) = (Vec::new(), Vec::new());
-        let all = self.subsetter.order();
-        let (part, others) = all.split_at(self.part(now).min(all.len()));
-        let is_cold = |id: &&u32| self.subsetter.shared().contains(*id);
-        let mut ready: Vec<u32> = part.iter().chain(others.iter().filter(is_cold)).copied().collect();
+        let all = service.subsetter.order();
+        let split = Brain::drawn_from(now, service).min(all.len());
+        let part = &all[..split];
+        let cold_others = service.subsetter.shared().iter().filter(|id| !part.contains(id));
+        let mut ready: Vec<u32> = part.iter().chain(cold_others).copied().collect();
         let own = ready.len();
-        ready.extend(others.iter().filter(|id| !is_cold(id)));
-        let seldom = own < ready.len();
+        let all = all.len();
+        let seldom = own < all;
         let few = if seldom { 3 } else { 2 };
-        for place in 0..ready.len() {
+        for place in 0..all {
             if drawn.len() == few || place >= own && !drawn.is_empty() {
                 break;
             }
+            if place == own {
+                let others = &service.subsetter.order()[split..];
+                ready.extend(others.iter().filter(|id| !service.subsetter.is_shared(**id)));
+            }
+            if place == ready.len() {
+                break;
+            }
             let upto = if place < own { own } else { ready.len() };
             ready.swap(place, chance.usize(place..upto));
             let server = &self.servers[&ready[place]];
@@ -736,12 +824,12 @@
                 || !in_group(&server.listed)
                 || !self.cold_room(now, server, carries)
             {
-                self.subsetter.passed_over(ready[place]);
+                service.subsetter.passed_over(ready[place]);
                 continue;
             }
             let unwell = server.rests(now, self.gateways()) || server.hangs(now, typical);
             if unwell {
-                self.subsetter.passed_over(ready[place]);
+                service.subsetter.passed_over(ready[place]);
             }
             if unwell { &mut last_resort } else { &mut drawn }.push(ready[place]);
         }
@@ -749,7 +837,7 @@
         let drawn = drawn.iter().take(few).map(|id| (*id, self.burden(now, *id, seldom)));
         let drawn: Vec<(u32, f64)> = drawn.collect();
         if seldom {
-            return self.subsetter.pick(&drawn);
+            return service.subsetter.pick(&drawn);
         }
         drawn.iter().min_by(|one, two| one.1.total_cmp(&two.1)).map(|least| least.0)
     }
@@ -790,12 +878,13 @@
         secs(now.saturating_sub(server.cold.0)) >= server.cold.1 * self.gateways() * fall / budget
     }
 
-    /// What a warm server answers all gateways a second, for each unit of weight.
-    fn carries(&self, now: Nanos) -> f64 {
-        let warm = |peer: &&Server| peer.listed.ready && self.warmth(now, &peer.listed) >= 1.0;
+    /// What a warm server of the service answers all gateways a second, for each unit of weight.
+    fn carries(&self, now: Nanos, service: u32) -> f64 {
+        let ready = self.ready.get(&service).into_iter().flatten().map(|id| &self.servers[id]);
+        let warm = |peer: &&Server| self.warmth(now, &peer.listed) >= 1.0;
         let each = |peer: &Server| (answered(now, &peer.ends, KEPT).1, peer.listed.weight);
         let sum = |one: (f64, f64), two: (f64, f64)| (one.0 + two.0, one.1 + two.1);
-        let (rate, fleet) = self.servers.values().filter(warm).map(each).fold((0.0, 0.0), sum);
+        let (rate, fleet) = ready.filter(warm).map(each).fold((0.0, 0.0), sum);
         rate * self.gateways() / fleet.max(0.05)
     }
 
--- a/src/subsetting/mod.rs
+++ b/src/subsetting/mod.rs
@@ -154,6 +154,11 @@
         self.turns.shared()
     }
 
+    /// Whether the whole fleet draws from this endpoint for now.
+    pub fn is_shared(&self, id: u32) -> bool {
+        self.turns.is_shared(id)
+    }
+
     /// An RPC went to this endpoint.
     pub fn took(&mut self, id: u32) {
         self.turns.took(id, &self.order[..self.subset_len]);
--- a/src/subsetting/turns.rs
+++ b/src/subsetting/turns.rs
@@ -93,6 +93,10 @@
         &self.shared
     }
 
+    pub(super) fn is_shared(&self, id: u32) -> bool {
+        self.is_shared.contains(&id)
+    }
+
     /// An RPC went to this endpoint; `subset` is what this gateway draws from.
     pub(super) fn took(&mut self, id: u32, subset: &[u32]) {
         let Some(cost) = self.costs.get(&id) else { return };
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -3,7 +3,7 @@
 mod fake;
 
 use fake::{MS, SEC, Story, gateway, server, story};
-use martenramp::host::{End, Listed};
+use martenramp::host::{Arrival, End, Listed};
 
 #[test]
 fn an_rpc_that_finds_no_server_is_pushed_back_in_time() {
@@ -793,3 +793,45 @@
     s.pass(40 * MS);
     assert_eq!((s.notes.out.len(), s.sent(ids[39])), (1, 1));
 }
+
+fn rpc_for(s: &mut Story, id: u32, service: u32) {
+    let now = s.notes.now;
+    let arrival = Arrival {
+        id,
+        method: 2,
+        customer: 9,
+        service,
+        units: 0.1,
+        width: 2,
+        deadline: now + 4 * SEC,
+        ..Arrival::default()
+    };
+    s.brain.rpc(&mut s.notes, now, &arrival);
+}
+
+#[test]
+fn an_rpc_goes_only_to_servers_of_its_service_also_as_they_come_and_go() {
+    let mut s = story("").with_servers(3);
+    s.list(false, &[Listed { service: 7, ..server(11, 0) }, Listed { service: 8, ..server(12, 0) }]);
+    for (id, service, to) in [(1001, 7, 11), (1002, 8, 12), (1003, 7, 11)] {
+        rpc_for(&mut s, id, service);
+        assert_eq!(s.notes.out.last().unwrap().1, to);
+    }
+    // The server of 7 goes over to 8: what asks for 7 waits, until another comes.
+    s.list(false, &[Listed { service: 8, ..server(11, 0) }]);
+    let out = s.notes.out.len();
+    rpc_for(&mut s, 1004, 7);
+    s.pass(100 * MS);
+    assert_eq!(s.notes.out.len(), out);
+    s.list(false, &[Listed { service: 7, ..server(13, 0) }]);
+    s.pass(100 * MS);
+    assert_eq!(s.notes.out.last().unwrap().1, 13);
+    // A whole list without it: nothing more goes there.
+    s.list(true, &[server(1, 0), Listed { service: 8, ..server(12, 0) }]);
+    let out = s.notes.out.len();
+    rpc_for(&mut s, 1005, 7);
+    s.pass(100 * MS);
+    assert_eq!(s.notes.out.len(), out);
+    rpc_for(&mut s, 1006, 8);
+    assert_eq!(s.notes.out.last().unwrap().1, 12);
+}
