--- a/crates/scale/src/replica.rs
+++ b/crates/scale/src/replica.rs
@@ -84,6 +84,7 @@
             self.servers.list(&entry.name, entry.address, came_up, entry.ready).0
         };
         Some(Listed {
+            service: 0,
             server,
             key: martenramp::spread::key(&entry.name),
             zone: zone_number(&entry.zone).unwrap_or(u16::MAX),
--- a/crates/scale/tests/hollow.rs
+++ b/crates/scale/tests/hollow.rs
@@ -215,7 +215,7 @@
 
 #[test]
 fn shipped_scenarios_read() {
-    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios");
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios/hollow");
     let files = std::fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path());
     let scenarios = files.filter(|file| file.extension().is_some_and(|kind| kind == "toml"));
     let read: Vec<Scenario> =
