--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,6 +1,7 @@
 //! Every decision of the gateway. A host makes one `Brain` for each life and tells it what happens; each call
 //! answers through the `Host` it is given. Start reading at `advance`, the path of an RPC.
 
+use crate::attempts::OpenAttempt;
 use crate::host::{Arrival, End, Ended, Host, Listed, Nanos, Settings};
 use crate::quota::Quota;
 use crate::samples::{SEC, answered, keep, median, number, secs, span};
@@ -122,15 +123,6 @@
     }
 }
 
-/// An attempt that has not ended yet.
-struct OpenAttempt {
-    server: u32,
-    customer: u64,
-    sent_at: Nanos,
-    soft_deadline: Nanos, // of an urgent RPC; the end of time for a patient one
-    refund: f64,          // units to give back if its RPC has ended by then and no byte was ever written
-}
-
 /// A service that this gateway was asked for.
 #[derive(Default)]
 struct Service {
@@ -190,12 +182,8 @@
         self.nowhere.clear();
         let gateways = self.gateways() as usize;
         self.services.values_mut().for_each(|service| service.subsetter.resize(gateways));
-        self.services
-            .keys()
-            .copied()
-            .collect::<Vec<u32>>()
-            .into_iter()
-            .for_each(|at| self.share_out(now, at));
+        let services: Vec<u32> = self.services.keys().copied().collect();
+        services.into_iter().for_each(|at| self.share_out(now, at));
     }
 
     // ---- Settings: each is picked where it is needed; what is missing or can't be read takes the default.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 //! assert_eq!(host.0, ["1 pushed back"]);
 //! ```
 
+mod attempts;
 pub mod brain;
 pub mod host;
 mod quota;
