--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -21,6 +21,13 @@
     timers: Vec<(Nanos, u32)>,
 }
 
+impl Notes {
+    /// When the next timer is due.
+    pub fn next_timer(&self) -> Option<Nanos> {
+        self.timers.iter().map(|timer| timer.0).min()
+    }
+}
+
 impl Host for Notes {
     fn call_out(&mut self, rpc: u32, server: u32, limit: Nanos, before: Nanos) {
         self.before.push(before);
