A braked gateway with nothing open lets one RPC go; what missed twice draws from all servers

Where the gateway's whole part refused, 22: each RPC spent its three call-outs in the part until all 24 servers of it rested. Excluded, as they pass unchanged: few samples that all say slow, a silent counter at a start, a fleet that hung or refused and is back.

Change: in `braked`, with nothing open and a second after the last end, the brake lets one go; in `choose`, an RPC with two call-outs behind it draws from all.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -591,7 +591,10 @@
             let p95 = (ratios.len() * 95).div_ceil(100).max(1) - 1; // of 20 samples the 19th
             self.brake = (now, ratios.len() >= BRAKE_SAMPLES && ratios[p95] > 1.0);
         }
-        short || self.brake.1
+        // Guards against a brake that nothing can put right, since all that comes is held: a second after the
+        // last call-out one may go. Harm: one more a second where urgent ones are late.
+        let idle = self.open.is_empty() && self.ends.back().is_none_or(|end| now - end.0 >= SEC);
+        (short || self.brake.1) && !idle
     }
 
     /// The last calls all went without an answer: totals tell nothing of the others.
@@ -711,12 +714,14 @@
         let carries = if self.spread.shared().is_empty() { 0.0 } else { self.carries(now) };
         let (mut drawn, mut last_resort) = (Vec::new(), Vec::new());
         let all = self.spread.order();
-        let (part, others) = all.split_at(self.part(now).min(all.len()));
         let is_cold = |id: &&u32| self.spread.shared().contains(*id);
+        let part = self.part(now).min(all.len());
+        let seldom = all[part..].iter().any(|id| !is_cold(&id));
+        // Guards against a part that is down as a whole: what missed twice draws from all. Harm: connections.
+        let (part, others) = all.split_at(if rpc.tries >= 2 { all.len() } else { part });
         let mut ready: Vec<u32> = part.iter().chain(others.iter().filter(is_cold)).copied().collect();
         let own = ready.len();
         ready.extend(others.iter().filter(|id| !is_cold(id)));
-        let seldom = own < ready.len();
         let few = if seldom { 3 } else { 2 };
         for place in 0..ready.len() {
             if drawn.len() == few || place >= own && !drawn.is_empty() {
