--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -6,7 +6,7 @@
 use crate::list::Told;
 use crate::servers::Servers;
 use martenramp::host::Listed;
-use martenramp::spread;
+use martenramp::subsetting;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 
@@ -131,7 +131,7 @@
             if self.entries.capacity() - self.entries.len() >= FREED_AT_ONCE {
                 self.entries.shrink_to_fit();
             }
-            let key = spread::key(&entry.name);
+            let key = subsetting::key(&entry.name);
             if !self.named.insert(key) {
                 continue;
             }
--- a/crates/gateway/src/gateway/agreeing.rs
+++ b/crates/gateway/src/gateway/agreeing.rs
@@ -201,7 +201,7 @@
         let mut more = Told { index: told.index, ..Told::default() };
         let Some(pact) = &mut self.pact else { return Some(more) };
         let seen = |entry: &Entry| ListedServer {
-            key: martenramp::spread::key(&entry.name),
+            key: martenramp::subsetting::key(&entry.name),
             ready: entry.ready,
             since: entry.since_ms.saturating_mul(MS),
         };
--- a/crates/gateway/tests/membership.rs
+++ b/crates/gateway/tests/membership.rs
@@ -6,7 +6,7 @@
 use gateway::objects::{DEPTH_MOST, ELEMENT_MOST, FRAME_MOST};
 use gateway::servers::Servers;
 use gateway::services::{Service, Services};
-use martenramp::spread;
+use martenramp::subsetting;
 use standins::scripted::{MS, Peer, Program, SEC, WATCH, answer, chunk, entry, list, rpc, say, settings};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -333,7 +333,7 @@
 }
 
 fn key(at: usize) -> u64 {
-    spread::key(&format!("s{at:06}"))
+    subsetting::key(&format!("s{at:06}"))
 }
 
 #[test]
--- a/crates/gateway/tests/protocol.rs
+++ b/crates/gateway/tests/protocol.rs
@@ -8,7 +8,7 @@
 use gateway::list::Watch;
 use gateway::servers::{self, Attempt, Body, Link, Reuses, Servers};
 use martenramp::host::{End, Listed};
-use martenramp::spread;
+use martenramp::subsetting;
 use standins::scripted::{MS, SEC, WATCH, chunk, entry, list, rpc, settings};
 use std::net::SocketAddr;
 
@@ -192,7 +192,8 @@
 #[test]
 fn servers_are_known_by_name_and_their_old_connections_go_with_their_address() {
     let mut all = Servers::default();
-    let listed = |name, came_up| Listed { key: spread::key(name), came_up, ready: true, ..Listed::default() };
+    let listed =
+        |name, came_up| Listed { key: subsetting::key(name), came_up, ready: true, ..Listed::default() };
     let (one, _) = all.list(&listed("a", 0), address(1));
     let (two, _) = all.list(&listed("b", 0), address(1));
     assert!(one != two);
@@ -203,13 +204,16 @@
     assert_eq!(all.list(&listed("a", 9), address(2)), (one, vec![78]), "a new life at the same address");
     all.by_number.get_mut(&one).unwrap().idle.push((79, SEC));
     all.by_number.get_mut(&one).unwrap().open = 1;
-    let (off, idle) = all.take_off(spread::key("a")).unwrap();
+    let (off, idle) = all.take_off(subsetting::key("a")).unwrap();
     assert!((off.server, off.ready, idle) == (one, false, vec![79]));
     all.forget();
-    assert!(!all.held(spread::key("a")).unwrap().listed, "held while a connection is open");
+    assert!(!all.held(subsetting::key("a")).unwrap().listed, "held while a connection is open");
     all.by_number.get_mut(&one).unwrap().open = 0;
     all.forget();
-    assert!(all.held(spread::key("a")).is_none() && all.held(spread::key("b")).unwrap().told.server == two);
+    assert!(
+        all.held(subsetting::key("a")).is_none()
+            && all.held(subsetting::key("b")).unwrap().told.server == two
+    );
     assert!(all.list(&listed("a", 9), address(2)).0 != one, "numbers are not used again");
 }
 
--- a/crates/scale/src/hollow/agreeing.rs
+++ b/crates/scale/src/hollow/agreeing.rs
@@ -155,7 +155,7 @@
     /// whole list is passed over.
     pub fn judge(&mut self, now: Nanos, told: &mut Told) -> Option<Vec<Entry>> {
         let seen = |entry: &Entry| ListedServer {
-            key: martenramp::spread::key(&entry.name),
+            key: martenramp::subsetting::key(&entry.name),
             ready: entry.ready,
             since: entry.since_ms.saturating_mul(MS),
         };
--- a/crates/scale/src/hollow/gateway.rs
+++ b/crates/scale/src/hollow/gateway.rs
@@ -13,7 +13,7 @@
 use lab::gates::Wishes;
 use martenramp::brain::Brain;
 use martenramp::host::{Arrival, End, Ended, Settings};
-use martenramp::spread;
+use martenramp::subsetting;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -211,7 +211,7 @@
     /// As the program does, but all in one turn: servers get numbers, zones places, and the module hears it.
     fn list(&mut self, now: Nanos, told: Told) {
         let named = told.entries.iter();
-        self.servers_by_key.extend(named.map(|entry| (spread::key(&entry.name), number_of(&entry.name))));
+        self.servers_by_key.extend(named.map(|entry| (subsetting::key(&entry.name), number_of(&entry.name))));
         for mut list in batches(told, &mut self.servers, &mut self.directory) {
             for listed in &mut list {
                 let server = self.servers_by_key.get(&listed.key).copied().unwrap_or(u32::MAX);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -4,12 +4,11 @@
 use crate::attempts::OpenAttempt;
 use crate::host::{Arrival, End, Ended, Host, Listed, Nanos, Settings};
 use crate::quota::Quota;
-use crate::samples::{SEC, answered, keep, median, number, secs, span};
+use crate::samples::{MS, SEC, answered, keep, median, number, secs, span};
 use crate::subsetting::{Endpoint, Subsetter};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 
-const MS: Nanos = 1_000_000;
 /// From the design: the reserve line, and when the brake acts.
 const RESERVE: f64 = 0.3;
 const BRAKE_SPAN: Nanos = 10 * SEC;
@@ -155,9 +154,8 @@
     wait: (Nanos, f64),
     brake: (Nanos, bool),
     typical: (Nanos, Nanos),
-    /// Until when a method of a service that found no server is taken to find none, unless an attempt ends or
-    /// the list changes: a look at all servers for each customer that waits would take the core of a small
-    /// gateway.
+    /// Until when a service's method that found no server finds none, unless an attempt ends or the list
+    /// changes: to look at all servers for each customer that waits would take a small gateway's core.
     nowhere: BTreeMap<(u32, u16), Nanos>,
     /// Last ends of count calls, when the next is free, after what gap, and the customers waiting for one.
     counter: VecDeque<bool>,
@@ -667,7 +665,9 @@
             let p95 = (ratios.len() * 95).div_ceil(100).max(1) - 1; // of 20 samples the 19th
             self.brake = (now, ratios.len() >= BRAKE_SAMPLES && ratios[p95] > 1.0);
         }
-        short || self.brake.1
+        // Guards against a brake that holds all, so that none ends: one may go a second after the last end.
+        let idle = self.open.is_empty() && self.ends.back().is_none_or(|end| now - end.0 >= SEC);
+        (short || self.brake.1) && !idle
     }
 
     /// The last calls all went without an answer: totals tell nothing of the others.
@@ -796,13 +796,13 @@
             if service.subsetter.shared().is_empty() { 0.0 } else { self.carries(now, rpc.service) };
         let (mut drawn, mut last_resort) = (Vec::new(), Vec::new());
         let all = service.subsetter.order();
-        let split = Brain::drawn_from(now, service).min(all.len());
-        let part = &all[..split];
-        let cold_others = service.subsetter.shared().iter().filter(|id| !part.contains(id));
-        let mut ready: Vec<u32> = part.iter().chain(cold_others).copied().collect();
-        let own = ready.len();
-        let all = all.len();
-        let seldom = own < all;
+        let part = Brain::drawn_from(now, service).min(all.len());
+        // Guards against a part that is down as a whole: what missed twice draws from all. Harm: connections.
+        let split = if rpc.tries >= 2 { all.len() } else { part };
+        let cold_others = service.subsetter.shared().iter().filter(|id| !all[..split].contains(id));
+        let mut ready: Vec<u32> = all[..split].iter().chain(cold_others).copied().collect();
+        let seldom = all[part..].iter().any(|id| !service.subsetter.is_shared(*id));
+        let (own, all) = (ready.len(), all.len());
         let few = if seldom { 3 } else { 2 };
         for place in 0..all {
             if drawn.len() == few || place >= own && !drawn.is_empty() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,3 @@
 mod samples;
 pub mod settings;
 pub mod subsetting;
-
-/// The earlier name of [`subsetting`].
-pub use subsetting as spread;
