The guard of scale reads lists of any length, and refuses what outgrows its memory

The test that a list over 8 MiB is refused held a fault of the program as the expectation; lists come in pieces now. In its place: one over 8 MiB is read whole within twice its bytes, and one whose entries outgrow their memory is refused with nothing of it taken.

--- a/crates/scale/src/hollow/gateway.rs
+++ b/crates/scale/src/hollow/gateway.rs
@@ -17,8 +17,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// What the program takes of its memory for one object of the list where it is told 128 MB.
-const LIST_OBJECT_MOST: usize = (128 << 20) / 16;
+/// What the program takes of its memory for the entries of one object of the list where it is told 128 MB.
+const ENTRIES_MEMORY: usize = (128 << 20) / 4;
 
 /// What a gateway is told at its start.
 pub struct Start<'a> {
@@ -141,7 +141,7 @@
         let settings = agreeing.as_ref().map_or(settings, |agreeing| agreeing.settings());
         HollowGateway {
             brain: Brain::new(start.seed, settings),
-            watch: Watch::new(0, LIST_OBJECT_MOST),
+            watch: Watch::new(0, ENTRIES_MEMORY),
             watching: false,
             wishes: Wishes::default(),
             rpcs: BTreeMap::new(),
--- a/crates/scale/src/replica.rs
+++ b/crates/scale/src/replica.rs
@@ -14,12 +14,17 @@
 pub const WATCH_HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 /// So much of the watch waits in a gateway's buffer at most.
 const BUFFER: usize = 64 << 10;
-/// The longest object that a gateway within 128 MB takes.
-const OBJECT_MOST: usize = 128 << 20 >> 4;
+/// Bytes that the entries of one object may take at a gateway within 128 MB.
+const ENTRIES_MEMORY: usize = (128 << 20) / 4;
 
 /// Reads the bytes of an answer, from its head on, as they come through a gateway's buffer.
 pub fn read_watch(bytes: &[u8]) -> Result<Vec<Told>, ScaleError> {
-    let mut watch = Watch::new(0, OBJECT_MOST);
+    read_watch_within(ENTRIES_MEMORY, bytes)
+}
+
+/// The same where the entries of one object may take so many bytes.
+pub fn read_watch_within(entries_memory: usize, bytes: &[u8]) -> Result<Vec<Told>, ScaleError> {
+    let mut watch = Watch::new(0, entries_memory);
     let mut told = Vec::new();
     feed(&mut watch, WATCH_HEAD, &mut told)?;
     feed(&mut watch, bytes, &mut told)?;
@@ -54,7 +59,7 @@
 impl Replica {
     /// A gateway of this service that knows no server yet, with its watch answered.
     pub fn new(service: &Service) -> Result<Replica, ScaleError> {
-        let mut watch = Watch::new(0, OBJECT_MOST);
+        let mut watch = Watch::new(0, ENTRIES_MEMORY);
         feed(&mut watch, WATCH_HEAD, &mut Vec::new())?;
         let directory = Directory::new(zones(), Vec::new());
         Ok(Replica {
