Stories of clients' terms: others speak as they connect, and a leaving has arrived before the next step

Of five runs in a row on a busy machine one failed as a story was set up ("no whole answer"): it connected 300 others first and had each say something then; who says nothing for two seconds is sent away (taken as the cause, the logs of that run were not kept). They speak as they connect now, and only where a moment needs them. Of four further runs one failed in hundreds_that_leave_..., sent on for number 254 of 300: a burst of closes may reach the other side after they return, so 60 ms pass before the next step (again taken as the cause). No check is eased.

--- a/crates/gateway/tests/client_terms.rs
+++ b/crates/gateway/tests/client_terms.rs
@@ -16,6 +16,8 @@
 const UNREAD: usize = 48 << 10;
 /// A request that found no server looks again within so long.
 const LOOKS_AGAIN: Duration = Duration::from_millis(40);
+/// The system may bring a burst of closes to the other side this much later than they return on a busy machine.
+const ARRIVES: Duration = Duration::from_millis(60);
 const SERVED: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\non";
 
 /// The same message with an id of its own.
@@ -73,10 +75,16 @@
         Scene { gateway, others: Vec::new(), last: 0 }
     }
 
-    /// One with others that can keep the gateway busy.
-    fn busy(gateway: Program) -> Scene {
-        let mut others: Vec<Client> = (0..BUSY).map(|_| gateway.client()).collect();
-        others.iter_mut().for_each(|other| assert_eq!(status(&other.ask(HEALTHY)), 200));
+    /// One with the others that this moment needs.
+    fn at(moment: Moment, gateway: Program) -> Scene {
+        let count = if moment == Moment::BehindOthers { BUSY } else { 0 };
+        // Each says something as soon as it is connected: who says nothing for two seconds is sent away.
+        let others = (0..count).map(|_| {
+            let mut other = gateway.client();
+            assert_eq!(status(&other.ask(HEALTHY)), 200);
+            other
+        });
+        let others = others.collect();
         Scene { gateway, others, last: 0 }
     }
 
@@ -95,7 +103,10 @@
     /// Lets the client go at this moment of `attempt`, which brings an attempt for it.
     fn leave(&mut self, client: Client, leaving: Leaving, moment: Moment, attempt: impl FnOnce()) {
         let mut gone = None;
-        let goes = || gone = Some(goes(client, leaving));
+        let goes = || {
+            gone = Some(goes(client, leaving));
+            std::thread::sleep(ARRIVES);
+        };
         match moment {
             Moment::InTheTurn => {
                 let turn = self.gateway.hold_turn(attempt);
@@ -193,18 +204,19 @@
 
 #[test]
 fn who_leaves_while_its_request_waits_for_a_server_is_not_sent_on() {
-    let (discovery, server) = (watch(), silent());
-    let mut scene = Scene::busy(under(&discovery, &[entry("s0", server.address, "ready")], &wide_settings()));
-    scene.rest_connections(&server, 1);
-    for (round, (leaving, moment)) in (2..).zip(leavings()) {
+    for (leaving, moment) in leavings() {
+        let (discovery, server) = (watch(), silent());
+        let known = [entry("s0", server.address, "ready")];
+        let mut scene = Scene::at(moment, under(&discovery, &known, &wide_settings()));
+        scene.rest_connections(&server, 1);
         let tell = |index, status| {
             discovery.tell(0, &chunk(&list(index, false, &[entry("s0", server.address, status)])));
         };
-        tell(2 * round, "draining");
+        tell(4, "draining");
         caught_up(&scene.gateway);
         let client = scene.request("verify", leaving);
         scene.leave(client, leaving, moment, || {
-            tell(2 * round + 1, "ready");
+            tell(5, "ready");
             std::thread::sleep(LOOKS_AGAIN);
         });
         scene.serves_only_another(&server, &format!("{leaving:?}, {moment:?}"));
@@ -218,7 +230,7 @@
         patient_settings().replace("\"perSecond\":100.0,\"depth\":100.0", "\"perSecond\":1.0,\"depth\":2.0");
     let round = |leaving, moment| {
         let server = silent();
-        let mut scene = Scene::busy(knowing(server.address, &scarce));
+        let mut scene = Scene::at(moment, knowing(server.address, &scarce));
         scene.rest_connections(&server, 1);
         let client = scene.request("verify", leaving);
         assert!(server.nothing_came(), "its quota is spent");
@@ -232,7 +244,7 @@
 fn who_leaves_between_two_attempts_gets_no_further_one() {
     for (leaving, moment) in leavings() {
         let server = silent();
-        let mut scene = Scene::busy(knowing(server.address, &wide_settings()));
+        let mut scene = Scene::at(moment, knowing(server.address, &wide_settings()));
         scene.rest_connections(&server, 2);
         let client = scene.request("submit", leaving);
         let first = server.next().0;
@@ -246,7 +258,7 @@
     side_by_side(|leaving, moment| {
         let why = format!("{leaving:?}, {moment:?}");
         let late = Late::default();
-        let mut scene = Scene::busy(knowing(late.address, &wide_settings()));
+        let mut scene = Scene::at(moment, knowing(late.address, &wide_settings()));
         let client = scene.request("verify", leaving);
         let mut server = None;
         scene.leave(client, leaving, moment, || server = Some(late.open()));
@@ -278,17 +290,20 @@
     scene.rest_connections(&server, 2);
     discovery.tell(0, &chunk(&list(4, false, &[entry("s0", server.address, "draining")])));
     caught_up(&scene.gateway);
-    let mut clients: Vec<Client> = (0..BUSY).map(|_| scene.gateway.client()).collect();
-    for (number, client) in clients.iter_mut().enumerate() {
+    let mut clients = Vec::new();
+    for number in 0..BUSY {
+        let mut client = scene.gateway.client();
         // Each is another customer's, so that none waits behind others.
         let message = numbered(&rpc("read", 20_000), 1000 + number);
         client.send(&message.replace("00000000b4d65521", &format!("{number:016x}")));
+        clients.push(client);
     }
     caught_up(&scene.gateway);
     scene.gateway.stand_still();
     discovery.tell(0, &chunk(&list(5, false, &[entry("s0", server.address, "ready")])));
     std::thread::sleep(LOOKS_AGAIN);
     drop(clients);
+    std::thread::sleep(ARRIVES);
     scene.gateway.signal("-CONT");
     caught_up(&scene.gateway);
     scene.serves_only_another(&server, "hundreds left");
