--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -101,6 +101,7 @@
     links_of: BTreeMap<usize, Vec<usize>>,
     seeds: ChaCha8Rng,
     at_counter: SocketAddr,
+    servers_at: SocketAddr,
     crashed: Vec<String>,
 }
 
@@ -178,6 +179,7 @@
             seeds: chance(seed, Stream::Seeds),
             crashed: Vec::new(),
             at_counter: loopback::COUNTER,
+            servers_at: loopback::servers_of_a_fleet(),
         };
         fleet.at_counter = fleet.counter.with(|counter, io| counter.open(io, loopback::COUNTER))?;
         for group in &scenario.servers {
--- a/crates/rig/src/fleet/servers.rs
+++ b/crates/rig/src/fleet/servers.rs
@@ -3,7 +3,7 @@
 use super::Fleet;
 use crate::measure::Server;
 use crate::scenario::Servers as Group;
-use crate::{Nanos, loopback, nanos};
+use crate::{Nanos, nanos};
 use standins::discovery::Entry;
 use standins::servers::Spec;
 
@@ -24,7 +24,7 @@
             cold_share: group.cold_share,
             cold_for: nanos(group.cold_seconds),
             reports: group.reports,
-            address: loopback::SERVERS,
+            address: self.servers_at,
         };
         let (name, zone, weight) = (spec.name.clone(), spec.zone.clone(), spec.weight);
         let (_, at) = self.servers.with(move |servers, io| servers.add(io, spec, warm))?;
--- a/crates/rig/src/loopback.rs
+++ b/crates/rig/src/loopback.rs
@@ -1,6 +1,7 @@
 //! Where everything of a run sits on loopback: an address for each kind of process, with ports that the system picks.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU8, Ordering};
 
 const fn any_port(last: u8) -> SocketAddr {
     SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::new(127, 0, 0, last)), 0)
@@ -8,8 +9,15 @@
 
 /// The gateways listen for clients.
 pub(crate) const GATEWAYS: SocketAddr = any_port(3);
-/// The stand-in servers.
-pub(crate) const SERVERS: SocketAddr = any_port(4);
+/// The stand-in servers of one fleet, at an address of their own: a server that is down comes back at its port, which other
+/// fleets of this process or of others must not have taken meanwhile.
+pub(crate) fn servers_of_a_fleet() -> SocketAddr {
+    static FLEETS: AtomicU8 = AtomicU8::new(0);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let fleet = FLEETS.fetch_add(1, Ordering::Relaxed);
+    // Beyond 127.64.0.0 nothing else of the rig listens.
+    SocketAddr::from((Ipv4Addr::new(127, 64 | (high & 63), low, fleet), 0))
+}
 /// Discovery's agents.
 pub(crate) const DISCOVERY: SocketAddr = any_port(5);
 /// The counter.
