--- a/crates/scale/tests/guard.rs
+++ b/crates/scale/tests/guard.rs
@@ -26,8 +26,6 @@
 /// doubling and for a constant part.
 const CONSTANT: f64 = 0.1;
 const PROPORTION: f64 = 1.1;
-/// Between the two sizes of the fleet the table of all parts goes over from a few pairs of each server to all of them.
-const SQUARE: f64 = 2.0;
 
 /// A count that may grow by this exponent at most from the smaller size to the larger.
 struct Guard {
@@ -89,7 +87,7 @@
         what: "bytes allocated by fleet",
         sizes: [600, 4800],
         figure: ALLOCATED,
-        today: SQUARE,
+        today: PROPORTION,
         aim: CONSTANT,
         prepare: |fleet| list::one_change(HELD_SERVERS, fleet as usize),
     },
@@ -97,7 +95,7 @@
         what: "bytes held at the peak by fleet",
         sizes: [600, 4800],
         figure: PEAK,
-        today: SQUARE,
+        today: PROPORTION,
         aim: CONSTANT,
         prepare: |fleet| list::one_change(HELD_SERVERS, fleet as usize),
     },
