--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,19 +1,24 @@
 //! Ties the module to its peers: takes what the state machines find to the module, and carries out what the
 //! module asks for. It decides nothing.
 
+use crate::changes::{Batch, Change, Changes, WORK_A_TURN};
 use crate::clients::{self, Client, Got};
 use crate::config::Config;
 use crate::counter::{self, Call, Line};
-use crate::driver::{ACCEPT_AGAIN, Ending, Net, Peer, Turned};
+use crate::directory::Directory;
+use crate::driver::{ACCEPT_AGAIN, Ending, Net, Peer, Turned, out_of_descriptors};
 use crate::http::{BODY_MOST, Bad, HEAD_MOST};
 use crate::list::{self, Told, Watch};
 use crate::servers::{self, Answer, Attempt, Body, Link, Server, Servers, Stage};
 use crate::timers::Timers;
 use martenramp::brain::Brain;
-use martenramp::host::{Arrival, End, Ended, Host, Listed, Nanos};
+use martenramp::host::{Arrival, End, Ended, Host, Nanos};
 use slog::{Logger, info, warn};
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
 
 mod agreeing;
 mod to_clients;
@@ -37,14 +42,17 @@
 const SPARES: usize = 32;
 /// The clients' part of the descriptors, in tenths.
 const CLIENTS_TENTHS: usize = 6;
-/// What of the watch and of the counter may wait in a buffer.
+/// What of the counter may wait in a buffer.
 const OTHER_INPUT: usize = 64 << 10;
-/// Of the memory, the parts that buffers may take: all clients' together, all servers', and one line of the list.
+/// What of the watch may wait: more than a head, and no more than can be read in a small part of a turn.
+const LIST_INPUT: usize = HEAD_MOST + (8 << 10);
+/// Of the memory, the parts that may be taken: by all clients' buffers, all servers', and the entries of a list that is
+/// coming in.
 const CLIENTS_MEMORY: usize = 3;
 const LINKS_MEMORY: usize = 3;
-const LIST_MEMORY: usize = 16;
-/// So many names of zones are kept.
-const ZONES_MOST: usize = 1024;
+const LIST_MEMORY: usize = 4;
+/// So many times a client that sends on is read before an attempt is written for it.
+const LOOKS: usize = 16;
 const MESSAGE_MOST: usize = HEAD_MOST + BODY_MOST + 1024;
 
 /// What a timer is for.
@@ -53,6 +61,8 @@
     Wake(u32),
     CallOut(usize, u32, u16),
     Dial(usize),
+    /// An attempt that was put off is to be written on this connection.
+    Write(usize),
     Count(usize, u64),
     Overdue(u32),
     Sweep,
@@ -61,6 +71,8 @@
     Stay,
     Linger,
     Agree,
+    /// More of a list is to be brought into force.
+    Changes,
 }
 
 /// Where an RPC stands here: with the module, out at a server, or answered while a call-out is still out.
@@ -71,6 +83,14 @@
     Answered,
 }
 
+/// An object of the list that waits for its turn.
+enum Pending {
+    /// As discovery told it.
+    Told(Told),
+    /// What is to be taken of one.
+    Judged(Told),
+}
+
 struct Rpc {
     stand: Stand,
     /// Whose buffer holds the message, as long as that client is there.
@@ -117,6 +137,11 @@
     watching: bool,
     /// The watch at the address that an earlier configuration told, heeded until the one at the new speaks.
     old_watch: Option<(usize, Watch)>,
+    /// Objects of the list that came and are not in force yet, and the one that is being brought into force.
+    pending: VecDeque<Pending>,
+    changes: Option<Changes>,
+    /// A timer is set for the next batch of them.
+    goes_on: bool,
     /// Two sets: the one from `lines_from` on is used; the other's lines, where they stand, only end what they carry.
     lines: [Line; 2 * counter::LINES],
     lines_on: [Option<usize>; 2 * counter::LINES],
@@ -142,8 +167,7 @@
     dial: Nanos,
     idle: Nanos,
     count_wait: Nanos,
-    zones: Vec<String>,
-    kinds: Vec<String>,
+    directory: Directory,
     columns: Vec<String>,
     /// Whether discovery pushes its lists, so that asking costs it nothing.
     pushed: bool,
@@ -151,6 +175,9 @@
     fleet: u32,
     /// New work to a server must stop so long after its drain was told.
     stop_within: Nanos,
+    /// When this turn began, and how far [`Desk::catch_up`] has moved its time on since.
+    woke_at: Instant,
+    caught_up: Nanos,
     /// For rests that must not be in step with other gateways'; the module has a source of its own.
     chance: fastrand::Rng,
 }
@@ -169,8 +196,7 @@
             idle: idle as Nanos,
             count_wait: span("extra.countWait", counter::WAIT),
             rpcs_most: config.setting("ceilings.maxOpen").map_or(usize::MAX, |most| most as usize),
-            zones: config.list("localities"),
-            kinds: config.list("shapes"),
+            directory: Directory::new(config.list("localities"), config.list("shapes")),
             columns: config.list("reporting.columns"),
             clients_most,
             spares,
@@ -187,11 +213,16 @@
             servers: Servers::default(),
             links: BTreeMap::new(),
             to_write: VecDeque::new(),
-            watch: Watch::new(0, config.memory / LIST_MEMORY),
+            watch: Watch::of_services(0, config.memory / LIST_MEMORY, config.services.clone()),
+            pending: VecDeque::new(),
+            changes: None,
+            goes_on: false,
             stop_within: span("rules.stopSendingWithin", list::STOP_WITHIN),
             pushed: config.settings.get("membershipMode").is_some_and(|mode| mode == "push"),
             fleet: config.setting("balancers").map_or(1, |count| count as u32),
             chance: fastrand::Rng::with_seed(config.seed.rotate_left(32)),
+            woke_at: Instant::now(),
+            caught_up: 0,
             watch_on: None,
             watching: false,
             old_watch: None,
@@ -223,9 +254,10 @@
     /// Begins with the list held from before; discovery and the counter may be down. With a list the watch is asked for
     /// after a rest, since most of the fleet may start at this moment.
     fn start(&mut self, now: Nanos) {
-        self.desk.net.now = now;
+        (self.desk.net.now, self.desk.woke_at) = (now, Instant::now());
         self.begin_to_agree();
-        let known = self.desk.config.known.take().and_then(|known| list::read(&known));
+        let known =
+            self.desk.config.known.take().and_then(|known| list::read(&known, &self.desk.config.services));
         if let Some(told) = known.filter(|told| !told.entries.is_empty()) {
             self.told(told);
         }
@@ -265,6 +297,9 @@
     /// else is for the next start. The list, calls and RPCs go on. Guards against a file that can't be read: the old one stays. Harm: so does a mistake in it.
     fn reload(&mut self) {
         let desk = &mut self.desk;
+        if !descriptor_is_left() {
+            desk.shed(); // the file needs one
+        }
         let new = match (self.read_again)() {
             Ok(new) => new,
             Err(why) => return warn!(desk.log, "configuration kept"; "error" => why),
@@ -282,12 +317,21 @@
             desk.move_lines();
         }
         if let Some(told) = new.agreement.filter(|_| agreed) {
-            self.take_version(told.version, new.methods, new.plans);
+            let services = Rc::new(self.desk.config.services.with_classes_of(&new.services));
+            self.take_version(told.version, new.methods, new.plans, services);
         }
     }
 
+    /// A list's next batch goes before all that the turn brings: what is sent to a server in this turn is written in it.
     fn woke(&mut self) {
+        let desk = &mut self.desk;
+        // The driver takes the last turn to have begun at the time that was told then.
+        desk.net.late += std::mem::take(&mut desk.caught_up);
+        desk.woke_at = Instant::now();
         self.agree();
+        if self.desk.goes_on {
+            self.go_on_with_list();
+        }
     }
 
     fn heard(&mut self, bytes: &[u8]) {
@@ -315,6 +359,10 @@
         let spare = self.desk.clients.len() >= self.desk.clients_most && !self.desk.shed_client();
         let client = Client { since: self.desk.net.now, spare, ..Client::default() };
         self.desk.clients.insert(id, client);
+        // What it sent behind its connection may have waited as long as that did, which is known now and not in the turn
+        // that would read it.
+        self.desk.net.read(id, false);
+        self.desk.again.push_back(id);
     }
 
     fn accept_later(&mut self) {
@@ -323,7 +371,7 @@
 
     /// Closes an idle connection to free its descriptor; false if there is none.
     fn shed(&mut self) -> bool {
-        self.desk.shed_link() || self.desk.shed_client()
+        self.desk.shed()
     }
 
     /// A connection that was begun here stands.
@@ -375,6 +423,7 @@
                 What::Wake(token) => self.brain.woke(&mut self.desk, now, token),
                 What::CallOut(id, rpc, nth) => self.desk.call_out_over(id, rpc, nth),
                 What::Dial(id) => self.desk.dial_over(id),
+                What::Write(id) => self.desk.to_write.push_back(id),
                 What::Count(line, serial) => {
                     if let Some((call, how)) = self.desk.lines[line].time_out(serial) {
                         self.desk.counted.push_back((call, how, 0.0));
@@ -391,6 +440,7 @@
                 }
                 What::Linger => self.desk.close_clients(true),
                 What::Agree => self.agree(),
+                What::Changes => {} // the turn has begun with it
             }
             self.settle();
         }
@@ -399,7 +449,13 @@
 
     fn write_attempts(&mut self) {
         while let Some(id) = self.desk.to_write.pop_front() {
-            self.desk.write_attempt(id);
+            self.desk.catch_up();
+            if self.client_stays(id) {
+                self.desk.write_attempt(id);
+            } else {
+                // Timers are looked at once a turn, so this is for the next one.
+                self.desk.timers.set(self.desk.net.now + MS, What::Write(id));
+            }
             self.settle();
         }
     }
@@ -421,6 +477,11 @@
     }
 }
 
+/// Whether this process can open one more file.
+fn descriptor_is_left() -> bool {
+    rustix::io::fcntl_dupfd_cloexec(rustix::stdio::stderr(), 0).is_ok()
+}
+
 fn shown(address: Option<SocketAddr>) -> String {
     address.map_or_else(String::new, |address| address.to_string())
 }
@@ -477,6 +538,29 @@
 }
 
 impl Desk {
+    /// Moves the turn's time on to what it is by now. Guards against telling a server more time than is left, and against
+    /// attempts whose time passed while the turn lasted. Harm: the time is read once more for each attempt.
+    fn catch_up(&mut self) {
+        let lasted = self.woke_at.elapsed().as_nanos() as Nanos;
+        let further = lasted.saturating_sub(self.caught_up);
+        self.caught_up += further;
+        self.net.now += further;
+    }
+
+    /// Closes an idle connection to free its descriptor; false if there is none.
+    fn shed(&mut self) -> bool {
+        self.shed_link() || self.shed_client()
+    }
+
+    /// Begins a connection. Guards against descriptors that others fill (idle clients, or whatever else the process was
+    /// given): an idle connection gives way. Harm: a client that rested opens another one.
+    fn connect(&mut self, address: SocketAddr, peer: Peer, most: usize) -> io::Result<usize> {
+        match self.net.connect(address, peer, most) {
+            Err(e) if out_of_descriptors(&e) && self.shed() => self.net.connect(address, peer, most),
+            connected => connected,
+        }
+    }
+
     fn fresh_rpc(&mut self) -> u32 {
         loop {
             self.last_rpc = self.last_rpc.wrapping_add(1);
@@ -504,6 +588,12 @@
         }
     }
 
+    /// The servers that connections lead to.
+    fn met(&self) -> impl Iterator<Item = &Server> {
+        let numbers: BTreeSet<u32> = self.links.values().map(|link| link.server).collect();
+        numbers.into_iter().filter_map(|number| self.servers.by_number.get(&number))
+    }
+
     /// Since when a client's message is waited for.
     fn begun(&self, id: usize) -> Nanos {
         let begun = self.clients.get(&id).filter(|client| client.served > 0).map(|client| client.since);
@@ -543,10 +633,10 @@
                 _ => self.end_client(id, why),
             }
         }
-        let idle = self.servers.by_number.values().flat_map(|server| &server.idle);
+        let idle = self.met().flat_map(|server| &server.idle);
         let idle: Vec<usize> = idle.filter(|idle| now >= idle.1 + self.idle).map(|idle| idle.0).collect();
         idle.into_iter().for_each(|id| self.end_link(id, "idle"));
-        if let Some(id) = self.watch_on.filter(|_| self.watch.is_silent(now)) {
+        if let Some(id) = self.watch_on.filter(|_| !self.takes_list() && self.watch.is_silent(now)) {
             self.watch_broke(id, "silent");
         }
         for at in 0..self.lines.len() {
--- a/crates/gateway/src/gateway/to_servers.rs
+++ b/crates/gateway/src/gateway/to_servers.rs
@@ -30,8 +30,7 @@
             return None;
         }
         let Server { address, came_up, .. } = *self.servers.by_number.get(&server)?;
-        let dial = |net: &mut Net| net.connect(address, Peer::Server, MESSAGE_MOST);
-        let id = dial(&mut self.net).or_else(|e| if self.shed_link() { dial(&mut self.net) } else { Err(e) });
+        let id = self.connect(address, Peer::Server, MESSAGE_MOST);
         let id = id.map_err(|e| warn!(self.log, "can't connect"; "to" => %address, "error" => %e)).ok()?;
         self.links.insert(id, Link::new(server, came_up));
         if let Some(at) = self.servers.by_number.get_mut(&server) {
@@ -231,7 +230,7 @@
 
     /// Closes the connection to a server that has been idle for longest.
     pub(super) fn shed_link(&mut self) -> bool {
-        let oldest = self.servers.by_number.values().filter_map(|server| server.idle.first());
+        let oldest = self.met().filter_map(|server| server.idle.first());
         let Some(id) = oldest.min_by_key(|idle| idle.1).map(|idle| idle.0) else { return false };
         self.end_link(id, "made-room");
         true
--- a/crates/scale/src/deployment.rs
+++ b/crates/scale/src/deployment.rs
@@ -1,6 +1,7 @@
 //! The deployment that measurements are made in: its settings, and its servers as discovery lists them.
 
-use gateway::list::{Entry, Told};
+use gateway::entry::Entry;
+use gateway::list::Told;
 use martenramp::host::{Nanos, Settings};
 use serde_json::{Map, Value, json};
 use std::net::SocketAddr;
@@ -65,9 +66,9 @@
     format!("z{number}")
 }
 
-/// The number of a zone of this deployment.
-pub fn zone_number(name: &str) -> Option<u16> {
-    name.strip_prefix('z')?.parse().ok()
+/// The zones of the deployment.
+pub fn zones() -> Vec<String> {
+    (0..ZONES).map(zone).collect()
 }
 
 /// What discovery tells of a server.
@@ -82,10 +83,11 @@
 pub fn entry(number: usize, status: Status) -> Entry {
     let address = SocketAddr::from(([10, (number >> 16) as u8, (number >> 8) as u8, number as u8], 8000));
     Entry {
-        name: format!("server-{number:06}"),
+        name: format!("server-{number:06}").into(),
         address,
-        zone: zone(number % ZONES),
-        kind: "m".to_string(),
+        zone: zone(number % ZONES).into(),
+        kind: "m".into(),
+        service: 0,
         cell: 0,
         ready: status == Status::Ready,
         gone: status == Status::Gone,
@@ -97,13 +99,13 @@
 /// The whole list of so many servers.
 pub fn whole_list(servers: usize) -> Told {
     let entries = (0..servers).map(|number| entry(number, Status::Ready)).collect();
-    Told { index: WHOLE_INDEX, whole: true, entries }
+    Told { index: WHOLE_INDEX, whole: true, entries, ..Told::default() }
 }
 
 /// A change of some servers.
 pub fn change(servers: impl IntoIterator<Item = usize>, status: Status) -> Told {
     let entries = servers.into_iter().map(|number| entry(number, status)).collect();
-    Told { index: CHANGE_INDEX, whole: false, entries }
+    Told { index: CHANGE_INDEX, whole: false, entries, ..Told::default() }
 }
 
 /// A list or a change as discovery sends it: one JSON object on a line, as a chunk of the watch's answer.
@@ -120,9 +122,9 @@
         (false, false) => "draining",
     };
     let listed = standins::discovery::Entry {
-        name: entry.name.clone(),
+        name: entry.name.to_string(),
         address: entry.address,
-        zone: entry.zone.clone(),
+        zone: entry.zone.to_string(),
         status,
         weight: entry.weight,
         since_ms: entry.since_ms,
--- a/crates/scale/src/hollow/agreeing.rs
+++ b/crates/scale/src/hollow/agreeing.rs
@@ -9,7 +9,8 @@
 use agreement::rules::objections;
 use agreement::state::{Agreement, Decision, Mode, Offer};
 use agreement::version::Version;
-use gateway::list::{Entry, Told};
+use gateway::entry::Entry;
+use gateway::list::Told;
 use martenramp::host::Settings;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -154,7 +155,7 @@
     /// whole list is passed over.
     pub fn judge(&mut self, now: Nanos, told: &mut Told) -> Option<Vec<Entry>> {
         let seen = |entry: &Entry| ListedServer {
-            key: martenramp::spread::key(&entry.name),
+            key: martenramp::subsetting::key(&entry.name),
             ready: entry.ready,
             since: entry.since_ms.saturating_mul(MS),
         };
--- a/crates/scale/src/hollow/gateway.rs
+++ b/crates/scale/src/hollow/gateway.rs
@@ -3,19 +3,22 @@
 
 use super::Nanos;
 use super::agreeing::{Agreeing, VersionFile};
+use super::discovery::number_of;
+use crate::replica::batches;
 use agreement::terms::Terms;
 use gateway::counter::{self, Call, Line};
+use gateway::directory::Directory;
 use gateway::list::{self, Told, Watch};
 use gateway::servers::Servers;
 use lab::gates::Wishes;
 use martenramp::brain::Brain;
-use martenramp::host::{Arrival, End, Ended, Listed, Settings};
+use martenramp::host::{Arrival, End, Ended, Settings};
+use martenramp::subsetting;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-const MS: Nanos = 1_000_000;
-/// What the program takes of its memory for one object of the list where it is told 128 MB.
-const LIST_OBJECT_MOST: usize = (128 << 20) / 16;
+/// What the program takes of its memory for the entries of one object of the list where it is told 128 MB.
+const ENTRIES_MEMORY: usize = (128 << 20) / 4;
 
 /// What a gateway is told at its start.
 pub struct Start<'a> {
@@ -97,7 +100,9 @@
     lines: [Line; counter::LINES],
     servers: Servers,
     names: BTreeMap<u32, u32>,
-    zones: Vec<String>,
+    directory: Directory,
+    /// The emulation's numbers of servers, by the keys of their names.
+    servers_by_key: BTreeMap<u64, u32>,
     /// Services of the deployment: a server's is told by its name.
     services: u32,
     /// Bytes of the watch that the state machine has not used up.
@@ -136,7 +141,7 @@
         let settings = agreeing.as_ref().map_or(settings, |agreeing| agreeing.settings());
         HollowGateway {
             brain: Brain::new(start.seed, settings),
-            watch: Watch::new(0, LIST_OBJECT_MOST),
+            watch: Watch::new(0, ENTRIES_MEMORY),
             watching: false,
             wishes: Wishes::default(),
             rpcs: BTreeMap::new(),
@@ -145,7 +150,8 @@
             lines: Default::default(),
             servers: Servers::default(),
             names: BTreeMap::new(),
-            zones: start.zones.to_vec(),
+            directory: Directory::new(start.zones.to_vec(), Vec::new()),
+            servers_by_key: BTreeMap::new(),
             services: start.services,
             input: Vec::new(),
             chance: fastrand::Rng::with_seed(start.seed.rotate_left(32)),
@@ -198,43 +204,27 @@
         let index = told.index;
         self.list(now, told);
         if !more.is_empty() {
-            self.list(now, Told { index, whole: false, entries: more });
+            self.list(now, Told { index, entries: more, ..Told::default() });
         }
     }
 
-    /// As the program's `to_list` does: servers get numbers, zones places, and the module hears it.
+    /// As the program does, but all in one turn: servers get numbers, zones places, and the module hears it.
     fn list(&mut self, now: Nanos, told: Told) {
-        if told.whole {
-            self.servers.by_number.values_mut().for_each(|server| server.listed = false);
-        }
-        let mut list = Vec::with_capacity(told.entries.len());
-        for entry in &told.entries {
-            let came_up = entry.since_ms.saturating_mul(MS);
-            let number = if entry.gone {
-                let Some(number) = self.servers.known(&entry.name) else { continue };
-                self.servers.by_number.entry(number).and_modify(|server| server.listed = false);
-                number
-            } else {
-                self.servers.list(&entry.name, entry.address, came_up, entry.ready).0
-            };
-            let server = super::discovery::number_of(&entry.name);
-            self.names.insert(number, server);
-            list.push(Listed {
-                server: number,
-                service: server % self.services,
-                key: martenramp::spread::key(&entry.name),
-                zone: self.zones.iter().position(|zone| *zone == entry.zone).map_or(u16::MAX, |at| at as u16),
-                kind: u8::MAX,
-                cell: entry.cell,
-                ready: entry.ready,
-                weight: entry.weight,
-                came_up,
-            });
+        let named = told.entries.iter();
+        self.servers_by_key.extend(named.map(|entry| (subsetting::key(&entry.name), number_of(&entry.name))));
+        for mut list in batches(told, &mut self.servers, &mut self.directory) {
+            for listed in &mut list {
+                let server = self.servers_by_key.get(&listed.key).copied().unwrap_or(u32::MAX);
+                listed.service = server % self.services;
+                self.names.insert(listed.server, server);
+            }
+            self.brain.listed(now, false, &list);
         }
-        self.brain.listed(now, told.whole, &list);
         self.servers.forget();
         let left = &self.servers.by_number;
         self.names.retain(|number, _| left.contains_key(number));
+        let servers = &self.servers;
+        self.servers_by_key.retain(|key, _| servers.held(*key).is_some());
     }
 
     /// The emulation's number of a server that this gateway calls by a number of its own.
@@ -349,7 +339,7 @@
         let held_back = agreeing.hear(now, bytes);
         if !held_back.is_empty() {
             let index = self.watch.index;
-            self.list(now, Told { index, whole: false, entries: held_back });
+            self.list(now, Told { index, entries: held_back, ..Told::default() });
         }
     }
 }
--- a/crates/scale/src/replica.rs
+++ b/crates/scale/src/replica.rs
@@ -2,8 +2,10 @@
 //! decision module, fed the bytes of the watch's answer.
 
 use crate::ScaleError;
-use crate::deployment::{START, Service, zone_number};
-use gateway::list::{Entry, Told, Watch};
+use crate::deployment::{START, Service, zones};
+use gateway::changes::{Change, Changes};
+use gateway::directory::Directory;
+use gateway::list::{Told, Watch};
 use gateway::servers::Servers;
 use martenramp::brain::Brain;
 use martenramp::host::{Listed, Nanos};
@@ -12,12 +14,17 @@
 pub const WATCH_HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 /// So much of the watch waits in a gateway's buffer at most.
 const BUFFER: usize = 64 << 10;
-/// The longest object that a gateway within 128 MB takes.
-const OBJECT_MOST: usize = 128 << 20 >> 4;
+/// Bytes that the entries of one object may take at a gateway within 128 MB.
+const ENTRIES_MEMORY: usize = (128 << 20) / 4;
 
 /// Reads the bytes of an answer, from its head on, as they come through a gateway's buffer.
 pub fn read_watch(bytes: &[u8]) -> Result<Vec<Told>, ScaleError> {
-    let mut watch = Watch::new(0, OBJECT_MOST);
+    read_watch_within(ENTRIES_MEMORY, bytes)
+}
+
+/// The same where the entries of one object may take so many bytes.
+pub fn read_watch_within(entries_memory: usize, bytes: &[u8]) -> Result<Vec<Told>, ScaleError> {
+    let mut watch = Watch::new(0, entries_memory);
     let mut told = Vec::new();
     feed(&mut watch, WATCH_HEAD, &mut told)?;
     feed(&mut watch, bytes, &mut told)?;
@@ -45,15 +52,22 @@
 pub struct Replica {
     watch: Watch,
     servers: Servers,
+    directory: Directory,
     pub brain: Brain,
 }
 
 impl Replica {
     /// A gateway of this service that knows no server yet, with its watch answered.
     pub fn new(service: &Service) -> Result<Replica, ScaleError> {
-        let mut watch = Watch::new(0, OBJECT_MOST);
+        let mut watch = Watch::new(0, ENTRIES_MEMORY);
         feed(&mut watch, WATCH_HEAD, &mut Vec::new())?;
-        Ok(Replica { watch, servers: Servers::default(), brain: Brain::new(1, service.settings()) })
+        let directory = Directory::new(zones(), Vec::new());
+        Ok(Replica {
+            watch,
+            servers: Servers::default(),
+            directory,
+            brain: Brain::new(1, service.settings()),
+        })
     }
 
     /// Bytes of the watch came: what they tell is taken.
@@ -64,35 +78,34 @@
         Ok(())
     }
 
-    /// Takes a list or a change, as `Gateway::list` does for its connections' sake and the module's.
+    /// Takes a list or a change, as the gateway does for its connections' sake and the module's, but all in one turn.
     pub fn take(&mut self, now: Nanos, told: &Told) {
-        if told.whole {
-            self.servers.by_number.values_mut().for_each(|server| server.listed = false);
+        for list in batches(told.clone(), &mut self.servers, &mut self.directory) {
+            self.brain.listed(now, false, &list);
         }
-        let list: Vec<Listed> = told.entries.iter().filter_map(|entry| self.listed(entry)).collect();
-        self.brain.listed(now, told.whole, &list);
         self.servers.forget();
     }
+}
 
-    fn listed(&mut self, entry: &Entry) -> Option<Listed> {
-        let came_up = entry.since_ms.saturating_mul(1_000_000);
-        let server = if entry.gone {
-            let known = self.servers.known(&entry.name)?;
-            self.servers.by_number.entry(known).and_modify(|server| server.listed = false);
-            known
-        } else {
-            self.servers.list(&entry.name, entry.address, came_up, entry.ready).0
-        };
-        Some(Listed {
-            service: 0,
-            server,
-            key: martenramp::spread::key(&entry.name),
-            zone: zone_number(&entry.zone).unwrap_or(u16::MAX),
-            kind: 0,
-            cell: entry.cell,
-            ready: entry.ready,
-            weight: entry.weight,
-            came_up,
-        })
+/// Brings a list or a change into force in the table of servers: what the module is to be told, batch by batch.
+pub fn batches(told: Told, servers: &mut Servers, directory: &mut Directory) -> Vec<Vec<Listed>> {
+    let mut changes = Changes::new(told);
+    let mut lists = Vec::new();
+    while !changes.is_done() {
+        let mut work = usize::MAX;
+        let Some(batch) = changes.next(servers, directory, &mut work) else { break };
+        let changed = batch.leaving.into_iter().chain(batch.coming);
+        lists.push(changed.filter_map(|change| listed(change, servers)).collect());
+    }
+    lists
+}
+
+fn listed(change: Change, servers: &mut Servers) -> Option<Listed> {
+    match change.address {
+        Some(address) => {
+            let (server, _) = servers.list(&change.listed, address);
+            Some(Listed { server, ..change.listed })
+        }
+        None => servers.take_off(change.listed.key).map(|(listed, _)| listed),
     }
 }
--- a/crates/scale/tests/guard.rs
+++ b/crates/scale/tests/guard.rs
@@ -3,7 +3,9 @@
 
 use scale::ScaleError;
 use scale::alloc::Counting;
+use scale::deployment::{encode, whole_list};
 use scale::measure::{Figures, Operation, measure};
+use scale::replica::read_watch_within;
 use scale::slopes::{agreement, counter, list, rpcs, settings, tenants};
 use std::time::Duration;
 
@@ -24,8 +26,6 @@
 /// doubling and for a constant part.
 const CONSTANT: f64 = 0.1;
 const PROPORTION: f64 = 1.1;
-/// Between the two sizes of the fleet the table of all parts goes over from a few pairs of each server to all of them.
-const SQUARE: f64 = 2.0;
 
 /// A count that may grow by this exponent at most from the smaller size to the larger.
 struct Guard {
@@ -87,7 +87,7 @@
         what: "bytes allocated by fleet",
         sizes: [600, 4800],
         figure: ALLOCATED,
-        today: SQUARE,
+        today: PROPORTION,
         aim: CONSTANT,
         prepare: |fleet| list::one_change(HELD_SERVERS, fleet as usize),
     },
@@ -95,7 +95,7 @@
         what: "bytes held at the peak by fleet",
         sizes: [600, 4800],
         figure: PEAK,
-        today: SQUARE,
+        today: PROPORTION,
         aim: CONSTANT,
         prepare: |fleet| list::one_change(HELD_SERVERS, fleet as usize),
     },
@@ -225,7 +225,17 @@
 }
 
 #[test]
-fn the_list_is_refused_beyond_the_longest_object() {
-    let refused = measure(&|| list::read_whole(100_000), Duration::ZERO);
-    assert!(matches!(refused, Err(ScaleError::Refused { why: "object-too-long" })), "{refused:?}");
+fn a_list_beyond_eight_mebibytes_is_read_whole() {
+    let read = measure(&|| list::read_whole(100_000), Duration::ZERO).unwrap();
+    assert!(read.received_bytes > f64::from(8 << 20), "{read:?}");
+    // The object's own bytes are never held: the peak is its entries.
+    assert!(read.peak_bytes < 2.0 * read.received_bytes, "{read:?}");
+}
+
+#[test]
+fn a_list_whose_entries_outgrow_their_memory_is_refused_with_nothing_of_it_taken() {
+    let bytes = encode(&whole_list(20_000));
+    assert_eq!(read_watch_within(16 << 20, &bytes).unwrap()[0].entries.len(), 20_000);
+    let refused = read_watch_within(1 << 20, &bytes);
+    assert!(matches!(refused, Err(ScaleError::Refused { why: "list-too-long" })), "{refused:?}");
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,6 @@
 //! martenramp: admission decisions for a service sold by plan.
 //!
-//! [`brain`] holds every decision, [`spread`] which servers a gateway draws from, [`host`] what both need from whoever
+//! [`brain`] holds every decision, [`subsetting`] which servers a gateway draws from, [`host`] what both need from whoever
 //! runs them.
 //! A host hands events to a [`brain::Brain`] and carries out what comes back:
 //!
@@ -26,9 +26,10 @@
 //! assert_eq!(host.0, ["1 pushed back"]);
 //! ```
 
+mod attempts;
 pub mod brain;
 pub mod host;
 mod quota;
 mod samples;
 pub mod settings;
-pub mod spread;
+pub mod subsetting;
--- a/src/samples.rs
+++ b/src/samples.rs
@@ -3,7 +3,8 @@
 use crate::host::{Nanos, Settings};
 use std::collections::VecDeque;
 
-pub(crate) const SEC: Nanos = 1_000_000_000;
+pub(crate) const MS: Nanos = 1_000_000;
+pub(crate) const SEC: Nanos = 1_000 * MS;
 
 /// Adds a sample and keeps the last `most`.
 pub(crate) fn keep<T>(samples: &mut VecDeque<T>, sample: T, most: usize) {
