Log lines name each RPC by its id: repeats, failed attempts, own answers, all of a shutdown

The operators' record of the lost requests held no line of the gateways that named one. Now retries, attempts that did not end well, answers of the gateway's own and clients that left are logged with the client's id, and while the process stops every attempt and every answer.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use std::time::Instant;
 
 mod agreeing;
+mod rpc_log;
 mod to_clients;
 mod to_counter;
 mod to_list;
@@ -96,6 +97,8 @@
     /// Whose buffer holds the message, as long as that client is there.
     client: usize,
     message: clients::Rpc,
+    /// When its message was read.
+    since: Nanos,
     deadline: Nanos,
     call_outs: u16,
     open: bool,
@@ -493,6 +496,8 @@
         let until = if limit == 0 { rpc.deadline } else { (now + limit).min(rpc.deadline) };
         let attempt = Attempt { rpc: id, nth: rpc.call_outs, sent: now, until, before };
         rpc.call_outs += 1;
+        self.log_attempt(&attempt, server);
+        let Some(rpc) = self.rpcs.get_mut(&id) else { return };
         if rpc.stand == Stand::Answered || until <= now {
             return self.end_call_out(server, attempt, End::NotSent, 0.0, Vec::new());
         }
@@ -510,12 +515,12 @@
     }
 
     fn push_back(&mut self, id: u32, come_back: Nanos) {
-        self.answer(id, if come_back > 0 { 429 } else { 503 }, come_back);
+        self.answer(id, if come_back > 0 { 429 } else { 503 }, come_back, "refused");
     }
 
     fn abort(&mut self, id: u32) {
         let over = self.rpcs.get(&id).is_some_and(|rpc| self.net.now >= rpc.deadline);
-        self.answer(id, if over { 504 } else { 502 }, 0);
+        self.answer(id, if over { 504 } else { 502 }, 0, if over { "time-over" } else { "failed" });
     }
 
     fn wake(&mut self, after: Nanos, token: u32) {
--- a/crates/gateway/src/gateway/to_clients.rs
+++ b/crates/gateway/src/gateway/to_clients.rs
@@ -49,13 +49,14 @@
 
     pub(super) fn arrive(&mut self, client: usize, message: clients::Rpc) {
         let (now, end) = (self.desk.net.now, message.body.end);
+        let own: Box<[u8]> = self.desk.net.input(client)[message.txn.clone()].into();
         let spare = self.desk.clients.get(&client).is_some_and(|client| client.spare);
         if self.desk.open_rpcs >= self.desk.rpcs_most || spare || self.desk.net.held > self.desk.held_most {
             // No room for more: what is pushed back here never reached the module.
+            self.desk.log_turned_away(&own, 503, "no-room");
             self.desk.answer_own(client, 503, end, "");
             return;
         }
-        let own: Box<[u8]> = self.desk.net.input(client)[message.txn.clone()].into();
         if !self.desk.ids.insert(own.clone()) {
             // Guards against one client's answer going by another's id. Harm: none, ids are fresh on every RPC.
             return self.desk.refuse(client, 409, "duplicate-id");
@@ -79,6 +80,7 @@
             stand: Stand::Held,
             client,
             message,
+            since: now,
             deadline,
             call_outs: 0,
             open: false,
@@ -97,7 +99,7 @@
             warn!(self.desk.log, "overdue"; "rpc" => id);
             // What was never written to a server is pushed back: trying again is harmless.
             let ran = self.desk.rpcs.get(&id).is_some_and(|rpc| rpc.written);
-            self.desk.answer(id, if ran { 504 } else { 503 }, 0);
+            self.desk.answer(id, if ran { 504 } else { 503 }, 0, "overdue");
             self.brain.client_left(id);
         }
     }
@@ -126,6 +128,7 @@
         let rpc = self.desk.clients.get(&id).and_then(|client| client.rpc).map(|rpc| rpc.0);
         self.desk.end_client(id, if rpc.is_some() { "left-before-answer" } else { why });
         if let Some(rpc) = rpc {
+            self.desk.log_abandoned(rpc);
             self.desk.shift(rpc, Stand::Answered);
             self.brain.client_left(rpc);
         }
@@ -134,12 +137,13 @@
 
 impl Desk {
     /// The one final answer of an RPC, when it is the gateway's own.
-    pub(super) fn answer(&mut self, id: u32, status: u16, come_back: Nanos) {
+    pub(super) fn answer(&mut self, id: u32, status: u16, come_back: Nanos, why: &'static str) {
         let Some(rpc) = self.rpcs.get(&id).filter(|rpc| rpc.stand != Stand::Answered) else { return };
         let (client, close) = (rpc.client, self.closes(rpc));
         if let Some(out) = self.net.out(client) {
             clients::write_own(out, status, come_back, close);
         }
+        self.log_answer(id, status, why);
         self.answered(id, client, close);
     }
 
--- a/crates/gateway/src/gateway/to_servers.rs
+++ b/crates/gateway/src/gateway/to_servers.rs
@@ -144,6 +144,7 @@
             clients::write_head(out, 200, body.len(), &input[answer.head.clone()], 0, close);
             out.extend_from_slice(body);
         }
+        self.log_answer(id, 200, "served");
         self.answered(id, client, close);
     }
 
@@ -204,6 +205,7 @@
         settled: f64,
         load: Vec<f64>,
     ) {
+        self.log_attempt_end(&call, server, how);
         let Some(rpc) = self.rpcs.get_mut(&call.rpc) else { return };
         rpc.open = false;
         let closed = rpc.stand == Stand::Answered;
