--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -225,6 +225,15 @@
         read_message(&mut self.0)
     }
 
+    /// The next whole answer, if it comes within this time.
+    pub fn answer_within(&mut self, time: Duration) -> Option<String> {
+        let stream = self.0.get_ref();
+        stream.set_read_timeout(Some(time.max(Duration::from_millis(1)))).unwrap();
+        let answer = read_message(&mut self.0);
+        self.0.get_ref().set_read_timeout(Some(PATIENCE)).unwrap();
+        answer
+    }
+
     /// Sends this text and waits for the answer.
     pub fn ask(&mut self, text: &str) -> String {
         self.send(text);
