A flooding client is read once per event and once when resumed in a turn, never three times

Seen: turns: a_flood_has_no_more_than_two_buffers_of_a_turn failed in the first full run of the suite and in 34 of 60 runs by itself (26 of 60 passed). Cause: Net::resumed could name a connection twice, from the turn before and from this turn's event whose buffer was taken at once (driver.rs, the loop over the resumed), so three buffers of one client were read in a turn. Now named once.

--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -259,6 +259,15 @@
         self.account(id);
     }
 
+    /// Connections to be read once more in this turn. One may be named twice: by the turn before, and by an event of this
+    /// one that filled its buffer again.
+    fn take_resumed(&mut self) -> Vec<usize> {
+        let mut resumed = std::mem::take(&mut self.resumed);
+        resumed.sort_unstable();
+        resumed.dedup();
+        resumed
+    }
+
     /// Whether its buffer is full, so that its end could not be seen.
     pub fn is_full(&self, id: usize) -> bool {
         self.get(id).is_some_and(|conn| conn.paused)
@@ -546,7 +555,7 @@
                 }
             }
             // Once a turn, so that a client that sends on without end has no more than its turn.
-            for id in std::mem::take(&mut gateway.net().resumed) {
+            for id in gateway.net().take_resumed() {
                 gateway.net().read(id, false);
                 gateway.came(id);
             }
