Every wait of a stopping process ends before it can be killed

Class: a wait that is bounded by somebody else's time and not by the process's own. Change: shutdown.rs holds the timeline of a shutdown, worked out from the settings and from when the signal can have come; deadlines, attempts (asked and out), the module's waits and the last call are cut to it, and the process ends by itself before SIGKILL. A further message that was read behind one is answered, too, in place of dropped; what is half there after the last call is refused at once. A configuration read while stopping may only shorten the end.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -2,6 +2,7 @@
 
 use crate::counter;
 use crate::services::Services;
+use crate::shutdown::longest_deadline;
 use agreement::Nanos;
 use agreement::terms::Terms;
 use agreement::version::{Fallback, Version};
@@ -148,6 +149,13 @@
         self.bounds();
     }
 
+    /// The longest deadline of a method.
+    pub fn longest_deadline(&self) -> Nanos {
+        let told = |number| self.setting(&format!("classes.{number}.deadline"));
+        let nanos = |secs: f64| (secs * 1e9) as Nanos;
+        longest_deadline((0..self.methods.len()).map(|number| told(number).map(nanos)))
+    }
+
     pub fn setting(&self, name: &str) -> Option<f64> {
         self.settings.get(name)?.parse().ok().filter(|value: &f64| value.is_finite() && *value > 0.0)
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 use crate::http::{BODY_MOST, Bad, HEAD_MOST};
 use crate::list::{self, Told, Watch};
 use crate::servers::{self, Answer, Attempt, Body, Link, Server, Servers, Stage};
+use crate::shutdown::Shutdown;
 use crate::timers::Timers;
 use martenramp::brain::Brain;
 use martenramp::host::{Arrival, End, Ended, Host, Nanos};
@@ -22,6 +23,7 @@
 
 mod agreeing;
 mod rpc_log;
+mod stopping;
 mod to_clients;
 mod to_counter;
 mod to_list;
@@ -34,8 +36,7 @@
 const OVERDUE: Nanos = 2 * MS;
 /// What is idle, silent or slow is looked for so often.
 const SWEEP: Nanos = 250 * MS;
-/// After SIGTERM: new connections are taken for so long, then messages that had begun may still come in.
-const STAY: Nanos = 500 * MS;
+/// For how long a connection that this side ended is read on, until its client closes it too.
 const LINGER: Nanos = 500 * MS;
 /// Descriptors that are neither clients' nor servers' (poll, signals, logs, list, counter), and some spare.
 const OTHERS: usize = 24;
@@ -69,8 +70,10 @@
     Sweep,
     Watch,
     Accept,
-    Stay,
-    Linger,
+    /// Steps of a shutdown.
+    StopListening,
+    LastCall,
+    Exit,
     Agree,
     /// More of a list is to be brought into force.
     Changes,
@@ -158,7 +161,12 @@
     /// Clients whose buffer may hold a further message.
     again: VecDeque<usize>,
     has_list: bool,
-    stopping: bool,
+    /// Since SIGTERM.
+    shutdown: Option<Shutdown>,
+    /// The longest deadline that the configuration file told when it was read again.
+    file_deadline: Option<Nanos>,
+    /// The process ends with this turn.
+    exits: bool,
     listens: bool,
     accepts_again: bool,
     clients_most: usize,
@@ -239,7 +247,9 @@
             counted: VecDeque::new(),
             again: VecDeque::new(),
             has_list: false,
-            stopping: false,
+            shutdown: None,
+            file_deadline: None,
+            exits: false,
             listens: true,
             accepts_again: false,
             config,
@@ -288,12 +298,8 @@
         timers.next()
     }
 
-    /// SIGTERM: connections are taken for a while yet, every answer closes its connection, all held is answered.
     fn stop(&mut self) {
-        if !std::mem::replace(&mut self.desk.stopping, true) {
-            info!(self.desk.log, "stopping"; "held" => self.desk.open_rpcs, "clients" => self.desk.clients.len());
-            self.desk.timers.set(self.desk.net.now + STAY, What::Stay);
-        }
+        self.begin_shutdown();
     }
 
     /// SIGHUP: discovery and the counter are where the file says now; settings with a version hold from their time on; all
@@ -310,6 +316,7 @@
         let agreed = self.pact.is_some() && new.agreement.is_some();
         info!(desk.log, "configuration read"; "discovery" => %new.discovery, "counter" => shown(new.counter),
             "needs_restart" => !agreed && new.settings != desk.config.settings);
+        desk.file_deadline = Some(new.longest_deadline());
         if new.discovery != desk.config.discovery {
             desk.config.discovery = new.discovery;
             desk.move_watch();
@@ -323,6 +330,7 @@
             let services = Rc::new(self.desk.config.services.with_classes_of(&new.services));
             self.take_version(told.version, new.methods, new.plans, services);
         }
+        self.shorten_shutdown();
     }
 
     /// A list's next batch goes before all that the turn brings: what is sent to a server in this turn is written in it.
@@ -346,7 +354,7 @@
     }
 
     fn is_over(&self) -> bool {
-        !self.desk.listens && self.desk.clients.is_empty()
+        self.desk.exits || !self.desk.listens && self.desk.clients.is_empty()
     }
 
     /// Whether one more client can be taken, if need be for one that only holds its place.
@@ -436,12 +444,12 @@
                 What::Sweep => self.desk.sweep(),
                 What::Watch => self.desk.dial_watch(),
                 What::Accept => self.desk.accepts_again = true,
-                What::Stay => {
+                What::StopListening => {
                     self.desk.listens = false;
                     self.desk.close_clients(false);
-                    self.desk.timers.set(now + LINGER, What::Linger);
                 }
-                What::Linger => self.desk.close_clients(true),
+                What::LastCall => self.desk.close_clients(true),
+                What::Exit => self.exit(),
                 What::Agree => self.agree(),
                 What::Changes => {} // the turn has begun with it
             }
--- a/crates/gateway/src/gateway/rpc_log.rs
+++ b/crates/gateway/src/gateway/rpc_log.rs
@@ -25,7 +25,7 @@
     /// An attempt was asked for; logged for retries, and while the process stops.
     pub(super) fn log_attempt(&self, attempt: &Attempt, server: u32) {
         let Some(rpc) = self.rpcs.get(&attempt.rpc) else { return };
-        if attempt.nth == 0 && !self.stopping {
+        if attempt.nth == 0 && !self.is_stopping() {
             return;
         }
         let address = self.servers.by_number.get(&server).map(|server| server.address);
@@ -36,7 +36,7 @@
     /// An attempt ended; logged unless it went well, and always while the process stops.
     pub(super) fn log_attempt_end(&self, attempt: &Attempt, server: u32, how: End) {
         let Some(rpc) = self.rpcs.get(&attempt.rpc) else { return };
-        if how == End::Ok && !self.stopping {
+        if how == End::Ok && !self.is_stopping() {
             return;
         }
         let address = self.servers.by_number.get(&server).map(|server| server.address);
@@ -47,7 +47,7 @@
     /// An RPC got its final answer; `why` tells an answer of the gateway's own from a server's.
     pub(super) fn log_answer(&self, id: u32, status: u16, why: &'static str) {
         let Some(rpc) = self.rpcs.get(&id) else { return };
-        if status == 200 && !self.stopping {
+        if status == 200 && !self.is_stopping() {
             return;
         }
         info!(self.log, "answer"; "txn" => %text(&rpc.id), "status" => status, "why" => why,
--- /dev/null
+++ b/crates/gateway/src/gateway/stopping.rs
@@ -0,0 +1,95 @@
+//! The gateway's side of a shutdown: SIGTERM starts the timeline of [`Shutdown`], and every wait is cut to it.
+
+use super::*;
+
+impl Gateway {
+    /// SIGTERM: connections are taken for a while yet, every answer closes its connection, all that is read is answered
+    /// before the process may be killed. A second SIGTERM changes nothing.
+    pub(super) fn begin_shutdown(&mut self) {
+        if self.desk.shutdown.is_some() {
+            return;
+        }
+        // The signal may have waited here as long as a message that is read now.
+        let signalled_at = self.desk.net.now.saturating_sub(self.desk.net.late);
+        let shutdown = Shutdown::new(signalled_at, self.desk.longest_deadline());
+        info!(self.desk.log, "stopping"; "held" => self.desk.open_rpcs, "clients" => self.desk.clients.len(),
+            "answer_within_ms" => shutdown.answer_by.saturating_sub(self.desk.net.now) / MS);
+        self.follow(shutdown);
+    }
+
+    /// A configuration read while the process stops may tell shorter deadlines, and so an earlier end.
+    pub(super) fn shorten_shutdown(&mut self) {
+        let Some(shutdown) = self.desk.shutdown else { return };
+        let shorter = shutdown.earlier(Shutdown::new(shutdown.signalled_at, self.desk.longest_deadline()));
+        if shorter != shutdown {
+            self.follow(shorter);
+        }
+    }
+
+    /// Cuts every wait to a timeline and sets its timers.
+    fn follow(&mut self, shutdown: Shutdown) {
+        let desk = &mut self.desk;
+        desk.shutdown = Some(shutdown);
+        desk.timers.set(shutdown.listen_until, What::StopListening);
+        desk.timers.set(shutdown.last_call, What::LastCall);
+        desk.timers.set(shutdown.exit_at, What::Exit);
+        let answer_by = shutdown.answer_by;
+        for (id, rpc) in &mut desk.rpcs {
+            rpc.deadline = rpc.deadline.min(answer_by);
+            desk.timers.set(rpc.deadline + OVERDUE, What::Overdue(*id));
+        }
+        for (id, link) in &mut desk.links {
+            if let Some(attempt) = link.attempt_mut() {
+                attempt.until = attempt.until.min(answer_by);
+                desk.timers.set(attempt.until, What::CallOut(*id, attempt.rpc, attempt.nth));
+            }
+        }
+        let now = desk.net.now;
+        self.brain.end_by(&mut self.desk, now, answer_by);
+    }
+
+    /// The process ends now. What should have been answered before is answered, and what clients still sent is read, so
+    /// that no unread byte makes a reset of the close.
+    pub(super) fn exit(&mut self) {
+        let unanswered: Vec<u32> =
+            self.desk.clients.values().filter_map(|client| Some(client.rpc?.0)).collect();
+        unanswered.into_iter().for_each(|id| self.overdue(id));
+        let clients: Vec<usize> = self.desk.clients.keys().copied().collect();
+        clients.into_iter().for_each(|id| self.desk.net.read(id, false));
+        self.desk.exits = true;
+    }
+
+    /// The last line of the log.
+    pub fn log_end(&self) {
+        info!(self.desk.log, "ended"; "unanswered" => self.desk.open_rpcs, "clients" => self.desk.clients.len());
+    }
+}
+
+impl Desk {
+    /// The longest deadline of the settings that hold, or of the file read last, whichever is shorter: the platform may go
+    /// by either.
+    fn longest_deadline(&self) -> Nanos {
+        let held = self.config.longest_deadline();
+        self.file_deadline.map_or(held, |told| held.min(told))
+    }
+
+    pub(super) fn is_stopping(&self) -> bool {
+        self.shutdown.is_some()
+    }
+
+    /// Whether nothing that is not whole is waited for any more.
+    pub(super) fn is_past_last_call(&self) -> bool {
+        self.shutdown.is_some_and(|shutdown| self.net.now >= shutdown.last_call)
+    }
+
+    /// By when an RPC has its answer, if it should have it by this time.
+    pub(super) fn within_life(&self, deadline: Nanos) -> Nanos {
+        self.shutdown.map_or(deadline, |shutdown| deadline.min(shutdown.answer_by))
+    }
+
+    /// Whether a connection whose buffer holds a message of this length closes with its answer: while the process stops,
+    /// unless more has been read, which is answered too.
+    pub(super) fn ends_with(&self, client: usize, length: usize) -> bool {
+        self.is_stopping() && self.net.input(client).len() <= length
+    }
+}
--- a/crates/gateway/src/gateway/to_clients.rs
+++ b/crates/gateway/src/gateway/to_clients.rs
@@ -23,6 +23,9 @@
                 Ok(Got::Part) if self.desk.net.held > self.desk.held_most => {
                     self.desk.refuse(id, 503, "no-memory")
                 }
+                Ok(Got::Part | Got::Continue) if self.desk.is_past_last_call() => {
+                    self.desk.refuse(id, 503, "stopping")
+                }
                 Ok(Got::Part) => {}
                 Ok(Got::Continue) => {
                     if let Some(out) = self.desk.net.out(id) {
@@ -31,7 +34,7 @@
                 }
                 Ok(Got::Rpc(message)) => self.arrive(id, message),
                 Ok(Got::Ready(length)) => {
-                    let ready = self.desk.has_list && !self.desk.stopping;
+                    let ready = self.desk.has_list && !self.desk.is_stopping();
                     let shows = self.shows();
                     self.desk.answer_own(id, if ready { 200 } else { 503 }, length, &shows);
                 }
@@ -64,7 +67,8 @@
         let id = self.desk.fresh_rpc();
         let Some(at) = self.desk.clients.get_mut(&client) else { return };
         at.rpc = Some((id, end));
-        let deadline = (at.came + message.remaining_ms * MS).saturating_sub(MARGIN).max(now);
+        let asked = (at.came + message.remaining_ms * MS).saturating_sub(MARGIN);
+        let deadline = self.desk.within_life(asked).max(now);
         let arrival = Arrival {
             id,
             method: message.method,
@@ -150,11 +154,12 @@
     /// Whether the answer to an RPC is the last on its connection.
     pub(super) fn closes(&self, rpc: &Rpc) -> bool {
         let floods = self.clients.get(&rpc.client).is_some_and(|client| client.floods);
-        rpc.message.close || self.stopping || floods
+        rpc.message.close || floods || self.ends_with(rpc.client, rpc.message.body.end)
     }
 
     pub(super) fn answered(&mut self, id: u32, client: usize, close: bool) {
         self.shift(id, Stand::Answered);
+        let stopping = self.is_stopping();
         let Some(at) = self.clients.get_mut(&client) else { return };
         let length = at.rpc.take().map_or(0, |rpc| rpc.1);
         at.served += 1;
@@ -163,7 +168,7 @@
         self.net.used(client, length);
         if close {
             at.closing = Some(match at.floods {
-                _ if self.stopping => "stopping",
+                _ if stopping => "stopping",
                 true => "sends-on-before-its-answer",
                 false => "client-asked",
             });
@@ -172,7 +177,9 @@
 
     /// An answer of the gateway's own to a message that is no RPC of the module's; `lines` are further header lines.
     pub(super) fn answer_own(&mut self, client: usize, status: u16, length: usize, lines: &str) {
-        let close = self.stopping || self.clients.get(&client).is_some_and(|client| client.spare);
+        let spare = self.clients.get(&client).is_some_and(|client| client.spare);
+        let stopping = self.is_stopping();
+        let close = spare || self.ends_with(client, length);
         if let Some(out) = self.net.out(client) {
             clients::write_told(out, status, lines, 0, close);
         }
@@ -181,7 +188,7 @@
             (at.partial, at.since) = (false, self.net.now);
             at.used(length);
             at.served += 1;
-            at.closing = close.then_some(if self.stopping { "stopping" } else { "too-many-clients" });
+            at.closing = close.then_some(if stopping { "stopping" } else { "too-many-clients" });
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod objects;
 pub mod servers;
 pub mod services;
+pub mod shutdown;
 pub mod timers;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -116,6 +116,7 @@
     config.listen = listen;
     let mut gateway = Gateway::new(config, read_again, net, log);
     let ended = driver.run(&mut gateway, &logs).map_err(|e| e.to_string());
+    gateway.log_end();
     logs.drain();
     ended
 }
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -227,6 +227,13 @@
         }
     }
 
+    pub fn attempt_mut(&mut self) -> Option<&mut Attempt> {
+        match &mut self.stage {
+            Stage::Idle => None,
+            Stage::Asked(attempt) | Stage::Out(attempt) => Some(attempt),
+        }
+    }
+
     pub fn carries(&self, rpc: u32, nth: u16) -> bool {
         self.attempt().is_some_and(|attempt| (attempt.rpc, attempt.nth) == (rpc, nth))
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -336,6 +336,14 @@
         self.customers.len()
     }
 
+    /// The process ends: what is here has its final answer by this time.
+    pub fn end_by(&mut self, host: &mut dyn Host, now: Nanos, at: Nanos) {
+        self.rpcs.values_mut().for_each(|rpc| rpc.soft_deadline = rpc.soft_deadline.min(at));
+        let queued = self.customers.iter().filter(|(_, customer)| !customer.queue.is_empty());
+        let waiting: BTreeSet<u64> = queued.map(|(key, _)| *key).collect();
+        waiting.into_iter().for_each(|key| self.wake_customer(host, now, key, at));
+    }
+
     pub fn client_left(&mut self, id: u32) {
         self.shift(id, State::Ended);
     }
