One guard for sending, repeating, refusing and beginning; invariants are counted at run time

Breaks are logged with the RPC's id; the counts stand in GET /-/healthy (X-Invariants) and in the last log line, 'ended'. A refusal of what may have run where its method does not allow it becomes a failure. Found beside it and mended: a connection's first request had its time counted from when the connection was taken (clients.rs, Client::filled noted a read of no bytes): 1.9 s told of 2.9 s after one second of rest.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -1,6 +1,7 @@
 //! Clients: a state machine for one connection, fed bytes, that finds RPCs in them; and the answers written back.
 
 use crate::config::Config;
+use crate::guard::Effect;
 use crate::http::{self, BODY_MOST, Bad, HEAD_MOST, HEADERS_MOST, Length};
 use martenramp::host::Nanos;
 use std::collections::VecDeque;
@@ -96,6 +97,9 @@
     /// Notes that the buffer holds so many bytes by this time. Guards against counting the time of a message that came
     /// behind another from that one's answer. Harm: of more than [`READS_MOST`] pieces the last count as read too early.
     pub fn filled(&mut self, length: usize, now: Nanos) {
+        if length == 0 {
+            return; // nothing was read: the next byte's time is its own
+        }
         let is_full = self.reads.len() >= READS_MOST;
         match self.reads.back_mut() {
             Some(last) if last.0 >= length => {}
@@ -170,12 +174,13 @@
     let lane = http::only(headers, "x-lane").ok_or(Bad(400, "no-method"))?;
     let number =
         config.methods.iter().position(|known| known.name == lane).ok_or(Bad(400, "unknown-method"))?;
-    if get != config.methods[number].idempotent {
+    let effect = config.methods[number].effect;
+    if get != (effect == Effect::Idempotent) {
         return Err(Bad(405, "bad-method")); // one that is not idempotent must never look so, nor the reverse
     }
     let contract = http::only(headers, "x-contract").ok_or(Bad(400, "no-plan"))?;
     let plan = config.plans.iter().position(|known| known == contract).ok_or(Bad(400, "unknown-plan"))?;
-    if config.methods[number].marked && http::only(headers, "idempotency-key").is_none() {
+    if matches!(effect, Effect::Deduplicated { .. }) && http::only(headers, "idempotency-key").is_none() {
         return Err(Bad(400, "no-idempotency-key")); // without it a repeat could not be known as one
     }
     let txn = http::only(headers, "x-txn").ok_or(Bad(400, "no-txn"))?;
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,6 +1,7 @@
 //! What a gateway is told at its start: the configuration file, and the environment for what it leaves out.
 
 use crate::counter;
+use crate::guard::Effect;
 use crate::services::Services;
 use crate::shutdown::longest_deadline;
 use agreement::Nanos;
@@ -54,11 +55,26 @@
 const LEASE: f64 = 2.0;
 const CLOCK: f64 = 0.25;
 
-/// A method by its name; `marked` ones carry a mark by which a repeat is known.
+/// A method by its name.
 pub struct Method {
     pub name: String,
-    pub marked: bool,
-    pub idempotent: bool,
+    pub effect: Effect,
+}
+
+impl Method {
+    fn read(name: String, number: usize, settings: &Settings) -> Method {
+        let told = |part: &str| settings.get(&format!("classes.{number}.{part}")).map(String::as_str);
+        let window = told("window").and_then(|secs| secs.parse().ok()).unwrap_or(0.0);
+        let effect = match told("idempotency") {
+            Some("free") => Effect::Idempotent,
+            Some("guarded") => Effect::Deduplicated {
+                window: (f64::max(window, 0.0) * 1e9) as Nanos,
+                anywhere: told("group") == Some("all"),
+            },
+            _ => Effect::Once,
+        };
+        Method { name, effect }
+    }
 }
 
 /// Where no limit is told: the usual one of a process.
@@ -98,10 +114,7 @@
         let methods: Vec<Method> = names("classes")
             .into_iter()
             .enumerate()
-            .map(|(number, name)| {
-                let how = settings.get(&format!("classes.{number}.idempotency")).map(String::as_str);
-                Method { name, marked: how == Some("guarded"), idempotent: how == Some("free") }
-            })
+            .map(|(number, name)| Method::read(name, number, &settings))
             .collect();
         let services = Services::read(&all["services"], &names("classes"))?;
         let plans = names("tariffs");
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,7 +7,9 @@
 use crate::counter::{self, Call, Line};
 use crate::directory::Directory;
 use crate::driver::{ACCEPT_AGAIN, Ending, Net, Peer, Turned, out_of_descriptors};
+use crate::guard::{self, Effect, ServerNow};
 use crate::http::{BODY_MOST, Bad, HEAD_MOST};
+use crate::invariants::{Counts, Invariant};
 use crate::list::{self, Told, Watch};
 use crate::servers::{self, Answer, Attempt, Body, Link, Server, Servers, Stage};
 use crate::shutdown::Shutdown;
@@ -22,6 +24,7 @@
 use std::time::Instant;
 
 mod agreeing;
+mod checks;
 mod rpc_log;
 mod stopping;
 mod to_clients;
@@ -105,6 +108,9 @@
     deadline: Nanos,
     call_outs: u16,
     open: bool,
+    /// How often it may run, and when the first attempt began that may have run.
+    effect: Effect,
+    first_run: Option<Nanos>,
     /// Some of it was written to a server.
     written: bool,
     id: Box<[u8]>,
@@ -155,6 +161,8 @@
     lines_from: usize,
     moved_at: Nanos,
     last_call: u64,
+    /// How often each invariant was looked at, kept and broken.
+    counts: Counts,
     /// Ends that the module is to be told of.
     ended: VecDeque<Ended>,
     counted: VecDeque<(Call, End, f64)>,
@@ -243,6 +251,7 @@
             lines_from: 0,
             moved_at: 0,
             last_call: 0,
+            counts: Counts::default(),
             ended: VecDeque::new(),
             counted: VecDeque::new(),
             again: VecDeque::new(),
@@ -523,7 +532,11 @@
     }
 
     fn push_back(&mut self, id: u32, come_back: Nanos) {
-        self.answer(id, if come_back > 0 { 429 } else { 503 }, come_back, "refused");
+        if self.refusal_is_harmless(id) {
+            self.answer(id, if come_back > 0 { 429 } else { 503 }, come_back, "refused");
+        } else {
+            self.abort(id);
+        }
     }
 
     fn abort(&mut self, id: u32) {
--- a/crates/gateway/src/gateway/stopping.rs
+++ b/crates/gateway/src/gateway/stopping.rs
@@ -61,7 +61,9 @@
 
     /// The last line of the log.
     pub fn log_end(&self) {
-        info!(self.desk.log, "ended"; "unanswered" => self.desk.open_rpcs, "clients" => self.desk.clients.len());
+        let desk = &self.desk;
+        info!(desk.log, "ended"; "unanswered" => desk.open_rpcs, "clients" => desk.clients.len(),
+            "invariants" => desk.counts.summary(), "violations" => desk.counts.violations());
     }
 }
 
--- a/crates/gateway/src/gateway/to_clients.rs
+++ b/crates/gateway/src/gateway/to_clients.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Why a client's connection ended: it left before it had its answer.
+pub(super) const LEFT: &str = "left-before-answer";
+
 impl Gateway {
     pub(super) fn client_came(&mut self, id: usize) {
         let came = self.desk.net.now - self.desk.net.late;
@@ -39,7 +42,7 @@
                     self.desk.answer_own(id, if ready { 200 } else { 503 }, length, &shows);
                 }
                 Ok(Got::Healthy(length)) => {
-                    let shows = self.shows();
+                    let shows = self.shows() + &self.desk.counts_line();
                     self.desk.answer_own(id, 200, length, &shows);
                 }
                 Err(Bad(status, why)) => self.desk.refuse(id, status, why),
@@ -55,16 +58,19 @@
         let own: Box<[u8]> = self.desk.net.input(client)[message.txn.clone()].into();
         let spare = self.desk.clients.get(&client).is_some_and(|client| client.spare);
         if self.desk.open_rpcs >= self.desk.rpcs_most || spare || self.desk.net.held > self.desk.held_most {
-            // No room for more: what is pushed back here never reached the module.
+            // No room for more: what is refused here never reached the module.
             self.desk.log_turned_away(&own, 503, "no-room");
             self.desk.answer_own(client, 503, end, "");
             return;
         }
+        if !self.desk.may_begin(&own) {
+            return self.desk.answer_own(client, 503, end, "");
+        }
         if !self.desk.ids.insert(own.clone()) {
             // Guards against one client's answer going by another's id. Harm: none, ids are fresh on every RPC.
             return self.desk.refuse(client, 409, "duplicate-id");
         }
-        let id = self.desk.fresh_rpc();
+        let (id, method) = (self.desk.fresh_rpc(), message.method);
         let Some(at) = self.desk.clients.get_mut(&client) else { return };
         at.rpc = Some((id, end));
         let asked = (at.came + message.remaining_ms * MS).saturating_sub(MARGIN);
@@ -88,6 +94,8 @@
             deadline,
             call_outs: 0,
             open: false,
+            effect: self.desk.config.methods[usize::from(method)].effect,
+            first_run: None,
             written: false,
             id: own,
         };
@@ -101,9 +109,8 @@
     pub(super) fn overdue(&mut self, id: u32) {
         if self.desk.rpcs.get(&id).is_some_and(|rpc| rpc.stand != Stand::Answered) {
             warn!(self.desk.log, "overdue"; "rpc" => id);
-            // What was never written to a server is pushed back: trying again is harmless.
-            let ran = self.desk.rpcs.get(&id).is_some_and(|rpc| rpc.written);
-            self.desk.answer(id, if ran { 504 } else { 503 }, 0, "overdue");
+            let harmless = self.desk.rpcs.get(&id).is_some_and(|rpc| !rpc.written);
+            self.desk.answer(id, if harmless { 503 } else { 504 }, 0, "overdue");
             self.brain.client_left(id);
         }
     }
@@ -130,7 +137,7 @@
 
     pub(super) fn client_left(&mut self, id: usize, why: &'static str) {
         let rpc = self.desk.clients.get(&id).and_then(|client| client.rpc).map(|rpc| rpc.0);
-        self.desk.end_client(id, if rpc.is_some() { "left-before-answer" } else { why });
+        self.desk.end_client(id, if rpc.is_some() { LEFT } else { why });
         if let Some(rpc) = rpc {
             self.desk.log_abandoned(rpc);
             self.desk.shift(rpc, Stand::Answered);
@@ -148,6 +155,7 @@
             clients::write_own(out, status, come_back, close);
         }
         self.log_answer(id, status, why);
+        self.check_answer(id);
         self.answered(id, client, close);
     }
 
@@ -204,6 +212,7 @@
     }
 
     pub(super) fn end_client(&mut self, id: usize, why: &'static str) {
+        self.check_end_of_client(id, why);
         let Some(client) = self.clients.remove(&id) else { return };
         let why = client.closing.unwrap_or(why);
         info!(self.log, "client"; "why" => why, "from" => shown(self.net.address(id)), "answers" => client.served,
--- a/crates/gateway/src/gateway/to_servers.rs
+++ b/crates/gateway/src/gateway/to_servers.rs
@@ -1,6 +1,7 @@
 //! The gateway's side of servers: a connection for each call-out, and how the call-out ended.
 
 use super::*;
+use crate::guard::Obstacle;
 
 impl Desk {
     /// An idle connection to a server, the one used last, or a new one.
@@ -52,8 +53,8 @@
         if let Some(why) = unasked.or(self.net.ended(id).map(Ending::reason)) {
             return self.give_up(id, self.unwritten(id), why);
         }
-        if let Some(why) = self.obstacle(id, &attempt) {
-            info!(self.log, "not written"; "why" => why, "rpc" => attempt.rpc, "attempt" => attempt.nth,
+        if let Err(obstacle) = self.may_send(id, &attempt) {
+            info!(self.log, "not written"; "why" => obstacle.reason(), "rpc" => attempt.rpc, "attempt" => attempt.nth,
                 "ms" => (self.net.now - attempt.sent) / MS);
             self.end_call_out(server, attempt, End::NotSent, 0.0, Vec::new());
             return self.rest_link(id);
@@ -61,7 +62,7 @@
         let Desk { net, links, rpcs, .. } = self;
         let (Some(rpc), Some(link)) = (rpcs.get_mut(&attempt.rpc), links.get_mut(&id)) else { return };
         rpc.written = true;
-        let wait = attempt.until - net.now;
+        let wait = attempt.until.min(rpc.deadline).saturating_sub(net.now);
         if let Some((message, out)) = net.input_and_out(rpc.client, id) {
             link.write(out, attempt, &rpc.message, message, wait);
         }
@@ -73,20 +74,32 @@
         if rested { End::NotSent } else { End::NoConnection }
     }
 
-    /// Why an attempt may no longer be written. Guards against everything that may have changed while its connection came
-    /// up, or within the turn: the client left, its time or the time for a repeat passed (less what the way takes), the
-    /// server drains, is gone, or is another one now. Harm: none, nothing has run.
-    fn obstacle(&self, id: usize, attempt: &Attempt) -> Option<&'static str> {
-        let now = self.net.now;
-        let there = |rpc: &Rpc| rpc.stand != Stand::Answered && self.clients.contains_key(&rpc.client);
-        let link = self.links.get(&id)?;
-        let server = self.servers.by_number.get(&link.server).filter(|server| server.listed && server.ready);
-        match server {
-            _ if !self.rpcs.get(&attempt.rpc).is_some_and(there) => Some("client-left"),
-            _ if now >= attempt.until => Some("deadline-over"),
-            _ if now.saturating_add(MARGIN) >= attempt.before => Some("repeat-window-over"),
-            None => Some("server-drains-or-gone"),
-            Some(server) => (!self.is_same(id, link, server)).then_some("server-moved"),
+    /// Asks the guard whether an attempt may be written on this connection.
+    fn may_send(&mut self, id: usize, attempt: &Attempt) -> Result<(), Obstacle> {
+        let Some(link) = self.links.get(&id) else { return Err(Obstacle::ServerMoved) };
+        let there = |rpc: &&Rpc| rpc.stand != Stand::Answered && self.clients.contains_key(&rpc.client);
+        let rpc = self.rpcs.get(&attempt.rpc).filter(there);
+        let send = guard::Send {
+            now: self.net.now,
+            client_present: rpc.is_some(),
+            until: attempt.until,
+            before: attempt.before,
+            effect: rpc.map_or(Effect::Once, |rpc| rpc.effect),
+            first_run: rpc.and_then(|rpc| rpc.first_run),
+            server: self.server_now(id, link),
+        };
+        let verdict = guard::may_send(&send);
+        self.count_send(verdict);
+        verdict
+    }
+
+    /// What the list says now of the server that a connection leads to.
+    fn server_now(&self, id: usize, link: &Link) -> ServerNow {
+        let listed = self.servers.by_number.get(&link.server).filter(|server| server.listed && server.ready);
+        match listed {
+            None => ServerNow::DrainsOrGone,
+            Some(server) if self.is_same(id, link, server) => ServerNow::Ready,
+            Some(_) => ServerNow::Moved,
         }
     }
 
@@ -145,6 +158,7 @@
             out.extend_from_slice(body);
         }
         self.log_answer(id, 200, "served");
+        self.check_answer(id);
         self.answered(id, client, close);
     }
 
@@ -208,6 +222,9 @@
         self.log_attempt_end(&call, server, how);
         let Some(rpc) = self.rpcs.get_mut(&call.rpc) else { return };
         rpc.open = false;
+        if !matches!(how, End::NoConnection | End::NotSent | End::Full) {
+            rpc.first_run = Some(rpc.first_run.map_or(call.sent, |first| first.min(call.sent)));
+        }
         let closed = rpc.stand == Stand::Answered;
         if closed {
             self.forget(call.rpc);
