--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -59,14 +59,33 @@
     pub starts: Vec<usize>,
     /// Each gateway's log lines.
     pub lines: Vec<Vec<String>>,
-    /// Gateways that ended unasked, or not with 0 after SIGTERM.
+    /// Gateways that ended unasked, not with 0 after SIGTERM, or not in their time.
     pub crashed: Vec<String>,
+    /// Gateways that a fault killed, and when.
+    pub killed: Vec<(usize, Nanos)>,
+    /// Every change of the list: the server, when, and whether it is ready from then on.
+    pub list_changes: Vec<ListChange>,
+    /// How often each kind of step was carried out.
+    pub steps: BTreeMap<String, usize>,
+    /// RPCs that clients sent once more, since their connection was closed as they crossed.
+    pub sent_again: u64,
     /// Calls that the counter got.
     pub count_calls: u64,
     /// Bytes of the lines that told gateways lists or changes.
     pub list_bytes: u64,
 }
 
+/// A change of discovery's list.
+#[derive(Clone, Copy, Debug)]
+pub struct ListChange {
+    /// The server.
+    pub server: usize,
+    /// When discovery had it.
+    pub at: Nanos,
+    /// Whether new work may go there from then on.
+    pub ready: bool,
+}
+
 struct Gateway {
     number: usize,
     /// Of the fleet as this gateway is told.
@@ -79,6 +98,8 @@
     version: u64,
     starts_ms: u64,
     program: Option<Program>,
+    /// When this process was told to end first.
+    told_to_end: Option<Nanos>,
     starts: usize,
     lines: Vec<String>,
 }
@@ -103,6 +124,9 @@
     at_counter: SocketAddr,
     servers_at: SocketAddr,
     crashed: Vec<String>,
+    killed: Vec<(usize, Nanos)>,
+    list_changes: Vec<ListChange>,
+    steps_done: BTreeMap<String, usize>,
 }
 
 /// Plays a scenario with this program.
@@ -133,6 +157,7 @@
             break;
         }
         fleet.sleep_until(next.at);
+        fleet.count_step(&next.step);
         steps.extend(fleet.carry_out(next.step)?);
     }
     fleet.sleep_until(to);
@@ -161,6 +186,7 @@
             methods: methods.collect(),
             customers: customers(scenario, scenario.gateways),
             notice: nanos(scenario.load.notice),
+            behaviour: scenario.load.behaviour(),
         };
         let mut fleet = Fleet {
             scenario,
@@ -178,6 +204,9 @@
             links_of: BTreeMap::new(),
             seeds: chance(seed, Stream::Seeds),
             crashed: Vec::new(),
+            killed: Vec::new(),
+            list_changes: Vec::new(),
+            steps_done: BTreeMap::new(),
             at_counter: loopback::COUNTER,
             servers_at: loopback::servers_of_a_fleet(),
         };
@@ -211,9 +240,10 @@
         for gateway in 0..self.gateways.len() {
             let at = &mut self.gateways[gateway];
             if let Some(program) = &mut at.program {
-                if let Some(how) = program.ended() {
+                let asked = at.told_to_end.is_some();
+                if let Some(how) = program.ended().filter(|how| !(asked && how.success())) {
                     self.crashed.push(format!("n{} ended by itself with {how:?}", at.number));
-                } else {
+                } else if program.ended().is_none() {
                     let _ = program.send(Signal::TERM);
                 }
             }
@@ -222,8 +252,8 @@
         let (ledger, connections) = self.servers.with(|servers, _| {
             (std::mem::take(&mut servers.ledger), std::mem::take(&mut servers.connections))
         });
-        let (calls, extra_answers) =
-            self.front.with(|front, _| (std::mem::take(&mut front.calls), front.extra));
+        let (calls, extra_answers, sent_again) =
+            self.front.with(|front, _| (std::mem::take(&mut front.calls), front.extra, front.sent_again));
         let classes = self.scenario.load.methods.iter();
         let first = self.scenario.faults.iter().map(|fault| nanos(fault.at())).min();
         Outcome {
@@ -241,6 +271,10 @@
             starts: self.gateways.iter().map(|gateway| gateway.starts).collect(),
             lines: self.gateways.into_iter().map(|gateway| gateway.lines).collect(),
             crashed: self.crashed,
+            killed: self.killed,
+            list_changes: self.list_changes,
+            steps: self.steps_done,
+            sent_again,
             count_calls: self.counter.with(|counter, _| counter.calls),
             list_bytes: self.discovery.with(|discovery, _| discovery.told_bytes),
         }
--- a/crates/rig/src/fleet/gateways.rs
+++ b/crates/rig/src/fleet/gateways.rs
@@ -43,6 +43,7 @@
             version: 1,
             starts_ms: 0,
             program: None,
+            told_to_end: None,
             starts: 0,
             lines: Vec::new(),
         });
@@ -82,7 +83,7 @@
             let program = Program::spawn(&mut Command::new(self.program), &text);
             let program = program.map_err(|e| format!("can't start {}: {e}", self.program.display()))?;
             let at = &mut self.gateways[*gateway];
-            (at.program, at.starts) = (Some(program), at.starts + 1);
+            (at.program, at.starts, at.told_to_end) = (Some(program), at.starts + 1, None);
         }
         for gateway in which {
             let fresh = self.gateways[*gateway].listen.port() == 0;
--- a/crates/rig/src/fleet/script.rs
+++ b/crates/rig/src/fleet/script.rs
@@ -11,23 +11,65 @@
 use standins::relay::{Faults, Gate, Path as Way};
 use standins::servers::Health;
 
+/// The platform kills a process no sooner after SIGTERM than the longest deadline, of which so much counts, and this grace;
+/// seconds.
+const DEADLINE_MOST: f64 = 3.0;
+const KILL_GRACE: f64 = 0.7;
+
 /// A thing to do to the fleet or to who it speaks with. Gateways, servers and links go by their numbers.
+#[derive(Debug)]
 pub(super) enum Step {
-    Signal { gateways: Vec<usize>, signal: Signal },
-    Start { gateways: Vec<usize> },
-    Grow { count: usize, share: f64 },
+    Signal {
+        gateways: Vec<usize>,
+        signal: Signal,
+    },
+    /// SIGKILL for those that were told to end and still run.
+    KillLate {
+        gateways: Vec<usize>,
+        after: Nanos,
+    },
+    Reload {
+        gateways: Vec<usize>,
+    },
+    Start {
+        gateways: Vec<usize>,
+    },
+    Grow {
+        count: usize,
+        share: f64,
+    },
     PlaceCustomers,
-    ReplaceServer { server: usize, drain: Nanos },
+    ReplaceServer {
+        server: usize,
+        drain: Nanos,
+    },
     JoinServer,
     LeaveServer,
-    ServerGone { server: usize },
-    ServerHealth { servers: Vec<usize>, health: Health },
-    ListServers { servers: Vec<usize>, status: &'static str },
-    Agents { agents: Vec<usize>, mode: Mode, versions_back: u64 },
+    ServerGone {
+        server: usize,
+    },
+    ServerHealth {
+        servers: Vec<usize>,
+        health: Health,
+    },
+    ListServers {
+        servers: Vec<usize>,
+        status: &'static str,
+    },
+    Agents {
+        agents: Vec<usize>,
+        mode: Mode,
+        versions_back: u64,
+    },
     CounterState(State),
     EmptyCounter,
-    Burst { factor: f64 },
-    Links { links: Vec<usize>, faults: Faults },
+    Burst {
+        factor: f64,
+    },
+    Links {
+        links: Vec<usize>,
+        faults: Faults,
+    },
 }
 
 /// A step and its time.
@@ -93,6 +135,19 @@
             Fault::Term { at, share, back_after } => {
                 end_gateways(drawn(gateways, *share, draws), Signal::TERM, *at, *back_after)
             }
+            Fault::Restart { at, share, back_after } => {
+                let gateways = drawn(gateways, *share, draws);
+                let after = self.scenario.longest_deadline().min(DEADLINE_MOST) + KILL_GRACE;
+                let killed_at = at + after;
+                vec![
+                    step_at(*at, Step::Signal { gateways: gateways.clone(), signal: Signal::TERM }),
+                    step_at(killed_at, Step::KillLate { gateways: gateways.clone(), after: nanos(after) }),
+                    step_at(killed_at + back_after, Step::Start { gateways }),
+                ]
+            }
+            Fault::Reload { at, share } => {
+                vec![step_at(*at, Step::Reload { gateways: drawn(gateways, *share, draws) })]
+            }
             Fault::Pause { at, share, seconds } => {
                 let gateways = drawn(gateways, *share, draws);
                 let stop = Step::Signal { gateways: gateways.clone(), signal: Signal::STOP };
--- a/crates/rig/src/fleet/servers.rs
+++ b/crates/rig/src/fleet/servers.rs
@@ -1,6 +1,6 @@
 //! The stand-in servers, and what discovery lists of them.
 
-use super::Fleet;
+use super::{Fleet, ListChange};
 use crate::measure::Server;
 use crate::scenario::Servers as Group;
 use crate::{Nanos, nanos};
@@ -39,6 +39,7 @@
         let entry = &mut self.listed[number];
         entry.status = status;
         let entry = entry.clone();
+        self.list_changes.push(ListChange { server: number, at: self.clock.now(), ready: status == "ready" });
         self.discovery.with(move |discovery, io| discovery.change(io, entry));
         self.mark(number, status == "ready");
     }
--- a/crates/rig/src/fleet/steps.rs
+++ b/crates/rig/src/fleet/steps.rs
@@ -22,7 +22,14 @@
     pub(super) fn carry_out(&mut self, step: Step) -> Result<Option<TimedStep>, String> {
         match step {
             Step::Signal { gateways, signal } => self.signal(gateways, signal)?,
+            Step::KillLate { gateways, after } => self.kill_late(&gateways, after)?,
+            Step::Reload { gateways } => self.reload(&gateways)?,
             Step::Start { gateways } => {
+                let stops = |gateway: &usize| {
+                    let at = &self.gateways[*gateway];
+                    at.program.is_none() || at.told_to_end.is_some() // another fault may have started it already
+                };
+                let gateways: Vec<usize> = gateways.into_iter().filter(stops).collect();
                 gateways.iter().for_each(|gateway| self.end(*gateway, true));
                 self.start(&gateways)?;
             }
@@ -64,17 +71,74 @@
         Ok(None)
     }
 
+    /// Notes that a step is carried out, by its kind and, of a signal, a health or a mode, which.
+    pub(super) fn count_step(&mut self, step: &Step) {
+        let name = |value: &dyn std::fmt::Debug| -> String {
+            let shown = format!("{value:?}");
+            shown.chars().take_while(|letter| letter.is_alphanumeric()).collect()
+        };
+        let kind = name(step);
+        let detail = match step {
+            Step::Signal { signal: Signal::TERM, .. } => " SIGTERM".to_string(),
+            Step::Signal { signal: Signal::KILL, .. } => " SIGKILL".to_string(),
+            Step::Signal { signal: Signal::STOP, .. } => " SIGSTOP".to_string(),
+            Step::Signal { .. } => " SIGCONT".to_string(),
+            Step::ServerHealth { health, .. } => format!(" {}", name(health)),
+            Step::Agents { mode, .. } => format!(" {}", name(mode)),
+            Step::CounterState(state) => format!(" {}", name(state)),
+            _ => String::new(),
+        };
+        *self.steps_done.entry(format!("{kind}{detail}")).or_default() += 1;
+    }
+
     fn signal(&mut self, gateways: Vec<usize>, signal: Signal) -> Result<(), String> {
         for gateway in gateways {
-            let Some(program) = &self.gateways[gateway].program else { continue };
+            let Some(program) = &mut self.gateways[gateway].program else { continue };
+            if program.ended().is_some() {
+                continue; // another fault was first
+            }
             program.send(signal).map_err(failed)?;
+            if signal == Signal::TERM {
+                self.gateways[gateway].told_to_end.get_or_insert(self.clock.now());
+            }
             if signal == Signal::KILL {
+                self.killed.push((gateway, self.clock.now()));
                 self.end(gateway, false);
             }
         }
         Ok(())
     }
 
+    /// Kills those that were told to end and have not, and keeps the log of those that have.
+    fn kill_late(&mut self, gateways: &[usize], after: Nanos) -> Result<(), String> {
+        let now = self.clock.now();
+        for gateway in gateways {
+            if self.gateways[*gateway].told_to_end.is_none_or(|told| now < told + after) {
+                continue; // it is another process than was told to end so long ago
+            }
+            let Some(program) = &mut self.gateways[*gateway].program else { continue };
+            if program.ended().is_none() {
+                program.send(Signal::KILL).map_err(failed)?;
+                let number = self.gateways[*gateway].number;
+                self.crashed.push(format!("n{number} was still running when it was killed"));
+                self.end(*gateway, false);
+            }
+        }
+        Ok(())
+    }
+
+    fn reload(&mut self, gateways: &[usize]) -> Result<(), String> {
+        for gateway in gateways {
+            let text = self.configuration(*gateway);
+            let Some(program) = &mut self.gateways[*gateway].program else { continue };
+            if program.ended().is_none() {
+                program.rewrite(&text);
+                program.send(Signal::HUP).map_err(failed)?;
+            }
+        }
+        Ok(())
+    }
+
     /// Starts so many more gateways, and tells a share of the old ones of the larger fleet; the customers follow later.
     fn grow(&mut self, count: usize, share: f64) -> Result<TimedStep, String> {
         let was = self.gateways.len();
--- a/crates/rig/src/front.rs
+++ b/crates/rig/src/front.rs
@@ -13,6 +13,15 @@
 
 const ARRIVAL: u64 = u64::MAX;
 const PROBES: u64 = u64::MAX - 1;
+/// Timers of one call carry its number and what is due: the end of its time unless one of these.
+const BEGIN: u64 = 1 << 60;
+const REST: u64 = 1 << 61;
+const LEAVE: u64 = 1 << 62;
+const CALL_NUMBER: u64 = BEGIN - 1;
+/// The front opens a connection at most so long before its first RPC.
+const EARLY_MOST: Nanos = 1_200 * MS;
+/// The second piece of an RPC comes at most so long after the first.
+const PIECE_MOST: Nanos = 300 * MS;
 const PROBE_EVERY: Nanos = 100 * MS;
 /// An RPC without an answer so long after its deadline is lost.
 const SLACK: Nanos = 500 * MS;
@@ -43,9 +52,22 @@
     pub width: usize,
 }
 
+/// Shares of the RPCs whose clients do something out of the ordinary.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Behaviour {
+    /// The client closes its connection at some moment of its deadline.
+    pub leave: f64,
+    /// Its connection was opened some time before, and has said nothing.
+    pub early: f64,
+    /// Its message comes in two pieces.
+    pub pieces: f64,
+}
+
 /// What the front sends.
 #[derive(Clone, Debug)]
 pub struct Plan {
+    /// What clients do.
+    pub behaviour: Behaviour,
     /// RPCs a second in all.
     pub rate: f64,
     /// The plan that all customers have.
@@ -75,6 +97,8 @@
     Unreached,
     /// No answer by its deadline and some.
     Lost,
+    /// Its client left before.
+    Left,
 }
 
 /// One RPC as the client saw it.
@@ -121,11 +145,26 @@
     Call(usize),
 }
 
+/// How far an RPC's message has been written.
+#[derive(Clone, Debug)]
+struct Message {
+    text: Vec<u8>,
+    conn: Option<Conn>,
+    /// Its connection was there before: a gateway may close it just as the message crosses.
+    rested: bool,
+    written: bool,
+    again: bool,
+}
+
 /// The open-loop load generator before the gateways.
 pub struct Front {
     plan: Plan,
     gateways: Vec<Gateway>,
     conns: BTreeMap<Conn, (usize, Use)>,
+    /// Messages of the calls that are open.
+    messages: BTreeMap<usize, Message>,
+    /// RPCs sent once more, since their connection was closed as they crossed.
+    pub sent_again: u64,
     /// All RPCs so far.
     pub calls: Vec<Call>,
     chance: ChaCha8Rng,
@@ -147,6 +186,8 @@
             plan,
             gateways: Vec::new(),
             conns: BTreeMap::new(),
+            messages: BTreeMap::new(),
+            sent_again: 0,
             calls: Vec::new(),
             chance,
             customers,
@@ -239,25 +280,114 @@
         let gateway = up[self.chance.random_range(0..up.len())];
         let txn = (gateway as u64) << 48 | number as u64;
         let mut call = Call { txn, gateway, method, due, sent: now, done: now, outcome: Outcome::Open };
-        let idle = loop {
-            match self.gateways[gateway].idle.pop() {
-                Some(conn) if !io.is_open(conn) => continue,
-                other => break other,
-            }
-        };
+        let how = &self.plan.methods[method];
+        let (text, deadline) =
+            (request(&self.plan.plan, how, txn, key, &customer).into_bytes(), how.deadline);
+        let behaviour = self.plan.behaviour;
+        let early = behaviour.early > 0.0 && self.chance.random_bool(behaviour.early);
+        let idle = if early { None } else { self.idle(io, gateway) };
+        let rested = early || idle.is_some();
         let Some(conn) = idle.or_else(|| io.connect(self.gateways[gateway].address).ok()) else {
             call.outcome = Outcome::Unreached;
             return self.calls.push(call);
         };
         self.conns.insert(conn, (gateway, Use::Call(number)));
-        let how = &self.plan.methods[method];
-        let text = request(&self.plan.plan, how, txn, key, &customer);
-        io.send(conn, text.as_bytes());
-        io.at(due + how.deadline + SLACK, number as u64);
+        let hold = if early { self.chance.random_range(0..EARLY_MOST) } else { 0 };
+        call.due += hold;
+        call.sent += hold;
+        if behaviour.leave > 0.0 && self.chance.random_bool(behaviour.leave) {
+            io.at(call.due + self.chance.random_range(0..deadline), LEAVE | number as u64);
+        }
+        io.at(call.due + deadline + SLACK, number as u64);
+        self.messages
+            .insert(number, Message { text, conn: Some(conn), rested, written: false, again: false });
         self.calls.push(call);
+        if early {
+            io.at(due + hold, BEGIN | number as u64);
+        } else {
+            self.write(io, number);
+        }
+    }
+
+    /// An idle connection to a gateway that is still open.
+    fn idle(&mut self, io: &mut Io, gateway: usize) -> Option<Conn> {
+        loop {
+            let conn = self.gateways[gateway].idle.pop()?;
+            if io.is_open(conn) {
+                return Some(conn);
+            }
+        }
+    }
+
+    /// Writes an RPC's message, or its first piece; on a new connection where the one that was opened for it is gone.
+    fn write(&mut self, io: &mut Io, number: usize) {
+        let gateway = self.calls[number].gateway;
+        let Some(message) = self.messages.get_mut(&number) else { return };
+        if message.conn.is_none() {
+            let Ok(conn) = io.connect(self.gateways[gateway].address) else {
+                return self.end(io, number, Outcome::Unreached);
+            };
+            (message.conn, message.rested) = (Some(conn), false);
+            self.conns.insert(conn, (gateway, Use::Call(number)));
+        }
+        let pieces = self.plan.behaviour.pieces;
+        let in_pieces = pieces > 0.0 && !message.again && self.chance.random_bool(pieces);
+        let first = if in_pieces { message.text.len() / 2 } else { message.text.len() };
+        message.written = !in_pieces;
+        if let Some(conn) = message.conn {
+            io.send(conn, &message.text[..first]);
+        }
+        if in_pieces {
+            io.at(io.now() + self.chance.random_range(0..PIECE_MOST), REST | number as u64);
+        }
+    }
+
+    /// Writes the second piece.
+    fn write_rest(&mut self, io: &mut Io, number: usize) {
+        let Some(message) = self.messages.get_mut(&number) else { return };
+        message.written = true;
+        let rest = message.text.len() / 2;
+        if let Some(conn) = message.conn {
+            io.send(conn, &message.text[rest..]);
+        }
+    }
+
+    /// Closes the connection of an RPC, since its client leaves or waits no longer.
+    fn leave(&mut self, io: &mut Io, number: usize, outcome: Outcome) {
+        // After the run the calls are handed over while their timers still stand.
+        if self.calls.get(number).is_none_or(|call| call.outcome != Outcome::Open) {
+            return;
+        }
+        let conn = self.messages.get(&number).and_then(|message| message.conn);
+        self.end(io, number, outcome);
+        if let Some(conn) = conn {
+            self.conns.remove(&conn);
+            io.close(conn);
+        }
+    }
+
+    /// An RPC's connection ended without an answer. One that rested may have been closed as the message crossed, and is
+    /// sent once more on a new connection; one that never stood took nothing with it.
+    fn broke(&mut self, io: &mut Io, conn: Conn, number: usize) {
+        let Some(message) = self.messages.get_mut(&number) else { return };
+        message.conn = None;
+        if !message.written {
+            if message.rested && self.calls[number].sent > io.now() {
+                return; // it was opened early, and nothing is said on it yet
+            }
+            return self.end(io, number, Outcome::Unreached);
+        }
+        if message.rested && !message.again {
+            message.again = true;
+            self.sent_again += 1;
+            return self.write(io, number);
+        }
+        let wrote = io.waiting(conn) == 0;
+        self.end(io, number, if wrote { Outcome::Cut } else { Outcome::Unreached });
     }
 
     fn end(&mut self, io: &mut Io, call: usize, outcome: Outcome) {
+        self.messages.remove(&call);
         let call = &mut self.calls[call];
         if call.outcome == Outcome::Open {
             (call.outcome, call.done) = (outcome, io.now());
@@ -360,9 +490,7 @@
         match self.conns.remove(&conn) {
             Some((gateway, Use::Probe)) => self.gateways[gateway].probe = None,
             Some((gateway, Use::Call(call))) => {
-                // A connection that never stood took nothing with it.
-                let wrote = io.waiting(conn) == 0;
-                self.end(io, call, if wrote { Outcome::Cut } else { Outcome::Unreached });
+                self.broke(io, conn, call);
                 self.failed(io, gateway);
             }
             Some((_, Use::Idle)) | None => {}
@@ -374,15 +502,12 @@
             ARRIVAL => self.arrive(io),
             PROBES => self.probe(io),
             call => {
-                // After the run the calls are handed over while their timers still stand.
-                if self.calls.get(call as usize).is_none_or(|call| call.outcome != Outcome::Open) {
-                    return;
-                }
-                self.end(io, call as usize, Outcome::Lost);
-                let conn = self.conns.iter().find(|(_, what)| what.1 == Use::Call(call as usize));
-                if let Some(conn) = conn.map(|(conn, _)| *conn) {
-                    self.conns.remove(&conn);
-                    io.close(conn);
+                let number = (call & CALL_NUMBER) as usize;
+                match call & !CALL_NUMBER {
+                    BEGIN => self.write(io, number),
+                    REST => self.write_rest(io, number),
+                    LEAVE => self.leave(io, number, Outcome::Left),
+                    _ => self.leave(io, number, Outcome::Lost),
                 }
             }
         }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod report;
 pub mod rollouts;
 pub mod scenario;
+pub mod soak;
 
 pub use standins::{MS, Nanos, SEC, nanos};
 
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -5,6 +5,9 @@
 use rig::report::Figures;
 use rig::rollouts::Plan;
 use rig::scenario::Scenario;
+use rig::soak;
+use rig::soak::draw::{Kind, Size};
+use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -12,10 +15,12 @@
 martenramp-rig: many real martenramp processes on loopback, with faults between them
 
 usage: martenramp-rig run SCENARIO.toml [--program FILE] [--out DIR] [--set FIELD=VALUE]... [--logs]
+       martenramp-rig soak [--set FIELD=VALUE]... [--without KIND]... [--program FILE]
        martenramp-rig check SCENARIO.toml [--set FIELD=VALUE]...
 
 FILE is the program played, the `martenramp` beside this one unless given. DIR gets the tables and charts, rig-out
-unless given. --set lays a field over the scenario's (gateways=100, load.rate=5.0); --logs keeps the gateways' log
+unless given. `soak` plays random overlapping faults, one fleet a seed (fields: first, seeds, gateways, servers, seconds,
+faults), and fails if an invariant is broken; --without leaves a kind of fault out. --set lays a field over the scenario's (gateways=100, load.rate=5.0); --logs keeps the gateways' log
 lines there, too. `docs/rig.md` documents scenarios and figures.
 ";
 
@@ -38,6 +43,7 @@
     out: Option<PathBuf>,
     set: Vec<String>,
     logs: bool,
+    without: Vec<String>,
 }
 
 impl Options {
@@ -54,6 +60,9 @@
                     options.set.push(args.value().map_err(text)?.to_string_lossy().into_owned());
                 }
                 Long("logs") => options.logs = true,
+                Long("without") => {
+                    options.without.push(args.value().map_err(text)?.to_string_lossy().into_owned());
+                }
                 Value(word) if options.command.is_none() => {
                     options.command = Some(word.to_string_lossy().into_owned());
                 }
@@ -80,6 +89,7 @@
     match options.command.as_deref() {
         Some("run") => run_scenario(&options),
         Some("rollouts") => run_rollouts(&options),
+        Some("soak") => run_soak(&options),
         Some("check") => {
             let scenario = options.scenario()?;
             println!("{}: {} gateways, {} faults", scenario.name, scenario.gateways, scenario.faults.len());
@@ -113,15 +123,57 @@
     if figures.run.void { Err("the front was too late: the run is void".to_string()) } else { Ok(()) }
 }
 
+/// Plays random overlapping faults, a fleet for each seed, and says what was broken and what happened.
+fn run_soak(options: &Options) -> Result<(), String> {
+    let program = options.program()?;
+    let mut size = Size { gateways: 24, servers: 24, seconds: 25.0, faults: 12 };
+    let (mut first, mut seeds) = (1_u64, 10_u64);
+    for assignment in &options.set {
+        let (name, number) = assigned(assignment)?;
+        match name {
+            "first" => first = number as u64,
+            "seeds" => seeds = number as u64,
+            "gateways" => size.gateways = number as usize,
+            "servers" => size.servers = number as usize,
+            "seconds" => size.seconds = number,
+            "faults" => size.faults = number as usize,
+            _ => return Err(format!("--set {assignment}: no such field")),
+        }
+    }
+    let without: Vec<Kind> =
+        options.without.iter().map(|name| Kind::parse(name)).collect::<Result<_, String>>()?;
+    let (mut happened, mut broken) = (BTreeMap::<String, usize>::new(), 0);
+    let (mut sent, mut served, mut checked) = (0, 0, 0);
+    for seed in first..first + seeds {
+        let run = soak::run(seed, size, &without, &program)?;
+        print!("{}", run.shown());
+        run.happened.iter().for_each(|(step, count)| *happened.entry(step.clone()).or_default() += count);
+        broken += run.violations.len();
+        sent += run.sent;
+        served += run.served;
+        checked += run.counts.checked;
+    }
+    println!(
+        "{seeds} seeds, {sent} RPCs, {served} served, {checked} own checks, {broken} violations; what happened:"
+    );
+    happened.iter().for_each(|(step, count)| println!("  {step}: {count}"));
+    if broken > 0 { Err(format!("{broken} violations")) } else { Ok(()) }
+}
+
+/// A field and its number.
+fn assigned(assignment: &str) -> Result<(&str, f64), String> {
+    let bad = || format!("--set {assignment}: no such field, or no number");
+    let (name, value) = assignment.split_once('=').ok_or_else(bad)?;
+    Ok((name, value.parse().map_err(|_| bad())?))
+}
+
 /// Plays rollouts of settings with versions and prints their figures.
 fn run_rollouts(options: &Options) -> Result<(), String> {
     let program = options.program()?;
     let mut plan = Plan { gateways: 20, lease: 1.0, clock: 0.25, seed: 1, skew_ms: 0 };
     let mut count = 40;
     for assignment in &options.set {
-        let bad = || format!("--set {assignment}: no such field, or no number");
-        let (name, value) = assignment.split_once('=').ok_or_else(bad)?;
-        let number: f64 = value.parse().map_err(|_| bad())?;
+        let (name, number) = assigned(assignment)?;
         match name {
             "gateways" => plan.gateways = number as usize,
             "count" => count = number as usize,
@@ -129,7 +181,7 @@
             "clock" => plan.clock = number,
             "seed" => plan.seed = number as u64,
             "skew_ms" => plan.skew_ms = number as u64,
-            _ => return Err(bad()),
+            _ => return Err(format!("--set {assignment}: no such field")),
         }
     }
     print!("{}", rig::rollouts::run(&plan, count, &program)?);
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -1,5 +1,6 @@
 //! What the rig plays, read from TOML and checked before any process starts. `docs/rig.md` documents the format.
 
+use crate::front::Behaviour;
 use serde::{Deserialize, Serialize};
 use std::ops::Range;
 use std::path::Path;
@@ -62,6 +63,22 @@
     /// How long until the front notices a dead gateway, seconds.
     #[serde(default = "one_f")]
     pub notice: f64,
+    /// The share of RPCs whose clients leave before the answer.
+    #[serde(default)]
+    pub leave: f64,
+    /// The share of RPCs that come on a connection opened up to 1.2 s before, as the first on it.
+    #[serde(default)]
+    pub early: f64,
+    /// The share of RPCs whose message comes in two pieces.
+    #[serde(default)]
+    pub pieces: f64,
+}
+
+impl Load {
+    /// What clients do.
+    pub fn behaviour(&self) -> Behaviour {
+        Behaviour { leave: self.leave, early: self.early, pieces: self.pieces }
+    }
 }
 
 /// A class of RPCs as it is sent.
@@ -213,6 +230,23 @@
         /// They start again so many seconds later, if told.
         back_after: Option<f64>,
     },
+    /// Gateways are restarted as the platform does it: SIGTERM, SIGKILL once the longest deadline (3 s at most) and 0.7 s
+    /// have passed, and a new process some time later.
+    Restart {
+        /// When it begins, seconds.
+        at: f64,
+        /// The share of them that it hits.
+        share: f64,
+        /// They start again so many seconds after SIGKILL.
+        back_after: f64,
+    },
+    /// Gateways read their configuration again.
+    Reload {
+        /// When it begins, seconds.
+        at: f64,
+        /// The share of them that it hits.
+        share: f64,
+    },
     /// Gateways get SIGSTOP and later SIGCONT.
     Pause {
         /// When it begins, seconds.
@@ -380,6 +414,7 @@
     pub fn at(&self) -> f64 {
         use Fault::*;
         match *self {
+            Restart { at, .. } | Reload { at, .. } => at,
             Kill { at, .. } | Term { at, .. } | Pause { at, .. } | Grow { at, .. } | Replace { at, .. } => at,
             Join { at } | Leave { at } | CounterEmpty { at } => at,
             ZoneDown { at, .. } | Slow { at, .. } | FailsFast { at, .. } | Silent { at, .. } => at,
@@ -392,6 +427,7 @@
     fn share(&self) -> f64 {
         use Fault::*;
         match *self {
+            Restart { share, .. } | Reload { share, .. } => share,
             Kill { share, .. } | Term { share, .. } | Pause { share, .. } | Replace { share, .. } => share,
             Slow { share, .. } | FailsFast { share, .. } | Silent { share, .. } => share,
             ListLate { share, .. } | ListStill { share, .. } | ListBack { share, .. } => share,
@@ -484,6 +520,9 @@
         if let Some(method) = load.methods.iter().find(|method| !classes.contains(&&*method.name)) {
             return Err(format!("load.methods: no class named '{}' in the settings", method.name));
         }
+        if ![load.leave, load.early, load.pieces].iter().all(|share| (0.0..=1.0).contains(share)) {
+            return Err("'load.leave', 'load.early' and 'load.pieces' must be from 0 to 1".into());
+        }
         if load.methods.is_empty() {
             return Err("'load.methods' must not be empty".into());
         }
@@ -529,6 +568,13 @@
         classes.iter().find(is)?.get(field)
     }
 
+    /// The longest deadline of the settings' classes, seconds.
+    pub fn longest_deadline(&self) -> f64 {
+        let classes = self.settings.get("classes").and_then(toml::Value::as_array);
+        let names = classes.into_iter().flatten().filter_map(|entry| entry.get("name")?.as_str());
+        names.map(|name| self.deadline(name)).fold(0.0, f64::max)
+    }
+
     /// A class's deadline in seconds.
     pub fn deadline(&self, class: &str) -> f64 {
         let value = self.class(class, "deadline");
--- a/crates/scale/src/added/fleet.rs
+++ b/crates/scale/src/added/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::ScaleError;
 use rig::Stream;
-use rig::front::{Call, Customer, Front, Method, Plan};
+use rig::front::{Behaviour, Call, Customer, Front, Method, Plan};
 use serde_json::json;
 use standins::discovery::{Discovery, Entry};
 use standins::process::Program;
@@ -238,6 +238,7 @@
         methods: vec![method],
         customers: vec![customer; CUSTOMERS],
         notice: 500 * MS,
+        behaviour: Behaviour::default(),
     }
 }
 
--- a/crates/standins/src/servers.rs
+++ b/crates/standins/src/servers.rs
@@ -85,8 +85,12 @@
     pub conn: Conn,
     /// The RPC's id as the front made it; its top 16 bits are the gateway's number.
     pub txn: u64,
-    /// When it came.
+    /// When its first byte came, also to a server that says nothing, and when all of it was taken in.
+    pub begun: Nanos,
+    /// When it was taken in.
     pub at: Nanos,
+    /// How long the gateway said that it waits, milliseconds.
+    pub told_ms: Option<u64>,
     /// When it left the server (its work was done, also for nobody); of no meaning while `Open`.
     pub done: Nanos,
     /// How it ended.
@@ -123,6 +127,8 @@
     servers: Vec<Server>,
     doors: BTreeMap<Door, usize>,
     conns: BTreeMap<Conn, usize>,
+    /// When the first byte of the message came that is not taken in yet.
+    begun: BTreeMap<Conn, Nanos>,
     jobs: BTreeMap<u64, usize>,
     serial: u64,
     chance: ChaCha8Rng,
@@ -139,6 +145,7 @@
             servers: Vec::new(),
             doors: BTreeMap::new(),
             conns: BTreeMap::new(),
+            begun: BTreeMap::new(),
             jobs: BTreeMap::new(),
             serial: 0,
             chance,
@@ -291,6 +298,9 @@
     fn came(&mut self, io: &mut Io, conn: Conn) {
         let Some(number) = self.conns.get(&conn).copied() else { return };
         loop {
+            if !io.input(conn).is_empty() {
+                self.begun.entry(conn).or_insert(io.now());
+            }
             let server = &mut self.servers[number];
             if server.health == Health::Silent {
                 return;
@@ -312,7 +322,9 @@
                 life: server.life,
                 conn,
                 txn: txn.unwrap_or(u64::MAX),
+                begun: self.begun.remove(&conn).unwrap_or(now),
                 at: now,
+                told_ms: message.header("x-remaining-ms").and_then(|text| text.parse().ok()),
                 done: now,
                 how: How::Open,
             };
@@ -331,6 +343,7 @@
     }
 
     fn over(&mut self, _io: &mut Io, conn: Conn) {
+        self.begun.remove(&conn);
         let Some(number) = self.conns.remove(&conn) else { return };
         let server = &mut self.servers[number];
         server.connections = server.connections.saturating_sub(1);
