The soak's script waits for no process, so that a hold-up stays as long as it was drawn

Cause: Step::Start waited up to 8 s for a process that another, overlapping fault had told to end (rig, fleet/steps.rs). Only a plain Term fault waits now.

--- a/crates/rig/src/fleet/script.rs
+++ b/crates/rig/src/fleet/script.rs
@@ -31,8 +31,10 @@
     Reload {
         gateways: Vec<usize>,
     },
+    /// Starts processes that have ended, or (`awaits_end`) that were told to, once they have.
     Start {
         gateways: Vec<usize>,
+        awaits_end: bool,
     },
     Grow {
         count: usize,
@@ -142,7 +144,7 @@
                 vec![
                     step_at(*at, Step::Signal { gateways: gateways.clone(), signal: Signal::TERM }),
                     step_at(killed_at, Step::KillLate { gateways: gateways.clone(), after: nanos(after) }),
-                    step_at(killed_at + back_after, Step::Start { gateways }),
+                    step_at(killed_at + back_after, Step::Start { gateways, awaits_end: false }),
                 ]
             }
             Fault::Reload { at, share } => {
@@ -238,7 +240,8 @@
 
 fn end_gateways(gateways: Vec<usize>, signal: Signal, at: f64, back_after: Option<f64>) -> Vec<TimedStep> {
     let mut steps = vec![step_at(at, Step::Signal { gateways: gateways.clone(), signal })];
-    steps.extend(back_after.map(|after| step_at(at + after, Step::Start { gateways })));
+    let awaits_end = signal == Signal::TERM;
+    steps.extend(back_after.map(|after| step_at(at + after, Step::Start { gateways, awaits_end })));
     steps
 }
 
--- a/crates/rig/src/fleet/steps.rs
+++ b/crates/rig/src/fleet/steps.rs
@@ -24,12 +24,14 @@
             Step::Signal { gateways, signal } => self.signal(gateways, signal)?,
             Step::KillLate { gateways, after } => self.kill_late(&gateways, after)?,
             Step::Reload { gateways } => self.reload(&gateways)?,
-            Step::Start { gateways } => {
-                let stops = |gateway: &usize| {
-                    let at = &self.gateways[*gateway];
-                    at.program.is_none() || at.told_to_end.is_some() // another fault may have started it already
+            Step::Start { gateways, awaits_end } => {
+                // Where faults overlap another one may have started it already: the script waits for nobody then.
+                let mut stands = |gateway: &usize| {
+                    let at = &mut self.gateways[*gateway];
+                    let ended = at.program.as_mut().is_none_or(|program| program.ended().is_some());
+                    ended || awaits_end && at.told_to_end.is_some()
                 };
-                let gateways: Vec<usize> = gateways.into_iter().filter(stops).collect();
+                let gateways: Vec<usize> = gateways.into_iter().filter(|gateway| stands(gateway)).collect();
                 gateways.iter().for_each(|gateway| self.end(*gateway, true));
                 self.start(&gateways)?;
             }
