--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -462,11 +462,14 @@
     hung_up: Arc<AtomicBool>,
     told_to_stop: Arc<AtomicBool>,
     pub clock: Clock,
+    /// Since when clients can connect, and their messages wait here.
+    listens_since: Nanos,
 }
 
 impl Driver {
     /// Listens; the address is told back, since the system picks the port where it is given as 0.
     pub fn new(listen: SocketAddr) -> io::Result<(Driver, Net, SocketAddr)> {
+        let clock = Clock::start();
         let poll = Poll::new()?;
         let mut listener = TcpListener::bind(listen)?;
         let listen = listener.local_addr()?;
@@ -479,7 +482,6 @@
             signal_hook::flag::register(signal, flag.clone())?;
             signal_hook::low_level::pipe::register(signal, end_of(&end)?)?;
         }
-        let clock = Clock::start();
         let registry = poll.registry().try_clone()?;
         let (conns, dirty, resumed) = (Slab::new(), Vec::new(), Vec::new());
         let net = Net {
@@ -495,7 +497,8 @@
             late: 0,
         };
         let listener = Some(listener);
-        Ok((Driver { poll, listener, signals, hung_up, told_to_stop, clock }, net, listen))
+        let listens_since = net.now;
+        Ok((Driver { poll, listener, signals, hung_up, told_to_stop, clock, listens_since }, net, listen))
     }
 
     /// Turns until the gateway is over.
@@ -503,7 +506,8 @@
         let mut events = Events::with_capacity(256);
         gateway.start(self.clock.now());
         self.flush(gateway);
-        let mut busy = 0; // for how long the last turn lasted
+        // For how long the last turn lasted; before the first one, how long the start took.
+        let mut busy = self.clock.now() - self.listens_since;
         while !gateway.is_over() {
             let now = self.clock.now();
             let due = gateway.next_turn();
