A busy counter keeps refused claims in its window, and settled differences go with other calls

Cause: quota.rs (take, draw) with brain.rs (counted, ended): each refused claim and each settled answer made one more call, and what a refused claim gave back made room for others in the same window, on top of the unclaimed. Change: while no call is free a refused claim stays in its window's count, and settled differences, which go either way, are told with the next call only. Two stories, shown to fail without it.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -495,7 +495,7 @@
                 keep(&mut customer.urgent, (now, false), 2 * KEPT);
             }
             if ended.settled > 0.0 {
-                customer.quota.draw(ended.settled - units); // the guess is put right with what it counted
+                customer.quota.settle(ended.settled - units); // the guess is put right with what it counted
             }
             self.shift(ended.rpc, if ended.closed { State::Ended } else { State::Held });
         } else if unwritten {
@@ -738,6 +738,7 @@
         let (gap, wait) = (self.counter_gap, span(self.setting("extra.countWait", 0.05)));
         let wider = (gap * 5 / 4 + wait / 4).min(wait + 4 * MS * self.gateways() as u64);
         self.counter_gap = if how == End::Ok { gap * 19 / 20 } else { wider };
+        let call_is_free = now >= self.counter_rest;
         let largest = self.setting("extra.largest", 1.0);
         if !self.customers.contains_key(&key) {
             return;
@@ -752,7 +753,12 @@
             let customer = self.customers.entry(key).or_default();
             rpc.drawn = customer.quota.level >= customer.line(now, rpc.patient) - 0.01;
             if !rpc.drawn {
-                customer.quota.take(-rpc.units);
+                // Guards against a counter that is busy with units given back while other RPCs go on unclaimed: what a
+                // claim asked for stays in the window's count. Harm: a customer at its limit is refused a little sooner.
+                match call_is_free {
+                    true => customer.quota.take(-rpc.units),
+                    false => customer.quota.refuse(rpc.units),
+                }
             }
             self.shift(*id, State::Held);
         }
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -53,6 +53,8 @@
     pub short_at: Nanos,
     /// Units not yet added to the count.
     pub pending: f64,
+    /// Settled differences, to be told with the window's next call.
+    settled: f64,
     /// The last two windows.
     ledgers: VecDeque<Ledger>,
     /// Answers for a name come in the order of calls.
@@ -109,17 +111,28 @@
 
     /// Units for a first call-out, or (below 0) given back.
     pub fn take(&mut self, units: f64) {
-        self.draw(units);
-        self.ceiling -= units;
-    }
-
-    /// The ceiling goes by the guess, so units settled afterwards leave it alone.
-    pub fn draw(&mut self, units: f64) {
         self.level -= units;
         self.split -= units;
+        self.ceiling -= units;
         self.pending += units;
     }
 
+    /// Units of a claim that the counter's answer refused. The stores here have them back; the count keeps them until
+    /// its window ends, so that it holds what was asked for.
+    pub fn refuse(&mut self, units: f64) {
+        self.level += units;
+        self.split += units;
+        self.ceiling += units;
+    }
+
+    /// What an RPC really counted, less what was taken for it. The ceiling goes by the guess, so this leaves it alone.
+    /// Differences go either way and are small, so none is worth a call of its own.
+    pub fn settle(&mut self, difference: f64) {
+        self.level -= difference;
+        self.split -= difference;
+        self.settled += difference;
+    }
+
     /// Whether a new one would know the same and as much: nothing is out or untold, and all stores are full by now.
     pub fn is_as_new(&self, now: Nanos, counts: bool) -> bool {
         let passed = secs(now.saturating_sub(self.at));
@@ -156,13 +169,15 @@
         let window = now / self.window;
         let old = self.ledgers.back().map(|ledger| ledger.window);
         if old != Some(window) {
+            self.settled = 0.0; // it was of a window that is over
             keep(&mut self.ledgers, Ledger { window, own: 0.0, others: 0.0 }, 2);
         }
         // What the others added to the last window since it was read here would be lost with it.
         let old = old.filter(|old| old + 1 == window && self.level < self.burst / 2.0);
         self.serial += 1;
         self.counted_at = now;
-        let last = Call { window, add: std::mem::take(&mut self.pending), serial: self.serial };
+        let add = std::mem::take(&mut self.pending) + std::mem::take(&mut self.settled);
+        let last = Call { window, add, serial: self.serial };
         let calls = old.map(|window| Call { window, add: 0.0, serial: 0 }).into_iter().chain([last]);
         let calls: Vec<Call> = calls.collect();
         self.calls.extend(&calls);
@@ -202,7 +217,7 @@
                 // Less what chance adds.
                 self.others = (theirs - (theirs * largest).sqrt()).max(0.0) / since;
                 if std::mem::replace(&mut self.read_at, now) == 0 {
-                    self.level = self.burst - total - self.pending;
+                    self.level = self.burst - total - self.pending - self.settled;
                 }
                 // Guards against a store that looks full where a customer is met less than once a window:
                 // nothing is known of the use before this window, so it is taken to be as in this one.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -920,3 +920,41 @@
     rpc_for(&mut s, 1006, 8);
     assert_eq!(s.notes.out.last().unwrap().1, 12);
 }
+
+#[test]
+fn while_no_count_call_is_free_a_refused_claim_stays_in_the_count() {
+    let mut s = crowded_counter();
+    s.pass(700 * MS);
+    let first = s.rpc(2, 1.0);
+    s.counted(0, End::Ok, 8.0); // 2 units are left
+    s.end(first, End::Ok);
+    let before = s.notes.counts.len();
+    let claim = s.rpc(2, 2.4);
+    while s.notes.counts.len() == before {
+        s.pass(MS);
+    }
+    let calls = s.notes.counts.len();
+    assert_eq!(s.notes.counts[calls - 1].1, 2.4, "it was asked for");
+    s.counted(0, End::Ok, 14.0);
+    s.pass(SEC / 2);
+    assert_eq!((s.sent(claim), s.notes.counts.len()), (0, calls), "no call is made to give it back");
+}
+
+#[test]
+fn a_settled_difference_makes_no_call_of_its_own_and_goes_with_the_next() {
+    let mut s = story("extra.hasCounter=true").with_servers(20);
+    let first = s.rpc(2, 1.0);
+    s.counted(0, End::Ok, 1.0);
+    s.settled = 1.5;
+    s.end(first, End::Ok);
+    let calls = s.notes.counts.len();
+    s.rpc(2, 8.0); // nearly the last units: claimed
+    let told: f64 = s.notes.counts[calls..].iter().map(|count| count.1).sum();
+    assert_eq!(told, 8.5, "what it really counted goes with the claim");
+    s.counted(0, End::Ok, 9.5);
+    let calls = s.notes.counts.len();
+    s.settled = 8.5;
+    s.end(2, End::Ok);
+    s.pass(2 * SEC);
+    assert_eq!(s.notes.counts.len(), calls, "half a unit more is not worth a call");
+}
