A signal is noticed though the byte that wakes the loop was lost

Cause: the handler sets a flag and writes a byte into a pipe; the flags were looked at only when that byte had come (driver.rs, run), and the write may fail. Test: system_calls: a_signal_whose_wake_is_lost_still_ends_the_process, the byte lost every time (crates/faults, only=wakes).

--- a/crates/faults/src/calls.rs
+++ b/crates/faults/src/calls.rs
@@ -1,6 +1,6 @@
 //! The calls that fail. Each has the name and form of the C library's, and goes on to that one unless it is drawn to fail.
 
-use crate::chance::{draw, one_of};
+use crate::chance::{draw, draw_wake, one_of};
 use crate::report::count;
 use libc::{c_char, c_int, c_void, epoll_event, mode_t, size_t, sockaddr, socklen_t, ssize_t};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -112,6 +112,15 @@
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn send(fd: c_int, from: *const c_void, length: size_t, flags: c_int) -> ssize_t {
     let real = real!("send" as unsafe extern "C" fn(c_int, *const c_void, size_t, c_int) -> ssize_t);
+    // A signal handler wakes its process by one byte that is not waited for.
+    if length == 1 && flags & libc::MSG_DONTWAIT != 0 {
+        if draw_wake().is_some() {
+            fail("send", libc::ENOBUFS);
+            return -1;
+        }
+        // SAFETY: the caller's buffer holds a byte.
+        return unsafe { real(fd, from, length, flags) };
+    }
     let errors = [libc::EPIPE, libc::ETIMEDOUT, libc::EHOSTUNREACH, libc::ECONNRESET];
     let length = match transfer("send", fd, length, &errors) {
         Some(Transfer::Fails(error)) => {
--- a/crates/faults/src/chance.rs
+++ b/crates/faults/src/chance.rs
@@ -9,6 +9,8 @@
 struct Settings {
     seed: u64,
     rate: f64,
+    /// Only bytes that wake the process of a signal are lost.
+    only_wakes: bool,
 }
 
 static SETTINGS: OnceLock<Option<Settings>> = OnceLock::new();
@@ -20,12 +22,24 @@
 
 fn read(text: &str) -> Option<Settings> {
     let field = |name: &str| text.split(',').find_map(|part| part.strip_prefix(name)?.strip_prefix('='));
-    Some(Settings { seed: field("seed")?.parse().ok()?, rate: field("rate")?.parse().ok()? })
+    Some(Settings {
+        seed: field("seed")?.parse().ok()?,
+        rate: field("rate")?.parse().ok()?,
+        only_wakes: field("only") == Some("wakes"),
+    })
+}
+
+/// The same for a byte that wakes the process of a signal.
+pub fn draw_wake() -> Option<u64> {
+    settings().and_then(drawn)
 }
 
 /// The draw of one call: a number from which the fault is chosen, if the call is to fail.
 pub fn draw() -> Option<u64> {
-    let settings = settings()?;
+    settings().filter(|settings| !settings.only_wakes).and_then(drawn)
+}
+
+fn drawn(settings: &Settings) -> Option<u64> {
     let number = CALLS.fetch_add(1, Ordering::Relaxed);
     let mixed = mix(settings.seed ^ mix(number));
     let share = (mixed >> 11) as f64 / (1_u64 << 53) as f64;
--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -2,7 +2,8 @@
 //! Linux documents: interrupted, short, out of descriptors or memory, refused or timed out. Which call fails is drawn from a
 //! seed, so that a run can be repeated as far as the process makes the same calls.
 //!
-//! `MARTENRAMP_FAULTS` holds `seed=7,rate=0.02`: the seed, and the share of calls that fail. `MARTENRAMP_FAULTS_REPORT` names a
+//! `MARTENRAMP_FAULTS` holds `seed=7,rate=0.02`: the seed, and the share of calls that fail
+//! (with `only=wakes`, only the byte by which a signal handler wakes its process). `MARTENRAMP_FAULTS_REPORT` names a
 //! file that gets the count of each fault as the process exits. Without the first nothing fails.
 //!
 //! Connections that the process made itself may break for good (the library shuts them down, so that the other side sees
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -527,6 +527,8 @@
             net.late = busy.max(due.map_or(0, |at| woke.saturating_sub(at)));
             net.now = woke;
             gateway.woke();
+            // Guards against a signal whose byte in the pipe was lost, so that no event tells of it: the flag does.
+            let wake_lost = self.is_signalled() && !events.iter().any(|event| event.token() == SIGNALS);
             let mut datagrams = gateway.net().more_datagrams;
             for event in &events {
                 match event.token() {
@@ -535,12 +537,7 @@
                     SIGNALS => {
                         let mut some = [0; 64];
                         while self.signals.read(&mut some).is_ok_and(|got| got > 0) {}
-                        if self.hung_up.swap(false, Ordering::Relaxed) {
-                            gateway.reload();
-                        }
-                        if self.told_to_stop.swap(false, Ordering::Relaxed) {
-                            gateway.stop();
-                        }
+                        self.take_signals(gateway);
                     }
                     Token(id) => {
                         if event.is_writable() || event.is_error() {
@@ -553,6 +550,9 @@
                     }
                 }
             }
+            if wake_lost {
+                self.take_signals(gateway);
+            }
             if datagrams {
                 for bytes in gateway.net().datagrams() {
                     gateway.heard(&bytes);
@@ -580,6 +580,19 @@
         Ok(())
     }
 
+    fn is_signalled(&self) -> bool {
+        self.hung_up.load(Ordering::Relaxed) || self.told_to_stop.load(Ordering::Relaxed)
+    }
+
+    fn take_signals(&mut self, gateway: &mut impl Turned) {
+        if self.hung_up.swap(false, Ordering::Relaxed) {
+            gateway.reload();
+        }
+        if self.told_to_stop.swap(false, Ordering::Relaxed) {
+            gateway.stop();
+        }
+    }
+
     fn writable(&mut self, gateway: &mut impl Turned, id: usize) {
         let Some(conn) = gateway.net().get_mut(id) else { return };
         if !conn.up {
--- a/crates/gateway/tests/system_calls.rs
+++ b/crates/gateway/tests/system_calls.rs
@@ -115,6 +115,23 @@
     one_call_in_fifty_fails(2);
 }
 
+#[test]
+fn a_signal_whose_wake_is_lost_still_ends_the_process() {
+    let server = Peer::new(|_, _| answer(200, "", "served"));
+    let (discovery, report) =
+        (Peer::new(|_, _| say(WATCH)), std::env::temp_dir().join("martenramp-no-report"));
+    let mut command = Command::new(BIN);
+    command.env("LD_PRELOAD", faults()).env("MARTENRAMP_FAULTS", "seed=1,rate=1,only=wakes");
+    command.env("MARTENRAMP_FAULTS_REPORT", &report);
+    let known = list(3, true, &[entry("s0", server.address, "ready")]);
+    let more = format!("\"known\":{known},");
+    let mut gateway = Program::run(&mut command, discovery.address, &more, &settings(""));
+    gateway.signal("-TERM");
+    gateway.line("\"stopping\"");
+    assert!(gateway.child.wait().unwrap().success());
+    let _ = std::fs::remove_file(report);
+}
+
 #[test]
 fn a_standard_error_without_room_changes_nothing() {
     let server = Peer::new(|_, _| answer(200, "", "served"));
