--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -80,6 +80,8 @@
     /// Taken beyond the clients' part of the descriptors, only to push back what it brings.
     pub spare: bool,
     pub served: u64,
+    /// The id of the RPC whose answer is not all written yet.
+    pub owed: Option<Box<[u8]>>,
 }
 
 impl Client {
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -278,6 +278,11 @@
         self.get(id).is_some_and(|conn| conn.up && conn.written == conn.out.len())
     }
 
+    /// Bytes that were put into its buffer and not yet handed to the system.
+    pub fn unwritten(&self, id: usize) -> usize {
+        self.get(id).map_or(0, |conn| conn.out.len() - conn.written)
+    }
+
     pub fn ended(&self, id: usize) -> Option<Ending> {
         self.get(id).and_then(|conn| conn.ended)
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -414,6 +414,9 @@
     /// All or some of what waited for a connection is written.
     fn wrote(&mut self, id: usize) {
         let Desk { net, clients, .. } = &mut self.desk;
+        if let Some(client) = clients.get_mut(&id).filter(|_| net.is_sent(id)) {
+            client.owed = None;
+        }
         let closing = clients.get_mut(&id).filter(|client| client.closing.is_some() && !client.finished);
         if let Some(client) = closing.filter(|_| net.is_sent(id)) {
             (client.finished, client.since) = (true, net.now);
--- a/crates/gateway/src/gateway/rpc_log.rs
+++ b/crates/gateway/src/gateway/rpc_log.rs
@@ -65,4 +65,9 @@
         info!(self.log, "abandoned"; "txn" => %text(&rpc.id), "attempts" => rpc.call_outs,
             "ms" => self.net.now.saturating_sub(rpc.since) / MS);
     }
+
+    /// A client's connection ends with so many bytes of an answer not handed to the system.
+    pub(super) fn log_unwritten(&self, txn: &[u8], why: &'static str, bytes: usize) {
+        warn!(self.log, "answer not written"; "txn" => %text(txn), "why" => why, "bytes" => bytes);
+    }
 }
--- a/crates/gateway/src/gateway/to_clients.rs
+++ b/crates/gateway/src/gateway/to_clients.rs
@@ -166,9 +166,11 @@
     }
 
     pub(super) fn answered(&mut self, id: u32, client: usize, close: bool) {
+        let txn = self.rpcs.get(&id).map(|rpc| rpc.id.clone());
         self.shift(id, Stand::Answered);
         let stopping = self.is_stopping();
         let Some(at) = self.clients.get_mut(&client) else { return };
+        at.owed = txn;
         let length = at.rpc.take().map_or(0, |rpc| rpc.1);
         at.served += 1;
         at.since = self.net.now;
@@ -214,6 +216,9 @@
     pub(super) fn end_client(&mut self, id: usize, why: &'static str) {
         self.check_end_of_client(id, why);
         let Some(client) = self.clients.remove(&id) else { return };
+        if let Some(txn) = client.owed.as_deref().filter(|_| !self.net.is_sent(id)) {
+            self.log_unwritten(txn, why, self.net.unwritten(id));
+        }
         let why = client.closing.unwrap_or(why);
         info!(self.log, "client"; "why" => why, "from" => shown(self.net.address(id)), "answers" => client.served,
             "ms" => (self.net.now - self.net.since(id)) / MS);
--- /dev/null
+++ b/crates/gateway/tests/owed_answers.rs
@@ -0,0 +1,115 @@
+//! An answer is owed to a client until its last byte is out: whatever ends connections (room for others, a shutdown, a
+//! reload), none is ended with an answer still waiting in its buffer.
+
+use standins::scripted::{Client, Peer, Program, answer, entry, list, rpc, status};
+use std::time::Duration;
+
+mod support;
+use support::{patient_settings, under, watch};
+
+/// How many descriptors a gateway is given here, and how many clients it takes with that, the spare ones among them.
+const SOCKETS: &str = "\"limits\":{\"sockets\":64},";
+const CLIENTS: usize = 24;
+/// Accepting is tried again within this time where there was no room.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(30);
+/// A command that has not come through to the server by then does not.
+const STUCK: Duration = Duration::from_millis(500);
+
+const ANSWER: &str = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+
+/// A server that takes RPCs and answers only when the test does.
+fn silent_server() -> Peer {
+    Peer::new(|_, _| (Vec::new(), false))
+}
+
+/// A gateway with few descriptors.
+fn small(discovery: &Peer, server: &Peer) -> Program {
+    let known = list(3, true, &[entry("s0", server.address, "ready")]);
+    let more = format!("{SOCKETS}\"known\":{known},");
+    let gateway = Program::start(support::BIN, discovery.address, &more, &patient_settings());
+    assert!(discovery.next().1.contains("from=3"));
+    gateway
+}
+
+/// Takes all descriptors for clients but one with connections that stand in the middle of a message.
+fn crowd(gateway: &Program) -> Vec<Client> {
+    let half = rpc("verify", 20_000).replace("Host:", "Expect: 100-continue\r\nHost:");
+    let half = half.strip_suffix("body").expect("a message with a body").to_string();
+    let others = (1..CLIENTS).map(|_| {
+        let mut other = gateway.client();
+        assert_eq!(status(&other.ask(&half)), 100, "it is taken, and its message is not whole");
+        other
+    });
+    others.collect()
+}
+
+fn with_id(text: &str, id: usize) -> String {
+    text.replace("X-Txn: 0123456789abcdef", &format!("X-Txn: {id:016x}"))
+}
+
+#[test]
+fn a_connection_whose_answer_is_not_out_does_not_give_way_to_a_new_one() {
+    let (server, discovery) = (silent_server(), watch());
+    let gateway = small(&discovery, &server);
+    let mut client = gateway.client();
+    client.send(&rpc("read", 20_000));
+    assert_eq!(server.next().0, 0);
+    let others = crowd(&gateway);
+    // There is no room for it, so it is tried again on a timer; in one turn the answer comes and the timer is due.
+    let newcomer = gateway.client();
+    let turn = gateway.hold_turn(|| {
+        server.tell(0, ANSWER);
+        std::thread::sleep(ACCEPT_AGAIN); // the timer's own time
+    });
+    turn.go_on();
+    assert_eq!(client.answer().map(|got| status(&got)), Some(200), "{:#?}", gateway.lines_now());
+    drop((newcomer, others));
+}
+
+/// The body of a long answer, and so many of them that no socket holds them all.
+const LONG: usize = 60 << 10;
+const MANY: usize = 200;
+
+/// Sends one command after another and reads no answer, until one does not get through or so many have; how many have.
+fn asked_without_reading(gateway: &Program, server: &Peer, most: usize) -> (Client, usize) {
+    let mut client = gateway.client();
+    let mut served = 0;
+    while served < most {
+        client.send(&with_id(&rpc("read", 20_000), served));
+        match server.seen_within(STUCK) {
+            Some(_) => served += 1,
+            None => break,
+        }
+    }
+    (client, served)
+}
+
+#[test]
+fn a_client_that_reads_slowly_does_not_give_way_before_it_has_its_answers() {
+    let body = "y".repeat(LONG);
+    let (server, discovery) = (Peer::new(move |_, _| answer(200, "", &body)), watch());
+    let gateway = small(&discovery, &server);
+    // Another client shows after how many answers that nobody reads the next command does not get through.
+    let stuck_after = asked_without_reading(&gateway, &server, MANY).1;
+    assert!(stuck_after < MANY, "all {MANY} answers found room in the sockets");
+    let (mut client, served) = asked_without_reading(&gateway, &server, stuck_after);
+    let others = crowd(&gateway);
+    let newcomers: Vec<Client> = (0..2).map(|_| gateway.client()).collect();
+    std::thread::sleep(ACCEPT_AGAIN); // room was looked for by now
+    let got = (0..served).map_while(|_| client.answer()).filter(|got| got.ends_with('y')).count();
+    assert_eq!(got, served, "whole answers; {:#?}", gateway.lines_now());
+    drop((newcomers, others));
+}
+
+#[test]
+fn a_roomy_gateway_gives_a_slow_reader_all_answers() {
+    let body = "y".repeat(LONG);
+    let (server, discovery) = (Peer::new(move |_, _| answer(200, "", &body)), watch());
+    let gateway = under(&discovery, &[entry("s0", server.address, "ready")], &patient_settings());
+    let mut client = gateway.client();
+    for id in 0..3 {
+        client.send(&with_id(&rpc("read", 20_000), id));
+    }
+    let got = (0..3).map_while(|_| client.answer()).filter(|got| got.ends_with('y')).count();
+    assert_eq!(got, 3);
+}
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -64,6 +64,11 @@
         self.seen.recv_timeout(PATIENCE).expect("no message came")
     }
 
+    /// The next whole message, if it comes within this time.
+    pub fn seen_within(&self, time: Duration) -> Option<(usize, String)> {
+        self.seen.recv_timeout(time).ok()
+    }
+
     /// Whether no message has come by now.
     pub fn nothing_came(&self) -> bool {
         self.seen_now().is_none()
