An answer is owed until its last byte is out; one function ends a client's connection

Class: taken as over when handed on, not when out.

Change: where a client's connection stands is one typed state (phase.rs: reading, waiting, answering, ending), every change goes through Client::shift, and end_client asks Phase::may_end; what owes an answer is ended by its client alone, or when that reads nothing. The invariants one-answer and answer-in-time are counted when the last byte is out, when the connection ends or the process ends.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -3,14 +3,13 @@
 use crate::config::Config;
 use crate::guard::Effect;
 use crate::http::{self, BODY_MOST, Bad, HEAD_MOST, HEADERS_MOST, Length};
+use crate::phase::Phase;
+use crate::room::Idle;
 use martenramp::host::Nanos;
 use std::collections::VecDeque;
 use std::io::Write;
 use std::ops::Range;
 
-/// For how long a connection is left alone though its descriptor is wanted: a new one, or one inside a message.
-const MAY_BEGIN: Nanos = 500_000_000;
-const MAY_PAUSE: Nanos = 2_000_000_000;
 /// What an RPC may say it waits at most; longer is taken as a mistake.
 const REMAINING_MOST: u64 = 3_600_000;
 /// A new connection's first message must be whole so soon after it was taken, and any other after its first byte;
@@ -59,9 +58,10 @@
 /// One client's connection.
 #[derive(Debug, Default)]
 pub struct Client {
-    /// The id of the RPC at hand, and how many bytes of the buffer it takes.
-    pub rpc: Option<(u32, usize)>,
-    /// When the first byte of the message that is coming in was read, or (between RPCs) the last answer went.
+    /// Where it stands. Changed by [`Client::shift`] alone.
+    pub phase: Phase,
+    /// When the first byte of the message that is coming in was read; between messages, when the last answer was out; while
+    /// one is being written, when some of it went last; at the end, when this side's sending ended.
     pub since: Nanos,
     /// When the first byte of the message at hand was read, which may lie before the answer to the one ahead of it.
     pub came: Nanos,
@@ -70,30 +70,31 @@
     /// Part of a message is in the buffer, and so many bytes of it have been looked at.
     pub partial: bool,
     pub looked_at: usize,
-    /// To be closed once what is written is out, for this reason.
-    pub closing: Option<&'static str>,
-    /// This side's sending is ended; what still comes is passed over until the client closes too.
-    pub finished: bool,
     pub continued: bool,
     /// It sent more than one message before its answer, and what was too much of it is dropped.
     pub floods: bool,
     /// Taken beyond the clients' part of the descriptors, only to push back what it brings.
     pub spare: bool,
     pub served: u64,
-    /// The id of the RPC whose answer is not all written yet.
-    pub owed: Option<Box<[u8]>>,
 }
 
 impl Client {
-    /// Whether it may be closed to make room. Guards against clients that hold descriptors and send nothing, or
-    /// their messages byte by byte. Harm: one that pauses in a message loses its connection, and only then.
-    pub fn may_go(&self, now: Nanos) -> bool {
-        let least = match () {
-            _ if self.partial => MAY_PAUSE,
-            _ if self.served == 0 => MAY_BEGIN,
-            _ => 0, // between messages a connection may be closed at any time
-        };
-        self.rpc.is_none() && self.closing.is_none() && now >= self.since + least
+    /// Every change of where it stands goes through here.
+    pub fn shift(&mut self, to: Phase, now: Nanos) {
+        debug_assert!(self.phase.may_become(&to), "{:?} to {to:?}", self.phase);
+        self.phase = to;
+        self.since = now;
+    }
+
+    /// What it is doing, if no answer is owed on it.
+    pub fn idle(&self) -> Option<Idle> {
+        match self.phase {
+            Phase::Reading if self.partial => Some(Idle::Paused(self.since)),
+            Phase::Reading if self.served == 0 => Some(Idle::Silent(self.since)),
+            Phase::Reading => Some(Idle::Resting(self.since)),
+            Phase::Ending { .. } => Some(Idle::Ending(self.since)),
+            Phase::Waiting { .. } | Phase::Answering { .. } => None,
+        }
     }
 
     /// Notes that the buffer holds so many bytes by this time. Guards against counting the time of a message that came
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,6 +11,8 @@
 use crate::http::{BODY_MOST, Bad, HEAD_MOST};
 use crate::invariants::{Counts, Invariant};
 use crate::list::{self, Told, Watch};
+use crate::phase::{ClientEnd, Owed, Phase};
+use crate::room;
 use crate::servers::{self, Answer, Attempt, Body, Link, Server, Servers, Stage};
 use crate::shutdown::Shutdown;
 use crate::timers::Timers;
@@ -25,8 +27,10 @@
 
 mod agreeing;
 mod checks;
+mod making_room;
 mod rpc_log;
 mod stopping;
+mod sweep;
 mod to_clients;
 mod to_counter;
 mod to_list;
@@ -177,6 +181,8 @@
     exits: bool,
     listens: bool,
     accepts_again: bool,
+    /// When there was no place for a new client last.
+    crowded_at: Option<Nanos>,
     clients_most: usize,
     spares: usize,
     links_most: usize,
@@ -261,6 +267,7 @@
             exits: false,
             listens: true,
             accepts_again: false,
+            crowded_at: None,
             config,
         };
         let brain = Brain::new(desk.config.seed, desk.config.settings.clone());
@@ -366,9 +373,8 @@
         self.desk.exits || !self.desk.listens && self.desk.clients.is_empty()
     }
 
-    /// Whether one more client can be taken, if need be for one that only holds its place.
     fn has_room(&mut self) -> bool {
-        self.desk.clients.len() < self.desk.clients_most + self.desk.spares || self.desk.shed_client()
+        self.desk.has_room_for_client()
     }
 
     fn client_input_most(&self) -> usize {
@@ -376,7 +382,7 @@
     }
 
     fn accepted(&mut self, id: usize) {
-        let spare = self.desk.clients.len() >= self.desk.clients_most && !self.desk.shed_client();
+        let spare = self.desk.clients.len() >= self.desk.clients_most;
         let client = Client { since: self.desk.net.now, spare, ..Client::default() };
         self.desk.clients.insert(id, client);
         // What it sent behind its connection may have waited as long as that did, which is known now and not in the turn
@@ -386,7 +392,7 @@
     }
 
     fn accept_later(&mut self) {
-        self.desk.timers.set(self.desk.net.now + ACCEPT_AGAIN, What::Accept);
+        self.desk.accept_later();
     }
 
     /// Closes an idle connection to free its descriptor; false if there is none.
@@ -413,18 +419,7 @@
 
     /// All or some of what waited for a connection is written.
     fn wrote(&mut self, id: usize) {
-        let Desk { net, clients, .. } = &mut self.desk;
-        if let Some(client) = clients.get_mut(&id).filter(|_| net.is_sent(id)) {
-            client.owed = None;
-        }
-        let closing = clients.get_mut(&id).filter(|client| client.closing.is_some() && !client.finished);
-        if let Some(client) = closing.filter(|_| net.is_sent(id)) {
-            (client.finished, client.since) = (true, net.now);
-            net.finish(id);
-        }
-        if clients.get(&id).is_some_and(|client| client.rpc.is_none()) && !net.input(id).is_empty() {
-            self.desk.again.push_back(id);
-        }
+        self.desk.client_wrote(id);
     }
 
     /// Bytes came in, or the connection ended.
@@ -570,15 +565,14 @@
     /// Moves the turn's time on to what it is by now. Guards against telling a server more time than is left, and against
     /// attempts whose time passed while the turn lasted. Harm: the time is read once more for each attempt.
     fn catch_up(&mut self) {
-        let lasted = self.woke_at.elapsed().as_nanos() as Nanos;
-        let further = lasted.saturating_sub(self.caught_up);
+        let further = self.turn_lasted();
         self.caught_up += further;
         self.net.now += further;
     }
 
-    /// Closes an idle connection to free its descriptor; false if there is none.
-    fn shed(&mut self) -> bool {
-        self.shed_link() || self.shed_client()
+    /// How far the time has moved on since the turn's.
+    fn turn_lasted(&self) -> Nanos {
+        (self.woke_at.elapsed().as_nanos() as Nanos).saturating_sub(self.caught_up)
     }
 
     /// Begins a connection. Guards against descriptors that others fill (idle clients, or whatever else the process was
@@ -622,66 +616,4 @@
         let numbers: BTreeSet<u32> = self.links.values().map(|link| link.server).collect();
         numbers.into_iter().filter_map(|number| self.servers.by_number.get(&number))
     }
-
-    /// Since when a client's message is waited for.
-    fn begun(&self, id: usize) -> Nanos {
-        let begun = self.clients.get(&id).filter(|client| client.served > 0).map(|client| client.since);
-        begun.unwrap_or(self.net.since(id))
-    }
-
-    /// Looks for what is idle, silent or slow.
-    fn sweep(&mut self) {
-        let now = self.net.now;
-        self.timers.set(now + SWEEP, What::Sweep);
-        let mut over = Vec::new();
-        for (id, client) in &self.clients {
-            let age = now.saturating_sub(client.since);
-            match () {
-                _ if client.finished && age > LINGER => over.push((*id, "lingered")),
-                _ if client.closing.is_some() && age > clients::SLOW_MESSAGE => {
-                    over.push((*id, "reads-nothing"))
-                }
-                _ if client.closing.is_some() || client.rpc.is_some() => {}
-                // Guards against connections that are opened to say nothing, or never to end a message. Harm: one
-                // opened long before its first message is opened again.
-                _ if client.served == 0 && now > self.net.since(*id) + clients::SLOW_MESSAGE => {
-                    over.push((*id, if client.partial { "slow-message" } else { "said-nothing" }))
-                }
-                _ if client.partial && age > clients::SLOW_MESSAGE => over.push((*id, "slow-message")),
-                _ if !client.partial && age > clients::IDLE => over.push((*id, "idle")),
-                _ => {}
-            }
-        }
-        for (id, why) in over {
-            match why {
-                // What has come by now, maybe the message's end, is looked at first; not again and again, though.
-                "slow-message"
-                    if now <= self.begun(id) + clients::SLOW_MESSAGE + 2 * SWEEP && !self.rests(id) => {}
-                "slow-message" => self.refuse(id, 408, why),
-                "idle" | "said-nothing" => self.finish_client(id, why),
-                _ => self.end_client(id, why),
-            }
-        }
-        let idle = self.met().flat_map(|server| &server.idle);
-        let idle: Vec<usize> = idle.filter(|idle| now >= idle.1 + self.idle).map(|idle| idle.0).collect();
-        idle.into_iter().for_each(|id| self.end_link(id, "idle"));
-        if let Some(id) = self.watch_on.filter(|_| !self.takes_list() && self.watch.is_silent(now)) {
-            self.watch_broke(id, "silent");
-        }
-        for at in 0..self.lines.len() {
-            let Some(id) = self.lines_on[at] else { continue };
-            let used = at / counter::LINES == self.lines_from / counter::LINES;
-            let line = &mut self.lines[at];
-            if !used && (line.is_done() || now > self.moved_at + counter::MOVES_WITHIN) {
-                self.line_broke(at, "moved");
-            } else if line.is_dead(now) || !line.up && now > line.heard + counter::DEAD_AFTER {
-                self.line_broke(at, "silent");
-            } else if line.up
-                && now > line.wrote + counter::PING_EVERY
-                && let Some(out) = self.net.out(id)
-            {
-                line.ping(out, now);
-            }
-        }
-    }
 }
--- a/crates/gateway/src/gateway/checks.rs
+++ b/crates/gateway/src/gateway/checks.rs
@@ -1,6 +1,5 @@
 //! Where the invariants are looked at while the process runs: each break is counted and logged with the RPC's id.
 
-use super::to_clients::LEFT;
 use super::*;
 use crate::guard::Obstacle;
 
@@ -63,23 +62,55 @@
         harmless
     }
 
-    /// Looks at an answer as it is given.
-    pub(super) fn check_answer(&mut self, id: u32) {
-        let Some(rpc) = self.rpcs.get(&id) else { return };
-        let (txn, now) = (rpc.id.clone(), self.net.now);
-        let in_time = now <= rpc.deadline + ANSWER_SLACK;
+    /// Looks at an answer as the last of it is out.
+    pub(super) fn check_answer(&mut self, owed: &Owed) {
+        let Some(deadline) = owed.deadline else { return };
+        let now = self.net.now + self.turn_lasted();
+        let in_time = now <= deadline + ANSWER_SLACK;
         let in_life = self.shutdown.is_none_or(|shutdown| now <= shutdown.exit_at);
-        self.check(Invariant::AnswerInTime, in_time && in_life, &txn);
+        self.check(Invariant::AnswerInTime, in_time && in_life, &owed.txn);
+        self.check(Invariant::OneAnswer, true, &owed.txn);
     }
 
-    /// Looks at a client's connection as this side ends it.
-    pub(super) fn check_end_of_client(&mut self, id: usize, why: &'static str) {
+    /// Looks at a client's connection as it ends. One that its client ended, or that reads nothing, owes nothing more.
+    pub(super) fn check_end_of_client(&mut self, id: usize, end: ClientEnd) {
         let Some(client) = self.clients.get(&id) else { return };
-        let Some((rpc, _)) = client.rpc.filter(|_| why != LEFT) else {
-            return self.counts.held(Invariant::OneAnswer);
-        };
-        let txn = self.rpcs.get(&rpc).map(|rpc| rpc.id.clone()).unwrap_or_default();
-        self.check(Invariant::OneAnswer, false, &txn);
+        if let Some(owed) = client.phase.owed() {
+            self.log_unwritten(&owed.txn, end.reason(), self.net.unwritten(id));
+        }
+        let owes = client.phase.rpc().is_some() || client.phase.owed().is_some();
+        let excused = matches!(end, ClientEnd::Gone(_) | ClientEnd::ReadsNothing);
+        let txn = self.txn_on(client);
+        self.check(Invariant::OneAnswer, excused || !owes, &txn);
+    }
+
+    /// An end was asked for that would have taken an answer with it.
+    pub(super) fn withhold_end(&mut self, id: usize, end: ClientEnd) {
+        let Some(client) = self.clients.get(&id) else { return };
+        let txn = self.txn_on(client);
+        self.counts.withheld(Invariant::OneAnswer);
+        warn!(self.log, "end withheld"; "why" => end.reason(), "txn" => %String::from_utf8_lossy(&txn));
+    }
+
+    /// Looks at what the process leaves as it ends: an RPC without an answer, and an answer that its client did not take.
+    pub(super) fn check_end_of_process(&mut self) {
+        let clients: Vec<usize> = self.clients.keys().copied().collect();
+        for id in clients {
+            let Some(client) = self.clients.get(&id) else { continue };
+            if let Some(owed) = client.phase.owed() {
+                self.log_unwritten(&owed.txn, "process-ends", self.net.unwritten(id));
+            }
+            let answered = client.phase.rpc().is_none();
+            let txn = self.txn_on(client);
+            self.check(Invariant::OneAnswer, answered, &txn);
+        }
+    }
+
+    /// The id of the RPC that is at hand or being answered on a connection; empty if there is none.
+    fn txn_on(&self, client: &Client) -> Box<[u8]> {
+        let waiting = client.phase.rpc().and_then(|(rpc, _)| self.rpcs.get(&rpc)).map(|rpc| rpc.id.clone());
+        let answering = || client.phase.owed().map(|owed| owed.txn.clone());
+        waiting.or_else(answering).unwrap_or_default()
     }
 
     /// The header line by which operators see the counts.
--- a/crates/gateway/src/gateway/stopping.rs
+++ b/crates/gateway/src/gateway/stopping.rs
@@ -52,7 +52,7 @@
     /// that no unread byte makes a reset of the close.
     pub(super) fn exit(&mut self) {
         let unanswered: Vec<u32> =
-            self.desk.clients.values().filter_map(|client| Some(client.rpc?.0)).collect();
+            self.desk.clients.values().filter_map(|client| Some(client.phase.rpc()?.0)).collect();
         unanswered.into_iter().for_each(|id| self.overdue(id));
         let clients: Vec<usize> = self.desk.clients.keys().copied().collect();
         clients.into_iter().for_each(|id| self.desk.net.read(id, false));
@@ -60,7 +60,8 @@
     }
 
     /// The last line of the log.
-    pub fn log_end(&self) {
+    pub fn log_end(&mut self) {
+        self.desk.check_end_of_process();
         let desk = &self.desk;
         info!(desk.log, "ended"; "unanswered" => desk.open_rpcs, "clients" => desk.clients.len(),
             "invariants" => desk.counts.summary(), "violations" => desk.counts.violations());
--- /dev/null
+++ b/crates/gateway/src/gateway/sweep.rs
@@ -0,0 +1,100 @@
+//! What is idle, silent or slow is looked for at regular times.
+
+use super::*;
+
+/// How a client's connection has outstayed its time.
+#[derive(Clone, Copy)]
+enum Overstay {
+    Lingered,
+    ReadsNothing,
+    SlowMessage,
+    SaidNothing,
+    Idle,
+}
+
+const SLOW_MESSAGE: &str = "slow-message";
+
+impl Desk {
+    /// Looks at all connections.
+    pub(super) fn sweep(&mut self) {
+        self.timers.set(self.net.now + SWEEP, What::Sweep);
+        self.sweep_clients();
+        self.sweep_links();
+        if let Some(id) = self.watch_on.filter(|_| !self.takes_list() && self.watch.is_silent(self.net.now)) {
+            self.watch_broke(id, "silent");
+        }
+        self.sweep_lines();
+    }
+
+    fn sweep_clients(&mut self) {
+        let clients = self.clients.iter();
+        let over = clients.filter_map(|(id, client)| Some((*id, self.overstay(*id, client)?)));
+        let over: Vec<(usize, Overstay)> = over.collect();
+        for (id, overstay) in over {
+            match overstay {
+                // What has come by now, maybe the message's end, is looked at first; not again and again, though.
+                Overstay::SlowMessage
+                    if self.net.now <= self.begun(id) + clients::SLOW_MESSAGE + 2 * SWEEP
+                        && !self.rests(id) => {}
+                Overstay::SlowMessage => self.refuse(id, 408, SLOW_MESSAGE),
+                Overstay::SaidNothing => self.finish_client(id, "said-nothing"),
+                Overstay::Idle => self.finish_client(id, "idle"),
+                Overstay::Lingered => drop(self.end_client(id, ClientEnd::Lingered)),
+                Overstay::ReadsNothing => drop(self.end_client(id, ClientEnd::ReadsNothing)),
+            }
+        }
+    }
+
+    fn overstay(&self, id: usize, client: &Client) -> Option<Overstay> {
+        let now = self.net.now;
+        let age = now.saturating_sub(client.since);
+        let (most, overstay) = match client.phase {
+            Phase::Waiting { .. } => return None,
+            Phase::Ending { .. } => (LINGER, Overstay::Lingered),
+            Phase::Answering { last: Some(_), .. } => (clients::SLOW_MESSAGE, Overstay::ReadsNothing),
+            Phase::Answering { last: None, .. } => (clients::IDLE, Overstay::ReadsNothing),
+            // Guards against connections that are opened to say nothing, or never to end a message. Harm: one
+            // opened long before its first message is opened again.
+            Phase::Reading if client.served == 0 => {
+                let silent = now > self.net.since(id) + clients::SLOW_MESSAGE;
+                let overstay = if client.partial { Overstay::SlowMessage } else { Overstay::SaidNothing };
+                return silent.then_some(overstay);
+            }
+            Phase::Reading if client.partial => (clients::SLOW_MESSAGE, Overstay::SlowMessage),
+            Phase::Reading => (clients::IDLE, Overstay::Idle),
+        };
+        (age > most).then_some(overstay)
+    }
+
+    /// Since when a client's message is waited for.
+    fn begun(&self, id: usize) -> Nanos {
+        let begun = self.clients.get(&id).filter(|client| client.served > 0).map(|client| client.since);
+        begun.unwrap_or(self.net.since(id))
+    }
+
+    fn sweep_links(&mut self) {
+        let now = self.net.now;
+        let idle = self.met().flat_map(|server| &server.idle);
+        let idle: Vec<usize> = idle.filter(|idle| now >= idle.1 + self.idle).map(|idle| idle.0).collect();
+        idle.into_iter().for_each(|id| self.end_link(id, "idle"));
+    }
+
+    fn sweep_lines(&mut self) {
+        let now = self.net.now;
+        for at in 0..self.lines.len() {
+            let Some(id) = self.lines_on[at] else { continue };
+            let used = at / counter::LINES == self.lines_from / counter::LINES;
+            let line = &mut self.lines[at];
+            if !used && (line.is_done() || now > self.moved_at + counter::MOVES_WITHIN) {
+                self.line_broke(at, "moved");
+            } else if line.is_dead(now) || !line.up && now > line.heard + counter::DEAD_AFTER {
+                self.line_broke(at, "silent");
+            } else if line.up
+                && now > line.wrote + counter::PING_EVERY
+                && let Some(out) = self.net.out(id)
+            {
+                line.ping(out, now);
+            }
+        }
+    }
+}
--- a/crates/gateway/src/gateway/to_clients.rs
+++ b/crates/gateway/src/gateway/to_clients.rs
@@ -10,17 +10,24 @@
         let came = self.desk.net.now - self.desk.net.late;
         let Some(client) = self.desk.clients.get_mut(&id) else { return };
         client.filled(self.desk.net.input(id).len(), came);
-        if client.closing.is_some() {
+        if client.phase.closes() {
             let length = self.desk.net.input(id).len();
             self.desk.net.used(id, length);
-        } else if let Some((_, length)) = client.rpc.filter(|_| self.desk.net.is_full(id)) {
+        } else if let Some((_, length)) = client.phase.rpc().filter(|_| self.desk.net.is_full(id)) {
             // Guards against a client whose leaving lies behind what it sent in the meantime, so that its RPC would wait
             // on for nobody. Covers floods. Harm: one that sends on before its answer has to open another connection.
             client.floods = true;
             self.desk.net.keep(id, length);
-        } else if client.rpc.is_none() && !self.desk.net.input(id).is_empty() && self.desk.net.is_sent(id) {
+        } else if client.phase.is_reading()
+            && !self.desk.net.input(id).is_empty()
+            && self.desk.net.is_sent(id)
+        {
             // The answer before this message is out: one that reads none can't fill the buffer with them.
-            match client.look(&self.desk.config, came, self.desk.net.input(id)) {
+            let found = client.look(&self.desk.config, came, self.desk.net.input(id));
+            if matches!(found, Ok(Got::Rpc(_) | Got::Ready(_) | Got::Healthy(_))) {
+                self.desk.claim_place(id);
+            }
+            match found {
                 // Guards the memory against many long messages at once; servers' buffers have a part of their own.
                 // Harm: a long message is turned away that might have found room a little later.
                 Ok(Got::Part) if self.desk.net.held > self.desk.held_most => {
@@ -72,7 +79,7 @@
         }
         let (id, method) = (self.desk.fresh_rpc(), message.method);
         let Some(at) = self.desk.clients.get_mut(&client) else { return };
-        at.rpc = Some((id, end));
+        at.shift(Phase::Waiting { rpc: id, length: end }, now);
         let asked = (at.came + message.remaining_ms * MS).saturating_sub(MARGIN);
         let deadline = self.desk.within_life(asked).max(now);
         let arrival = Arrival {
@@ -136,8 +143,8 @@
     }
 
     pub(super) fn client_left(&mut self, id: usize, why: &'static str) {
-        let rpc = self.desk.clients.get(&id).and_then(|client| client.rpc).map(|rpc| rpc.0);
-        self.desk.end_client(id, if rpc.is_some() { LEFT } else { why });
+        let rpc = self.desk.clients.get(&id).and_then(|client| client.phase.rpc()).map(|rpc| rpc.0);
+        self.desk.end_client(id, ClientEnd::Gone(if rpc.is_some() { LEFT } else { why }));
         if let Some(rpc) = rpc {
             self.desk.log_abandoned(rpc);
             self.desk.shift(rpc, Stand::Answered);
@@ -155,50 +162,74 @@
             clients::write_own(out, status, come_back, close);
         }
         self.log_answer(id, status, why);
-        self.check_answer(id);
         self.answered(id, client, close);
     }
 
     /// Whether the answer to an RPC is the last on its connection.
     pub(super) fn closes(&self, rpc: &Rpc) -> bool {
         let floods = self.clients.get(&rpc.client).is_some_and(|client| client.floods);
-        rpc.message.close || floods || self.ends_with(rpc.client, rpc.message.body.end)
+        rpc.message.close
+            || floods
+            || self.ends_with(rpc.client, rpc.message.body.end)
+            || self.gives_its_place(rpc.client, rpc.message.body.end)
     }
 
+    /// An RPC's answer was put into its client's buffer; it is owed until all of it is out.
     pub(super) fn answered(&mut self, id: u32, client: usize, close: bool) {
-        let txn = self.rpcs.get(&id).map(|rpc| rpc.id.clone());
+        let rpc = self.rpcs.get(&id).map(|rpc| (rpc.id.clone(), rpc.deadline));
+        let (txn, deadline) = rpc.unzip();
         self.shift(id, Stand::Answered);
-        let stopping = self.is_stopping();
+        let (now, stopping) = (self.net.now, self.is_stopping());
         let Some(at) = self.clients.get_mut(&client) else { return };
-        at.owed = txn;
-        let length = at.rpc.take().map_or(0, |rpc| rpc.1);
+        let length = at.phase.rpc().map_or(0, |rpc| rpc.1);
+        let last = close.then_some(match at.floods {
+            _ if stopping => "stopping",
+            true => "sends-on-before-its-answer",
+            false => "last-answer",
+        });
+        at.shift(Phase::Answering { owed: Owed { txn: txn.unwrap_or_default(), deadline }, last }, now);
         at.served += 1;
-        at.since = self.net.now;
         at.used(length);
         self.net.used(client, length);
-        if close {
-            at.closing = Some(match at.floods {
-                _ if stopping => "stopping",
-                true => "sends-on-before-its-answer",
-                false => "client-asked",
-            });
+    }
+
+    /// Some of what waited for a client was written; once that is all, its answer is no longer owed.
+    pub(super) fn client_wrote(&mut self, id: usize) {
+        let (now, sent) = (self.net.now, self.net.is_sent(id));
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        match client.phase.after_answer().filter(|_| sent) {
+            None => client.since = if client.phase.owed().is_some() { now } else { client.since },
+            Some(next) => {
+                let owed = client.phase.owed().cloned().unwrap_or_default();
+                let ends = next.closes();
+                client.shift(next, now);
+                self.check_answer(&owed);
+                if ends {
+                    self.net.finish(id);
+                }
+            }
+        }
+        let reads = self.clients.get(&id).is_some_and(|client| client.phase.rpc().is_none());
+        if reads && !self.net.input(id).is_empty() {
+            self.again.push_back(id);
         }
     }
 
     /// An answer of the gateway's own to a message that is no RPC of the module's; `lines` are further header lines.
     pub(super) fn answer_own(&mut self, client: usize, status: u16, length: usize, lines: &str) {
         let spare = self.clients.get(&client).is_some_and(|client| client.spare);
-        let stopping = self.is_stopping();
+        let (now, stopping) = (self.net.now, self.is_stopping());
         let close = spare || self.ends_with(client, length);
         if let Some(out) = self.net.out(client) {
             clients::write_told(out, status, lines, 0, close);
         }
         self.net.used(client, length);
         if let Some(at) = self.clients.get_mut(&client) {
-            (at.partial, at.since) = (false, self.net.now);
+            let last = close.then_some(if stopping { "stopping" } else { "too-many-clients" });
+            at.shift(Phase::Answering { owed: Owed::default(), last }, now);
+            at.partial = false;
             at.used(length);
             at.served += 1;
-            at.closing = close.then_some(if stopping { "stopping" } else { "too-many-clients" });
         }
     }
 
@@ -208,21 +239,27 @@
             clients::write_own(out, status, 0, true);
         }
         self.net.discard(client);
+        let now = self.net.now;
         if let Some(at) = self.clients.get_mut(&client) {
-            (at.closing, at.since) = (Some(why), self.net.now);
+            at.shift(Phase::Answering { owed: Owed::default(), last: Some(why) }, now);
         }
     }
 
-    pub(super) fn end_client(&mut self, id: usize, why: &'static str) {
-        self.check_end_of_client(id, why);
-        let Some(client) = self.clients.remove(&id) else { return };
-        if let Some(txn) = client.owed.as_deref().filter(|_| !self.net.is_sent(id)) {
-            self.log_unwritten(txn, why, self.net.unwritten(id));
+    /// Ends a client's connection; the one place where that is done. What owes an answer is ended by its client alone, or
+    /// if that reads none of it: then it stays, and false is told.
+    pub(super) fn end_client(&mut self, id: usize, end: ClientEnd) -> bool {
+        let Some(client) = self.clients.get(&id) else { return false };
+        if !client.phase.may_end(end) {
+            self.withhold_end(id, end);
+            return false;
         }
-        let why = client.closing.unwrap_or(why);
+        self.check_end_of_client(id, end);
+        let Some(client) = self.clients.remove(&id) else { return false };
+        let why = client.phase.closing().unwrap_or(end.reason());
         info!(self.log, "client"; "why" => why, "from" => shown(self.net.address(id)), "answers" => client.served,
             "ms" => (self.net.now - self.net.since(id)) / MS);
         self.net.close(id);
+        true
     }
 
     /// A last look before this side ends a connection without an RPC: whether nothing more has come that is still to be
@@ -245,8 +282,8 @@
             return;
         }
         let now = self.net.now;
-        if let Some(client) = self.clients.get_mut(&id) {
-            (client.closing, client.finished, client.since) = (Some(why), true, now);
+        if let Some(client) = self.clients.get_mut(&id).filter(|client| client.phase.is_reading()) {
+            client.shift(Phase::Ending { why }, now);
             self.net.finish(id);
         }
     }
@@ -254,8 +291,8 @@
     /// While this program stops: ends this side's sending on resting clients. Those that have not said anything yet and
     /// those inside a message get until the last call, when what is not whole is pushed back: it never reached the module.
     pub(super) fn close_clients(&mut self, last: bool) {
-        let open = |client: &Client| client.rpc.is_none() && client.closing.is_none();
-        let ids: Vec<usize> = self.clients.iter().filter(|(_, one)| open(one)).map(|(id, _)| *id).collect();
+        let open = self.clients.iter().filter(|(_, client)| client.phase.is_reading());
+        let ids: Vec<usize> = open.map(|(id, _)| *id).collect();
         for id in ids {
             let (partial, served) = self.clients.get(&id).map_or((false, 0), |one| (one.partial, one.served));
             match () {
@@ -265,15 +302,4 @@
             }
         }
     }
-
-    /// Closes the client that has been idle for longest, or paused in a message. What has come from one by now is served
-    /// first: of a resting one, any byte; of one inside a message, more of it.
-    pub(super) fn shed_client(&mut self) -> bool {
-        let now = self.net.now;
-        let idle = self.clients.iter().filter(|(_, client)| client.may_go(now));
-        let mut idle: Vec<(Nanos, usize)> = idle.map(|(id, client)| (client.since, *id)).collect();
-        idle.sort_unstable();
-        let goes = idle.into_iter().map(|one| one.1).find(|id| self.rests(*id));
-        goes.map(|id| self.end_client(id, "made-room")).is_some()
-    }
 }
--- a/crates/gateway/src/gateway/to_servers.rs
+++ b/crates/gateway/src/gateway/to_servers.rs
@@ -158,7 +158,6 @@
             out.extend_from_slice(body);
         }
         self.log_answer(id, 200, "served");
-        self.check_answer(id);
         self.answered(id, client, close);
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod list;
 pub mod logs;
 pub mod objects;
+pub mod phase;
+pub mod room;
 pub mod servers;
 pub mod services;
 pub mod shutdown;
