A subset is worked out in bounded steps, many changes of a long list at once

The gateway follows a change at once as far as it must (what left is drawn no more, what came can be drawn) and works the subset out in turns of 50,000 units; after a table it rests 250 ns a unit, 1 s at most, so that a list that changes all the time costs about 2% of a core.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -84,6 +84,8 @@
     Agree,
     /// More of a list is to be brought into force.
     Changes,
+    /// There is work on the module's subsets.
+    Subsets,
 }
 
 /// Where an RPC stands here: with the module, out at a server, or answered while a call-out is still out.
@@ -158,6 +160,8 @@
     changes: Option<Changes>,
     /// A timer is set for the next batch of them.
     goes_on: bool,
+    /// When the first timer for work on subsets is due.
+    subsets_awaited: Option<Nanos>,
     /// Two sets: the one from `lines_from` on is used; the other's lines, where they stand, only end what they carry.
     lines: [Line; 2 * counter::LINES],
     lines_on: [Option<usize>; 2 * counter::LINES],
@@ -242,6 +246,7 @@
             pending: VecDeque::new(),
             changes: None,
             goes_on: false,
+            subsets_awaited: None,
             stop_within: span("rules.stopSendingWithin", list::STOP_WITHIN),
             pushed: config.settings.get("membershipMode").is_some_and(|mode| mode == "push"),
             fleet: config.setting("balancers").map_or(1, |count| count as u32),
@@ -459,6 +464,7 @@
                 What::Exit => self.exit(),
                 What::Agree => self.agree(),
                 What::Changes => {} // the turn has begun with it
+                What::Subsets => self.work_on_subsets(),
             }
             self.settle();
         }
--- a/crates/gateway/src/gateway/to_list.rs
+++ b/crates/gateway/src/gateway/to_list.rs
@@ -3,6 +3,9 @@
 use super::*;
 use martenramp::host::Listed;
 
+/// The part of a subset's work that one turn does: about a quarter of a millisecond.
+const SUBSET_UNITS_A_TURN: usize = 50_000;
+
 impl Gateway {
     /// Bytes of a watch. While a list is brought into force no more is read: what comes waits at discovery's side.
     pub(super) fn list_came(&mut self, id: usize) {
@@ -128,8 +131,31 @@
             stale.into_iter().for_each(|id| desk.end_link(id, "server-moved"));
             list.push(Listed { server, ..listed });
         }
-        self.brain.listed(desk.net.now, false, &list);
+        if desk.has_list {
+            self.brain.listed_in_steps(desk.net.now, &list);
+        } else {
+            self.brain.listed(desk.net.now, false, &list);
+        }
         desk.servers.forget();
+        self.await_subsets();
+    }
+
+    /// Goes on with the module's subsets for this turn's part of the work.
+    pub(super) fn work_on_subsets(&mut self) {
+        self.desk.subsets_awaited = None;
+        self.brain.work_on_subsets(self.desk.net.now, SUBSET_UNITS_A_TURN);
+        self.await_subsets();
+    }
+
+    /// Sets a timer for when there is work on subsets.
+    fn await_subsets(&mut self) {
+        let Some(due) = self.brain.subsets_due() else { return };
+        // Timers are looked at once a turn, so what is due now is for the next one.
+        let at = due.max(self.desk.net.now + 1);
+        if self.desk.subsets_awaited.is_none_or(|awaited| at < awaited) {
+            self.desk.subsets_awaited = Some(at);
+            self.desk.timers.set(at, What::Subsets);
+        }
     }
 }
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -30,6 +30,10 @@
 /// A gateway's part of the servers: each is met about so often, and by so many gateways at the least.
 const MEET: Nanos = SEC;
 const SUBSET_COUNT: f64 = 18.0;
+/// After working a subset out none is begun for so long, for each unit of the work, and for this at most: of a long list that
+/// changes all the time, many changes are taken at once.
+const REST_PER_UNIT: Nanos = 250;
+const REST_MOST: Nanos = SEC;
 /// A service that was not asked for in this time is dropped when another is asked for first.
 const UNUSED: Nanos = 600 * SEC;
 
@@ -129,6 +133,16 @@
     subsetter: Subsetter, // its servers that new work may go to, first this gateway's subset
     asked_at: Nanos,
     ends: VecDeque<Nanos>, // of call-outs that may have run
+    /// Units of work on the subset at hand, and until when none is begun.
+    worked: usize,
+    rests_until: Nanos,
+}
+
+/// Endpoints of a service that are no longer ready, and that are ready now.
+#[derive(Default)]
+struct ServiceChange {
+    gone: Vec<u32>,
+    came: Vec<u32>,
 }
 
 #[derive(Default)]
@@ -210,13 +224,28 @@
 
     /// Discovery's list, whole or only what changed. A server off the whole list is gone.
     pub fn listed(&mut self, now: Nanos, whole: bool, list: &[Listed]) {
+        let changes = self.take_list(now, whole, list);
+        changes.into_keys().for_each(|service| self.share_out(now, service));
+    }
+
+    /// What changed of discovery's list. What is no longer ready gets nothing new from here on; the subsets follow in
+    /// `work_on_subsets`.
+    pub fn listed_in_steps(&mut self, now: Nanos, list: &[Listed]) {
+        let changes = self.take_list(now, false, list);
+        changes.into_iter().for_each(|(service, change)| self.follow(now, service, &change));
+    }
+
+    /// Takes the list in; which services it changes, and how.
+    fn take_list(&mut self, now: Nanos, whole: bool, list: &[Listed]) -> BTreeMap<u32, ServiceChange> {
         self.born.get_or_insert(now);
         self.nowhere.clear();
-        let mut changed = BTreeSet::new();
+        let mut changes: BTreeMap<u32, ServiceChange> = BTreeMap::new();
         if whole {
             self.servers.values_mut().for_each(|server| server.listed.ready = false);
             self.leaving.extend(self.servers.keys());
-            changed.extend(std::mem::take(&mut self.ready).into_keys());
+            for (service, gone) in std::mem::take(&mut self.ready) {
+                changes.entry(service).or_default().gone.extend(gone);
+            }
         }
         for listed in list {
             let server = self.servers.entry(listed.server).or_default();
@@ -226,17 +255,54 @@
             }
             let was = std::mem::replace(&mut server.listed, listed.clone());
             if was.ready && self.ready.entry(was.service).or_default().remove(&listed.server) {
-                changed.insert(was.service);
+                changes.entry(was.service).or_default().gone.push(listed.server);
             }
             if listed.ready {
-                changed.insert(listed.service);
+                changes.entry(listed.service).or_default().came.push(listed.server);
                 self.ready.entry(listed.service).or_default().insert(listed.server);
             } else {
                 self.leaving.insert(listed.server);
             }
         }
         self.forget_servers();
-        changed.into_iter().for_each(|service| self.share_out(now, service));
+        changes
+    }
+
+    /// Lets a service's subset follow a change, without working it out.
+    fn follow(&mut self, now: Nanos, service: u32, change: &ServiceChange) {
+        let Some(mut at) = self.services.remove(&service) else { return };
+        // Of two changes of one server the later one counts.
+        let is_ready = |id: &u32| self.ready.get(&service).is_some_and(|ready| ready.contains(id));
+        let came: BTreeSet<u32> = change.came.iter().copied().filter(is_ready).collect();
+        let gone: Vec<u32> = change.gone.iter().copied().filter(|id| !is_ready(id)).collect();
+        at.subsetter.change(&gone, self.endpoints(came.iter()), SUBSET_COUNT);
+        let is_cold = |id: &u32| self.warmth(now, &self.servers[id].listed) < 1.0;
+        let shared = at.subsetter.shared().iter().copied();
+        let new = came.iter().copied().filter(|id| !at.subsetter.is_shared(*id));
+        let shared: Vec<u32> = shared.chain(new).filter(is_cold).collect();
+        at.subsetter.share(shared);
+        self.services.insert(service, at);
+    }
+
+    /// When there is work on subsets to be done; nothing if all are worked out.
+    pub fn subsets_due(&self) -> Option<Nanos> {
+        let stale = self.services.values().filter(|at| !at.subsetter.is_worked_out());
+        stale.map(|at| at.rests_until).min()
+    }
+
+    /// Goes on with the subset that is due first, for so many units of some nanoseconds.
+    pub fn work_on_subsets(&mut self, now: Nanos, units: usize) {
+        let stale = self.services.values_mut().filter(|at| !at.subsetter.is_worked_out());
+        let Some(at) = stale.min_by_key(|at| at.rests_until).filter(|at| at.rests_until <= now) else {
+            return;
+        };
+        let mut left = units;
+        let done = at.subsetter.work(&mut left);
+        at.worked += units - left;
+        if done {
+            let rest = std::mem::take(&mut at.worked) as Nanos * REST_PER_UNIT;
+            at.rests_until = now + rest.min(REST_MOST);
+        }
     }
 
     /// Forgets servers that are not ready and have no call-outs open.
@@ -266,16 +332,20 @@
         self.share_out(now, service);
     }
 
-    /// Works out this gateway's subset of a service that it was asked for, of the servers ready now.
-    fn share_out(&mut self, now: Nanos, service: u32) {
-        let Some(mut at) = self.services.remove(&service) else { return };
+    fn endpoints<'a>(&self, ids: impl Iterator<Item = &'a u32>) -> Vec<Endpoint> {
         let near = self.setting("zone", -1.0);
         let endpoint = |id: &u32| {
             let Listed { key, zone, weight, .. } = self.servers[id].listed;
             Endpoint { id: *id, key, zone, weight, near: f64::from(zone) == near }
         };
-        let endpoints = self.ready.get(&service).into_iter().flatten().map(endpoint);
-        at.subsetter.update(endpoints.collect(), SUBSET_COUNT);
+        ids.map(endpoint).collect()
+    }
+
+    /// Works out this gateway's subset of a service that it was asked for, of the servers ready now.
+    fn share_out(&mut self, now: Nanos, service: u32) {
+        let Some(mut at) = self.services.remove(&service) else { return };
+        let endpoints = self.endpoints(self.ready.get(&service).into_iter().flatten());
+        at.subsetter.update(endpoints, SUBSET_COUNT);
         let is_cold = |id: &&u32| self.warmth(now, &self.servers[*id].listed) < 1.0;
         at.subsetter.share(at.subsetter.order().iter().filter(is_cold).copied().collect());
         self.services.insert(service, at);
@@ -911,10 +981,13 @@
 
     /// The part of its capacity that a server surely has by now.
     fn warmth(&self, now: Nanos, server: &Listed) -> f64 {
+        if server.came_up == 0 {
+            return 1.0;
+        }
         let within = self.setting("rules.warmWithin", 30.0).max(1e-3);
         let age = secs(now.saturating_sub(server.came_up));
         let from = self.setting("rules.coldFrom", 0.1);
-        if server.came_up == 0 { 1.0 } else { (from + (1.0 - from) * age / within).min(1.0) }
+        (from + (1.0 - from) * age / within).min(1.0)
     }
 
     fn wake(&mut self, host: &mut dyn Host, now: Nanos, at: Nanos, wake: u64) {
--- a/src/subsetting/turns.rs
+++ b/src/subsetting/turns.rs
@@ -50,6 +50,22 @@
         self.costs = costs;
     }
 
+    /// One has come: it stands level with the others.
+    pub(super) fn join(&mut self, id: u32, cost: Cost) {
+        self.costs.insert(id, cost);
+        self.had.entry(id).or_insert(self.level);
+    }
+
+    /// These have left.
+    pub(super) fn leave(&mut self, gone: &BTreeSet<u32>) {
+        for id in gone {
+            self.costs.remove(id);
+            self.had.remove(id);
+        }
+        self.shared.retain(|id| !gone.contains(id));
+        self.is_shared.retain(|id| !gone.contains(id));
+    }
+
     /// Of endpoints and what each bears now, whose turn it is: the one that had fewest, unless it bears far more than the
     /// least; of equals the first.
     pub(super) fn pick(&mut self, drawn: &[(u32, f64)]) -> Option<u32> {
--- a/tests/subsetting.rs
+++ b/tests/subsetting.rs
@@ -107,3 +107,74 @@
         assert!(new_ones.iter().chain(known).all(|count| (4..=30).contains(count)), "{counts:?}");
     }
 }
+
+/// Nobody but what is listed can be drawn, and all of it can.
+fn assert_drawn_are(subsetter: &Subsetter, listed: &BTreeSet<u32>) {
+    assert_eq!(subsetter.order().iter().copied().collect::<BTreeSet<u32>>(), *listed);
+    assert!(subsetter.subset_len() <= subsetter.order().len());
+}
+
+#[test]
+fn changes_amid_the_work_on_a_subset_end_in_that_of_the_last_list() {
+    for seed in 0..30 {
+        let mut chance = fastrand::Rng::with_seed(seed);
+        let (fleet, all) = (chance.usize(10..400), endpoints(chance.usize(2..200), 3));
+        let mut weighed = all.clone();
+        weighed.iter_mut().for_each(|endpoint| endpoint.weight = chance.f64() + 0.5);
+        let number = chance.usize(..fleet);
+        let mut in_steps = Subsetter::new(Some(number), fleet, 1);
+        in_steps.update(all.clone(), SUBSET_COUNT);
+        let mut listed: BTreeSet<u32> = (0..all.len() as u32).collect();
+        for _ in 0..60 {
+            let changed = chance.u32(..all.len() as u32);
+            if listed.remove(&changed) {
+                in_steps.change(&[changed], Vec::new(), SUBSET_COUNT);
+            } else {
+                listed.insert(changed);
+                in_steps.change(&[], vec![weighed[changed as usize]], SUBSET_COUNT);
+            }
+            assert_drawn_are(&in_steps, &listed);
+            let mut units = chance.usize(..20_000);
+            in_steps.work(&mut units);
+            assert_drawn_are(&in_steps, &listed);
+        }
+        // What never left has the weight that it was listed with first.
+        let mut left = Vec::new();
+        for id in &listed {
+            in_steps.change(&[], vec![weighed[*id as usize]], SUBSET_COUNT);
+            left.push(weighed[*id as usize]);
+        }
+        in_steps.finish();
+        let mut at_once = Subsetter::new(Some(number), fleet, 2);
+        at_once.update(left.clone(), SUBSET_COUNT);
+        assert_eq!(in_steps.order(), at_once.order(), "seed {seed}");
+        assert_eq!(own(&in_steps), work_out(&left, fleet)[number], "seed {seed}");
+    }
+}
+
+/// The work that one change of a list of this length costs, and the longest step of it.
+fn work_of_a_change(count: usize, fleet: usize) -> (usize, usize) {
+    const STEP: usize = 50_000;
+    let all = endpoints(count, 3);
+    let mut subsetter = Subsetter::new(Some(5), fleet, 1);
+    subsetter.update(all, SUBSET_COUNT);
+    subsetter.change(&[1], Vec::new(), SUBSET_COUNT);
+    let (mut work, mut longest) = (0, 0);
+    while !subsetter.is_worked_out() {
+        let mut units = STEP;
+        subsetter.work(&mut units);
+        work += STEP - units;
+        longest = longest.max(STEP - units);
+    }
+    (work, longest)
+}
+
+#[test]
+fn a_change_of_a_long_list_costs_a_few_looks_at_each_pair_in_bounded_steps() {
+    for (count, fleet) in [(200, 300), (800, 900), (3200, 900)] {
+        let (work, longest) = work_of_a_change(count, fleet);
+        // 18 subsets each, four candidates for one of them, three layers of three passes, merging and planning.
+        assert!(work <= 18 * 4 * 10 * count + 60_000, "{count} x {fleet}: {work}");
+        assert!(longest <= 50_000, "{count} x {fleet}: {longest}");
+    }
+}
