What waited for a place counts as that old; a process that falls behind takes what it can serve

Change: where accepting was behind, the system is asked how long the data has waited (TCP_INFO, tcp_info.rs); what is too late is refused as it is read; after two long turns (longer than a tenth of the shortest deadline) a turn takes RPCs for half of the last turn's time and refuses the others; one turn looks at all that is ready.

Stories: told time and refusal after a wait for a place.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -169,6 +169,13 @@
         longest_deadline((0..self.methods.len()).map(|number| told(number).map(nanos)))
     }
 
+    /// The shortest deadline of a method; the longest that counts where none is told.
+    pub fn shortest_deadline(&self) -> Nanos {
+        let told =
+            (0..self.methods.len()).filter_map(|number| self.setting(&format!("classes.{number}.deadline")));
+        told.map(|secs| (secs * 1e9) as Nanos).min().unwrap_or_else(|| self.longest_deadline())
+    }
+
     pub fn setting(&self, name: &str) -> Option<f64> {
         self.settings.get(name)?.parse().ok().filter(|value: &f64| value.is_finite() && *value > 0.0)
     }
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -2,6 +2,7 @@
 //! It knows who a connection belongs to, and nothing of what is said on it.
 
 use crate::logs::Logs;
+use crate::tcp_info;
 use martenramp::host::Nanos;
 use mio::net::{TcpListener, TcpStream, UdpSocket, UnixStream};
 use mio::{Events, Interest, Poll, Registry, Token};
@@ -21,6 +22,9 @@
 const DATAGRAM_MOST: usize = 257;
 /// An id is a place in the slab and a count of births, so that an event for a closed connection finds nobody.
 const PLACE_BITS: u32 = 20;
+/// More events than there are connections: what is ready is looked at in one turn, so that nothing waits here for longer than
+/// a turn lasts.
+const EVENTS_A_TURN: usize = 4096;
 /// How much is read at once; a buffer that grew beyond `KEPT` is given back once it is empty.
 const READ: usize = 4 << 10;
 const KEPT: usize = 16 << 10;
@@ -214,6 +218,11 @@
         self.get(id).map_or(self.now, |conn| conn.since)
     }
 
+    /// For how long what came last on a connection has waited in the system, if that can tell.
+    pub fn unread_for(&self, id: usize) -> Option<Nanos> {
+        tcp_info::since_last_data(&self.get(id)?.stream)
+    }
+
     /// What is to be written; it goes out at the end of the round.
     pub fn out(&mut self, id: usize) -> Option<&mut Vec<u8>> {
         let conn = self.conns.get_mut(id & ((1 << PLACE_BITS) - 1)).filter(|conn| conn.id == id)?;
@@ -445,6 +454,8 @@
     fn client_input_most(&self) -> usize;
     fn accepted(&mut self, id: usize);
     fn accept_later(&mut self);
+    /// Nobody waits to be accepted any more.
+    fn accepted_all(&mut self) {}
     /// Frees a descriptor; false if none can be.
     fn shed(&mut self) -> bool;
     fn up(&mut self, id: usize);
@@ -508,7 +519,7 @@
 
     /// Turns until the gateway is over.
     pub fn run(mut self, gateway: &mut impl Turned, logs: &Logs) -> io::Result<()> {
-        let mut events = Events::with_capacity(256);
+        let mut events = Events::with_capacity(EVENTS_A_TURN);
         gateway.start(self.clock.now());
         self.flush(gateway);
         // For how long the last turn lasted; before the first one, how long the start took.
@@ -652,7 +663,7 @@
                         gateway.accepted(id);
                     }
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return gateway.accepted_all(),
                 // Guards against running out of descriptors: an idle connection gives way, or accepting waits.
                 Err(e) if out_of_descriptors(&e) => {
                     if !gateway.shed() {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -60,6 +60,9 @@
 const CLIENTS_MEMORY: usize = 3;
 const LINKS_MEMORY: usize = 3;
 const LIST_MEMORY: usize = 4;
+/// A turn may last this part of the shortest deadline while the process keeps up.
+const TURN_SHARE: Nanos = 10;
+const TURN_LEAST: Nanos = 10 * MS;
 /// So many times a client that sends on is read before an attempt is written for it.
 const LOOKS: usize = 16;
 const MESSAGE_MOST: usize = HEAD_MOST + BODY_MOST + 1024;
@@ -187,6 +190,13 @@
     accepts_again: bool,
     /// When there was no place for a new client last.
     crowded_at: Option<Nanos>,
+    /// Whether a new connection is silent that gives way soon, as of the last look at all; until when none is looked for, by
+    /// whom it is for; and how many connections have been served.
+    silent_wait: bool,
+    nobody_gives_way_until: [Nanos; 2],
+    clients_served: usize,
+    /// Since when there are more that wait to be accepted than there were places for.
+    behind_since: Option<Nanos>,
     clients_most: usize,
     spares: usize,
     links_most: usize,
@@ -207,6 +217,9 @@
     /// When this turn began, and how far [`Desk::catch_up`] has moved its time on since.
     woke_at: Instant,
     caught_up: Nanos,
+    /// How long the turn before this one lasted, and the longest that one may last while the process keeps up.
+    last_turn: Nanos,
+    turn_most: Nanos,
     /// For rests that must not be in step with other gateways'; the module has a source of its own.
     chance: fastrand::Rng,
 }
@@ -253,6 +266,8 @@
             chance: fastrand::Rng::with_seed(config.seed.rotate_left(32)),
             woke_at: Instant::now(),
             caught_up: 0,
+            last_turn: 0,
+            turn_most: (config.shortest_deadline() / TURN_SHARE).max(TURN_LEAST),
             watch_on: None,
             watching: false,
             old_watch: None,
@@ -273,6 +288,10 @@
             listens: true,
             accepts_again: false,
             crowded_at: None,
+            silent_wait: false,
+            nobody_gives_way_until: [0; 2],
+            clients_served: 0,
+            behind_since: None,
             config,
         };
         let brain = Brain::new(desk.config.seed, desk.config.settings.clone());
@@ -359,6 +378,7 @@
         let desk = &mut self.desk;
         // The driver takes the last turn to have begun at the time that was told then.
         desk.net.late += std::mem::take(&mut desk.caught_up);
+        desk.last_turn = desk.net.late;
         desk.woke_at = Instant::now();
         self.agree();
         if self.desk.goes_on {
@@ -388,7 +408,8 @@
 
     fn accepted(&mut self, id: usize) {
         let spare = self.desk.clients.len() >= self.desk.clients_most;
-        let client = Client { since: self.desk.net.now, spare, ..Client::default() };
+        let (unread_for, since) = self.desk.waited_to_be_accepted(id);
+        let client = Client { since, spare, unread_for, ..Client::default() };
         self.desk.clients.insert(id, client);
         // What it sent behind its connection may have waited as long as that did, which is known now and not in the turn
         // that would read it.
@@ -400,6 +421,10 @@
         self.desk.accept_later();
     }
 
+    fn accepted_all(&mut self) {
+        self.desk.behind_since = None;
+    }
+
     /// Closes an idle connection to free its descriptor; false if there is none.
     fn shed(&mut self) -> bool {
         self.desk.shed()
--- a/crates/gateway/src/gateway/checks.rs
+++ b/crates/gateway/src/gateway/checks.rs
@@ -34,8 +34,17 @@
     }
 
     /// Asks the guard whether an RPC that was read now may begin.
-    pub(super) fn may_begin(&mut self, txn: &[u8]) -> bool {
-        match guard::may_begin(self.net.now, self.shutdown) {
+    pub(super) fn may_begin(&mut self, txn: &[u8], deadline: Nanos) -> bool {
+        let lasted = self.turn_lasted();
+        let begin = guard::Begin {
+            now: self.net.now + lasted,
+            deadline,
+            last_turn: self.last_turn,
+            this_turn: lasted + self.caught_up,
+            turn_most: self.turn_most,
+            shutdown: self.shutdown,
+        };
+        match guard::may_begin(&begin) {
             Ok(()) => {
                 self.counts.held(Invariant::BeginsInLife);
                 true
--- a/crates/gateway/src/gateway/making_room.rs
+++ b/crates/gateway/src/gateway/making_room.rs
@@ -1,12 +1,14 @@
 //! The gateway's side of making room: which connections give way when descriptors run out (`room`).
 
 use super::*;
-use crate::room::For;
+use crate::room::{For, Idle};
 
 /// For so long after the last time that no place was left for a new client, others are taken to wait for one.
 const CROWDED: Nanos = 1_000 * MS;
-/// How soon at the earliest accepting is tried again.
+/// How soon at the earliest accepting is tried again, and room looked for where there was none.
 const ACCEPT_SOONEST: Nanos = MS;
+/// So many connections whose turn it is are looked at for one place: of a crowd that all speak at once nobody gives way.
+const TRIED_MOST: usize = 8;
 
 impl Desk {
     /// Whether one more client can be taken, if need be for one that only holds its place.
@@ -16,21 +18,27 @@
             return true;
         }
         self.crowded_at = Some(self.net.now);
-        // A place is free in a moment: whoever came is better served then than turned away now.
-        let waits = self.next_silent().is_some();
-        !waits && taken < self.clients_most + self.spares
+        self.behind_since.get_or_insert(self.net.now);
+        // Where a place is free in a moment, whoever came is better served then than turned away now.
+        !self.silent_wait && taken < self.clients_most + self.spares
+    }
+
+    /// For how long what came on a connection had waited before it was accepted, and since when it counts as silent. Guards
+    /// against telling servers, and waiting for, more time than a client has left that waited for a place. Harm: a client
+    /// that was connected for that long, and sends in this very moment, gives way first.
+    pub(super) fn waited_to_be_accepted(&self, id: usize) -> (Nanos, Nanos) {
+        let now = self.net.now;
+        let Some(since) = self.behind_since else { return (0, now) };
+        let unread_for = self.net.unread_for(id).unwrap_or(0).min(now.saturating_sub(since));
+        (unread_for, now - unread_for)
     }
 
     /// Accepting is tried again when the next silent connection gives way, or after a while.
     pub(super) fn accept_later(&mut self) {
         let now = self.net.now;
         let again = now + ACCEPT_AGAIN;
-        let silent = self.next_silent().map_or(again, |at| at.clamp(now + ACCEPT_SOONEST, again));
-        self.timers.set(silent, What::Accept);
-    }
-
-    fn next_silent(&self) -> Option<Nanos> {
-        room::next_silent(self.clients.values().filter_map(Client::idle))
+        let silent = room::next_silent(self.clients.values().filter_map(Client::idle));
+        self.timers.set(silent.map_or(again, |at| at.clamp(now + ACCEPT_SOONEST, again)), What::Accept);
     }
 
     /// A client on a spare place has spoken: it has a place of its own if there is one by now, or if those that were served
@@ -40,7 +48,8 @@
             return;
         }
         let is_left = self.clients.len() <= self.clients_most;
-        if is_left || self.served_overhold() && self.shed_client(For::Need) {
+        let overheld = room::is_overheld(self.clients_served, self.clients_most);
+        if is_left || overheld && self.shed_client(For::Need) {
             self.clients.entry(id).and_modify(|client| client.spare = false);
         }
     }
@@ -51,11 +60,23 @@
     }
 
     /// Closes the client whose turn it is to give way. What has come from one by now is served first: of a resting one, any
-    /// byte; of one inside a message, more of it.
+    /// byte; of one inside a message, more of it. Where nobody gave way just now nobody is looked for: that is a look at all.
     fn shed_client(&mut self, to: For) -> bool {
-        let idle = self.clients.iter().filter_map(|(id, client)| Some((*id, client.idle()?)));
-        let in_turn = room::in_turn(idle, self.net.now, to);
-        in_turn.into_iter().any(|id| self.is_quiet(id) && self.end_client(id, ClientEnd::MadeRoom))
+        let now = self.net.now;
+        let none_until = &mut self.nobody_gives_way_until[to as usize];
+        if now < *none_until {
+            return false;
+        }
+        *none_until = now + ACCEPT_SOONEST;
+        let idle = || self.clients.iter().filter_map(|(id, client)| Some((*id, client.idle()?)));
+        let in_turn = room::in_turn(idle(), now, to);
+        self.silent_wait = idle().any(|(_, idle)| matches!(idle, Idle::Silent(_)));
+        let mut tried = in_turn.into_iter().take(TRIED_MOST);
+        let gave_way = tried.any(|id| self.is_quiet(id) && self.end_client(id, ClientEnd::MadeRoom));
+        if gave_way {
+            self.nobody_gives_way_until[to as usize] = 0;
+        }
+        gave_way
     }
 
     /// Whether nothing has come on a connection that is still to be served. What comes after this side's end is not.
@@ -72,11 +93,8 @@
     /// request instead. Harm: such a client connects again.
     pub(super) fn gives_its_place(&self, client: usize, length: usize) -> bool {
         let crowded = self.crowded_at.is_some_and(|at| self.net.now < at + CROWDED);
-        crowded && self.served_overhold() && self.net.input(client).len() <= length
-    }
-
-    fn served_overhold(&self) -> bool {
-        let served = self.clients.values().filter(|client| client.served > 0).count();
-        room::is_overheld(served, self.clients_most)
+        crowded
+            && room::is_overheld(self.clients_served, self.clients_most)
+            && self.net.input(client).len() <= length
     }
 }
--- a/crates/gateway/src/gateway/to_clients.rs
+++ b/crates/gateway/src/gateway/to_clients.rs
@@ -7,8 +7,12 @@
 
 impl Gateway {
     pub(super) fn client_came(&mut self, id: usize) {
-        let came = self.desk.net.now - self.desk.net.late;
         let Some(client) = self.desk.clients.get_mut(&id) else { return };
+        let waited = self.desk.net.late.max(client.unread_for);
+        let came = self.desk.net.now.saturating_sub(waited);
+        if !self.desk.net.input(id).is_empty() {
+            client.unread_for = 0;
+        }
         client.filled(self.desk.net.input(id).len(), came);
         if client.phase.closes() {
             let length = self.desk.net.input(id).len();
@@ -70,7 +74,9 @@
             self.desk.answer_own(client, 503, end, "");
             return;
         }
-        if !self.desk.may_begin(&own) {
+        let came = self.desk.clients.get(&client).map_or(now, |client| client.came);
+        let asked = (came + message.remaining_ms * MS).saturating_sub(MARGIN);
+        if !self.desk.may_begin(&own, asked) {
             return self.desk.answer_own(client, 503, end, "");
         }
         if !self.desk.ids.insert(own.clone()) {
@@ -80,7 +86,6 @@
         let (id, method) = (self.desk.fresh_rpc(), message.method);
         let Some(at) = self.desk.clients.get_mut(&client) else { return };
         at.shift(Phase::Waiting { rpc: id, length: end }, now);
-        let asked = (at.came + message.remaining_ms * MS).saturating_sub(MARGIN);
         let deadline = self.desk.within_life(asked).max(now);
         let arrival = Arrival {
             id,
@@ -188,6 +193,7 @@
             false => "last-answer",
         });
         at.shift(Phase::Answering { owed: Owed { txn: txn.unwrap_or_default(), deadline }, last }, now);
+        self.clients_served += usize::from(at.served == 0);
         at.served += 1;
         at.used(length);
         self.net.used(client, length);
@@ -229,6 +235,7 @@
             at.shift(Phase::Answering { owed: Owed::default(), last }, now);
             at.partial = false;
             at.used(length);
+            self.clients_served += usize::from(at.served == 0);
             at.served += 1;
         }
     }
@@ -255,6 +262,7 @@
         }
         self.check_end_of_client(id, end);
         let Some(client) = self.clients.remove(&id) else { return false };
+        self.clients_served -= usize::from(client.served > 0);
         let why = client.phase.closing().unwrap_or(end.reason());
         info!(self.log, "client"; "why" => why, "from" => shown(self.net.address(id)), "answers" => client.served,
             "ms" => (self.net.now - self.net.since(id)) / MS);
--- a/crates/gateway/src/guard.rs
+++ b/crates/gateway/src/guard.rs
@@ -43,6 +43,7 @@
     ServerDrainsOrGone,
     ServerMoved,
     ProcessEnds,
+    Overloaded,
 }
 
 impl Obstacle {
@@ -56,6 +57,7 @@
             Obstacle::ServerDrainsOrGone => "server-drains-or-gone",
             Obstacle::ServerMoved => "server-moved",
             Obstacle::ProcessEnds => "stopping",
+            Obstacle::Overloaded => "overloaded",
         }
     }
 
@@ -64,6 +66,7 @@
         match self {
             Obstacle::ClientLeft => Invariant::ClientPresent,
             Obstacle::DeadlineOver => Invariant::TimeLeft,
+            Obstacle::Overloaded => Invariant::AnswerInTime,
             Obstacle::RepeatWindowOver | Obstacle::MayHaveRun => Invariant::RepeatAllowed,
             Obstacle::ServerDrainsOrGone | Obstacle::ServerMoved => Invariant::ServerListed,
             Obstacle::ProcessEnds => Invariant::BeginsInLife,
@@ -115,10 +118,34 @@
     first_run.is_none() || anywhere && now < effect.repeats_before(first_run)
 }
 
-/// Whether an RPC that was read now may begin: a stopping process has to answer it before it can be killed.
-pub fn may_begin(now: Nanos, shutdown: Option<Shutdown>) -> Result<(), Obstacle> {
-    match shutdown {
-        Some(shutdown) if now >= shutdown.answer_by => Err(Obstacle::ProcessEnds),
+/// A turn of a process that falls behind takes RPCs for so many times as long as a turn of one that keeps up may last.
+const TAKEN_TURNS: Nanos = 3;
+
+/// What is true of an RPC as it was read.
+#[derive(Clone, Copy, Debug)]
+pub struct Begin {
+    pub now: Nanos,
+    /// By when its client has to have the answer.
+    pub deadline: Nanos,
+    /// For how long the turn before this one lasted, and this one has by now.
+    pub last_turn: Nanos,
+    pub this_turn: Nanos,
+    /// The longest that a turn may take while the process keeps up.
+    pub turn_most: Nanos,
+    pub shutdown: Option<Shutdown>,
+}
+
+/// Whether an RPC that was read now may begin. A stopping process has to answer it before it can be killed; and one that falls
+/// behind, turn after turn, takes only what it can serve. Guards against serving what is too late by then, and nothing in
+/// time. Harm: after two long turns some RPCs are refused that might have been served.
+pub fn may_begin(begin: &Begin) -> Result<(), Obstacle> {
+    // Half of a turn goes to what is taken, the other to refusals and answers.
+    let taken_for = (begin.last_turn / 2).clamp(begin.turn_most, TAKEN_TURNS * begin.turn_most);
+    let falls_behind = begin.last_turn > begin.turn_most && begin.this_turn > taken_for;
+    match begin.shutdown {
+        Some(shutdown) if begin.now >= shutdown.answer_by => Err(Obstacle::ProcessEnds),
+        _ if begin.now >= begin.deadline => Err(Obstacle::DeadlineOver),
+        _ if falls_behind => Err(Obstacle::Overloaded),
         _ => Ok(()),
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod servers;
 pub mod services;
 pub mod shutdown;
+pub mod tcp_info;
 pub mod timers;
--- /dev/null
+++ b/crates/gateway/src/tcp_info.rs
@@ -0,0 +1,28 @@
+//! What the system knows of a TCP connection beyond what it carries.
+
+use martenramp::host::Nanos;
+use std::mem::{MaybeUninit, size_of};
+use std::os::fd::{AsFd, AsRawFd};
+
+const MS: Nanos = 1_000_000;
+
+/// How long ago data came in last, or the connection came up if none did; to some milliseconds. Nothing where the system
+/// does not tell.
+pub fn since_last_data(stream: &impl AsFd) -> Option<Nanos> {
+    let mut info = MaybeUninit::<libc::tcp_info>::zeroed();
+    let mut length = size_of::<libc::tcp_info>() as libc::socklen_t;
+    let descriptor = stream.as_fd().as_raw_fd();
+    // SAFETY: the descriptor is open for as long as `stream` is borrowed, and the system writes at most `length` bytes to
+    // `info`, which is as long; all of its fields are integers, so that zeroes are a value of each.
+    let info = unsafe {
+        let got = libc::getsockopt(
+            descriptor,
+            libc::IPPROTO_TCP,
+            libc::TCP_INFO,
+            info.as_mut_ptr().cast(),
+            &raw mut length,
+        );
+        (got == 0).then(|| info.assume_init())
+    };
+    info.map(|info| Nanos::from(info.tcpi_last_data_recv) * MS)
+}
--- a/crates/gateway/tests/owed_answers.rs
+++ b/crates/gateway/tests/owed_answers.rs
@@ -1,7 +1,7 @@
 //! An answer is owed to a client until its last byte is out: whatever ends connections (room for others, a shutdown, a
 //! reload), none is ended with an answer still waiting in its buffer.
 
-use standins::scripted::{Client, Peer, Program, answer, entry, list, rpc, status};
+use standins::scripted::{Client, Peer, Program, answer, entry, list, rpc, status, told_wait_ms};
 use std::time::Duration;
 
 mod support;
@@ -113,3 +113,37 @@
     let got = (0..3).map_while(|_| client.answer()).filter(|got| got.ends_with('y')).count();
     assert_eq!(got, 3);
 }
+
+#[test]
+fn what_waited_for_a_place_has_its_time_from_when_it_came() {
+    let (server, discovery) = (silent_server(), watch());
+    let gateway = small(&discovery, &server);
+    let mut others = crowd(&gateway);
+    others.push(gateway.client()); // all places are taken
+    others.last_mut().expect("a client").send("GET /api/");
+    std::thread::sleep(ACCEPT_AGAIN); // it is taken by now
+    let (waits, remaining) = (Duration::from_millis(600), 2900);
+    let mut client = gateway.client();
+    client.send(&rpc("read", remaining));
+    std::thread::sleep(waits); // for a place
+    others.clear();
+    let told = told_wait_ms(&server.next().1);
+    let left = remaining - waits.as_millis() as u64;
+    assert!(told <= left + 50, "{told} ms told, {left} left");
+}
+
+#[test]
+fn what_waited_for_a_place_for_longer_than_its_time_is_refused_at_once() {
+    let (server, discovery) = (silent_server(), watch());
+    let gateway = small(&discovery, &server);
+    let mut others = crowd(&gateway);
+    others.push(gateway.client());
+    others.last_mut().expect("a client").send("GET /api/");
+    std::thread::sleep(ACCEPT_AGAIN); // it is taken by now
+    let mut client = gateway.client();
+    client.send(&rpc("read", 300));
+    std::thread::sleep(Duration::from_millis(400)); // its whole time, for a place
+    others.clear();
+    assert_eq!(client.answer().map(|got| status(&got)), Some(503));
+    assert!(server.nothing_came());
+}
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -31,8 +31,7 @@
 const READY_WITHIN: Nanos = 60 * SEC;
 /// How long RPCs may still be answered after the last arrival, and a gateway may take to end.
 const LINGER: Nanos = 8 * SEC;
-/// The limits that every gateway is told.
-const SOCKETS: u32 = 1024;
+/// The limit of memory that every gateway is told.
 const MEMORY_MB: u32 = 64;
 
 /// What a run brought.
--- a/crates/rig/src/fleet/gateways.rs
+++ b/crates/rig/src/fleet/gateways.rs
@@ -1,6 +1,6 @@
 //! The processes under test: their configuration, their start and their end.
 
-use super::{Fleet, Gateway, LINGER, MEMORY_MB, SOCKETS};
+use super::{Fleet, Gateway, LINGER, MEMORY_MB};
 use crate::loopback;
 use crate::scenario::{Fault, Place};
 use rand::Rng;
@@ -63,7 +63,7 @@
         let mut told = json!({"name": format!("n{}", at.number), "listen": at.listen.to_string(),
             "discovery": at.discovery.to_string(), "counter": at.counter.to_string(),
             "seed": format!("{:016x}", self.seeds.random::<u64>()),
-            "limits": {"sockets": SOCKETS, "memory_mb": MEMORY_MB},
+            "limits": {"sockets": self.scenario.sockets, "memory_mb": MEMORY_MB},
             "known": serde_json::from_str::<Value>(&known).unwrap_or_default(), "settings": settings});
         if let Some(terms) = &self.scenario.agreement {
             let grows = |fault: &Fault| if let Fault::Grow { count, .. } = fault { *count } else { 0 };
--- a/crates/rig/src/fleet/script.rs
+++ b/crates/rig/src/fleet/script.rs
@@ -28,6 +28,12 @@
         gateways: Vec<usize>,
         time: Nanos,
     },
+    /// Processes have this part of a core for so long.
+    Throttle {
+        gateways: Vec<usize>,
+        time: Nanos,
+        core: f64,
+    },
     /// SIGKILL for those that were told to end and still run.
     KillLate {
         gateways: Vec<usize>,
@@ -73,6 +79,9 @@
     Burst {
         factor: f64,
     },
+    Crowd {
+        rate: f64,
+    },
     Links {
         links: Vec<usize>,
         faults: Faults,
@@ -152,6 +161,26 @@
                     step_at(killed_at + back_after, Step::Start { gateways, awaits_end: false }),
                 ]
             }
+            Fault::SignalSeries { at, share, apart, back_after } => {
+                let gateways = drawn(gateways, *share, draws);
+                let term = || Step::Signal { gateways: gateways.clone(), signal: Signal::TERM };
+                let reload = || Step::Reload { gateways: gateways.clone() };
+                let after = self.scenario.longest_deadline().min(DEADLINE_MOST) + KILL_GRACE;
+                let told_at = at + apart;
+                let kill = Step::KillLate { gateways: gateways.clone(), after: nanos(after) };
+                let start = Step::Start { gateways: gateways.clone(), awaits_end: false };
+                vec![
+                    step_at(*at, reload()),
+                    step_at(told_at, term()),
+                    step_at(told_at + apart, term()),
+                    step_at(told_at + 2.0 * apart, reload()),
+                    step_at(told_at + after, kill),
+                    step_at(told_at + after + back_after, start),
+                ]
+            }
+            Fault::Crowd { at, seconds, rate } => {
+                Span::new(*at, *seconds).steps(Step::Crowd { rate: *rate }, Step::Crowd { rate: 0.0 })
+            }
             Fault::Reload { at, share } => {
                 vec![step_at(*at, Step::Reload { gateways: drawn(gateways, *share, draws) })]
             }
@@ -159,6 +188,10 @@
                 let gateways = drawn(gateways, *share, draws);
                 vec![step_at(*at, Step::Pause { gateways, time: nanos(*seconds) })]
             }
+            Fault::Throttle { at, share, seconds, core } => {
+                let gateways = drawn(gateways, *share, draws);
+                vec![step_at(*at, Step::Throttle { gateways, time: nanos(*seconds), core: *core })]
+            }
             Fault::Grow { at, count, share } => {
                 vec![step_at(*at, Step::Grow { count: *count, share: *share })]
             }
--- a/crates/rig/src/fleet/servers.rs
+++ b/crates/rig/src/fleet/servers.rs
@@ -24,6 +24,7 @@
             cold_share: group.cold_share,
             cold_for: nanos(group.cold_seconds),
             reports: group.reports,
+            body_bytes: group.body_bytes,
             address: self.servers_at,
         };
         let (name, zone, weight) = (spec.name.clone(), spec.zone.clone(), spec.weight);
--- a/crates/rig/src/fleet/steps.rs
+++ b/crates/rig/src/fleet/steps.rs
@@ -3,11 +3,15 @@
 use super::script::{Step, TimedStep};
 use super::{Fleet, customers};
 use crate::{Nanos, SEC, nanos};
-use rustix::process::{Signal, kill_process};
+use rustix::process::{PidfdFlags, Signal, kill_process, pidfd_open, pidfd_send_signal};
 use standins::discovery::Mode;
+use standins::process::Program;
 use standins::servers::Health;
-use std::time::Duration;
+use std::os::fd::OwnedFd;
+use std::time::{Duration, Instant};
 
+/// A process that has a part of a core stands still for the rest of each of these.
+const THROTTLE_PERIOD: Duration = Duration::from_millis(10);
 /// How long a server that leaves drains.
 const LEAVE_DRAIN: Nanos = SEC;
 /// A grown fleet's settings are the second version, and start so many leases after they are told.
@@ -24,6 +28,7 @@
         match step {
             Step::Signal { gateways, signal } => self.signal(gateways, signal)?,
             Step::Pause { gateways, time } => self.pause(&gateways, time)?,
+            Step::Throttle { gateways, time, core } => self.throttle(&gateways, time, core),
             Step::KillLate { gateways, after } => self.kill_late(&gateways, after)?,
             Step::Reload { gateways } => self.reload(&gateways)?,
             Step::Start { gateways, awaits_end } => {
@@ -65,6 +70,7 @@
                 self.counter.with(move |counter, io| counter.become_(io, state)).map_err(failed)?;
             }
             Step::EmptyCounter => self.counter.with(|counter, _| counter.empty()),
+            Step::Crowd { rate } => self.front.with(move |front, io| front.crowd(io, rate)),
             Step::Burst { factor } => self.front.with(move |front, _| front.burst(factor)),
             Step::Links { links, faults } => {
                 self.relays.with(move |relays, io| {
@@ -132,6 +138,29 @@
         Ok(())
     }
 
+    /// Lets processes run for a part of each [`THROTTLE_PERIOD`] only, from a thread of their own.
+    fn throttle(&mut self, gateways: &[usize], time: Nanos, core: f64) {
+        let programs = gateways.iter().filter_map(|gateway| self.gateways[*gateway].program.as_ref());
+        // By descriptor: the number of one that ended meanwhile may be another process's.
+        let open = |program: &Program| pidfd_open(program.pid()?, PidfdFlags::empty()).ok();
+        let processes: Vec<OwnedFd> = programs.filter_map(open).collect();
+        let runs = THROTTLE_PERIOD.mul_f64(core.clamp(0.0, 1.0));
+        let over = Instant::now() + Duration::from_nanos(time);
+        let all = move |signal| {
+            for process in &processes {
+                let _ = pidfd_send_signal(process, signal);
+            }
+        };
+        std::thread::spawn(move || {
+            while Instant::now() < over {
+                all(Signal::STOP);
+                std::thread::sleep(THROTTLE_PERIOD - runs);
+                all(Signal::CONT);
+                std::thread::sleep(runs);
+            }
+        });
+    }
+
     /// Kills those that were told to end and have not, and keeps the log of those that have.
     fn kill_late(&mut self, gateways: &[usize], after: Nanos) -> Result<(), String> {
         let now = self.clock.now();
--- a/crates/rig/src/front.rs
+++ b/crates/rig/src/front.rs
@@ -13,11 +13,18 @@
 
 const ARRIVAL: u64 = u64::MAX;
 const PROBES: u64 = u64::MAX - 1;
+const CROWD: u64 = u64::MAX - 2;
 /// Timers of one call carry its number and what is due: the end of its time unless one of these.
 const BEGIN: u64 = 1 << 60;
 const REST: u64 = 1 << 61;
 const LEAVE: u64 = 1 << 62;
-const CALL_NUMBER: u64 = BEGIN - 1;
+const READ_AGAIN: u64 = 1 << 59;
+const CALL_NUMBER: u64 = READ_AGAIN - 1;
+/// A client that reads slowly reads nothing for so long at most.
+const READS_NOTHING_MOST: Nanos = 400 * MS;
+/// Silent connections are opened in steps of this, and what crosses in a crowd may be shut unread for so long after it.
+const CROWD_STEP: Nanos = 10 * MS;
+const CROWD_AFTER: Nanos = SEC;
 /// The front opens a connection at most so long before its first RPC.
 const EARLY_MOST: Nanos = 1_200 * MS;
 /// The second piece of an RPC comes at most so long after the first.
@@ -61,6 +68,8 @@
     pub early: f64,
     /// Its message comes in two pieces.
     pub pieces: f64,
+    /// The client reads nothing for a while once it has sent.
+    pub slow: f64,
 }
 
 /// What the front sends.
@@ -118,6 +127,10 @@
     pub done: Nanos,
     /// How it ended.
     pub outcome: Outcome,
+    /// When it was sent once more, since its connection was closed as it crossed: nothing may have read it by then.
+    pub crossed: Option<Nanos>,
+    /// Silent connections crowded its gateway, which may shut a new connection unread then.
+    pub crowded: bool,
 }
 
 /// The state of a gateway as the front sees it. `Front::set_state` is the one place that changes it.
@@ -143,6 +156,8 @@
     Probe,
     Idle,
     Call(usize),
+    /// Opened to say nothing.
+    Silent,
 }
 
 /// How far an RPC's message has been written.
@@ -173,6 +188,10 @@
     next: Nanos,
     running: bool,
     factor: f64,
+    /// Silent connections a second to each gateway, those that are owed by now, and until when they tell in its answers.
+    crowd: f64,
+    crowd_owed: f64,
+    crowded_until: Nanos,
     /// Answers that came when none was owed.
     pub extra: u64,
 }
@@ -195,6 +214,9 @@
             next: 0,
             running: false,
             factor: 1.0,
+            crowd: 0.0,
+            crowd_owed: 0.0,
+            crowded_until: 0,
             extra: 0,
         }
     }
@@ -226,6 +248,39 @@
         self.factor = factor;
     }
 
+    /// So many connections a second are opened to each gateway from now on, and nothing is said on them.
+    pub fn crowd(&mut self, io: &mut Io, rate: f64) {
+        let begins = self.crowd == 0.0 && rate > 0.0;
+        self.crowd = rate;
+        self.crowded_until = io.now() + CROWD_AFTER;
+        if begins {
+            io.at(io.now(), CROWD);
+        }
+    }
+
+    fn open_silent(&mut self, io: &mut Io) {
+        if self.crowd == 0.0 {
+            let silent = self.conns.iter().filter(|(_, (_, what))| *what == Use::Silent);
+            let silent: Vec<Conn> = silent.map(|(conn, _)| *conn).collect();
+            for conn in silent {
+                self.conns.remove(&conn);
+                io.close(conn);
+            }
+            return;
+        }
+        self.crowded_until = io.now() + CROWD_AFTER;
+        self.crowd_owed += self.crowd * CROWD_STEP as f64 / SEC as f64;
+        while self.crowd_owed >= 1.0 {
+            self.crowd_owed -= 1.0;
+            for gateway in 0..self.gateways.len() {
+                if let Ok(conn) = io.connect(self.gateways[gateway].address) {
+                    self.conns.insert(conn, (gateway, Use::Silent));
+                }
+            }
+        }
+        io.at(io.now() + CROWD_STEP, CROWD);
+    }
+
     /// The customers' gateways go over to a fleet of another size.
     pub fn place(&mut self, customers: Vec<Customer>) {
         self.customers = WeightedIndex::new(customers.iter().map(|customer| customer.share)).ok();
@@ -234,7 +289,8 @@
 
     /// RPCs that wait for their answers.
     pub fn open(&self) -> usize {
-        self.conns.values().filter(|(_, what)| matches!(what, Use::Call(_))).count()
+        // One whose connection went before it was sent is among them: it is sent on another.
+        self.messages.len()
     }
 
     fn set_state(&mut self, gateway: usize, to: GatewayState) {
@@ -263,7 +319,13 @@
         let method = methods.sample(&mut self.chance);
         let customer = self.plan.customers[key];
         let set = (0..customer.width).map(|at| (customer.first + at) % self.gateways.len());
-        let up: Vec<usize> = set.filter(|at| self.gateways[*at].state != GatewayState::Down).collect();
+        // Open connections are used until the gateway ends them, also of one that takes no new ones.
+        let can = |at: &usize| {
+            let gateway = &self.gateways[*at];
+            gateway.state != GatewayState::Down
+                || gateway.idle.iter().any(|conn| self.conns.contains_key(conn))
+        };
+        let up: Vec<usize> = set.filter(can).collect();
         let now = io.clock().now();
         let number = self.calls.len();
         if up.is_empty() {
@@ -275,11 +337,24 @@
                 sent: now,
                 done: now,
                 outcome: Outcome::Unreached,
+                crossed: None,
+                crowded: false,
             });
         }
         let gateway = up[self.chance.random_range(0..up.len())];
         let txn = (gateway as u64) << 48 | number as u64;
-        let mut call = Call { txn, gateway, method, due, sent: now, done: now, outcome: Outcome::Open };
+        let outcome = Outcome::Open;
+        let mut call = Call {
+            txn,
+            gateway,
+            method,
+            due,
+            sent: now,
+            done: now,
+            outcome,
+            crossed: None,
+            crowded: now < self.crowded_until,
+        };
         let how = &self.plan.methods[method];
         let (text, deadline) =
             (request(&self.plan.plan, how, txn, key, &customer).into_bytes(), how.deadline);
@@ -337,9 +412,19 @@
         if let Some(conn) = message.conn {
             io.send(conn, &message.text[..first]);
         }
+        if !message.again {
+            // Not when it was to be: a front that is late gives its RPCs their time from when it sends them.
+            self.calls[number].sent = io.clock().now();
+        }
         if in_pieces {
             io.at(io.now() + self.chance.random_range(0..PIECE_MOST), REST | number as u64);
         }
+        let slow = self.plan.behaviour.slow;
+        if slow > 0.0 && self.chance.random_bool(slow) {
+            let Some(conn) = self.messages.get(&number).and_then(|message| message.conn) else { return };
+            io.hold(conn, true);
+            io.at(io.now() + self.chance.random_range(0..READS_NOTHING_MOST), READ_AGAIN | number as u64);
+        }
     }
 
     /// Writes the second piece.
@@ -377,9 +462,10 @@
             }
             return self.end(io, number, Outcome::Unreached);
         }
-        if message.rested && !message.again {
+        if (message.rested || self.calls[number].crowded) && !message.again {
             message.again = true;
             self.sent_again += 1;
+            self.calls[number].crossed = Some(io.now());
             return self.write(io, number);
         }
         let wrote = io.waiting(conn) == 0;
@@ -465,6 +551,7 @@
                 }
             }
             Use::Idle => self.extra += 1,
+            Use::Silent => {} // the error that whoever says nothing gets
             Use::Call(call) => {
                 self.end(
                     io,
@@ -493,7 +580,7 @@
                 self.broke(io, conn, call);
                 self.failed(io, gateway);
             }
-            Some((_, Use::Idle)) | None => {}
+            Some((_, Use::Idle | Use::Silent)) | None => {}
         }
     }
 
@@ -501,11 +588,17 @@
         match token {
             ARRIVAL => self.arrive(io),
             PROBES => self.probe(io),
+            CROWD => self.open_silent(io),
             call => {
                 let number = (call & CALL_NUMBER) as usize;
                 match call & !CALL_NUMBER {
                     BEGIN => self.write(io, number),
                     REST => self.write_rest(io, number),
+                    READ_AGAIN => {
+                        if let Some(conn) = self.messages.get(&number).and_then(|message| message.conn) {
+                            io.hold(conn, false);
+                        }
+                    }
                     LEAVE => self.leave(io, number, Outcome::Left),
                     _ => self.leave(io, number, Outcome::Lost),
                 }
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -16,13 +16,14 @@
 
 usage: martenramp-rig run SCENARIO.toml [--program FILE] [--out DIR] [--set FIELD=VALUE]... [--logs]
        martenramp-rig soak [--set FIELD=VALUE]... [--without KIND]... [--program FILE]
-                             [--faults LIBRARY]
+                             [--faults LIBRARY] [--leave-one-out]
        martenramp-rig check SCENARIO.toml [--set FIELD=VALUE]...
 
 FILE is the program played, the `martenramp` beside this one unless given. DIR gets the tables and charts, rig-out
 unless given. `soak` plays random overlapping faults, one fleet a seed (fields: first, seeds, gateways, servers, seconds,
 faults), and fails if an invariant is broken; --without leaves a kind of fault out, --faults
-lets one system call in a hundred of the gateways fail by `crates/faults`. --set lays a field over the scenario's (gateways=100, load.rate=5.0); --logs keeps the gateways' log
+lets one system call in a hundred of the gateways fail by `crates/faults`; --leave-one-out plays a seed that broke something
+once more without each kind of fault that it has, and says without which nothing broke. --set lays a field over the scenario's (gateways=100, load.rate=5.0); --logs keeps the gateways' log
 lines there, too. `docs/rig.md` documents scenarios and figures.
 ";
 
@@ -50,6 +51,7 @@
     logs: bool,
     without: Vec<String>,
     faults: Option<PathBuf>,
+    leave_one_out: bool,
 }
 
 impl Options {
@@ -66,6 +68,7 @@
                     options.set.push(args.value().map_err(text)?.to_string_lossy().into_owned());
                 }
                 Long("logs") => options.logs = true,
+                Long("leave-one-out") => options.leave_one_out = true,
                 Long("faults") => options.faults = Some(args.value().map_err(text)?.into()),
                 Long("without") => {
                     options.without.push(args.value().map_err(text)?.to_string_lossy().into_owned());
@@ -158,6 +161,15 @@
         print!("{}", run.shown());
         run.happened.iter().for_each(|(step, count)| *happened.entry(step.clone()).or_default() += count);
         broken += run.violations.len();
+        if options.leave_one_out && !run.violations.is_empty() {
+            for kind in Kind::ALL.into_iter().filter(|kind| !without.contains(kind)) {
+                let fewer: Vec<Kind> = without.iter().copied().chain([kind]).collect();
+                let left = soak::run(seed, size, &fewer, system_calls.clone(), &program)?;
+                if left.scenario.faults.len() < run.scenario.faults.len() {
+                    println!("  without {kind:?}: {} violations", left.violations.len());
+                }
+            }
+        }
         sent += run.sent;
         served += run.served;
         checked += run.counts.checked;
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -32,6 +32,9 @@
     pub load: Load,
     /// Groups of servers.
     pub servers: Vec<Servers>,
+    /// Descriptors that each gateway may hold.
+    #[serde(default = "sockets")]
+    pub sockets: u32,
     /// The shared counter.
     #[serde(default)]
     pub counter: Counter,
@@ -85,12 +88,15 @@
     /// The share of RPCs whose message comes in two pieces.
     #[serde(default)]
     pub pieces: f64,
+    /// The share of RPCs whose client reads nothing for a while once it has sent.
+    #[serde(default)]
+    pub slow: f64,
 }
 
 impl Load {
     /// What clients do.
     pub fn behaviour(&self) -> Behaviour {
-        Behaviour { leave: self.leave, early: self.early, pieces: self.pieces }
+        Behaviour { leave: self.leave, early: self.early, pieces: self.pieces, slow: self.slow }
     }
 }
 
@@ -140,6 +146,9 @@
     /// Whether answers carry a load report.
     #[serde(default)]
     pub reports: bool,
+    /// How long the bodies of answers are, bytes.
+    #[serde(default = "short_body")]
+    pub body_bytes: usize,
 }
 
 /// Terms of an agreement, seconds.
@@ -253,6 +262,26 @@
         /// They start again so many seconds after SIGKILL.
         back_after: f64,
     },
+    /// The same with a series of signals: SIGHUP, SIGTERM, SIGTERM, SIGHUP, so many seconds apart.
+    SignalSeries {
+        /// When it begins, seconds.
+        at: f64,
+        /// The share of them that it hits.
+        share: f64,
+        /// Between one signal and the next, seconds.
+        apart: f64,
+        /// They start again so many seconds after SIGKILL.
+        back_after: f64,
+    },
+    /// Clients open so many connections a second to each gateway, and say nothing on them.
+    Crowd {
+        /// When it begins, seconds.
+        at: f64,
+        /// How long it holds, seconds.
+        seconds: f64,
+        /// Connections a second.
+        rate: f64,
+    },
     /// Gateways read their configuration again.
     Reload {
         /// When it begins, seconds.
@@ -269,6 +298,17 @@
         /// How long it holds, seconds.
         seconds: f64,
     },
+    /// Gateways have a part of a core: they stand still for the rest of each hundredth of a second.
+    Throttle {
+        /// When it begins, seconds.
+        at: f64,
+        /// The share of them that it hits.
+        share: f64,
+        /// How long it holds, seconds.
+        seconds: f64,
+        /// The part of a core that they have.
+        core: f64,
+    },
     /// So many more gateways start, told of the larger fleet; the old ones are told by SIGHUP, each `share` of them.
     Grow {
         /// When it begins, seconds.
@@ -427,7 +467,8 @@
     pub fn at(&self) -> f64 {
         use Fault::*;
         match *self {
-            Restart { at, .. } | Reload { at, .. } => at,
+            Restart { at, .. } | Reload { at, .. } | SignalSeries { at, .. } | Crowd { at, .. } => at,
+            Throttle { at, .. } => at,
             Kill { at, .. } | Term { at, .. } | Pause { at, .. } | Grow { at, .. } | Replace { at, .. } => at,
             Join { at } | Leave { at } | CounterEmpty { at } => at,
             ZoneDown { at, .. } | Slow { at, .. } | FailsFast { at, .. } | Silent { at, .. } => at,
@@ -440,7 +481,8 @@
     fn share(&self) -> f64 {
         use Fault::*;
         match *self {
-            Restart { share, .. } | Reload { share, .. } => share,
+            Restart { share, .. } | Reload { share, .. } | SignalSeries { share, .. } => share,
+            Throttle { share, .. } => share,
             Kill { share, .. } | Term { share, .. } | Pause { share, .. } | Replace { share, .. } => share,
             Slow { share, .. } | FailsFast { share, .. } | Silent { share, .. } => share,
             ListLate { share, .. } | ListStill { share, .. } | ListBack { share, .. } => share,
@@ -465,6 +507,12 @@
 fn spread() -> f64 {
     0.3
 }
+fn sockets() -> u32 {
+    1024
+}
+fn short_body() -> usize {
+    2
+}
 
 impl Scenario {
     /// Reads and checks a scenario file, with what it `extends` and with dotted fields set (`gateways=100`).
--- a/crates/rig/src/soak/draw.rs
+++ b/crates/rig/src/soak/draw.rs
@@ -47,11 +47,17 @@
     Burst,
     /// Connections between gateways and servers are cut, silent, slow or reset.
     Links,
+    /// SIGHUP, SIGTERM, SIGTERM and SIGHUP in series, several gateways at once.
+    Signals,
+    /// Silent connections.
+    Crowd,
+    /// Processes have a part of a core.
+    Throttle,
 }
 
 impl Kind {
     /// All of them.
-    pub const ALL: [Kind; 13] = [
+    pub const ALL: [Kind; 16] = [
         Kind::Restart,
         Kind::Kill,
         Kind::Reload,
@@ -65,6 +71,9 @@
         Kind::Counter,
         Kind::Burst,
         Kind::Links,
+        Kind::Signals,
+        Kind::Crowd,
+        Kind::Throttle,
     ];
 
     /// The kind of this name.
@@ -81,12 +90,27 @@
 const HANG_THROUGH: f64 = 8.0;
 /// What a process may be held up for, seconds.
 const PAUSE_MOST: f64 = 0.15;
+/// Signals in series come so far apart at most, seconds.
+const SIGNALS_APART: f64 = 0.4;
+/// The part of a core that a throttled process has at least.
+const THROTTLE_LEAST: f64 = 0.1;
+/// Silent connections a second to each gateway, at most.
+const CROWD_MOST: f64 = 200.0;
+/// In some runs clients keep each gateway busy with so many RPCs a second, and silent connections crowd it throughout.
+const BUSY_SHARE: f64 = 0.3;
+const BUSY_RATE: std::ops::Range<f64> = 40.0..120.0;
+const BUSY_SOCKETS: [u32; 3] = [80, 96, 128];
+const BUSY_CROWD: f64 = 250.0;
+/// How many descriptors gateways may be told to hold, and how long bodies may be, bytes.
+const SOCKETS: [u32; 4] = [96, 128, 256, 1024];
+const BODIES: [usize; 4] = [2, 2, 2_000, 60_000];
 
 /// The scenario of a seed. A kind that is left out leaves the other draws as they are.
 pub fn scenario(seed: u64, size: Size, without: &[Kind]) -> Result<Scenario, String> {
     let mut chance = ChaCha8Rng::seed_from_u64(seed);
     let text = settings(&mut chance, seed, size);
     let mut scenario = Scenario::from_toml(&text)?;
+    crowd_throughout(&mut scenario, size, without, &mut chance);
     for _ in 0..size.faults {
         let kind = draw_kind(&mut chance);
         let drawn = faults(kind, size, &mut chance);
@@ -97,6 +121,17 @@
     Ok(scenario)
 }
 
+/// Makes some runs such that room has to be made while answers are under way.
+fn crowd_throughout(scenario: &mut Scenario, size: Size, without: &[Kind], chance: &mut ChaCha8Rng) {
+    let busy = chance.random_bool(BUSY_SHARE);
+    let rate = chance.random_range(BUSY_RATE);
+    let sockets = BUSY_SOCKETS.choose(chance).copied().unwrap_or(BUSY_SOCKETS[0]);
+    if busy && !without.contains(&Kind::Crowd) {
+        (scenario.load.rate, scenario.sockets) = (rate, sockets);
+        scenario.faults.push(Fault::Crowd { at: 0.0, seconds: size.seconds, rate: BUSY_CROWD });
+    }
+}
+
 /// Restarts are drawn as often as all others together: what comes with them is what they are to be tried under.
 fn draw_kind(chance: &mut ChaCha8Rng) -> Kind {
     if chance.random_bool(0.4) {
@@ -112,6 +147,9 @@
     let counter = chance.random_bool(0.7);
     let (leave, early, pieces) =
         (chance.random_range(0.0..0.1), chance.random_range(0.0..0.5), chance.random_range(0.0..0.2));
+    let sockets = SOCKETS.choose(chance).copied().unwrap_or(SOCKETS[0]);
+    let body = BODIES.choose(chance).copied().unwrap_or(BODIES[0]);
+    let slow = chance.random_range(0.0..0.2);
     format!(
         r#"
 name = "soak-{seed}"
@@ -120,6 +158,7 @@
 seconds = {seconds}
 gateways = {gateways}
 zones = ["a", "b"]
+sockets = {sockets}
 [settings]
 membershipMode = "push"
 classes = [
@@ -153,6 +192,7 @@
 leave = {leave}
 early = {early}
 pieces = {pieces}
+slow = {slow}
 methods = [{{ name = "read", share = 0.4 }}, {{ name = "submit", share = 0.3 }}, {{ name = "verify", share = 0.3 }}]
 [[servers]]
 count = {servers}
@@ -163,6 +203,7 @@
 spread = 0.5
 cold_share = 0.2
 cold_seconds = 5.0
+body_bytes = {body}
 "#,
         seconds = size.seconds,
         gateways = size.gateways,
@@ -212,6 +253,12 @@
         Kind::Counter if part < 0.4 => vec![Fault::CounterStall { at, seconds }],
         Kind::Counter if part < 0.8 => vec![Fault::CounterDown { at, seconds }],
         Kind::Counter => vec![Fault::CounterEmpty { at }],
+        Kind::Signals => {
+            let apart = part * SIGNALS_APART;
+            vec![Fault::SignalSeries { at, share, apart, back_after: 0.2 }]
+        }
+        Kind::Crowd => vec![Fault::Crowd { at, seconds, rate: part * CROWD_MOST }],
+        Kind::Throttle => vec![Fault::Throttle { at, share, seconds, core: THROTTLE_LEAST + part * 0.5 }],
         Kind::Burst => vec![Fault::Burst { at, factor: 1.0 + 3.0 * part, seconds }],
         Kind::Links => {
             let wire = Wire {
--- a/crates/rig/src/soak/judge.rs
+++ b/crates/rig/src/soak/judge.rs
@@ -127,9 +127,15 @@
     let ran: Vec<&&Row> = rows.iter().filter(|row| row.how != How::TurnedAway).collect();
     let mut found = Vec::new();
     let mut broken = |rule, what: &str| found.push(of_rpc(rule, what, outcome, call, name, rows));
-    if matches!(call.outcome, End::Lost | End::Cut | End::Open) && !was_killed(outcome, call) {
+    let ended_badly = matches!(call.outcome, End::Lost | End::Cut | End::Open);
+    if ended_badly && !was_killed(outcome, call) && !was_shut_unread(outcome, call, rows) {
         broken(Rule::Lost, &format!("{:?}", call.outcome));
     }
+    // What reached a server before its client sent it again had been read, so that its connection was no longer resting.
+    let read_before = |row: &&&Row| call.crossed.is_some_and(|crossed| row.begun + WAY < crossed);
+    if rows.iter().find(read_before).is_some() && !was_killed(outcome, call) && !any_link(scenario, rows) {
+        broken(Rule::Lost, "read, and its connection ended");
+    }
     if effect == "single_shot" && ran.len() > 1 {
         broken(Rule::Duplicate, "ran more than once");
     }
@@ -163,6 +169,20 @@
     scenario.faults.iter().any(covers)
 }
 
+/// Whether a crowd's gateway shut a new connection with nothing read from it: no server and no log line knows the RPC.
+fn was_shut_unread(outcome: &Outcome, call: &Call, rows: &[&Row]) -> bool {
+    let id = format!("{:016x}", call.txn);
+    call.outcome == End::Cut
+        && call.crowded
+        && rows.is_empty()
+        && !outcome.lines.iter().flatten().any(|line| line.contains(&id))
+}
+
+/// Whether a link stands before one of these servers.
+fn any_link(scenario: &Scenario, rows: &[&Row]) -> bool {
+    rows.iter().any(|row| behind_a_link(scenario, row))
+}
+
 /// Whether a fault killed the gateway while it had the RPC.
 fn was_killed(outcome: &Outcome, call: &Call) -> bool {
     let until = if call.outcome == End::Open { Nanos::MAX } else { call.done };
--- a/crates/standins/src/servers.rs
+++ b/crates/standins/src/servers.rs
@@ -38,6 +38,8 @@
     pub cold_for: Nanos,
     /// Answers carry a load report (`X-Pressure`) with `busy_reqs`.
     pub reports: bool,
+    /// How long the bodies of its answers are, bytes.
+    pub body_bytes: usize,
     /// Where it is to listen.
     pub address: SocketAddr,
 }
@@ -277,7 +279,8 @@
             } else {
                 String::new()
             };
-            let text = format!("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n{report}\r\nok");
+            let body = "o".repeat(server.spec.body_bytes);
+            let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n{report}\r\n{body}", body.len());
             io.send(job.conn, text.as_bytes());
         }
         self.start(io, number);
