--- a/crates/scale/src/added/fleet.rs
+++ b/crates/scale/src/added/fleet.rs
@@ -219,6 +219,7 @@
         cold_share: 1.0,
         cold_for: 0,
         reports: true,
+        body_bytes: 2,
         address: any_port(4),
     }
 }
