A stepped wall clock makes no server warm or cold; soak, rig: lists that change, own connections

Change: starts.rs. Nothing starts in the future, and once the wall clock is over 1 s from this process's, a start that this process saw told is taken to be now. The list's stamp is kept apart, so that an unchanged one is no new life. crates/faults steps the wall clock (MARTENRAMP_WALL).

--- a/crates/faults/src/calls.rs
+++ b/crates/faults/src/calls.rs
@@ -62,13 +62,17 @@
         static FOUND: std::sync::OnceLock<usize> = std::sync::OnceLock::new();
         let found = *FOUND.get_or_init(|| {
             // SAFETY: the name is a C string; the C library, loaded after this one, has the function.
-            unsafe { libc::dlsym(libc::RTLD_NEXT, concat!($name, "\0").as_ptr().cast::<c_char>()) as usize }
+            unsafe {
+                libc::dlsym(libc::RTLD_NEXT, concat!($name, "\0").as_ptr().cast::<libc::c_char>()) as usize
+            }
         });
         // SAFETY: the C library's function has this form.
         unsafe { std::mem::transmute::<usize, $form>(found) }
     }};
 }
 
+pub(crate) use real;
+
 /// What becomes of a transfer that is drawn to fail: an error, or so many bytes at most.
 enum Transfer {
     Fails(c_int),
--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -13,3 +13,4 @@
 mod calls;
 mod chance;
 mod report;
+mod wall;
--- a/crates/gateway/src/gateway/to_list.rs
+++ b/crates/gateway/src/gateway/to_list.rs
@@ -1,6 +1,7 @@
 //! The gateway's side of discovery: the watch is kept up, and the module and the pools hear what it tells.
 
 use super::*;
+use crate::starts;
 use martenramp::host::Listed;
 
 /// The part of a subset's work that one turn does: about a quarter of a millisecond.
@@ -127,9 +128,10 @@
                 }
                 continue;
             };
-            let (server, stale) = desk.servers.list(&listed, address);
+            let came_up = desk.started_at(&listed);
+            let (server, stale) = desk.servers.list_started(&listed, address, came_up);
             stale.into_iter().for_each(|id| desk.end_link(id, "server-moved"));
-            list.push(Listed { server, ..listed });
+            list.push(Listed { server, came_up, ..listed });
         }
         if desk.has_list {
             self.brain.listed_in_steps(desk.net.now, &list);
@@ -160,6 +162,18 @@
 }
 
 impl Desk {
+    /// When a server started that the list names.
+    fn started_at(&self, listed: &Listed) -> Nanos {
+        let stamp = listed.came_up;
+        match self.servers.held(listed.key).filter(|held| held.stamp == stamp) {
+            Some(held) => held.came_up,
+            None => {
+                let now = self.net.now + self.turn_lasted();
+                starts::started_at(stamp, now, self.has_list, starts::is_wall_stepped(now))
+            }
+        }
+    }
+
     /// Whether an object of the list has come and is not yet in force.
     pub(super) fn takes_list(&self) -> bool {
         self.changes.is_some() || !self.pending.is_empty()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod servers;
 pub mod services;
 pub mod shutdown;
+pub mod starts;
 pub mod tcp_info;
 pub mod timers;
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -59,6 +59,8 @@
 #[derive(Debug)]
 pub struct Server {
     pub address: SocketAddr,
+    /// The start of its life as the list stamps it, and when that was by this process's clock.
+    pub stamp: Nanos,
     pub came_up: Nanos,
     /// Whether new work may go there.
     pub ready: bool,
@@ -71,9 +73,10 @@
 }
 
 impl Server {
-    fn new(told: &Listed, address: SocketAddr) -> Self {
+    fn new(told: &Listed, address: SocketAddr, stamp: Nanos) -> Self {
         Server {
             address,
+            stamp,
             came_up: told.came_up,
             ready: told.ready,
             idle: Vec::new(),
@@ -88,10 +91,10 @@
         let is_same = |one: &Listed, two: &Listed| {
             (one.service, one.key, one.zone, one.kind, one.cell)
                 == (two.service, two.key, two.zone, two.kind, two.cell)
-                && (one.ready, one.weight.to_bits(), one.came_up)
-                    == (two.ready, two.weight.to_bits(), two.came_up)
+                && (one.ready, one.weight.to_bits()) == (two.ready, two.weight.to_bits())
         };
-        self.listed && self.address == address && is_same(&self.told, listed)
+        let is_same_life = self.stamp == listed.came_up;
+        self.listed && self.address == address && is_same_life && is_same(&self.told, listed)
     }
 
     fn take_idle(&mut self) -> Vec<usize> {
@@ -114,17 +117,28 @@
     /// Takes a listed server: its number, and the idle connections to what it was before: those to another address or an
     /// earlier life are of no more use.
     pub fn list(&mut self, listed: &Listed, address: SocketAddr) -> (u32, Vec<usize>) {
+        self.list_started(listed, address, listed.came_up)
+    }
+
+    /// The same where the start that the list stamps was at another time by this process's clock.
+    pub fn list_started(
+        &mut self,
+        listed: &Listed,
+        address: SocketAddr,
+        came_up: Nanos,
+    ) -> (u32, Vec<usize>) {
         let last = &mut self.last;
         let number = *self.numbers.entry(listed.key).or_insert_with(|| {
             *last += 1;
             *last
         });
         self.left.remove(&number);
-        let told = Listed { server: number, ..listed.clone() };
-        let server = self.by_number.entry(number).or_insert_with(|| Server::new(&told, address));
-        let moved = server.address != address || server.came_up != told.came_up;
+        let told = Listed { server: number, came_up, ..listed.clone() };
+        let stamp = listed.came_up;
+        let server = self.by_number.entry(number).or_insert_with(|| Server::new(&told, address, stamp));
+        let moved = server.address != address || server.stamp != stamp;
         let stale = if moved { server.take_idle() } else { Vec::new() };
-        (server.address, server.came_up) = (address, told.came_up);
+        (server.address, server.stamp, server.came_up) = (address, stamp, told.came_up);
         (server.listed, server.ready) = (true, told.ready);
         server.told = told;
         (number, stale)
--- a/crates/gateway/tests/owed_answers.rs
+++ b/crates/gateway/tests/owed_answers.rs
@@ -124,7 +124,7 @@
     std::thread::sleep(ACCEPT_AGAIN); // it is taken by now
     let (waits, remaining) = (Duration::from_millis(600), 2900);
     let mut client = gateway.client();
-    client.send(&rpc("read", remaining));
+    client.send(&rpc("verify", remaining));
     std::thread::sleep(waits); // for a place
     others.clear();
     let told = told_wait_ms(&server.next().1);
--- a/crates/rig/src/fleet/gateways.rs
+++ b/crates/rig/src/fleet/gateways.rs
@@ -54,7 +54,7 @@
         let at = &self.gateways[gateway];
         let mut settings = serde_json::to_value(&self.scenario.settings).unwrap_or_default();
         let twin = self.scenario.same_number.iter().find(|pair| pair.1 == at.number);
-        settings["balancers"] = json!(at.fleet);
+        settings["balancers"] = json!(self.scenario.told_gateways.unwrap_or(at.fleet));
         settings["me"] = json!(twin.map_or(at.number, |pair| pair.0));
         settings["zone"] = json!(at.number % self.scenario.zones.len());
         settings["localities"] = json!(self.scenario.zones);
--- a/crates/rig/src/fleet/script.rs
+++ b/crates/rig/src/fleet/script.rs
@@ -178,6 +178,15 @@
                     step_at(told_at + after + back_after, start),
                 ]
             }
+            Fault::Flap { at, seconds, every } => {
+                let servers = self.listed.len();
+                let flap = |nth: usize| {
+                    let status = if nth.is_multiple_of(2) { "draining" } else { "ready" };
+                    let step = Step::ListServers { servers: vec![nth / 2 % servers], status };
+                    step_at(at + nth as f64 * every, step)
+                };
+                (0..(seconds / every) as usize).map(flap).collect()
+            }
             Fault::Crowd { at, seconds, rate } => {
                 Span::new(*at, *seconds).steps(Step::Crowd { rate: *rate }, Step::Crowd { rate: 0.0 })
             }
--- a/crates/rig/src/front.rs
+++ b/crates/rig/src/front.rs
@@ -68,6 +68,8 @@
     pub early: f64,
     /// Its message comes in two pieces.
     pub pieces: f64,
+    /// Its connection is its own, and closed behind the answer.
+    pub fresh: f64,
     /// The client reads nothing for a while once it has sent.
     pub slow: f64,
 }
@@ -167,6 +169,8 @@
     conn: Option<Conn>,
     /// Its connection was there before: a gateway may close it just as the message crosses.
     rested: bool,
+    /// The client closes it behind the answer.
+    fresh: bool,
     written: bool,
     again: bool,
 }
@@ -360,7 +364,8 @@
             (request(&self.plan.plan, how, txn, key, &customer).into_bytes(), how.deadline);
         let behaviour = self.plan.behaviour;
         let early = behaviour.early > 0.0 && self.chance.random_bool(behaviour.early);
-        let idle = if early { None } else { self.idle(io, gateway) };
+        let fresh = behaviour.fresh > 0.0 && self.chance.random_bool(behaviour.fresh);
+        let idle = if early || fresh { None } else { self.idle(io, gateway) };
         let rested = early || idle.is_some();
         let Some(conn) = idle.or_else(|| io.connect(self.gateways[gateway].address).ok()) else {
             call.outcome = Outcome::Unreached;
@@ -375,7 +380,7 @@
         }
         io.at(call.due + deadline + SLACK, number as u64);
         self.messages
-            .insert(number, Message { text, conn: Some(conn), rested, written: false, again: false });
+            .insert(number, Message { text, conn: Some(conn), rested, fresh, written: false, again: false });
         self.calls.push(call);
         if early {
             io.at(due + hold, BEGIN | number as u64);
@@ -553,6 +558,7 @@
             Use::Idle => self.extra += 1,
             Use::Silent => {} // the error that whoever says nothing gets
             Use::Call(call) => {
+                let fresh = self.messages.get(&call).is_some_and(|message| message.fresh);
                 self.end(
                     io,
                     call,
@@ -562,7 +568,8 @@
                         _ => Outcome::Failed,
                     },
                 );
-                if answer.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close")) {
+                let closes = |value: &str| value.eq_ignore_ascii_case("close");
+                if fresh || answer.header("connection").is_some_and(closes) {
                     self.conns.remove(&conn);
                     io.close(conn);
                 } else {
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -32,6 +32,9 @@
     pub load: Load,
     /// Groups of servers.
     pub servers: Vec<Servers>,
+    /// The size of the fleet that gateways are told, if it is another than that of the scenario.
+    #[serde(default)]
+    pub told_gateways: Option<usize>,
     /// Descriptors that each gateway may hold.
     #[serde(default = "sockets")]
     pub sockets: u32,
@@ -88,6 +91,9 @@
     /// The share of RPCs whose message comes in two pieces.
     #[serde(default)]
     pub pieces: f64,
+    /// The share of RPCs that come on a connection of their own, which their client closes behind the answer.
+    #[serde(default)]
+    pub fresh: f64,
     /// The share of RPCs whose client reads nothing for a while once it has sent.
     #[serde(default)]
     pub slow: f64,
@@ -96,7 +102,13 @@
 impl Load {
     /// What clients do.
     pub fn behaviour(&self) -> Behaviour {
-        Behaviour { leave: self.leave, early: self.early, pieces: self.pieces, slow: self.slow }
+        Behaviour {
+            leave: self.leave,
+            early: self.early,
+            pieces: self.pieces,
+            fresh: self.fresh,
+            slow: self.slow,
+        }
     }
 }
 
@@ -273,6 +285,15 @@
         /// They start again so many seconds after SIGKILL.
         back_after: f64,
     },
+    /// One server after another is listed as draining, and as ready by the next change.
+    Flap {
+        /// When it begins, seconds.
+        at: f64,
+        /// How long it holds, seconds.
+        seconds: f64,
+        /// Between one change and the next, seconds.
+        every: f64,
+    },
     /// Clients open so many connections a second to each gateway, and say nothing on them.
     Crowd {
         /// When it begins, seconds.
@@ -468,7 +489,7 @@
         use Fault::*;
         match *self {
             Restart { at, .. } | Reload { at, .. } | SignalSeries { at, .. } | Crowd { at, .. } => at,
-            Throttle { at, .. } => at,
+            Throttle { at, .. } | Flap { at, .. } => at,
             Kill { at, .. } | Term { at, .. } | Pause { at, .. } | Grow { at, .. } | Replace { at, .. } => at,
             Join { at } | Leave { at } | CounterEmpty { at } => at,
             ZoneDown { at, .. } | Slow { at, .. } | FailsFast { at, .. } | Silent { at, .. } => at,
--- a/crates/rig/src/soak/draw.rs
+++ b/crates/rig/src/soak/draw.rs
@@ -53,11 +53,13 @@
     Crowd,
     /// Processes have a part of a core.
     Throttle,
+    /// The list changes many times a second.
+    Flap,
 }
 
 impl Kind {
     /// All of them.
-    pub const ALL: [Kind; 16] = [
+    pub const ALL: [Kind; 17] = [
         Kind::Restart,
         Kind::Kill,
         Kind::Reload,
@@ -74,6 +76,7 @@
         Kind::Signals,
         Kind::Crowd,
         Kind::Throttle,
+        Kind::Flap,
     ];
 
     /// The kind of this name.
@@ -92,6 +95,8 @@
 const PAUSE_MOST: f64 = 0.15;
 /// Signals in series come so far apart at most, seconds.
 const SIGNALS_APART: f64 = 0.4;
+/// The list changes once in so long at most, seconds.
+const FLAP_LEAST: f64 = 0.01;
 /// The part of a core that a throttled process has at least.
 const THROTTLE_LEAST: f64 = 0.1;
 /// Silent connections a second to each gateway, at most.
@@ -149,7 +154,7 @@
         (chance.random_range(0.0..0.1), chance.random_range(0.0..0.5), chance.random_range(0.0..0.2));
     let sockets = SOCKETS.choose(chance).copied().unwrap_or(SOCKETS[0]);
     let body = BODIES.choose(chance).copied().unwrap_or(BODIES[0]);
-    let slow = chance.random_range(0.0..0.2);
+    let (slow, fresh) = (chance.random_range(0.0..0.2), chance.random_range(0.0..0.3));
     format!(
         r#"
 name = "soak-{seed}"
@@ -193,6 +198,7 @@
 early = {early}
 pieces = {pieces}
 slow = {slow}
+fresh = {fresh}
 methods = [{{ name = "read", share = 0.4 }}, {{ name = "submit", share = 0.3 }}, {{ name = "verify", share = 0.3 }}]
 [[servers]]
 count = {servers}
@@ -259,6 +265,7 @@
         }
         Kind::Crowd => vec![Fault::Crowd { at, seconds, rate: part * CROWD_MOST }],
         Kind::Throttle => vec![Fault::Throttle { at, share, seconds, core: THROTTLE_LEAST + part * 0.5 }],
+        Kind::Flap => vec![Fault::Flap { at, seconds, every: FLAP_LEAST + part * 0.2 }],
         Kind::Burst => vec![Fault::Burst { at, factor: 1.0 + 3.0 * part, seconds }],
         Kind::Links => {
             let wire = Wire {
