--- a/crates/gateway/tests/cold_servers.rs
+++ b/crates/gateway/tests/cold_servers.rs
@@ -103,3 +103,31 @@
     assert!(worst.len() >= 9, "{shown:#?}");
     assert!(worst.iter().all(|one| one.rpcs > 0 && one.over_bound <= 1.0), "{shown:#?}");
 }
+
+/// The same traffic through few gateways, each with a large part of it.
+fn few_gateways_push_no_cold_server_over(gateways: usize) {
+    let thirty = scenario("cold-burst");
+    let mut scenario = thirty.clone();
+    scenario.gateways = gateways;
+    scenario.load.rate = thirty.load.rate * thirty.gateways as f64 / gateways as f64;
+    scenario.load.width = thirty.load.width.min(gateways);
+    let outcome = play(&scenario, Path::new(BIN)).unwrap();
+    assert_eq!(outcome.crashed, Vec::<String>::new());
+    assert!(outcome.starts.iter().any(|starts| *starts > 1), "some were started anew");
+    let worst = worst_spans(&outcome, &Terms::of(&scenario));
+    let shown: Vec<String> = worst.iter().map(Worst::to_string).collect();
+    println!("{}", shown.join("\n"));
+    assert!(worst.len() >= 9, "{shown:#?}");
+    assert!(worst.iter().all(|one| one.over_bound <= 1.0), "{shown:#?}");
+    assert!(worst.iter().any(|one| one.rpcs > 0), "{shown:#?}");
+}
+
+#[test]
+fn one_gateway_pushes_no_cold_server_over() {
+    few_gateways_push_no_cold_server_over(1);
+}
+
+#[test]
+fn four_gateways_push_no_cold_server_over() {
+    few_gateways_push_no_cold_server_over(4);
+}
