--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -89,6 +89,11 @@
         (&self.streams.lock().unwrap()[number]).write_all(text.as_bytes()).is_ok()
     }
 
+    /// How many connections it has been given.
+    pub fn connections(&self) -> usize {
+        self.streams.lock().unwrap().len()
+    }
+
     /// Resets a connection, with nothing more said on it.
     pub fn reset(&self, number: usize) {
         rustix::net::connect_unspec(&self.streams.lock().unwrap()[number]).unwrap();
