--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -164,7 +164,7 @@
         Ok(id)
     }
 
-    /// Begins a connection; `Turned::up` tells when it stands. At most `most` bytes wait in its buffer.
+    /// Begins a connection; `EventHandler::up` tells when it stands. At most `most` bytes wait in its buffer.
     pub fn connect(&mut self, address: SocketAddr, peer: Peer, most: usize) -> io::Result<usize> {
         let stream = TcpStream::connect(address)?;
         let _ = stream.set_nodelay(true);
@@ -437,7 +437,7 @@
 
 /// What the driver turns: told of what the sockets bring, and asked what to do next. It holds the connections, and
 /// carries out nothing on them by itself.
-pub trait Turned {
+pub trait EventHandler {
     fn net(&mut self) -> &mut Net;
     fn start(&mut self, now: Nanos);
     /// A turn begins; `Net::now` is its time, and nothing has been looked at yet.
@@ -518,7 +518,7 @@
     }
 
     /// Turns until the gateway is over.
-    pub fn run(mut self, gateway: &mut impl Turned, logs: &Logs) -> io::Result<()> {
+    pub fn run(mut self, gateway: &mut impl EventHandler, logs: &Logs) -> io::Result<()> {
         let mut events = Events::with_capacity(EVENTS_A_TURN);
         gateway.start(self.clock.now());
         self.flush(gateway);
@@ -600,7 +600,7 @@
         self.hung_up.load(Ordering::Relaxed) || self.told_to_stop.load(Ordering::Relaxed)
     }
 
-    fn take_signals(&mut self, gateway: &mut impl Turned) {
+    fn take_signals(&mut self, gateway: &mut impl EventHandler) {
         if self.hung_up.swap(false, Ordering::Relaxed) {
             gateway.reload();
         }
@@ -609,7 +609,7 @@
         }
     }
 
-    fn writable(&mut self, gateway: &mut impl Turned, id: usize) {
+    fn writable(&mut self, gateway: &mut impl EventHandler, id: usize) {
         let Some(conn) = gateway.net().get_mut(id) else { return };
         if !conn.up {
             match conn.stream.take_error() {
@@ -628,7 +628,7 @@
     }
 
     /// Writes all that waits, and whatever comes of that, until nothing is left to write now.
-    fn flush(&mut self, gateway: &mut impl Turned) {
+    fn flush(&mut self, gateway: &mut impl EventHandler) {
         loop {
             gateway.settle();
             gateway.write_attempts();
@@ -649,7 +649,7 @@
         }
     }
 
-    fn accept(&mut self, gateway: &mut impl Turned) {
+    fn accept(&mut self, gateway: &mut impl EventHandler) {
         let Some(listener) = &self.listener else { return };
         while gateway.has_room() {
             match listener.accept() {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,7 +6,7 @@
 use crate::config::Config;
 use crate::counter::{self, Call, Line};
 use crate::directory::Directory;
-use crate::driver::{ACCEPT_AGAIN, Ending, Net, Peer, Turned, out_of_descriptors};
+use crate::driver::{ACCEPT_AGAIN, Ending, EventHandler, Net, Peer, out_of_descriptors};
 use crate::guard::{self, Effect, ServerNow};
 use crate::http::{BODY_MOST, Bad, HEAD_MOST};
 use crate::invariants::{Counts, Invariant};
@@ -27,14 +27,14 @@
 
 mod agreeing;
 mod checks;
+mod client_side;
+mod counter_side;
+mod discovery_side;
 mod making_room;
 mod rpc_log;
+mod server_side;
 mod stopping;
 mod sweep;
-mod to_clients;
-mod to_counter;
-mod to_list;
-mod to_servers;
 
 const MS: Nanos = 1_000_000;
 /// An RPC's deadline is taken as so much sooner than its client tells, for the way here and a turn of the loop.
@@ -69,7 +69,7 @@
 
 /// What a timer is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum What {
+enum TimerEvent {
     Wake(u32),
     CallOut(usize, u32, u16),
     Dial(usize),
@@ -93,7 +93,7 @@
 
 /// Where an RPC stands here: with the module, out at a server, or answered while a call-out is still out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stand {
+enum RpcState {
     Held,
     Out,
     Answered,
@@ -108,7 +108,7 @@
 }
 
 struct Rpc {
-    stand: Stand,
+    state: RpcState,
     /// Whose buffer holds the message, as long as that client is there.
     client: usize,
     message: clients::Rpc,
@@ -131,17 +131,17 @@
 pub struct Gateway {
     brain: Brain,
     read_again: ReadAgain,
-    desk: Desk,
+    host: PolicyHost,
     /// Where the settings have a version.
-    pact: Option<agreeing::Pact>,
+    agreement: Option<agreeing::AgreementLink>,
 }
 
 /// All but the module: its `Host`.
-struct Desk {
+struct PolicyHost {
     config: Config,
     net: Net,
     log: Logger,
-    timers: Timers<What>,
+    timers: Timers<TimerEvent>,
     clients: BTreeMap<usize, Client>,
     rpcs: HashMap<u32, Rpc>,
     last_rpc: u32,
@@ -214,7 +214,7 @@
     fleet: u32,
     /// New work to a server must stop so long after its drain was told.
     stop_within: Nanos,
-    /// When this turn began, and how far [`Desk::catch_up`] has moved its time on since.
+    /// When this turn began, and how far [`PolicyHost::catch_up`] has moved its time on since.
     woke_at: Instant,
     caught_up: Nanos,
     /// How long the turn before this one lasted, and the longest that one may last while the process keeps up.
@@ -233,7 +233,7 @@
         let clients_most = shared * CLIENTS_TENTHS / 10;
         let span = |name: &str, default| config.setting(name).map_or(default, |secs| (secs * 1e9) as Nanos);
         let idle = span("ceilings.connIdle", servers::IDLE) as f64 * servers::IDLE_SHARE;
-        let desk = Desk {
+        let host = PolicyHost {
             dial: span("ceilings.dialTimeout", servers::DIAL),
             idle: idle as Nanos,
             count_wait: span("extra.countWait", counter::WAIT),
@@ -294,45 +294,45 @@
             behind_since: None,
             config,
         };
-        let brain = Brain::new(desk.config.seed, desk.config.settings.clone());
-        Gateway { brain, read_again, desk, pact: None }
+        let brain = Brain::new(host.config.seed, host.config.settings.clone());
+        Gateway { brain, read_again, host, agreement: None }
     }
 }
 
-impl Turned for Gateway {
+impl EventHandler for Gateway {
     fn net(&mut self) -> &mut Net {
-        &mut self.desk.net
+        &mut self.host.net
     }
 
     /// Begins with the list held from before; discovery and the counter may be down. With a list the watch is asked for
     /// after a rest, since most of the fleet may start at this moment.
     fn start(&mut self, now: Nanos) {
-        (self.desk.net.now, self.desk.woke_at) = (now, Instant::now());
+        (self.host.net.now, self.host.woke_at) = (now, Instant::now());
         self.begin_to_agree();
         let known =
-            self.desk.config.known.take().and_then(|known| list::read(&known, &self.desk.config.services));
+            self.host.config.known.take().and_then(|known| list::read(&known, &self.host.config.services));
         if let Some(told) = known.filter(|told| !told.entries.is_empty()) {
             self.told(told);
         }
-        if self.desk.has_list {
-            self.desk.watch.heard = now;
-            self.desk.watch_later()
+        if self.host.has_list {
+            self.host.watch.heard = now;
+            self.host.watch_later()
         } else {
-            self.desk.dial_watch()
+            self.host.dial_watch()
         }
-        self.desk.timers.set(now + SWEEP, What::Sweep);
-        info!(self.desk.log, "started"; "listen" => %self.desk.config.listen, "version" => env!("CARGO_PKG_VERSION"), "servers" => self.desk.servers.by_number.len(),
-            "clients_most" => self.desk.clients_most, "links_most" => self.desk.links_most);
+        self.host.timers.set(now + SWEEP, TimerEvent::Sweep);
+        info!(self.host.log, "started"; "listen" => %self.host.config.listen, "version" => env!("CARGO_PKG_VERSION"), "servers" => self.host.servers.by_number.len(),
+            "clients_most" => self.host.clients_most, "links_most" => self.host.links_most);
     }
 
     /// When to turn next. Timers whose cause is over are dropped as they come first, so that they wake nobody.
     fn next_turn(&mut self) -> Option<Nanos> {
-        let Desk { timers, links, rpcs, lines, .. } = &mut self.desk;
+        let PolicyHost { timers, links, rpcs, lines, .. } = &mut self.host;
         timers.skip(|what| match what {
-            What::CallOut(id, rpc, nth) => !links.get(id).is_some_and(|link| link.carries(*rpc, *nth)),
-            What::Dial(id) => links.get(id).is_none_or(|link| link.up),
-            What::Count(line, serial) => !lines[*line].holds(*serial),
-            What::Overdue(id) => rpcs.get(id).is_none_or(|rpc| rpc.stand == Stand::Answered),
+            TimerEvent::CallOut(id, rpc, nth) => !links.get(id).is_some_and(|link| link.carries(*rpc, *nth)),
+            TimerEvent::Dial(id) => links.get(id).is_none_or(|link| link.up),
+            TimerEvent::Count(line, serial) => !lines[*line].holds(*serial),
+            TimerEvent::Overdue(id) => rpcs.get(id).is_none_or(|rpc| rpc.state == RpcState::Answered),
             _ => false,
         });
         timers.next()
@@ -345,29 +345,29 @@
     /// SIGHUP: discovery and the counter are where the file says now; settings with a version hold from their time on; all
     /// else is for the next start. The list, calls and RPCs go on. Guards against a file that can't be read: the old one stays. Harm: so does a mistake in it.
     fn reload(&mut self) {
-        let desk = &mut self.desk;
+        let host = &mut self.host;
         if !descriptor_is_left() {
-            desk.shed(); // the file needs one
+            host.shed(); // the file needs one
         }
         let new = match (self.read_again)() {
             Ok(new) => new,
-            Err(why) => return warn!(desk.log, "configuration kept"; "error" => why),
+            Err(why) => return warn!(host.log, "configuration kept"; "error" => why),
         };
-        let agreed = self.pact.is_some() && new.agreement.is_some();
-        info!(desk.log, "configuration read"; "discovery" => %new.discovery, "counter" => shown(new.counter),
-            "needs_restart" => !agreed && new.settings != desk.config.settings);
-        desk.file_deadline = Some(new.longest_deadline());
-        if new.discovery != desk.config.discovery {
-            desk.config.discovery = new.discovery;
-            desk.move_watch();
-            self.pact.iter_mut().for_each(|pact| pact.source_moved());
+        let agreed = self.agreement.is_some() && new.agreement.is_some();
+        info!(host.log, "configuration read"; "discovery" => %new.discovery, "counter" => shown(new.counter),
+            "needs_restart" => !agreed && new.settings != host.config.settings);
+        host.file_deadline = Some(new.longest_deadline());
+        if new.discovery != host.config.discovery {
+            host.config.discovery = new.discovery;
+            host.move_watch();
+            self.agreement.iter_mut().for_each(|agreement| agreement.source_moved());
         }
-        if new.counter != desk.config.counter {
-            desk.config.counter = new.counter;
-            desk.move_lines();
+        if new.counter != host.config.counter {
+            host.config.counter = new.counter;
+            host.move_lines();
         }
         if let Some(told) = new.agreement.filter(|_| agreed) {
-            let services = Rc::new(self.desk.config.services.with_classes_of(&new.services));
+            let services = Rc::new(self.host.config.services.with_classes_of(&new.services));
             self.take_version(told.version, new.methods, new.plans, services);
         }
         self.shorten_shutdown();
@@ -375,13 +375,13 @@
 
     /// A list's next batch goes before all that the turn brings: what is sent to a server in this turn is written in it.
     fn woke(&mut self) {
-        let desk = &mut self.desk;
+        let host = &mut self.host;
         // The driver takes the last turn to have begun at the time that was told then.
-        desk.net.late += std::mem::take(&mut desk.caught_up);
-        desk.last_turn = desk.net.late;
-        desk.woke_at = Instant::now();
+        host.net.late += std::mem::take(&mut host.caught_up);
+        host.last_turn = host.net.late;
+        host.woke_at = Instant::now();
         self.agree();
-        if self.desk.goes_on {
+        if self.host.goes_on {
             self.go_on_with_list();
         }
     }
@@ -391,15 +391,15 @@
     }
 
     fn listens(&self) -> bool {
-        self.desk.listens
+        self.host.listens
     }
 
     fn is_over(&self) -> bool {
-        self.desk.exits || !self.desk.listens && self.desk.clients.is_empty()
+        self.host.exits || !self.host.listens && self.host.clients.is_empty()
     }
 
     fn has_room(&mut self) -> bool {
-        self.desk.has_room_for_client()
+        self.host.has_room_for_client()
     }
 
     fn client_input_most(&self) -> usize {
@@ -407,32 +407,32 @@
     }
 
     fn accepted(&mut self, id: usize) {
-        let spare = self.desk.clients.len() >= self.desk.clients_most;
-        let (unread_for, since) = self.desk.waited_to_be_accepted(id);
+        let spare = self.host.clients.len() >= self.host.clients_most;
+        let (unread_for, since) = self.host.waited_to_be_accepted(id);
         let client = Client { since, spare, unread_for, ..Client::default() };
-        self.desk.clients.insert(id, client);
+        self.host.clients.insert(id, client);
         // What it sent behind its connection may have waited as long as that did, which is known now and not in the turn
         // that would read it.
-        self.desk.net.read(id, false);
-        self.desk.again.push_back(id);
+        self.host.net.read(id, false);
+        self.host.again.push_back(id);
     }
 
     fn accept_later(&mut self) {
-        self.desk.accept_later();
+        self.host.accept_later();
     }
 
     fn accepted_all(&mut self) {
-        self.desk.behind_since = None;
+        self.host.behind_since = None;
     }
 
     /// Closes an idle connection to free its descriptor; false if there is none.
     fn shed(&mut self) -> bool {
-        self.desk.shed()
+        self.host.shed()
     }
 
     /// A connection that was begun here stands.
     fn up(&mut self, id: usize) {
-        let Desk { net, links, to_write, lines, watch, watch_on, .. } = &mut self.desk;
+        let PolicyHost { net, links, to_write, lines, watch, watch_on, .. } = &mut self.host;
         let now = net.now;
         match net.peer(id) {
             Some(Peer::Server) => {
@@ -449,61 +449,61 @@
 
     /// All or some of what waited for a connection is written.
     fn wrote(&mut self, id: usize) {
-        self.desk.client_wrote(id);
+        self.host.client_wrote(id);
     }
 
     /// Bytes came in, or the connection ended.
     fn came(&mut self, id: usize) {
-        match self.desk.net.peer(id) {
+        match self.host.net.peer(id) {
             Some(Peer::Client) => self.client_came(id),
-            Some(Peer::Server) => self.desk.server_came(id),
+            Some(Peer::Server) => self.host.server_came(id),
             Some(Peer::List) => self.list_came(id),
-            Some(Peer::Counter(line)) => self.desk.counter_came(line, id),
+            Some(Peer::Counter(line)) => self.host.counter_came(line, id),
             None => {}
         }
     }
 
     /// Timers that are due; true if connections may be accepted again.
     fn due(&mut self) -> bool {
-        let now = self.desk.net.now;
-        while let Some(what) = self.desk.timers.due(now) {
+        let now = self.host.net.now;
+        while let Some(what) = self.host.timers.due(now) {
             match what {
-                What::Wake(token) => self.brain.woke(&mut self.desk, now, token),
-                What::CallOut(id, rpc, nth) => self.desk.call_out_over(id, rpc, nth),
-                What::Dial(id) => self.desk.dial_over(id),
-                What::Write(id) => self.desk.to_write.push_back(id),
-                What::Count(line, serial) => {
-                    if let Some((call, how)) = self.desk.lines[line].time_out(serial) {
-                        self.desk.counted.push_back((call, how, 0.0));
+                TimerEvent::Wake(token) => self.brain.woke(&mut self.host, now, token),
+                TimerEvent::CallOut(id, rpc, nth) => self.host.call_out_over(id, rpc, nth),
+                TimerEvent::Dial(id) => self.host.dial_over(id),
+                TimerEvent::Write(id) => self.host.to_write.push_back(id),
+                TimerEvent::Count(line, serial) => {
+                    if let Some((call, how)) = self.host.lines[line].time_out(serial) {
+                        self.host.counted.push_back((call, how, 0.0));
                     }
                 }
-                What::Overdue(id) => self.overdue(id),
-                What::Sweep => self.desk.sweep(),
-                What::Watch => self.desk.dial_watch(),
-                What::Accept => self.desk.accepts_again = true,
-                What::StopListening => {
-                    self.desk.listens = false;
-                    self.desk.close_clients(false);
+                TimerEvent::Overdue(id) => self.overdue(id),
+                TimerEvent::Sweep => self.host.sweep(),
+                TimerEvent::Watch => self.host.dial_watch(),
+                TimerEvent::Accept => self.host.accepts_again = true,
+                TimerEvent::StopListening => {
+                    self.host.listens = false;
+                    self.host.close_clients(false);
                 }
-                What::LastCall => self.desk.close_clients(true),
-                What::Exit => self.exit(),
-                What::Agree => self.agree(),
-                What::Changes => {} // the turn has begun with it
-                What::Subsets => self.work_on_subsets(),
+                TimerEvent::LastCall => self.host.close_clients(true),
+                TimerEvent::Exit => self.exit(),
+                TimerEvent::Agree => self.agree(),
+                TimerEvent::Changes => {} // the turn has begun with it
+                TimerEvent::Subsets => self.work_on_subsets(),
             }
             self.settle();
         }
-        std::mem::take(&mut self.desk.accepts_again)
+        std::mem::take(&mut self.host.accepts_again)
     }
 
     fn write_attempts(&mut self) {
-        while let Some(id) = self.desk.to_write.pop_front() {
-            self.desk.catch_up();
+        while let Some(id) = self.host.to_write.pop_front() {
+            self.host.catch_up();
             if self.client_stays(id) {
-                self.desk.write_attempt(id);
+                self.host.write_attempt(id);
             } else {
                 // Timers are looked at once a turn, so this is for the next one.
-                self.desk.timers.set(self.desk.net.now + MS, What::Write(id));
+                self.host.timers.set(self.host.net.now + MS, TimerEvent::Write(id));
             }
             self.settle();
         }
@@ -511,13 +511,13 @@
 
     /// Tells the module of all that has ended, until nothing more comes of it.
     fn settle(&mut self) {
-        let now = self.desk.net.now;
+        let now = self.host.net.now;
         loop {
-            if let Some(ended) = self.desk.ended.pop_front() {
-                self.brain.ended(&mut self.desk, now, &ended);
-            } else if let Some((call, how, total)) = self.desk.counted.pop_front() {
-                self.brain.counted(&mut self.desk, now, call.name, how, total);
-            } else if let Some(id) = self.desk.again.pop_front() {
+            if let Some(ended) = self.host.ended.pop_front() {
+                self.brain.ended(&mut self.host, now, &ended);
+            } else if let Some((call, how, total)) = self.host.counted.pop_front() {
+                self.brain.counted(&mut self.host, now, call.name, how, total);
+            } else if let Some(id) = self.host.again.pop_front() {
                 self.client_came(id);
             } else {
                 return;
@@ -535,7 +535,7 @@
     address.map_or_else(String::new, |address| address.to_string())
 }
 
-impl Host for Desk {
+impl Host for PolicyHost {
     fn call_out(&mut self, id: u32, server: u32, limit: Nanos, before: Nanos) {
         let now = self.net.now;
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
@@ -544,20 +544,20 @@
         rpc.call_outs += 1;
         self.log_attempt(&attempt, server);
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
-        if rpc.stand == Stand::Answered || until <= now {
+        if rpc.state == RpcState::Answered || until <= now {
             return self.end_call_out(server, attempt, End::NotSent, 0.0, Vec::new());
         }
         let Some(to) = self.link_to(server) else {
             return self.end_call_out(server, attempt, End::NoConnection, 0.0, Vec::new());
         };
-        self.shift(id, Stand::Out);
+        self.shift(id, RpcState::Out);
         let (Some(rpc), Some(link)) = (self.rpcs.get_mut(&id), self.links.get_mut(&to)) else { return };
         rpc.open = true;
         link.stage = Stage::Asked(attempt);
         if link.up {
             self.to_write.push_back(to);
         }
-        self.timers.set(until, What::CallOut(to, id, attempt.nth));
+        self.timers.set(until, TimerEvent::CallOut(to, id, attempt.nth));
     }
 
     fn push_back(&mut self, id: u32, come_back: Nanos) {
@@ -574,7 +574,7 @@
     }
 
     fn wake(&mut self, after: Nanos, token: u32) {
-        self.timers.set(self.net.now.saturating_add(after), What::Wake(token));
+        self.timers.set(self.net.now.saturating_add(after), TimerEvent::Wake(token));
     }
 
     fn count(&mut self, name: u64, add: f64, forget: Nanos) {
@@ -583,16 +583,16 @@
         let Some(line) = self.line_for(name) else {
             return self.counted.push_back((call, End::NoConnection, 0.0));
         };
-        let Desk { net, lines, lines_on, .. } = self;
+        let PolicyHost { net, lines, lines_on, .. } = self;
         let now = net.now;
         if let Some(out) = lines_on[line].and_then(|id| net.out(id)) {
             lines[line].call(out, now, call);
-            self.timers.set(now + self.count_wait, What::Count(line, call.serial));
+            self.timers.set(now + self.count_wait, TimerEvent::Count(line, call.serial));
         }
     }
 }
 
-impl Desk {
+impl PolicyHost {
     /// Moves the turn's time on to what it is by now. Guards against telling a server more time than is left, and against
     /// attempts whose time passed while the turn lasted. Harm: the time is read once more for each attempt.
     fn catch_up(&mut self) {
@@ -625,11 +625,11 @@
     }
 
     /// Every change of where an RPC stands goes through here, and so does its end.
-    fn shift(&mut self, id: u32, to: Stand) {
+    fn shift(&mut self, id: u32, to: RpcState) {
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
-        let was = std::mem::replace(&mut rpc.stand, to);
-        if to == Stand::Answered {
-            self.open_rpcs -= usize::from(was != Stand::Answered);
+        let was = std::mem::replace(&mut rpc.state, to);
+        if to == RpcState::Answered {
+            self.open_rpcs -= usize::from(was != RpcState::Answered);
             if !rpc.open {
                 self.forget(id);
             }
--- a/crates/gateway/src/gateway/agreeing.rs
+++ b/crates/gateway/src/gateway/agreeing.rs
@@ -20,7 +20,7 @@
     services: Rc<Services>,
 }
 
-pub(super) struct Pact {
+pub(super) struct AgreementLink {
     state: Agreement,
     /// Held, and waiting for its time.
     held: Held,
@@ -41,7 +41,7 @@
     tells_list_at: Nanos,
 }
 
-impl Pact {
+impl AgreementLink {
     pub(super) fn source_moved(&mut self) {
         self.lists.change_source();
     }
@@ -54,18 +54,18 @@
 impl Gateway {
     /// Starts on the ground of the version that the file has, until it is confirmed.
     pub(super) fn begin_to_agree(&mut self) {
-        let desk = &mut self.desk;
-        let Some(told) = desk.config.agreement.take() else { return };
+        let host = &mut self.host;
+        let Some(told) = host.config.agreement.take() else { return };
         // Without them nothing is ever confirmed, so that this gateway stays on its ground.
-        let heard_at = desk.net.open_datagrams(told.listen).unwrap_or_else(|e| {
-            warn!(desk.log, "settings"; "why" => "no-datagrams", "at" => %told.listen, "error" => %e);
+        let heard_at = host.net.open_datagrams(told.listen).unwrap_or_else(|e| {
+            warn!(host.log, "settings"; "why" => "no-datagrams", "at" => %told.listen, "error" => %e);
             told.listen
         });
-        let number = desk.config.settings.get("me").and_then(|number| number.parse().ok());
+        let number = host.config.settings.get("me").and_then(|number| number.parse().ok());
         let (all, clock_off) = (told.all, told.clock_off);
-        let (now, content) = (desk.net.now.saturating_add_signed(clock_off), told.version.content());
+        let (now, content) = (host.net.now.saturating_add_signed(clock_off), told.version.content());
         let mut state =
-            Agreement::new(told.terms, number, desk.chance.u32(..), now, content, told.version.start);
+            Agreement::new(told.terms, number, host.chance.u32(..), now, content, told.version.start);
         if told.fresh {
             state.skip_recovery();
         }
@@ -73,11 +73,11 @@
             version: told.version,
             methods: Vec::new(),
             plans: Vec::new(),
-            services: desk.config.services.clone(),
+            services: host.config.services.clone(),
         };
         let acting = Decision { content, mode: Mode::Fallback };
-        info!(desk.log, "agreeing"; "peers" => %heard_at, "voter" => state.is_voter(), "bound_ms" => state.terms().bound() / MS);
-        self.pact = Some(Pact {
+        info!(host.log, "agreeing"; "peers" => %heard_at, "voter" => state.is_voter(), "bound_ms" => state.terms().bound() / MS);
+        self.agreement = Some(AgreementLink {
             state,
             held,
             waits: None,
@@ -98,43 +98,43 @@
 
     /// The module acts on this from now on.
     fn act_on(&mut self, acting: Decision, why: &'static str) {
-        let Some(pact) = &mut self.pact else { return };
-        if pact.held.version.content() != acting.content
-            && let Some(new) = pact.waits.take_if(|waits| waits.version.content() == acting.content)
+        let Some(agreement) = &mut self.agreement else { return };
+        if agreement.held.version.content() != acting.content
+            && let Some(new) = agreement.waits.take_if(|waits| waits.version.content() == acting.content)
         {
-            pact.held = new;
-            self.desk.config.methods = std::mem::take(&mut pact.held.methods);
-            self.desk.config.plans = std::mem::take(&mut pact.held.plans);
-            self.desk.config.services = pact.held.services.clone();
+            agreement.held = new;
+            self.host.config.methods = std::mem::take(&mut agreement.held.methods);
+            self.host.config.plans = std::mem::take(&mut agreement.held.plans);
+            self.host.config.services = agreement.held.services.clone();
         }
-        pact.acting = acting;
-        let version = &pact.held.version;
+        agreement.acting = acting;
+        let version = &agreement.held.version;
         let settings = match acting.mode {
             Mode::Confirmed => version.settings.clone(),
             Mode::Fallback => version.fallback_settings(),
         };
-        let now = self.desk.net.now;
-        info!(self.desk.log, "settings"; "why" => why, "version" => acting.content.version, "digest" => short(acting.content),
+        let now = self.host.net.now;
+        info!(self.host.log, "settings"; "why" => why, "version" => acting.content.version, "digest" => short(acting.content),
             "acts_on" => if acting.mode == Mode::Confirmed { "version" } else { "ground" }, "at" => now);
-        self.desk.config.settle(settings.clone());
+        self.host.config.settle(settings.clone());
         self.brain.settle(now, settings);
     }
 
     /// Looks at what may be acted on by now, before anything is decided, and tells others what there is to tell.
     pub(super) fn agree(&mut self) {
-        let Some(pact) = &mut self.pact else { return };
-        let now = self.desk.net.now.saturating_add_signed(pact.clock_off);
-        let words = pact.state.poll_messages(now);
-        words.iter().for_each(|word| self.desk.net.tell(pact.all, &word.encode()));
-        if pact.state.is_voter() && now >= pact.tells_list_at {
-            pact.tells_list_at = now + pact.state.terms().renewal_interval();
+        let Some(agreement) = &mut self.agreement else { return };
+        let now = self.host.net.now.saturating_add_signed(agreement.clock_off);
+        let words = agreement.state.poll_messages(now);
+        words.iter().for_each(|word| self.host.net.tell(agreement.all, &word.encode()));
+        if agreement.state.is_voter() && now >= agreement.tells_list_at {
+            agreement.tells_list_at = now + agreement.state.terms().renewal_interval();
             if let (Some(Announcement { index, removed }), Some(gateway)) =
-                (pact.lists.announcement(now), pact.number)
+                (agreement.lists.announcement(now), agreement.number)
             {
-                self.desk.net.tell(pact.all, &ListNotice { gateway, index, removed }.encode());
+                self.host.net.tell(agreement.all, &ListNotice { gateway, index, removed }.encode());
             }
         }
-        let (was, acting) = (pact.acting, pact.state.evaluate(now));
+        let (was, acting) = (agreement.acting, agreement.state.evaluate(now));
         if acting != was {
             let why = match (acting.content == was.content, acting.mode) {
                 (_, Mode::Fallback) => "not-confirmed",
@@ -143,33 +143,33 @@
             };
             self.act_on(acting, why);
         }
-        let Some(pact) = &mut self.pact else { return };
-        let next = pact.state.next_evaluation(now);
-        if pact.looks_at <= now || next < pact.looks_at {
-            pact.looks_at = next;
-            self.desk.timers.set(next.saturating_add_signed(-pact.clock_off), What::Agree);
+        let Some(agreement) = &mut self.agreement else { return };
+        let next = agreement.state.next_evaluation(now);
+        if agreement.looks_at <= now || next < agreement.looks_at {
+            agreement.looks_at = next;
+            self.host.timers.set(next.saturating_add_signed(-agreement.clock_off), TimerEvent::Agree);
         }
     }
 
     pub(super) fn hear(&mut self, bytes: &[u8]) {
-        let Some(pact) = &mut self.pact else { return };
-        let now = self.desk.net.now.saturating_add_signed(pact.clock_off);
+        let Some(agreement) = &mut self.agreement else { return };
+        let now = self.host.net.now.saturating_add_signed(agreement.clock_off);
         if let Some(notice) = ListNotice::decode(bytes) {
             return self.hear_of_list(notice);
         }
-        let Some(pact) = &mut self.pact else { return };
+        let Some(agreement) = &mut self.agreement else { return };
         let Some(word) = LeaseMessage::decode(bytes) else { return };
-        match pact.state.receive(now, &word) {
+        match agreement.state.receive(now, &word) {
             Receipt::TwoContents => {
-                pact.waits = None;
+                agreement.waits = None;
                 let content = word.lease.content;
-                warn!(self.desk.log, "settings"; "why" => "two-contents", "version" => content.version, "other" => short(content));
+                warn!(self.host.log, "settings"; "why" => "two-contents", "version" => content.version, "other" => short(content));
             }
             Receipt::SentAhead => {
-                pact.ahead += 1;
-                if now >= pact.ahead_logged + 1000 * MS {
-                    pact.ahead_logged = now;
-                    warn!(self.desk.log, "settings"; "why" => "clock", "gateway" => word.gateway, "ahead_ms" => (word.sent - now) / MS, "words" => pact.ahead);
+                agreement.ahead += 1;
+                if now >= agreement.ahead_logged + 1000 * MS {
+                    agreement.ahead_logged = now;
+                    warn!(self.host.log, "settings"; "why" => "clock", "gateway" => word.gateway, "ahead_ms" => (word.sent - now) / MS, "words" => agreement.ahead);
                 }
             }
             Receipt::Accepted | Receipt::Ignored => {}
@@ -179,18 +179,18 @@
 
     /// A voter told of the list that it holds: what is out of work there gets nothing new here, if the list here is older.
     fn hear_of_list(&mut self, notice: ListNotice) {
-        let Some(pact) = &mut self.pact else { return };
-        if !pact.state.terms().voters.contains(&notice.gateway) {
+        let Some(agreement) = &mut self.agreement else { return };
+        if !agreement.state.terms().voters.contains(&notice.gateway) {
             return;
         }
-        let held = pact.lists.index();
-        let keys = pact.lists.apply_notice(notice.index, &notice.removed);
-        let entries: Vec<Entry> = keys.iter().filter_map(|key| pact.entries.get(key).cloned()).collect();
+        let held = agreement.lists.index();
+        let keys = agreement.lists.apply_notice(notice.index, &notice.removed);
+        let entries: Vec<Entry> = keys.iter().filter_map(|key| agreement.entries.get(key).cloned()).collect();
         if entries.is_empty() {
             return;
         }
         let names: Vec<&str> = entries.iter().map(|entry| &*entry.name).collect();
-        info!(self.desk.log, "list"; "why" => "late", "index" => held, "newer" => notice.index, "held_back" => names.join(","));
+        info!(self.host.log, "list"; "why" => "late", "index" => held, "newer" => notice.index, "held_back" => names.join(","));
         let entries = entries.into_iter().map(|entry| Entry { ready: false, ..entry }).collect();
         self.list(Told { index: held, entries, ..Told::default() });
     }
@@ -199,14 +199,14 @@
     /// where it is passed over.
     pub(super) fn judge_list(&mut self, told: &mut Told) -> Option<Told> {
         let mut more = Told { index: told.index, ..Told::default() };
-        let Some(pact) = &mut self.pact else { return Some(more) };
+        let Some(agreement) = &mut self.agreement else { return Some(more) };
         let seen = |entry: &Entry| ListedServer {
             key: martenramp::subsetting::key(&entry.name),
             ready: entry.ready,
             since: entry.since_ms.saturating_mul(MS),
         };
         let list: Vec<ListedServer> = told.entries.iter().map(seen).collect();
-        let verdict = pact.lists.apply(self.desk.net.now, told.index, told.whole, &list);
+        let verdict = agreement.lists.apply(self.host.net.now, told.index, told.whole, &list);
         let count = verdict.held_back.len();
         if verdict.is_empty || verdict.is_older || count > 0 {
             let why = if verdict.is_empty {
@@ -216,22 +216,23 @@
             } else {
                 "held-back"
             };
-            warn!(self.desk.log, "list"; "why" => why, "index" => told.index, "held" => pact.lists.index(), "held_back" => count);
+            warn!(self.host.log, "list"; "why" => why, "index" => told.index, "held" => agreement.lists.index(), "held_back" => count);
         }
         if verdict.is_empty {
             return None;
         }
         let held_back: HashSet<u64> = verdict.held_back.into_iter().collect();
         for (entry, seen) in told.entries.iter_mut().zip(&list) {
-            pact.entries.insert(seen.key, entry.clone());
+            agreement.entries.insert(seen.key, entry.clone());
             entry.ready &= !held_back.contains(&seen.key);
         }
         // What an older list lacks stays: its changes are taken, not its gaps.
         told.whole &= !verdict.is_older;
-        more.entries = verdict.released.iter().filter_map(|key| pact.entries.get(key).cloned()).collect();
-        if told.whole && pact.entries.len() > 2 * list.len().max(64) {
+        more.entries =
+            verdict.released.iter().filter_map(|key| agreement.entries.get(key).cloned()).collect();
+        if told.whole && agreement.entries.len() > 2 * list.len().max(64) {
             let named: HashSet<u64> = list.iter().map(|seen| seen.key).collect();
-            pact.entries.retain(|key, _| named.contains(key));
+            agreement.entries.retain(|key, _| named.contains(key));
         }
         Some(more)
     }
@@ -244,11 +245,13 @@
         plans: Vec<String>,
         services: Rc<Services>,
     ) {
-        let Some(pact) = &mut self.pact else { return };
-        let (now, content) = (self.desk.net.now.saturating_add_signed(pact.clock_off), version.content());
-        let (log, number) = (&self.desk.log, content.version);
+        let Some(agreement) = &mut self.agreement else { return };
+        let (now, content) =
+            (self.host.net.now.saturating_add_signed(agreement.clock_off), version.content());
+        let (log, number) = (&self.host.log, content.version);
         // What is not newer than what is held the state machine judges.
-        let newer = [Some(&pact.held), pact.waits.as_ref()].into_iter().flatten().map(|held| &held.version);
+        let newer =
+            [Some(&agreement.held), agreement.waits.as_ref()].into_iter().flatten().map(|held| &held.version);
         let newer = newer.filter(|held| number > held.number);
         let why: Vec<String> = newer
             .flat_map(|held| objections(held, &version))
@@ -257,22 +260,22 @@
         if !why.is_empty() {
             return warn!(log, "settings"; "why" => "not-admissible", "version" => number, "error" => why.join("; "));
         }
-        match pact.state.offer(now, content, version.start) {
+        match agreement.state.offer(now, content, version.start) {
             Ok(Offer::Scheduled) => {
-                let start = pact.state.waiting().map_or(0, |waits| waits.start);
+                let start = agreement.state.waiting().map_or(0, |waits| waits.start);
                 info!(log, "settings"; "why" => "waits", "version" => number, "digest" => short(content),
                     "starts_in_ms" => start.saturating_sub(now) / MS);
-                pact.waits = Some(Held { version, methods, plans, services });
+                agreement.waits = Some(Held { version, methods, plans, services });
             }
             Ok(Offer::Known) => {
                 info!(log, "settings"; "why" => "held-already", "version" => number, "digest" => short(content))
             }
             Err(refused) => {
-                if pact.state.waiting().is_none() {
-                    pact.waits = None;
+                if agreement.state.waiting().is_none() {
+                    agreement.waits = None;
                 }
                 warn!(log, "settings"; "why" => refused.log_reason(), "version" => number, "digest" => short(content),
-                    "held" => pact.held.version.number);
+                    "held" => agreement.held.version.number);
             }
         }
         self.agree();
@@ -280,15 +283,17 @@
 
     /// The header line by which operators see what is acted on; empty where settings have no version.
     pub(super) fn shows(&self) -> String {
-        let Some(pact) = &self.pact else { return String::new() };
-        let Decision { content, mode } = pact.acting;
-        let age = match pact.state.last_confirmed() {
+        let Some(agreement) = &self.agreement else { return String::new() };
+        let Decision { content, mode } = agreement.acting;
+        let age = match agreement.state.last_confirmed() {
             0 => "never".to_string(),
-            at => (self.desk.net.now.saturating_sub(at) / MS).to_string(),
+            at => (self.host.net.now.saturating_sub(at) / MS).to_string(),
         };
         let acts_on = if mode == Mode::Confirmed { "version" } else { "ground" };
-        let waits =
-            pact.state.waiting().map_or(String::new(), |waits| format!(", waits={}", waits.content.version));
+        let waits = agreement
+            .state
+            .waiting()
+            .map_or(String::new(), |waits| format!(", waits={}", waits.content.version));
         format!(
             "X-Settings: version={}, digest={}, acts-on={acts_on}, confirmed-ms-ago={age}{waits}\n",
             content.version,
--- a/crates/gateway/src/gateway/checks.rs
+++ b/crates/gateway/src/gateway/checks.rs
@@ -6,7 +6,7 @@
 /// An answer so long after the client's time only earns nothing; a later one is a lost RPC (the operators' standing test).
 const ANSWER_SLACK: Nanos = 500 * MS;
 
-impl Desk {
+impl PolicyHost {
     /// Counts what an invariant was found to be; a break is logged.
     fn check(&mut self, invariant: Invariant, holds: bool, txn: &[u8]) {
         if holds {
--- a/crates/gateway/src/gateway/to_clients.rs
+++ b/crates/gateway/src/gateway/client_side.rs
@@ -7,122 +7,122 @@
 
 impl Gateway {
     pub(super) fn client_came(&mut self, id: usize) {
-        let Some(client) = self.desk.clients.get_mut(&id) else { return };
-        let waited = self.desk.net.late.max(client.unread_for);
-        let came = self.desk.net.now.saturating_sub(waited);
-        if !self.desk.net.input(id).is_empty() {
+        let Some(client) = self.host.clients.get_mut(&id) else { return };
+        let waited = self.host.net.late.max(client.unread_for);
+        let came = self.host.net.now.saturating_sub(waited);
+        if !self.host.net.input(id).is_empty() {
             client.unread_for = 0;
         }
-        client.filled(self.desk.net.input(id).len(), came);
+        client.filled(self.host.net.input(id).len(), came);
         if client.phase.closes() {
-            let length = self.desk.net.input(id).len();
-            self.desk.net.used(id, length);
-        } else if let Some((_, length)) = client.phase.rpc().filter(|_| self.desk.net.is_full(id)) {
+            let length = self.host.net.input(id).len();
+            self.host.net.used(id, length);
+        } else if let Some((_, length)) = client.phase.rpc().filter(|_| self.host.net.is_full(id)) {
             // Guards against a client whose leaving lies behind what it sent in the meantime, so that its RPC would wait
             // on for nobody. Covers floods. Harm: one that sends on before its answer has to open another connection.
             client.floods = true;
-            self.desk.net.keep(id, length);
+            self.host.net.keep(id, length);
         } else if client.phase.is_reading()
-            && !self.desk.net.input(id).is_empty()
-            && self.desk.net.is_sent(id)
+            && !self.host.net.input(id).is_empty()
+            && self.host.net.is_sent(id)
         {
             // The answer before this message is out: one that reads none can't fill the buffer with them.
-            let found = client.look(&self.desk.config, came, self.desk.net.input(id));
+            let found = client.look(&self.host.config, came, self.host.net.input(id));
             if matches!(found, Ok(Got::Rpc(_) | Got::Ready(_) | Got::Healthy(_))) {
-                self.desk.claim_place(id);
+                self.host.claim_place(id);
             }
             match found {
                 // Guards the memory against many long messages at once; servers' buffers have a part of their own.
                 // Harm: a long message is turned away that might have found room a little later.
-                Ok(Got::Part) if self.desk.net.held > self.desk.held_most => {
-                    self.desk.refuse(id, 503, "no-memory")
+                Ok(Got::Part) if self.host.net.held > self.host.held_most => {
+                    self.host.refuse(id, 503, "no-memory")
                 }
-                Ok(Got::Part | Got::Continue) if self.desk.is_past_last_call() => {
-                    self.desk.refuse(id, 503, "stopping")
+                Ok(Got::Part | Got::Continue) if self.host.is_past_last_call() => {
+                    self.host.refuse(id, 503, "stopping")
                 }
                 Ok(Got::Part) => {}
                 Ok(Got::Continue) => {
-                    if let Some(out) = self.desk.net.out(id) {
+                    if let Some(out) = self.host.net.out(id) {
                         out.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
                     }
                 }
                 Ok(Got::Rpc(message)) => self.arrive(id, message),
                 Ok(Got::Ready(length)) => {
-                    let ready = self.desk.has_list && !self.desk.is_stopping();
+                    let ready = self.host.has_list && !self.host.is_stopping();
                     let shows = self.shows();
-                    self.desk.answer_own(id, if ready { 200 } else { 503 }, length, &shows);
+                    self.host.answer_own(id, if ready { 200 } else { 503 }, length, &shows);
                 }
                 Ok(Got::Healthy(length)) => {
-                    let shows = self.shows() + &self.desk.counts_line();
-                    self.desk.answer_own(id, 200, length, &shows);
+                    let shows = self.shows() + &self.host.counts_line();
+                    self.host.answer_own(id, 200, length, &shows);
                 }
-                Err(Bad(status, why)) => self.desk.refuse(id, status, why),
+                Err(Bad(status, why)) => self.host.refuse(id, status, why),
             }
         }
-        if let Some(ending) = self.desk.net.ended(id) {
+        if let Some(ending) = self.host.net.ended(id) {
             self.client_left(id, ending.reason());
         }
     }
 
     pub(super) fn arrive(&mut self, client: usize, message: clients::Rpc) {
-        let (now, end) = (self.desk.net.now, message.body.end);
-        let own: Box<[u8]> = self.desk.net.input(client)[message.txn.clone()].into();
-        let spare = self.desk.clients.get(&client).is_some_and(|client| client.spare);
-        if self.desk.open_rpcs >= self.desk.rpcs_most || spare || self.desk.net.held > self.desk.held_most {
+        let (now, end) = (self.host.net.now, message.body.end);
+        let own: Box<[u8]> = self.host.net.input(client)[message.txn.clone()].into();
+        let spare = self.host.clients.get(&client).is_some_and(|client| client.spare);
+        if self.host.open_rpcs >= self.host.rpcs_most || spare || self.host.net.held > self.host.held_most {
             // No room for more: what is refused here never reached the module.
-            self.desk.log_turned_away(&own, 503, "no-room");
-            self.desk.answer_own(client, 503, end, "");
+            self.host.log_turned_away(&own, 503, "no-room");
+            self.host.answer_own(client, 503, end, "");
             return;
         }
-        let came = self.desk.clients.get(&client).map_or(now, |client| client.came);
+        let came = self.host.clients.get(&client).map_or(now, |client| client.came);
         let asked = (came + message.remaining_ms * MS).saturating_sub(MARGIN);
-        if !self.desk.may_begin(&own, asked) {
-            return self.desk.answer_own(client, 503, end, "");
+        if !self.host.may_begin(&own, asked) {
+            return self.host.answer_own(client, 503, end, "");
         }
-        if !self.desk.ids.insert(own.clone()) {
+        if !self.host.ids.insert(own.clone()) {
             // Guards against one client's answer going by another's id. Harm: none, ids are fresh on every RPC.
-            return self.desk.refuse(client, 409, "duplicate-id");
+            return self.host.refuse(client, 409, "duplicate-id");
         }
-        let (id, method) = (self.desk.fresh_rpc(), message.method);
-        let Some(at) = self.desk.clients.get_mut(&client) else { return };
+        let (id, method) = (self.host.fresh_rpc(), message.method);
+        let Some(at) = self.host.clients.get_mut(&client) else { return };
         at.shift(Phase::Waiting { rpc: id, length: end }, now);
-        let deadline = self.desk.within_life(asked).max(now);
+        let deadline = self.host.within_life(asked).max(now);
         let arrival = Arrival {
             id,
             method: message.method,
             plan: message.plan,
             customer: message.customer,
-            service: self.desk.config.services.of_class(message.method),
+            service: self.host.config.services.of_class(message.method),
             deadline,
             units: message.units,
             width: message.width,
             first: message.first,
         };
         let rpc = Rpc {
-            stand: Stand::Held,
+            state: RpcState::Held,
             client,
             message,
             since: now,
             deadline,
             call_outs: 0,
             open: false,
-            effect: self.desk.config.methods[usize::from(method)].effect,
+            effect: self.host.config.methods[usize::from(method)].effect,
             first_run: None,
             written: false,
             id: own,
         };
-        self.desk.rpcs.insert(id, rpc);
-        self.desk.open_rpcs += 1;
-        self.desk.timers.set(deadline + OVERDUE, What::Overdue(id));
-        self.brain.rpc(&mut self.desk, now, &arrival);
+        self.host.rpcs.insert(id, rpc);
+        self.host.open_rpcs += 1;
+        self.host.timers.set(deadline + OVERDUE, TimerEvent::Overdue(id));
+        self.brain.rpc(&mut self.host, now, &arrival);
     }
 
     /// Guards against an RPC that neither the module nor a time-out has ended; nothing else should come here.
     pub(super) fn overdue(&mut self, id: u32) {
-        if self.desk.rpcs.get(&id).is_some_and(|rpc| rpc.stand != Stand::Answered) {
-            warn!(self.desk.log, "overdue"; "rpc" => id);
-            let harmless = self.desk.rpcs.get(&id).is_some_and(|rpc| !rpc.written);
-            self.desk.answer(id, if harmless { 503 } else { 504 }, 0, "overdue");
+        if self.host.rpcs.get(&id).is_some_and(|rpc| rpc.state != RpcState::Answered) {
+            warn!(self.host.log, "overdue"; "rpc" => id);
+            let harmless = self.host.rpcs.get(&id).is_some_and(|rpc| !rpc.written);
+            self.host.answer(id, if harmless { 503 } else { 504 }, 0, "overdue");
             self.brain.client_left(id);
         }
     }
@@ -132,13 +132,13 @@
     /// what others sent, or behind bytes of its own. Covers busy turns, small parts of a core and floods. Harm: a read for
     /// each attempt; one whose client sends on without end is put off until its time is over.
     pub(super) fn client_stays(&mut self, link: usize) -> bool {
-        let attempt = self.desk.links.get(&link).and_then(Link::attempt);
-        let Some(rpc) = attempt.and_then(|attempt| self.desk.rpcs.get(&attempt.rpc)) else { return true };
+        let attempt = self.host.links.get(&link).and_then(Link::attempt);
+        let Some(rpc) = attempt.and_then(|attempt| self.host.rpcs.get(&attempt.rpc)) else { return true };
         let client = rpc.client;
         for _ in 0..LOOKS {
-            let before = self.desk.net.input(client).len();
-            self.desk.net.read(client, false);
-            let net = &self.desk.net;
+            let before = self.host.net.input(client).len();
+            self.host.net.read(client, false);
+            let net = &self.host.net;
             if net.input(client).len() == before && !net.is_full(client) && net.ended(client).is_none() {
                 return true;
             }
@@ -148,20 +148,20 @@
     }
 
     pub(super) fn client_left(&mut self, id: usize, why: &'static str) {
-        let rpc = self.desk.clients.get(&id).and_then(|client| client.phase.rpc()).map(|rpc| rpc.0);
-        self.desk.end_client(id, ClientEnd::Gone(if rpc.is_some() { LEFT } else { why }));
+        let rpc = self.host.clients.get(&id).and_then(|client| client.phase.rpc()).map(|rpc| rpc.0);
+        self.host.end_client(id, ClientEnd::Gone(if rpc.is_some() { LEFT } else { why }));
         if let Some(rpc) = rpc {
-            self.desk.log_abandoned(rpc);
-            self.desk.shift(rpc, Stand::Answered);
+            self.host.log_abandoned(rpc);
+            self.host.shift(rpc, RpcState::Answered);
             self.brain.client_left(rpc);
         }
     }
 }
 
-impl Desk {
+impl PolicyHost {
     /// The one final answer of an RPC, when it is the gateway's own.
     pub(super) fn answer(&mut self, id: u32, status: u16, come_back: Nanos, why: &'static str) {
-        let Some(rpc) = self.rpcs.get(&id).filter(|rpc| rpc.stand != Stand::Answered) else { return };
+        let Some(rpc) = self.rpcs.get(&id).filter(|rpc| rpc.state != RpcState::Answered) else { return };
         let (client, close) = (rpc.client, self.closes(rpc));
         if let Some(out) = self.net.out(client) {
             clients::write_own(out, status, come_back, close);
@@ -183,7 +183,7 @@
     pub(super) fn answered(&mut self, id: u32, client: usize, close: bool) {
         let rpc = self.rpcs.get(&id).map(|rpc| (rpc.id.clone(), rpc.deadline));
         let (txn, deadline) = rpc.unzip();
-        self.shift(id, Stand::Answered);
+        self.shift(id, RpcState::Answered);
         let (now, stopping) = (self.net.now, self.is_stopping());
         let Some(at) = self.clients.get_mut(&client) else { return };
         let length = at.phase.rpc().map_or(0, |rpc| rpc.1);
--- a/crates/gateway/src/gateway/to_counter.rs
+++ b/crates/gateway/src/gateway/counter_side.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-impl Desk {
+impl PolicyHost {
     pub(super) fn counter_came(&mut self, line: usize, id: usize) {
         let mut ended = Vec::new();
         let fed = self.lines[line].feed(self.net.now, self.net.input(id), &mut ended);
--- a/crates/gateway/src/gateway/to_list.rs
+++ b/crates/gateway/src/gateway/discovery_side.rs
@@ -10,46 +10,46 @@
 impl Gateway {
     /// Bytes of a watch. While a list is brought into force no more is read: what comes waits at discovery's side.
     pub(super) fn list_came(&mut self, id: usize) {
-        if self.desk.takes_list() {
+        if self.host.takes_list() {
             return;
         }
         let mut told = Vec::new();
-        let Desk { net, watch, old_watch, .. } = &mut self.desk;
+        let PolicyHost { net, watch, old_watch, .. } = &mut self.host;
         let watch = match old_watch {
             Some((old, watch)) if *old == id => watch,
             _ => watch,
         };
         let fed = watch.feed(net.now, net.input(id), &mut told);
         net.used(id, fed.unwrap_or(0));
-        if self.desk.watch_on == Some(id)
-            && self.desk.watch.head_read
-            && !std::mem::replace(&mut self.desk.watching, true)
+        if self.host.watch_on == Some(id)
+            && self.host.watch.head_read
+            && !std::mem::replace(&mut self.host.watching, true)
         {
-            info!(self.desk.log, "watching"; "index" => self.desk.watch.index, "ms" => (self.desk.net.now - self.desk.net.since(id)) / MS);
+            info!(self.host.log, "watching"; "index" => self.host.watch.index, "ms" => (self.host.net.now - self.host.net.since(id)) / MS);
         }
-        if self.desk.watch_on == Some(id) && self.desk.watch.head_read {
-            self.desk.end_old_watch("moved");
+        if self.host.watch_on == Some(id) && self.host.watch.head_read {
+            self.host.end_old_watch("moved");
         }
         told.into_iter().for_each(|told| self.told(told));
-        if let Some(why) = fed.err().or(self.desk.net.ended(id).map(Ending::reason)) {
-            self.desk.watch_broke(id, why);
+        if let Some(why) = fed.err().or(self.host.net.ended(id).map(Ending::reason)) {
+            self.host.watch_broke(id, why);
         }
     }
 
     /// The list told by discovery, or held from before.
     pub(super) fn told(&mut self, told: Told) {
-        self.desk.watch.index = told.index;
+        self.host.watch.index = told.index;
         if let Some(name) = &told.first_untold {
-            warn!(self.desk.log, "list"; "why" => "no-service", "index" => told.index, "server" => &**name, "entries" => told.untold);
+            warn!(self.host.log, "list"; "why" => "no-service", "index" => told.index, "server" => &**name, "entries" => told.untold);
         }
-        self.desk.pending.push_back(Pending::Told(told));
+        self.host.pending.push_back(Pending::Told(told));
         self.bring_into_force();
     }
 
     /// A change that was not told by the own discovery. It goes before what that told in the meantime and is yet to be
     /// judged, since it is looked at then.
     pub(super) fn list(&mut self, told: Told) {
-        let pending = &mut self.desk.pending;
+        let pending = &mut self.host.pending;
         let told_at = pending.iter().position(|waits| matches!(waits, Pending::Told(_)));
         pending.insert(told_at.unwrap_or(pending.len()), Pending::Judged(told));
         self.bring_into_force();
@@ -57,14 +57,14 @@
 
     /// The next batch is due, and once all is in force, what the watch said in the meantime.
     pub(super) fn go_on_with_list(&mut self) {
-        self.desk.goes_on = false;
+        self.host.goes_on = false;
         self.bring_into_force();
-        if self.desk.takes_list() {
+        if self.host.takes_list() {
             return;
         }
-        let old = self.desk.old_watch.as_ref().map(|old| old.0);
-        for id in [old, self.desk.watch_on].into_iter().flatten() {
-            if !self.desk.net.input(id).is_empty() || self.desk.net.ended(id).is_some() {
+        let old = self.host.old_watch.as_ref().map(|old| old.0);
+        for id in [old, self.host.watch_on].into_iter().flatten() {
+            if !self.host.net.input(id).is_empty() || self.host.net.ended(id).is_some() {
                 self.list_came(id);
             }
         }
@@ -73,79 +73,79 @@
     /// Brings what waits into force, as far as the work of one turn goes. The first list is taken at once: without one
     /// nothing can be sent anywhere.
     fn bring_into_force(&mut self) {
-        if self.desk.goes_on {
+        if self.host.goes_on {
             return;
         }
-        let mut work = if self.desk.has_list { WORK_A_TURN } else { usize::MAX };
+        let mut work = if self.host.has_list { WORK_A_TURN } else { usize::MAX };
         loop {
-            if self.desk.changes.is_none() && !self.begin_changes() {
+            if self.host.changes.is_none() && !self.begin_changes() {
                 return;
             }
-            let Desk { changes, servers, directory, .. } = &mut self.desk;
+            let PolicyHost { changes, servers, directory, .. } = &mut self.host;
             let Some(at_hand) = changes else { return };
             let Some(batch) = at_hand.next(servers, directory, &mut work) else { break };
-            let done = at_hand.is_done().then(|| self.desk.changes.take()).flatten();
+            let done = at_hand.is_done().then(|| self.host.changes.take()).flatten();
             self.apply(batch);
             if let Some(done) = done {
-                self.desk.has_list = true;
-                self.desk.log_turns(&done);
+                self.host.has_list = true;
+                self.host.log_turns(&done);
             }
         }
-        self.desk.changes.iter_mut().for_each(Changes::rest);
-        self.desk.goes_on = true;
-        self.desk.timers.set(self.desk.net.now + 1, What::Changes);
+        self.host.changes.iter_mut().for_each(Changes::rest);
+        self.host.goes_on = true;
+        self.host.timers.set(self.host.net.now + 1, TimerEvent::Changes);
     }
 
     /// Takes up the next object that waits; false if there is none. Where the fleet agrees, what is older than what is
     /// known here, or would leave nothing, changes only what it may.
     fn begin_changes(&mut self) -> bool {
         let told = loop {
-            match self.desk.pending.pop_front() {
+            match self.host.pending.pop_front() {
                 None => return false,
                 Some(Pending::Judged(told)) => break told,
                 Some(Pending::Told(mut told)) => {
                     let Some(more) = self.judge_list(&mut told) else { continue };
                     if !more.entries.is_empty() {
-                        self.desk.pending.push_front(Pending::Judged(more));
+                        self.host.pending.push_front(Pending::Judged(more));
                     }
                     break told;
                 }
             }
         };
-        self.desk.changes = Some(Changes::new(told));
+        self.host.changes = Some(Changes::new(told));
         true
     }
 
     /// Tells the module and the pools of a batch.
     fn apply(&mut self, batch: Batch) {
-        let desk = &mut self.desk;
+        let host = &mut self.host;
         let mut list = Vec::with_capacity(batch.leaving.len() + batch.coming.len());
         for Change { listed, address } in batch.leaving.into_iter().chain(batch.coming) {
             let Some(address) = address else {
-                if let Some((listed, idle)) = desk.servers.take_off(listed.key) {
-                    idle.into_iter().for_each(|id| desk.end_link(id, "server-gone"));
+                if let Some((listed, idle)) = host.servers.take_off(listed.key) {
+                    idle.into_iter().for_each(|id| host.end_link(id, "server-gone"));
                     list.push(listed);
                 }
                 continue;
             };
-            let came_up = desk.started_at(&listed);
-            let (server, stale) = desk.servers.list_started(&listed, address, came_up);
-            stale.into_iter().for_each(|id| desk.end_link(id, "server-moved"));
+            let came_up = host.started_at(&listed);
+            let (server, stale) = host.servers.list_started(&listed, address, came_up);
+            stale.into_iter().for_each(|id| host.end_link(id, "server-moved"));
             list.push(Listed { server, came_up, ..listed });
         }
-        if desk.has_list {
-            self.brain.listed_in_steps(desk.net.now, &list);
+        if host.has_list {
+            self.brain.listed_in_steps(host.net.now, &list);
         } else {
-            self.brain.listed(desk.net.now, false, &list);
+            self.brain.listed(host.net.now, false, &list);
         }
-        desk.servers.forget();
+        host.servers.forget();
         self.await_subsets();
     }
 
     /// Goes on with the module's subsets for this turn's part of the work.
     pub(super) fn work_on_subsets(&mut self) {
-        self.desk.subsets_awaited = None;
-        self.brain.work_on_subsets(self.desk.net.now, SUBSET_UNITS_A_TURN);
+        self.host.subsets_awaited = None;
+        self.brain.work_on_subsets(self.host.net.now, SUBSET_UNITS_A_TURN);
         self.await_subsets();
     }
 
@@ -153,15 +153,15 @@
     fn await_subsets(&mut self) {
         let Some(due) = self.brain.subsets_due() else { return };
         // Timers are looked at once a turn, so what is due now is for the next one.
-        let at = due.max(self.desk.net.now + 1);
-        if self.desk.subsets_awaited.is_none_or(|awaited| at < awaited) {
-            self.desk.subsets_awaited = Some(at);
-            self.desk.timers.set(at, What::Subsets);
+        let at = due.max(self.host.net.now + 1);
+        if self.host.subsets_awaited.is_none_or(|awaited| at < awaited) {
+            self.host.subsets_awaited = Some(at);
+            self.host.timers.set(at, TimerEvent::Subsets);
         }
     }
 }
 
-impl Desk {
+impl PolicyHost {
     /// When a server started that the list names.
     fn started_at(&self, listed: &Listed) -> Nanos {
         let stamp = listed.came_up;
@@ -192,7 +192,7 @@
         let (now, told) = (self.net.now, self.stop_within);
         let rest = self.watch.again(now, self.pushed, self.fleet, told, &mut self.chance);
         let rest = rest.max(self.watch.rest_untaken(&mut self.chance));
-        self.timers.set(now + rest, What::Watch);
+        self.timers.set(now + rest, TimerEvent::Watch);
     }
 
     pub(super) fn dial_watch(&mut self) {
--- a/crates/gateway/src/gateway/making_room.rs
+++ b/crates/gateway/src/gateway/making_room.rs
@@ -10,7 +10,7 @@
 /// So many connections whose turn it is are looked at for one place: of a crowd that all speak at once nobody gives way.
 const TRIED_MOST: usize = 8;
 
-impl Desk {
+impl PolicyHost {
     /// Whether one more client can be taken, if need be for one that only holds its place.
     pub(super) fn has_room_for_client(&mut self) -> bool {
         let taken = self.clients.len();
@@ -38,7 +38,7 @@
         let now = self.net.now;
         let again = now + ACCEPT_AGAIN;
         let silent = room::next_silent(self.clients.values().filter_map(Client::idle));
-        self.timers.set(silent.map_or(again, |at| at.clamp(now + ACCEPT_SOONEST, again)), What::Accept);
+        self.timers.set(silent.map_or(again, |at| at.clamp(now + ACCEPT_SOONEST, again)), TimerEvent::Accept);
     }
 
     /// A client on a spare place has spoken: it has a place of its own if there is one by now, or if those that were served
--- a/crates/gateway/src/gateway/rpc_log.rs
+++ b/crates/gateway/src/gateway/rpc_log.rs
@@ -21,7 +21,7 @@
     String::from_utf8_lossy(id)
 }
 
-impl Desk {
+impl PolicyHost {
     /// An attempt was asked for; logged for retries, and while the process stops.
     pub(super) fn log_attempt(&self, attempt: &Attempt, server: u32) {
         let Some(rpc) = self.rpcs.get(&attempt.rpc) else { return };
--- a/crates/gateway/src/gateway/to_servers.rs
+++ b/crates/gateway/src/gateway/server_side.rs
@@ -3,7 +3,7 @@
 use super::*;
 use crate::guard::Obstacle;
 
-impl Desk {
+impl PolicyHost {
     /// An idle connection to a server, the one used last, or a new one.
     pub(super) fn link_to(&mut self, server: u32) -> Option<usize> {
         let now = self.net.now;
@@ -37,7 +37,7 @@
         if let Some(at) = self.servers.by_number.get_mut(&server) {
             at.open += 1;
         }
-        self.timers.set(now + self.dial, What::Dial(id));
+        self.timers.set(now + self.dial, TimerEvent::Dial(id));
         Some(id)
     }
 
@@ -59,7 +59,7 @@
             self.end_call_out(server, attempt, End::NotSent, 0.0, Vec::new());
             return self.rest_link(id);
         }
-        let Desk { net, links, rpcs, .. } = self;
+        let PolicyHost { net, links, rpcs, .. } = self;
         let (Some(rpc), Some(link)) = (rpcs.get_mut(&attempt.rpc), links.get_mut(&id)) else { return };
         rpc.written = true;
         let wait = attempt.until.min(rpc.deadline).saturating_sub(net.now);
@@ -77,7 +77,7 @@
     /// Asks the guard whether an attempt may be written on this connection.
     fn may_send(&mut self, id: usize, attempt: &Attempt) -> Result<(), Obstacle> {
         let Some(link) = self.links.get(&id) else { return Err(Obstacle::ServerMoved) };
-        let there = |rpc: &&Rpc| rpc.stand != Stand::Answered && self.clients.contains_key(&rpc.client);
+        let there = |rpc: &&Rpc| rpc.state != RpcState::Answered && self.clients.contains_key(&rpc.client);
         let rpc = self.rpcs.get(&attempt.rpc).filter(there);
         let send = guard::Send {
             now: self.net.now,
@@ -109,7 +109,7 @@
     }
 
     pub(super) fn server_came(&mut self, id: usize) {
-        let Desk { net, links, .. } = self;
+        let PolicyHost { net, links, .. } = self;
         let Some(link) = links.get_mut(&id) else { return };
         let ended = net.ended(id);
         let Stage::Out(call) = link.stage else {
@@ -147,7 +147,7 @@
 
     /// A server's 200 answer goes to the client, its body unchanged.
     pub(super) fn pass_on(&mut self, link: usize, id: u32, answer: &Answer) {
-        let Some(rpc) = self.rpcs.get(&id).filter(|rpc| rpc.stand != Stand::Answered) else { return };
+        let Some(rpc) = self.rpcs.get(&id).filter(|rpc| rpc.state != RpcState::Answered) else { return };
         let (client, close) = (rpc.client, self.closes(rpc));
         if let Some((input, out)) = self.net.input_and_out(link, client) {
             let body = match &answer.body {
@@ -224,11 +224,11 @@
         if !matches!(how, End::NoConnection | End::NotSent | End::Full) {
             rpc.first_run = Some(rpc.first_run.map_or(call.sent, |first| first.min(call.sent)));
         }
-        let closed = rpc.stand == Stand::Answered;
+        let closed = rpc.state == RpcState::Answered;
         if closed {
             self.forget(call.rpc);
         } else {
-            self.shift(call.rpc, Stand::Held);
+            self.shift(call.rpc, RpcState::Held);
         }
         let took = self.net.now - call.sent;
         let (rpc, nth) = (call.rpc, call.nth);
--- a/crates/gateway/src/gateway/stopping.rs
+++ b/crates/gateway/src/gateway/stopping.rs
@@ -6,21 +6,21 @@
     /// SIGTERM: connections are taken for a while yet, every answer closes its connection, all that is read is answered
     /// before the process may be killed. A second SIGTERM changes nothing.
     pub(super) fn begin_shutdown(&mut self) {
-        if self.desk.shutdown.is_some() {
+        if self.host.shutdown.is_some() {
             return;
         }
         // The signal may have waited here as long as a message that is read now.
-        let signalled_at = self.desk.net.now.saturating_sub(self.desk.net.late);
-        let shutdown = Shutdown::new(signalled_at, self.desk.longest_deadline());
-        info!(self.desk.log, "stopping"; "held" => self.desk.open_rpcs, "clients" => self.desk.clients.len(),
-            "answer_within_ms" => shutdown.answer_by.saturating_sub(self.desk.net.now) / MS);
+        let signalled_at = self.host.net.now.saturating_sub(self.host.net.late);
+        let shutdown = Shutdown::new(signalled_at, self.host.longest_deadline());
+        info!(self.host.log, "stopping"; "held" => self.host.open_rpcs, "clients" => self.host.clients.len(),
+            "answer_within_ms" => shutdown.answer_by.saturating_sub(self.host.net.now) / MS);
         self.follow(shutdown);
     }
 
     /// A configuration read while the process stops may tell shorter deadlines, and so an earlier end.
     pub(super) fn shorten_shutdown(&mut self) {
-        let Some(shutdown) = self.desk.shutdown else { return };
-        let shorter = shutdown.earlier(Shutdown::new(shutdown.signalled_at, self.desk.longest_deadline()));
+        let Some(shutdown) = self.host.shutdown else { return };
+        let shorter = shutdown.earlier(Shutdown::new(shutdown.signalled_at, self.host.longest_deadline()));
         if shorter != shutdown {
             self.follow(shorter);
         }
@@ -28,47 +28,47 @@
 
     /// Cuts every wait to a timeline and sets its timers.
     fn follow(&mut self, shutdown: Shutdown) {
-        let desk = &mut self.desk;
-        desk.shutdown = Some(shutdown);
-        desk.timers.set(shutdown.listen_until, What::StopListening);
-        desk.timers.set(shutdown.last_call, What::LastCall);
-        desk.timers.set(shutdown.exit_at, What::Exit);
+        let host = &mut self.host;
+        host.shutdown = Some(shutdown);
+        host.timers.set(shutdown.listen_until, TimerEvent::StopListening);
+        host.timers.set(shutdown.last_call, TimerEvent::LastCall);
+        host.timers.set(shutdown.exit_at, TimerEvent::Exit);
         let answer_by = shutdown.answer_by;
-        for (id, rpc) in &mut desk.rpcs {
+        for (id, rpc) in &mut host.rpcs {
             rpc.deadline = rpc.deadline.min(answer_by);
-            desk.timers.set(rpc.deadline + OVERDUE, What::Overdue(*id));
+            host.timers.set(rpc.deadline + OVERDUE, TimerEvent::Overdue(*id));
         }
-        for (id, link) in &mut desk.links {
+        for (id, link) in &mut host.links {
             if let Some(attempt) = link.attempt_mut() {
                 attempt.until = attempt.until.min(answer_by);
-                desk.timers.set(attempt.until, What::CallOut(*id, attempt.rpc, attempt.nth));
+                host.timers.set(attempt.until, TimerEvent::CallOut(*id, attempt.rpc, attempt.nth));
             }
         }
-        let now = desk.net.now;
-        self.brain.end_by(&mut self.desk, now, answer_by);
+        let now = host.net.now;
+        self.brain.end_by(&mut self.host, now, answer_by);
     }
 
     /// The process ends now. What should have been answered before is answered, and what clients still sent is read, so
     /// that no unread byte makes a reset of the close.
     pub(super) fn exit(&mut self) {
         let unanswered: Vec<u32> =
-            self.desk.clients.values().filter_map(|client| Some(client.phase.rpc()?.0)).collect();
+            self.host.clients.values().filter_map(|client| Some(client.phase.rpc()?.0)).collect();
         unanswered.into_iter().for_each(|id| self.overdue(id));
-        let clients: Vec<usize> = self.desk.clients.keys().copied().collect();
-        clients.into_iter().for_each(|id| self.desk.net.read(id, false));
-        self.desk.exits = true;
+        let clients: Vec<usize> = self.host.clients.keys().copied().collect();
+        clients.into_iter().for_each(|id| self.host.net.read(id, false));
+        self.host.exits = true;
     }
 
     /// The last line of the log.
     pub fn log_end(&mut self) {
-        self.desk.check_end_of_process();
-        let desk = &self.desk;
-        info!(desk.log, "ended"; "unanswered" => desk.open_rpcs, "clients" => desk.clients.len(),
-            "invariants" => desk.counts.summary(), "violations" => desk.counts.violations());
+        self.host.check_end_of_process();
+        let host = &self.host;
+        info!(host.log, "ended"; "unanswered" => host.open_rpcs, "clients" => host.clients.len(),
+            "invariants" => host.counts.summary(), "violations" => host.counts.violations());
     }
 }
 
-impl Desk {
+impl PolicyHost {
     /// The longest deadline of the settings that hold, or of the file read last, whichever is shorter: the platform may go
     /// by either.
     fn longest_deadline(&self) -> Nanos {
--- a/crates/gateway/src/gateway/sweep.rs
+++ b/crates/gateway/src/gateway/sweep.rs
@@ -14,10 +14,10 @@
 
 const SLOW_MESSAGE: &str = "slow-message";
 
-impl Desk {
+impl PolicyHost {
     /// Looks at all connections.
     pub(super) fn sweep(&mut self) {
-        self.timers.set(self.net.now + SWEEP, What::Sweep);
+        self.timers.set(self.net.now + SWEEP, TimerEvent::Sweep);
         self.sweep_clients();
         self.sweep_links();
         if let Some(id) = self.watch_on.filter(|_| !self.takes_list() && self.watch.is_silent(self.net.now)) {
--- a/crates/gateway/tests/soak.rs
+++ b/crates/gateway/tests/soak.rs
@@ -16,6 +16,19 @@
     assert!(run.sent > 200 && run.counts.checked > 0, "{}", run.shown());
 }
 
+/// A seed whose clients keep few gateways with few descriptors busy while silent connections crowd them.
+const CROWDED: u64 = 3012;
+
+#[test]
+fn nothing_is_broken_while_silent_connections_crowd_busy_gateways() {
+    let size = Size { gateways: 3, servers: 8, seconds: 6.0, faults: 4 };
+    let run = soak::run(CROWDED, size, &[], None, Path::new(BIN)).unwrap();
+    println!("{}", run.shown());
+    assert!(run.violations.is_empty(), "{}", run.shown());
+    assert!(run.scenario.sockets < 200 && run.sent > 500 && run.served > run.sent / 3, "{}", run.shown());
+    assert!(run.happened.get("Crowd").is_some_and(|count| *count > 0), "{:?}", run.happened);
+}
+
 #[test]
 fn nothing_is_broken_by_the_faults_of_one_seed() {
     nothing_is_broken(1, None);
--- a/crates/gateway/tests/turns.rs
+++ b/crates/gateway/tests/turns.rs
@@ -1,6 +1,6 @@
 //! The driver's turns, with something else than the gateway to turn: what one connection can take of them.
 
-use gateway::driver::{Driver, Net, Turned};
+use gateway::driver::{Driver, EventHandler, Net};
 use gateway::logs::Logs;
 use martenramp::host::Nanos;
 use std::collections::BTreeMap;
@@ -30,7 +30,7 @@
     first_late: Option<Nanos>,
 }
 
-impl Turned for Taker {
+impl EventHandler for Taker {
     fn net(&mut self) -> &mut Net {
         &mut self.net
     }
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -128,6 +128,10 @@
         }
     }
     print!("{}", figures.shown());
+    println!(
+        "{} RPCs sent once more, since their connections were closed as they crossed",
+        outcome.sent_again
+    );
     outcome.crashed.iter().for_each(|crashed| println!("{crashed}"));
     println!("wrote {}", out.display());
     if figures.run.void { Err("the front was too late: the run is void".to_string()) } else { Ok(()) }
