--- a/crates/gateway/tests/soak.rs
+++ b/crates/gateway/tests/soak.rs
@@ -21,7 +21,7 @@
 
 #[test]
 fn nothing_is_broken_while_silent_connections_crowd_busy_gateways() {
-    let size = Size { gateways: 3, servers: 8, seconds: 6.0, faults: 4 };
+    let size = Size { gateways: 4, servers: 8, seconds: 6.0, faults: 4 };
     let run = soak::run(CROWDED, size, &[], None, Path::new(BIN)).unwrap();
     println!("{}", run.shown());
     assert!(run.violations.is_empty(), "{}", run.shown());
