--- a/crates/gateway/tests/long_lists.rs
+++ b/crates/gateway/tests/long_lists.rs
@@ -1,6 +1,6 @@
 //! Many times the usual number of servers: however often a long list changes, the loop goes on serving.
 
-use standins::scripted::{Peer, answer, chunk, entry, list, rpc, status};
+use standins::scripted::{Peer, answer, chunk, entry, list, rpc, status, with_id};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
@@ -15,10 +15,6 @@
 /// Far more than an answer takes here, and far less than the time that one change of the list took when it was worked out at once.
 const ANSWERED_WITHIN: Duration = Duration::from_millis(700);
 
-fn with_id(text: &str, id: usize) -> String {
-    text.replace("X-Txn: 0123456789abcdef", &format!("X-Txn: {id:016x}"))
-}
-
 #[test]
 fn a_long_list_that_changes_all_the_time_holds_up_no_answer() {
     let (server, discovery) = (Peer::new(|_, _| answer(200, "", "ok")), watch());
@@ -27,7 +23,7 @@
     let fleet = format!("\"balancers\":{GATEWAYS},\"me\":3");
     let gateway = under(&discovery, &entries, &patient_settings().replace("\"balancers\":2", &fleet));
     let mut client = gateway.client();
-    assert_eq!(status(&client.ask(&with_id(&rpc("read", 15_000), RPCS))), 200);
+    assert_eq!(status(&client.ask(&with_id(&rpc("read", 15_000), RPCS as u64))), 200);
     let (over, address) = (AtomicBool::new(false), server.address);
     let slowest = std::thread::scope(|scope| {
         let over = &over;
@@ -44,7 +40,7 @@
         let mut slowest = Duration::ZERO;
         for id in 0..RPCS {
             let asked = Instant::now();
-            let got = client.ask(&with_id(&rpc("read", 15_000), id));
+            let got = client.ask(&with_id(&rpc("read", 15_000), id as u64));
             slowest = slowest.max(asked.elapsed());
             if status(&got) != 200 || slowest > ANSWERED_WITHIN {
                 break;
--- a/crates/gateway/tests/owed_answers.rs
+++ b/crates/gateway/tests/owed_answers.rs
@@ -1,7 +1,7 @@
 //! An answer is owed to a client until its last byte is out: whatever ends connections (room for others, a shutdown, a
 //! reload), none is ended with an answer still waiting in its buffer.
 
-use standins::scripted::{Client, Peer, Program, answer, entry, list, rpc, status, told_wait_ms};
+use standins::scripted::{Client, Peer, Program, answer, entry, list, rpc, status, told_wait_ms, with_id};
 use std::time::Duration;
 
 mod support;
@@ -43,10 +43,6 @@
     others.collect()
 }
 
-fn with_id(text: &str, id: usize) -> String {
-    text.replace("X-Txn: 0123456789abcdef", &format!("X-Txn: {id:016x}"))
-}
-
 #[test]
 fn a_connection_whose_answer_is_not_out_does_not_give_way_to_a_new_one() {
     let (server, discovery) = (silent_server(), watch());
@@ -75,7 +71,7 @@
     let mut client = gateway.client();
     let mut served = 0;
     while served < most {
-        client.send(&with_id(&rpc("read", 20_000), served));
+        client.send(&with_id(&rpc("read", 20_000), served as u64));
         match server.seen_within(STUCK) {
             Some(_) => served += 1,
             None => break,
@@ -108,7 +104,7 @@
     let gateway = under(&discovery, &[entry("s0", server.address, "ready")], &patient_settings());
     let mut client = gateway.client();
     for id in 0..3 {
-        client.send(&with_id(&rpc("read", 20_000), id));
+        client.send(&with_id(&rpc("read", 20_000), id as u64));
     }
     let got = (0..3).map_while(|_| client.answer()).filter(|got| got.ends_with('y')).count();
     assert_eq!(got, 3);
--- a/crates/gateway/tests/quiet_times.rs
+++ b/crates/gateway/tests/quiet_times.rs
@@ -1,7 +1,7 @@
 //! Trouble after a quiet time, and RPCs with hardly any time: every one gets its one answer, and what must not run twice
 //! does not.
 
-use standins::scripted::{Client, Peer, answer, entry, rpc, status};
+use standins::scripted::{Client, Peer, answer, entry, rpc, status, with_id};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -14,10 +14,6 @@
 /// Clients, and so about as many connections to servers that rest when the trouble begins.
 const CLIENTS: usize = 8;
 
-fn with_id(text: &str, id: usize) -> String {
-    text.replace("X-Txn: 0123456789abcdef", &format!("X-Txn: {id:016x}"))
-}
-
 fn id_of(message: &str) -> String {
     message.split("X-Txn: ").nth(1).and_then(|rest| rest.split('\r').next()).expect("an id").to_string()
 }
@@ -50,13 +46,13 @@
     let gateway = under(&discovery, &entries, &patient_settings());
     let mut clients: Vec<Client> = (0..CLIENTS).map(|_| gateway.client()).collect();
     for (id, client) in clients.iter_mut().enumerate() {
-        client.send(&with_id(&rpc("read", 5000), id));
+        client.send(&with_id(&rpc("read", 5000), id as u64));
     }
     assert!(clients.iter_mut().all(|client| client.answer().is_some_and(|got| status(&got) == 200)));
     trouble(&[&one, &two], &mute);
     let asked = Instant::now();
     for (id, client) in clients.iter_mut().enumerate() {
-        client.send(&with_id(&rpc(METHODS[id % METHODS.len()], 2000), 100 + id));
+        client.send(&with_id(&rpc(METHODS[id % METHODS.len()], 2000), 100 + id as u64));
     }
     for (id, client) in clients.iter_mut().enumerate() {
         let method = METHODS[id % METHODS.len()];
@@ -100,7 +96,7 @@
         for (nth, method) in METHODS.into_iter().enumerate() {
             let mut client = gateway.client();
             let asked = Instant::now();
-            client.send(&with_id(&rpc(method, remaining), METHODS.len() * id + nth));
+            client.send(&with_id(&rpc(method, remaining), (METHODS.len() * id + nth) as u64));
             let got = status(&client.answer().unwrap_or_else(|| panic!("{method} {remaining}: no answer")));
             assert!(matches!(got, 429 | 502 | 503 | 504), "{method} {remaining}: {got}");
             let most = Duration::from_millis(remaining + 500);
@@ -119,7 +115,7 @@
         let at = if id % 2 == 0 { nowhere } else { first.address };
         gateway.rewrite(&gateway.config(at, "", &patient_settings()));
         gateway.signal("-HUP");
-        let got = client.ask(&with_id(&rpc(METHODS[id % METHODS.len()], 3000), id));
+        let got = client.ask(&with_id(&rpc(METHODS[id % METHODS.len()], 3000), id as u64));
         assert_eq!(status(&got), 200, "{id}");
     }
     assert!(first.next().1.contains("watch=1"), "it comes back to discovery");
--- a/crates/gateway/tests/shutdown.rs
+++ b/crates/gateway/tests/shutdown.rs
@@ -2,7 +2,7 @@
 //! most) and 0.7 s later. Whatever it read has its one answer before that, and the process ends by itself.
 
 use standins::scripted::{
-    Client, Late, Peer, Program, answer, entry, list, rpc, say, settings, status, told_wait_ms,
+    Client, Late, Peer, Program, answer, entry, list, rpc, say, settings, status, told_wait_ms, with_id,
 };
 use std::time::{Duration, Instant};
 
@@ -66,10 +66,6 @@
     Peer::new(|_, _| (Vec::new(), false))
 }
 
-fn with_id(text: &str, id: u64) -> String {
-    text.replace("X-Txn: 0123456789abcdef", &format!("X-Txn: {id:016x}"))
-}
-
 #[test]
 fn what_is_read_late_in_a_shutdown_has_its_answer_before_the_process_is_killed() {
     let (server, discovery) = (hangs(), watch());
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -311,6 +311,11 @@
     }
 }
 
+/// The same RPC under another id.
+pub fn with_id(text: &str, id: u64) -> String {
+    text.replace("X-Txn: 0123456789abcdef", &format!("X-Txn: {id:016x}"))
+}
+
 /// How long the gateway tells a server that it waits, in milliseconds.
 pub fn told_wait_ms(message: &str) -> u64 {
     let told = message.split("X-Remaining-Ms: ").nth(1).and_then(|rest| rest.split('\r').next());
