Those that wait to connect as a stopping process ends are refused, not reset; resent RPCs tell what is left

Change: as the process ends, places go to those that still wait, round by round, and what they sent is refused; a connection whose sending has ended gives way after 10 ms. The rig's front rewrites X-Remaining-Ms for an RPC sent again; a violation names when that was.

--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -25,6 +25,8 @@
 /// More events than there are connections: what is ready is looked at in one turn, so that nothing waits here for longer than
 /// a turn lasts.
 const EVENTS_A_TURN: usize = 4096;
+/// So many times at most all places are given to those that wait to be accepted as the process ends.
+const LAST_ROUNDS: usize = 64;
 /// How much is read at once; a buffer that grew beyond `KEPT` is given back once it is empty.
 const READ: usize = 4 << 10;
 const KEPT: usize = 16 << 10;
@@ -456,6 +458,8 @@
     fn accept_later(&mut self);
     /// Nobody waits to be accepted any more.
     fn accepted_all(&mut self) {}
+    /// Ends all clients' connections: the process ends.
+    fn end_clients(&mut self) {}
     /// Frees a descriptor; false if none can be.
     fn shed(&mut self) -> bool;
     fn up(&mut self, id: usize);
@@ -596,9 +600,26 @@
             logs.drain();
             busy = self.clock.now() - gateway.net().now;
         }
+        self.refuse_waiting(gateway);
         Ok(())
     }
 
+    /// Takes those that still wait to be accepted as the process ends, so that what they sent has its answer: a refusal, by
+    /// then. Closing the listener would reset them. In as many rounds as a full line of them may take.
+    fn refuse_waiting(&mut self, gateway: &mut impl EventHandler) {
+        for _ in 0..LAST_ROUNDS {
+            gateway.end_clients();
+            if self.listener.is_none() {
+                return;
+            }
+            gateway.net().now = self.clock.now();
+            if self.accept(gateway) {
+                self.listener = None;
+            }
+            self.flush(gateway);
+        }
+    }
+
     fn is_signalled(&self) -> bool {
         self.hung_up.load(Ordering::Relaxed) || self.told_to_stop.load(Ordering::Relaxed)
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -428,6 +428,10 @@
         self.host.behind_since = None;
     }
 
+    fn end_clients(&mut self) {
+        self.end_clients();
+    }
+
     /// Closes an idle connection to free its descriptor; false if there is none.
     fn shed(&mut self) -> bool {
         self.host.shed()
--- a/crates/gateway/src/room.rs
+++ b/crates/gateway/src/room.rs
@@ -7,7 +7,7 @@
 /// For how long a new connection may stay silent before it gives way: a client sends as soon as it is connected.
 const SILENT: Nanos = 10 * MS;
 /// For how long one may take to close after this side's sending has ended.
-const ENDING: Nanos = 100 * MS;
+const ENDING: Nanos = 10 * MS;
 /// For how long a connection that was served may rest.
 const RESTING: Nanos = 1_000 * MS;
 /// For how long one may pause within a message.
--- a/crates/gateway/tests/owed_answers.rs
+++ b/crates/gateway/tests/owed_answers.rs
@@ -200,3 +200,28 @@
         assert!(got.is_some(), "newcomer {id} has no answer; {:#?}", gateway.lines_now());
     }
 }
+
+#[test]
+fn what_waits_for_a_place_until_the_process_ends_is_refused_then() {
+    let (server, discovery) = (silent_server(), watch());
+    let known = list(3, true, &[entry("s0", server.address, "ready")]);
+    let more = format!("{SOCKETS}\"known\":{known},");
+    // SIGKILL comes 0.9 s after SIGTERM, which leaves no time to give everybody a place one after another.
+    let told = patient_settings().replace("\"deadline\":3.0", "\"deadline\":0.2");
+    let gateway = Program::start(support::BIN, discovery.address, &more, &told);
+    assert!(discovery.next().1.contains("from=3"));
+    let mut waiting: Vec<Client> = (0..CLIENTS).map(|_| gateway.client()).collect();
+    waiting.iter_mut().for_each(|client| client.send("GET /api/"));
+    std::thread::sleep(ACCEPT_AGAIN); // they are taken by now
+    gateway.signal("-TERM");
+    let killed_at = std::time::Instant::now() + Duration::from_millis(900);
+    let mut newcomers: Vec<Client> = (0..100).map(|_| gateway.client()).collect();
+    for (id, client) in newcomers.iter_mut().enumerate() {
+        client.send(&with_id(&rpc("verify", 5_000), 100 + id as u64));
+    }
+    for (id, client) in newcomers.iter_mut().enumerate() {
+        let left = killed_at.saturating_duration_since(std::time::Instant::now());
+        let got = client.answer_within(left).map(|got| status(&got));
+        assert!(got.is_some(), "newcomer {id} has no answer; {:#?}", gateway.lines_now());
+    }
+}
--- a/crates/rig/src/front.rs
+++ b/crates/rig/src/front.rs
@@ -33,6 +33,8 @@
 /// An RPC without an answer so long after its deadline is lost.
 const SLACK: Nanos = 500 * MS;
 
+const REMAINING: &str = "X-Remaining-Ms: ";
+
 /// A class of RPCs as the front sends it.
 #[derive(Clone, Debug)]
 pub struct Method {
@@ -471,6 +473,11 @@
             message.again = true;
             self.sent_again += 1;
             self.calls[number].crossed = Some(io.now());
+            // It tells the time that is left by then.
+            let call = self.calls[number];
+            let deadline = self.plan.methods[call.method].deadline;
+            let left = (call.sent + deadline).saturating_sub(io.now());
+            message.text = with_remaining(&message.text, left);
             return self.write(io, number);
         }
         let wrote = io.waiting(conn) == 0;
@@ -514,6 +521,16 @@
     }
 }
 
+/// The same message with another time that its client waits.
+fn with_remaining(message: &[u8], left: Nanos) -> Vec<u8> {
+    let text = String::from_utf8_lossy(message);
+    let lines = text.split("\r\n").map(|line| match line.strip_prefix(REMAINING) {
+        Some(_) => format!("{REMAINING}{}", left / MS),
+        None => line.to_string(),
+    });
+    lines.collect::<Vec<String>>().join("\r\n").into_bytes()
+}
+
 fn request(plan: &str, method: &Method, txn: u64, key: usize, customer: &Customer) -> String {
     let lines = format!(
         "Host: service.internal\r\nX-Txn: {txn:016x}\r\nX-Lane: {}\r\nX-Contract: {plan}\r\n\
--- a/crates/rig/src/soak/judge.rs
+++ b/crates/rig/src/soak/judge.rs
@@ -196,10 +196,11 @@
         .map(|row| format!("s{:04} at {} to {} {:?}", row.server, ms(row.begun), ms(row.done), row.how))
         .collect();
     let text = format!(
-        "{what}; {method} {:016x} to n{} sent {} ended {} {:?}; servers: [{}]",
+        "{what}; {method} {:016x} to n{} sent {}{} ended {} {:?}; servers: [{}]",
         call.txn,
         call.gateway,
         ms(call.sent),
+        call.crossed.map_or(String::new(), |at| format!(" and again {}", ms(at))),
         ms(call.done),
         call.outcome,
         servers.join(", ")
