As listening stops, who waits is taken or refused at once, and the listener closes

The rounds of refusals at the process's end are gone. The rig counts an RPC's time from when its connection is up.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -18,6 +18,10 @@
 /// A connection without an RPC for this long is closed; clients open another when they need it.
 pub const IDLE: Nanos = 10_000_000_000;
 
+/// What is answered to whoever there is no room for, before it is looked at.
+pub const REFUSAL: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+
 /// So many times of reading are told apart of what lies in a buffer; what comes later counts as read with the last.
 const READS_MOST: usize = 64;
 
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -25,8 +25,6 @@
 /// More events than there are connections: what is ready is looked at in one turn, so that nothing waits here for longer than
 /// a turn lasts.
 const EVENTS_A_TURN: usize = 4096;
-/// So many times at most all places are given to those that wait to be accepted as the process ends.
-const LAST_ROUNDS: usize = 64;
 /// How much is read at once; a buffer that grew beyond `KEPT` is given back once it is empty.
 const READ: usize = 4 << 10;
 const KEPT: usize = 16 << 10;
@@ -458,8 +456,10 @@
     fn accept_later(&mut self);
     /// Nobody waits to be accepted any more.
     fn accepted_all(&mut self) {}
-    /// Ends all clients' connections: the process ends.
-    fn end_clients(&mut self) {}
+    /// What is answered to a message of a connection that there is no room for.
+    fn refusal(&self) -> &[u8] {
+        b""
+    }
     /// Frees a descriptor; false if none can be.
     fn shed(&mut self) -> bool;
     fn up(&mut self, id: usize);
@@ -590,34 +590,24 @@
             if gateway.listens() {
                 // Still open.
             } else if self.listener.is_some() {
-                // What has come up by now is served too, and waits for a place where none is left: closing the listener would
-                // reset it with what was sent on it.
-                if self.accept(gateway) {
-                    self.listener = None;
-                }
+                self.stop_listening(gateway);
                 self.flush(gateway);
             }
             logs.drain();
             busy = self.clock.now() - gateway.net().now;
         }
-        self.refuse_waiting(gateway);
         Ok(())
     }
 
-    /// Takes those that still wait to be accepted as the process ends, so that what they sent has its answer: a refusal, by
-    /// then. Closing the listener would reset them. In as many rounds as a full line of them may take.
-    fn refuse_waiting(&mut self, gateway: &mut impl EventHandler) {
-        for _ in 0..LAST_ROUNDS {
-            gateway.end_clients();
-            if self.listener.is_none() {
-                return;
-            }
-            gateway.net().now = self.clock.now();
-            if self.accept(gateway) {
-                self.listener = None;
-            }
-            self.flush(gateway);
+    /// Nobody is to connect any more, and nobody who did is to be reset: who waits is taken as far as there is room, and of
+    /// the others what they sent is refused at once.
+    fn stop_listening(&mut self, gateway: &mut impl EventHandler) {
+        while !self.accept(gateway) {
+            let Some(listener) = &self.listener else { return };
+            let Ok((mut stream, _)) = listener.accept() else { break };
+            turn_away(&mut stream, gateway.refusal());
         }
+        self.listener = None;
     }
 
     fn is_signalled(&self) -> bool {
@@ -707,6 +697,24 @@
     }
 }
 
+/// Answers what has come on a connection and ends it, in one go; nothing is said where nothing has come. All of it is read
+/// before, so that no unread byte makes a reset of the close.
+fn turn_away(stream: &mut TcpStream, refusal: &[u8]) {
+    let mut bytes = [0; READ];
+    let mut came = false;
+    while let Ok(got) = stream.read(&mut bytes) {
+        came |= got > 0;
+        if got == 0 {
+            break;
+        }
+    }
+    if came {
+        let _ = stream.set_nodelay(true);
+        let _ = stream.write(refusal);
+    }
+    let _ = stream.shutdown(std::net::Shutdown::Write);
+}
+
 fn end_of(stream: &UnixStream) -> io::Result<std::os::fd::OwnedFd> {
     use std::os::fd::AsFd;
     stream.as_fd().try_clone_to_owned()
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -428,8 +428,8 @@
         self.host.behind_since = None;
     }
 
-    fn end_clients(&mut self) {
-        self.end_clients();
+    fn refusal(&self) -> &[u8] {
+        clients::REFUSAL
     }
 
     /// Closes an idle connection to free its descriptor; false if there is none.
--- a/crates/gateway/src/gateway/checks.rs
+++ b/crates/gateway/src/gateway/checks.rs
@@ -88,9 +88,7 @@
             self.log_unwritten(&owed.txn, end.reason(), self.net.unwritten(id));
         }
         let owes = client.phase.rpc().is_some() || client.phase.owed().is_some();
-        // What was written to a client that reads slowly is its own to take once the process ends.
-        let is_written = client.phase.rpc().is_none() && end == ClientEnd::ProcessEnds;
-        let excused = is_written || matches!(end, ClientEnd::Gone(_) | ClientEnd::ReadsNothing);
+        let excused = matches!(end, ClientEnd::Gone(_) | ClientEnd::ReadsNothing);
         let txn = self.txn_on(client);
         self.check(Invariant::OneAnswer, excused || !owes, &txn);
     }
@@ -103,6 +101,20 @@
         warn!(self.log, "end withheld"; "why" => end.reason(), "txn" => %String::from_utf8_lossy(&txn));
     }
 
+    /// Looks at what the process leaves as it ends: an RPC without an answer, and an answer that its client did not take.
+    pub(super) fn check_end_of_process(&mut self) {
+        let clients: Vec<usize> = self.clients.keys().copied().collect();
+        for id in clients {
+            let Some(client) = self.clients.get(&id) else { continue };
+            if let Some(owed) = client.phase.owed() {
+                self.log_unwritten(&owed.txn, "process-ends", self.net.unwritten(id));
+            }
+            let answered = client.phase.rpc().is_none();
+            let txn = self.txn_on(client);
+            self.check(Invariant::OneAnswer, answered, &txn);
+        }
+    }
+
     /// The id of the RPC that is at hand or being answered on a connection; empty if there is none.
     fn txn_on(&self, client: &Client) -> Box<[u8]> {
         let waiting = client.phase.rpc().and_then(|(rpc, _)| self.rpcs.get(&rpc)).map(|rpc| rpc.id.clone());
--- a/crates/gateway/src/gateway/client_side.rs
+++ b/crates/gateway/src/gateway/client_side.rs
@@ -69,8 +69,7 @@
         let (now, end) = (self.host.net.now, message.body.end);
         let own: Box<[u8]> = self.host.net.input(client)[message.txn.clone()].into();
         let spare = self.host.clients.get(&client).is_some_and(|client| client.spare);
-        let no_room = self.host.open_rpcs >= self.host.rpcs_most || spare;
-        if no_room || self.host.exits || self.host.net.held > self.host.held_most {
+        if self.host.open_rpcs >= self.host.rpcs_most || spare || self.host.net.held > self.host.held_most {
             // No room for more: what is refused here never reached the module.
             self.host.log_turned_away(&own, 503, "no-room");
             self.host.answer_own(client, 503, end, "");
--- a/crates/gateway/src/gateway/stopping.rs
+++ b/crates/gateway/src/gateway/stopping.rs
@@ -59,18 +59,9 @@
         self.host.exits = true;
     }
 
-    /// Ends all clients' connections as the process ends, so that there is room for those that wait to be accepted.
-    pub(super) fn end_clients(&mut self) {
-        let clients: Vec<usize> = self.host.clients.keys().copied().collect();
-        for id in clients {
-            self.host.net.read(id, false); // unread bytes would make a reset of the close
-            self.host.end_client(id, ClientEnd::ProcessEnds);
-        }
-        self.host.exits = true;
-    }
-
     /// The last line of the log.
-    pub fn log_end(&self) {
+    pub fn log_end(&mut self) {
+        self.host.check_end_of_process();
         let host = &self.host;
         info!(host.log, "ended"; "unanswered" => host.open_rpcs, "clients" => host.clients.len(),
             "invariants" => host.counts.summary(), "violations" => host.counts.violations());
--- a/crates/gateway/src/phase.rs
+++ b/crates/gateway/src/phase.rs
@@ -38,8 +38,6 @@
     Lingered,
     /// The client takes nothing of its answer.
     ReadsNothing,
-    /// The process ends. All that was read has been answered by then.
-    ProcessEnds,
 }
 
 impl ClientEnd {
@@ -50,7 +48,6 @@
             ClientEnd::MadeRoom => "made-room",
             ClientEnd::Lingered => "lingered",
             ClientEnd::ReadsNothing => "reads-nothing",
-            ClientEnd::ProcessEnds => "process-ends",
         }
     }
 }
@@ -61,7 +58,7 @@
     pub fn may_end(&self, end: ClientEnd) -> bool {
         matches!(
             (end, self),
-            (ClientEnd::Gone(_) | ClientEnd::ProcessEnds, _)
+            (ClientEnd::Gone(_), _)
                 | (ClientEnd::MadeRoom, Phase::Reading | Phase::Ending { .. })
                 | (ClientEnd::Lingered, Phase::Ending { .. })
                 | (ClientEnd::ReadsNothing, Phase::Answering { .. })
--- a/crates/rig/src/front.rs
+++ b/crates/rig/src/front.rs
@@ -552,6 +552,14 @@
 }
 
 impl Service for Front {
+    /// What waited for its connection is sent now.
+    fn up(&mut self, io: &mut Io, conn: Conn) {
+        let Some((_, Use::Call(number))) = self.conns.get(&conn).copied() else { return };
+        if self.messages.get(&number).is_some_and(|message| message.written && !message.again) {
+            self.calls[number].sent = io.clock().now();
+        }
+    }
+
     fn came(&mut self, io: &mut Io, conn: Conn) {
         let Some((gateway, what)) = self.conns.get(&conn).copied() else { return };
         let answer = match http::answer(io.input(conn)) {
