Old results of an idle server stop counting, so that it gets RPCs again

What callers saw: one server of four got no RPC for 20 s, and after that at times for 20 s more, though it was ready and as fast as the others; all load went to the other three.

Cause: `expected_cost` averages the last 8 results of a server, up to 20 s old. A server with the highest average loses every draw, so it gets no newer result, so its average stays. The difference may be of any size.

With servers that answer in 0.4 ms one got no RPC for a minute without any disturbance: a server without results was taken to need 1 ms.

Change (`src/admission/revisit.rs`): results of an idle server stop counting after a time, and its estimate starts anew with the next RPC. The time is 0.5 s after a slow or failed result, three times as long after each further one in a row that was not in flight with it, 20 s at most as before; longer, and at a random place in its range, with more gateways, so that they don't all try a dying server at once; and never shorter than four RPCs of an even share take. Where servers are used often, results that were not bad stop counting after four missed RPCs or 1 s, so that noise in the averages keeps no server idle. Where servers take turns, nothing changes there. What is not known counts as the typical latency, also under 1 ms.

Why it works: the old results are what kept the server from getting new ones; a server that is truly slow shows it again with one RPC and is left alone three times as long.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -9,11 +9,13 @@
 use crate::quota::Quota;
 use crate::samples::{MS, SEC, median, nanos, number_setting, push_bounded, recent_success_rate, secs};
 use crate::subsetting::{Endpoint, Subsetter};
+use revisit::BadStreak;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 
 mod counter_calls;
 mod quota_check;
+mod revisit;
 mod server_list;
 mod server_selection;
 
@@ -132,6 +134,9 @@
     results: VecDeque<(Nanos, Nanos, bool)>,    // recent ones: when, duration, and success
     cold_gap: (Nanos, f64), // while cold: when the gap before the next attempt began, and which fraction of it applies
     reported_load: (Nanos, f64), // last report: when, and the RPCs of all gateways that the server holds
+    bad_streak: BadStreak,
+    /// Results before this time do not count towards its expected cost.
+    estimate_from: Nanos,
 }
 
 impl Server {
@@ -458,6 +463,9 @@
         let busy_requests = columns
             .position(|name| name == "busy_reqs")
             .and_then(|index| result.load_report.get(index).copied());
+        let is_bad =
+            result.outcome != CallOutcome::Ok || revisit::is_slow(result.duration, self.typical_latency(now));
+        let position = if is_bad { self.rng.f64() } else { 0.0 };
         if let Some(server) = self.servers.get_mut(&server_id) {
             zone_and_cell = (server.entry.zone, server.entry.cell);
             server.open_attempts.retain(|open| (open.0, open.1) != (result.rpc, result.attempt));
@@ -467,6 +475,11 @@
                     (now, result.duration, result.outcome == CallOutcome::Ok),
                     SAMPLES_KEPT,
                 );
+                if is_bad {
+                    server.bad_streak.record_bad(now, sent_at, position);
+                } else {
+                    server.bad_streak.record_good(sent_at);
+                }
             }
             server.reported_load = busy_requests.map_or(server.reported_load, |busy| (now, busy.max(0.0)));
             let service = self.services.get_mut(&server.entry.service).filter(|_| !never_ran);
--- a/src/admission/server_list.rs
+++ b/src/admission/server_list.rs
@@ -38,6 +38,7 @@
             let server = self.servers.entry(listed.server).or_default();
             if server.entry.started_at != listed.started_at {
                 server.results.clear(); // a new incarnation: earlier results no longer apply, and it is cold
+                server.bad_streak = BadStreak::default();
                 server.cold_gap = (now, self.rng.f64());
             }
             let was = std::mem::replace(&mut server.entry, listed.clone());
--- a/src/admission/server_selection.rs
+++ b/src/admission/server_selection.rs
@@ -1,5 +1,6 @@
 //! Selects the server for an attempt.
 
+use super::revisit::Usage;
 use super::*;
 
 impl AdmissionController {
@@ -9,11 +10,16 @@
     /// One of hundreds of gateways that sent to every server would use each of them rarely, learn too late which are slow or
     /// faulty, and open a connection for each attempt. The subsets are spread evenly over the fleet (see `subsetting`).
     pub(super) fn candidate_count(now: Nanos, service: &Service) -> usize {
-        let since = service.run_ends.front().map_or(SEC, |first| now - first).max(SEC);
-        let used_often = service.run_ends.len() as f64 / secs(since) * secs(REVISIT_INTERVAL);
+        let used_often = AdmissionController::recent_rate(now, service) * secs(REVISIT_INTERVAL);
         (used_often.ceil() as usize).max(service.subsetter.subset_len())
     }
 
+    /// The rate a second at which attempts at servers of the service that may have run ended recently.
+    fn recent_rate(now: Nanos, service: &Service) -> f64 {
+        let since = service.run_ends.front().map_or(SEC, |first| now - first).max(SEC);
+        service.run_ends.len() as f64 / secs(since)
+    }
+
     /// Selects a server of the RPC's service, if any can take it; see `select_from`.
     pub(super) fn select_server(&mut self, now: Nanos, id: u32, max_latency: Option<f64>) -> Option<u32> {
         let number = self.rpcs[&id].service;
@@ -67,6 +73,7 @@
         let mut ready: Vec<u32> = all[..split].iter().chain(cold_others).copied().collect();
         let rarely_used = all[preferred..].iter().any(|id| !service.subsetter.is_shared(*id));
         let (own_count, total) = (ready.len(), all.len());
+        let usage = Usage::new(rarely_used, AdmissionController::recent_rate(now, service) / total as f64);
         let draws = if rarely_used { 3 } else { 2 };
         for index in 0..total {
             if candidates.len() == draws || index >= own_count && !candidates.is_empty() {
@@ -106,22 +113,38 @@
             if is_unhealthy { &mut last_resort } else { &mut candidates }.push(ready[index]);
         }
         let candidates = if candidates.is_empty() { last_resort } else { candidates };
-        let candidates =
-            candidates.iter().take(draws).map(|id| (*id, self.expected_cost(now, *id, rarely_used)));
+        let candidates = candidates.iter().take(draws).map(|id| (*id, self.expected_cost(now, *id, usage)));
         let candidates: Vec<(u32, f64)> = candidates.collect();
-        if rarely_used {
-            return service.subsetter.pick(&candidates);
+        let selected = if rarely_used {
+            service.subsetter.pick(&candidates)
+        } else {
+            candidates.iter().min_by(|a, b| a.1.total_cmp(&b.1)).map(|cheapest| cheapest.0)
+        };
+        self.forget_old_results(now, selected?, usage);
+        selected
+    }
+
+    /// If the server is revisited after a long idle time, its estimate starts anew with the result of this attempt.
+    fn forget_old_results(&mut self, now: Nanos, id: u32, usage: Usage) {
+        if self.is_revisit_due(now, &self.servers[&id], usage) {
+            self.servers.entry(id).and_modify(|server| server.estimate_from = now);
         }
-        candidates.iter().min_by(|a, b| a.1.total_cmp(&b.1)).map(|cheapest| cheapest.0)
     }
 
     /// The expected time of one more attempt at a server, from this gateway's own measurements and, where it uses servers
     /// rarely, from the load that the server reported for all gateways.
-    pub(super) fn expected_cost(&self, now: Nanos, id: u32, rarely_used: bool) -> f64 {
-        let (server, typical) = (&self.servers[&id], self.typical_latency(now).max(MS) as f64);
+    pub(super) fn expected_cost(&self, now: Nanos, id: u32, usage: Usage) -> f64 {
+        let server = &self.servers[&id];
+        let typical = match self.typical_latency(now) {
+            0 => MS as f64, // not known
+            typical => typical as f64,
+        };
+        let counts_from = if self.is_revisit_due(now, server, usage) { now } else { server.estimate_from };
+        let counts = |result: &&(Nanos, Nanos, bool)| {
+            result.0 >= counts_from && now - result.0 < revisit::MAX_INTERVAL
+        };
         let relevant = server.results.iter().rev().filter(|result| result.2 || result.1 as f64 > typical);
-        let recent =
-            relevant.take(8).filter(|result| now - result.0 < 4 * SAMPLE_LIFETIME).map(|result| result.1);
+        let recent = relevant.take(8).filter(counts).map(|result| result.1);
         // An attempt that has been open for long reveals a hanging or paused server before any answer does.
         let oldest =
             server.open_attempts.front().map(|open| now - open.2).filter(|age| *age as f64 > 4.0 * typical);
@@ -130,7 +153,7 @@
             durations.fold((1.0, typical), |(count, sum), duration| (count + 1.0, sum + duration));
         let distance = if f64::from(server.entry.zone) == self.setting("zone", -1.0) { 1.0 } else { 1.1 };
         let age = now.saturating_sub(server.reported_load.0).min(SAMPLE_LIFETIME);
-        let reported = if rarely_used {
+        let reported = if usage.rarely {
             server.reported_load.1 * (1.0 - secs(age) / secs(SAMPLE_LIFETIME))
         } else {
             0.0
@@ -138,14 +161,9 @@
         let (open, weight) = (reported + server.open_attempts.len() as f64, server.entry.weight.max(0.05));
         // Each recent failure adds to the cost. A server that fails fast would otherwise look fast where its backoff is over
         // before this gateway uses it again.
-        let failures = server
-            .results
-            .iter()
-            .rev()
-            .take_while(|result| !result.2 && now - result.0 < 4 * SAMPLE_LIFETIME)
-            .count();
+        let failures = server.results.iter().rev().take_while(|result| !result.2 && counts(result)).count();
         let queue =
-            if rarely_used { open / weight + 1.0 + 2.0 * failures as f64 } else { (open + 1.0) / weight };
+            if usage.rarely { open / weight + 1.0 + 2.0 * failures as f64 } else { (open + 1.0) / weight };
         queue * (sum / count) * distance
     }
 
