A silent connection no longer counts as closed in the tests' own check

Seven assertions in `sockets`, `races` and `relays` could not fail on a connection that stays open.

Change: closed is the end of the stream with nothing left to read, or a reset; a time-out or another error is not. The check is stricter; no assertion that uses it was changed.

--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -4,7 +4,7 @@
 //! Sockets block and each connection has a thread of its own, which suits a handful of peers. Waits end with
 //! the event that they are for; after [`WAIT_TIMEOUT`] they panic.
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
@@ -289,10 +289,22 @@
         rustix::net::connect_unspec(self.0.get_ref()).unwrap();
     }
 
-    /// Waits for the next byte or the end of the connection; returns whether it has ended. A read error
-    /// counts as the end, including a timeout.
+    /// Waits for the next byte or the end of the connection; returns whether it has ended, by a close or a reset. A
+    /// connection that stays open and silent for [`WAIT_TIMEOUT`] has not ended.
     pub fn is_closed(&mut self) -> bool {
-        matches!(self.0.get_mut().read(&mut [0]), Ok(0) | Err(_))
+        self.is_closed_within(WAIT_TIMEOUT)
+    }
+
+    /// Like [`Client::is_closed`], but waits for `time` at most.
+    pub fn is_closed_within(&mut self, time: Duration) -> bool {
+        self.0.get_ref().set_read_timeout(Some(time)).unwrap();
+        let read = self.0.fill_buf();
+        let is_closed = match read {
+            Ok(bytes) => bytes.is_empty(),
+            Err(error) => error.kind() == std::io::ErrorKind::ConnectionReset,
+        };
+        self.0.get_ref().set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+        is_closed
     }
 }
 
