The soak judges servers that are idle though ready and healthy

Cause: the fault of idle servers breaks no rule that the soak knew: all RPCs were answered.

Change: a rule of its own, `Idle` (`crates/rig/src/soak/judge/idle.rs`): a server that was ready and settled, disturbed for 1 s at most by its own record, gets nothing for over 2 s (the stated aim) while the peers of its zone get 12 RPCs or more each, which chance does not explain (one in 160,000). It judges runs without faults that disturb servers or the way to them for over 1 s, since the aim says nothing of those. Small fleets can be drawn: a customer's RPCs come to four gateways or to all that there are.

--- a/crates/gateway/tests/soak.rs
+++ b/crates/gateway/tests/soak.rs
@@ -30,6 +30,19 @@
     assert!(run.event_counts.get("Crowd").is_some_and(|count| *count > 0), "{:?}", run.event_counts);
 }
 
+/// A seed whose scenario has one gateway with few RPCs at a time, and no faults.
+const IDLE_SEED: u64 = 8012;
+
+/// Guards against a server that gets nothing since its few old results are the worst.
+#[test]
+fn no_server_is_idle_at_a_gateway_that_holds_few_rpcs() {
+    let size = Size { gateways: 1, servers: 8, seconds: 25.0, faults: 0 };
+    let run = soak::run(IDLE_SEED, size, &[], None, Path::new(BIN)).unwrap();
+    println!("{}", run.summary());
+    assert!(soak::judge::idle::applies(&run.scenario), "{:?}", run.scenario.faults);
+    assert!(run.violations.is_empty() && run.sent > 100, "{}", run.summary());
+}
+
 #[test]
 fn no_violations_under_the_faults_of_seed_1() {
     check_no_violations(1, None);
--- a/crates/rig/src/soak/draw.rs
+++ b/crates/rig/src/soak/draw.rs
@@ -112,6 +112,8 @@
 const CROWDED_CONNECTION_RATE: f64 = 250.0;
 /// The descriptor limits of gateways.
 const SOCKET_LIMITS: [u32; 4] = [96, 128, 256, 1024];
+/// The number of gateways that receive a customer's RPCs, in fleets that have that many.
+const MAX_CUSTOMER_WIDTH: usize = 4;
 /// The body sizes of answers.
 const BODY_BYTES: [usize; 4] = [2, 2, 2_000, 60_000];
 
@@ -199,7 +201,7 @@
 rate = {rate}
 customers = 100
 skew = 1.0
-width = 4
+width = {width}
 plan = "team"
 leave = {leave}
 early = {early}
@@ -220,6 +222,7 @@
 "#,
         seconds = size.seconds,
         gateways = size.gateways,
+        width = size.gateways.min(MAX_CUSTOMER_WIDTH),
         servers = size.servers,
         on_time = longest * 0.5,
         middle = deadline_share(0.8),
--- a/crates/rig/src/soak/judge.rs
+++ b/crates/rig/src/soak/judge.rs
@@ -1,6 +1,8 @@
 //! Checks the invariants of a run by comparing the clients' records, the servers' records and the gateways' logs. Each
 //! violation carries what is needed to trace its RPC.
 
+pub mod idle;
+
 use crate::fleet::RunResult;
 use crate::load_generator::{ClientRpc, RpcOutcome as ClientOutcome};
 use crate::scenario::{Fault, Place, Scenario};
@@ -43,6 +45,8 @@
     Own,
     /// A client got an answer without an open RPC.
     ExtraAnswer,
+    /// A ready and healthy server got no RPC for long while its peers did.
+    Idle,
 }
 
 /// One violation of a rule.
@@ -104,6 +108,7 @@
         found.extend(rpc_violations(scenario, result, rpc, rpc_rows));
     }
     found.extend(drain_violations(scenario, result));
+    found.extend(idle::violations(scenario, result));
     found
 }
 
