A failing test for load by weight at a gateway that uses all servers

What callers see: servers of weight 0.1 to 10 get RPCs out of proportion; the lightest gets none and the heaviest half at most, so that those between carry three times their part.

Cause: two servers are drawn evenly and the one with the lower (open + 1) / weight is taken. At few RPCs the heavier of the two always wins, and it is in half of the draws of four.

--- a/tests/idle_servers.rs
+++ b/tests/idle_servers.rs
@@ -75,11 +75,21 @@
 
 impl ClosedLoop {
     fn start(seed: u64, servers: u32, clients: u32, latency: Nanos, disturbance: Disturbance) -> ClosedLoop {
+        let list: Vec<DiscoveredServer> = (1..=servers).map(|id| ready_server(id, 0)).collect();
+        ClosedLoop::with_list(seed, &list, clients, latency, disturbance)
+    }
+
+    fn with_list(
+        seed: u64,
+        list: &[DiscoveredServer],
+        clients: u32,
+        latency: Nanos,
+        disturbance: Disturbance,
+    ) -> ClosedLoop {
         let extra = "classes.count=1 classes.0.onTime=1 tariffs.0.perSecond=1000000 tariffs.0.depth=1000000 balancers=1";
         let mut scenario = scenario_with_seed(seed, extra);
         scenario.gateway_count = 1;
-        let list: Vec<DiscoveredServer> = (1..=servers).map(|id| ready_server(id, 0)).collect();
-        scenario.deliver_list(true, &list);
+        scenario.deliver_list(true, list);
         ClosedLoop {
             scenario,
             latency,
@@ -289,3 +299,31 @@
         assert!(mean_share <= 0.1, "{servers} servers, {clients} clients: {mean_share} of an even share");
     }
 }
+
+/// Guards against servers that get nothing, or too much, for their weight where a gateway uses all servers.
+#[test]
+fn load_follows_weights_at_a_gateway_that_uses_all_servers() {
+    let weights = [0.1, 1.0, 1.0, 10.0];
+    let total: f64 = weights.iter().sum();
+    let server =
+        |index: usize| DiscoveredServer { weight: weights[index], ..ready_server(index as u32 + 1, 0) };
+    let list: Vec<DiscoveredServer> = (0..weights.len()).map(server).collect();
+    let mut failures = Vec::new();
+    for clients in CLIENT_COUNTS {
+        let mut received = vec![0.0; weights.len()];
+        for seed in SEEDS {
+            let mut closed_loop = ClosedLoop::with_list(seed, &list, clients, 4 * MS, Disturbance::Nothing);
+            closed_loop.run_until(START + SHARE_WINDOW);
+            closed_loop.received.iter().for_each(|row| received[row.1 as usize - 1] += 1.0);
+        }
+        let all: f64 = received.iter().sum();
+        for (weight, count) in weights.iter().zip(&received) {
+            let (share, expected) = (count / all, weight / total);
+            if share < 0.5 * expected || share > 1.6 * expected {
+                failures
+                    .push(format!("{clients} clients, weight {weight}: share {share:.3} of {expected:.3}"));
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
