--- a/review/kit/kit.rs
+++ b/review/kit/kit.rs
@@ -104,6 +104,23 @@
     address
 }
 
+/// Closes a connection by a reset (`SO_LINGER` of 0 s, which the standard library doesn't offer).
+pub fn reset(stream: TcpStream) {
+    use std::os::fd::AsRawFd;
+    #[repr(C)]
+    struct Linger {
+        on: i32,
+        seconds: i32,
+    }
+    unsafe extern "C" {
+        fn setsockopt(socket: i32, level: i32, name: i32, value: *const Linger, length: u32) -> i32;
+    }
+    // SOL_SOCKET and SO_LINGER as Linux numbers them.
+    let linger = Linger { on: 1, seconds: 0 };
+    unsafe { setsockopt(stream.as_raw_fd(), 1, 13, &linger, 8) };
+    drop(stream);
+}
+
 // ---- HTTP messages
 
 /// One HTTP/1.1 message with a `Content-Length` (none: no body).
