Tests read an RPC's id from a message with one function

Change: transaction_id and remaining_ms_header share one reader of a header in the stand-ins' scripted peers. No assertion changed.

--- a/crates/gateway/tests/idle_connections.rs
+++ b/crates/gateway/tests/idle_connections.rs
@@ -1,7 +1,7 @@
 //! Connections to servers that break while idle, RPCs with very short deadlines, and reloads while discovery is down:
 //! every RPC gets one answer, and a non-idempotent RPC runs at most once.
 
-use standins::scripted::{Client, Peer, answer, entry, rpc, status, with_id};
+use standins::scripted::{Client, Peer, answer, entry, rpc, status, transaction_id, with_id};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -14,10 +14,6 @@
 /// Number of clients, and so about the number of idle connections to servers when the fault occurs.
 const CLIENTS: usize = 8;
 
-fn transaction_id(message: &str) -> String {
-    message.split("X-Txn: ").nth(1).and_then(|rest| rest.split('\r').next()).expect("an id").to_string()
-}
-
 /// How often each RPC ran, by its ID.
 type RunCounts = Arc<Mutex<BTreeMap<String, usize>>>;
 
@@ -31,7 +27,7 @@
         if mute.load(Ordering::Relaxed) && !is_new {
             return (Vec::new(), false); // as if the server had lost this connection's state
         }
-        *run_counts.lock().unwrap().entry(transaction_id(message)).or_default() += 1;
+        *run_counts.lock().unwrap().entry(transaction_id(message).to_string()).or_default() += 1;
         std::thread::sleep(Duration::from_millis(20)); // service time
         answer(200, "", "ok")
     })
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -334,10 +334,20 @@
     text.replace("X-Txn: 0123456789abcdef", &format!("X-Txn: {id:016x}"))
 }
 
+/// Value of a header of a message; `name` includes the colon and the space behind it.
+fn header<'a>(message: &'a str, name: &str) -> &'a str {
+    let value = message.split(name).nth(1).and_then(|rest| rest.split('\r').next());
+    value.unwrap_or_else(|| panic!("no {name}in the message"))
+}
+
+/// Id of an RPC (`X-Txn`).
+pub fn transaction_id(message: &str) -> &str {
+    header(message, "X-Txn: ")
+}
+
 /// Remaining time that the gateway announces to a server (`X-Remaining-Ms`), in milliseconds.
 pub fn remaining_ms_header(message: &str) -> u64 {
-    let value = message.split("X-Remaining-Ms: ").nth(1).and_then(|rest| rest.split('\r').next());
-    value.and_then(|value| value.parse().ok()).expect("no X-Remaining-Ms in the message")
+    header(message, "X-Remaining-Ms: ").parse().expect("X-Remaining-Ms is a number")
 }
 
 /// Entry of the list of servers.
