Each client of three tests sends as it connects, so that none is closed as silent

It opened 24 connections before it sent on any. The gateway did what it should.

Change: the clients of this test, and of two more that had the same flaw, each send right after they connect. No assertion and no bound changed.

--- a/crates/gateway/tests/answer_delivery.rs
+++ b/crates/gateway/tests/answer_delivery.rs
@@ -14,6 +14,8 @@
 /// including the spare ones.
 const DESCRIPTOR_LIMIT: &str = "\"limits\":{\"sockets\":64},";
 const MAX_CLIENTS: usize = 24;
+/// The connections of these that are not spare ones.
+const MAX_REGULAR_CLIENTS: u64 = 22;
 /// Within this time, the gateway tries again to accept after it had no free connection slot.
 const ACCEPT_RETRY_WITHIN: Duration = Duration::from_millis(30);
 /// A command that has not reached the server within this time is blocked.
@@ -35,6 +37,17 @@
     gateway
 }
 
+/// Opens connections of which each sends its message before the next one is opened: a gateway without free slots closes
+/// connections that have been silent for 10 ms, and on a busy machine it can take longer to open all of them.
+fn open_clients(gateway: &Program, count: usize, message: impl Fn(u64) -> String) -> Vec<Client> {
+    let connect_and_send = |id| {
+        let mut client = gateway.client();
+        client.send(&message(id));
+        client
+    };
+    (0..count as u64).map(connect_and_send).collect()
+}
+
 /// Fills all client connection slots but one with connections that have sent an incomplete message.
 fn fill_slots(gateway: &Program) -> Vec<Client> {
     let incomplete = rpc("verify", 20_000).replace("Host:", "Expect: 100-continue\r\nHost:");
@@ -169,11 +182,8 @@
 fn many_connections_waiting_for_a_slot_use_little_processor_time() {
     let (server, discovery) = (silent_server(), discovery_peer());
     let gateway = start_with_few_descriptors(&discovery, &server);
-    let mut clients: Vec<Client> = (0..MAX_CLIENTS).map(|_| gateway.client()).collect();
     // All slots are taken by RPCs that their server does not answer, so no connection can be closed to make room.
-    for (id, client) in clients.iter_mut().enumerate() {
-        client.send(&with_id(&rpc("verify", 10_000), id as u64));
-    }
+    let _clients = open_clients(&gateway, MAX_CLIENTS, |id| with_id(&rpc("verify", 10_000), id));
     gateway.wait_for_line("\"why\":\"no-room\""); // the spare slots reject their request with this and accept the next
     let new_clients: Vec<Client> = (0..300)
         .map(|_| {
@@ -192,18 +202,14 @@
 fn request_waiting_for_a_slot_during_shutdown_is_answered_before_the_process_can_be_killed() {
     let (server, discovery) = (silent_server(), discovery_peer());
     let gateway = start_with_few_descriptors(&discovery, &server);
-    let mut clients: Vec<Client> = (0..MAX_CLIENTS).map(|_| gateway.client()).collect();
     // The slots are taken by RPCs that their server does not answer, and the spare ones by incomplete messages.
-    let (rpcs, incomplete) = clients.split_at_mut(MAX_CLIENTS - 2);
-    for (id, client) in rpcs.iter_mut().enumerate() {
-        client.send(&with_id(&rpc("verify", 10_000), id as u64));
-    }
-    incomplete.iter_mut().for_each(|client| client.send("GET /api/"));
+    let _clients = open_clients(&gateway, MAX_CLIENTS, |id| match id {
+        0..MAX_REGULAR_CLIENTS => with_id(&rpc("verify", 10_000), id),
+        _ => "GET /api/".to_string(),
+    });
     while server.next_within(BLOCKED_AFTER).is_some() {} // all that can reach the server have
-    let mut new_clients: Vec<Client> = (0..10).map(|_| gateway.client()).collect();
-    for (id, client) in new_clients.iter_mut().enumerate() {
-        client.send(&with_id(&rpc("verify", 10_000), 100 + id as u64));
-    }
+    let waiting_rpc = |id| with_id(&rpc("verify", 10_000), 100 + id);
+    let mut new_clients = open_clients(&gateway, 10, waiting_rpc);
     gateway.signal("-TERM");
     let killed_after = Duration::from_millis(3700); // the longest deadline of these settings, 3 s, plus 0.7 s
     let killed_at = std::time::Instant::now() + killed_after;
@@ -223,15 +229,12 @@
     let settings = long_timeout_settings().replace("\"deadline\":3.0", "\"deadline\":0.2");
     let gateway = Program::start(support::BIN, discovery.address, &more, &settings);
     assert!(discovery.next().1.contains("from=3"));
-    let mut clients: Vec<Client> = (0..MAX_CLIENTS).map(|_| gateway.client()).collect();
-    clients.iter_mut().for_each(|client| client.send("GET /api/"));
+    let _clients = open_clients(&gateway, MAX_CLIENTS, |_| "GET /api/".to_string());
     std::thread::sleep(ACCEPT_RETRY_WITHIN); // they are accepted by now
     gateway.signal("-TERM");
     let killed_at = std::time::Instant::now() + Duration::from_millis(900);
-    let mut new_clients: Vec<Client> = (0..100).map(|_| gateway.client()).collect();
-    for (id, client) in new_clients.iter_mut().enumerate() {
-        client.send(&with_id(&rpc("verify", 5_000), 100 + id as u64));
-    }
+    let waiting_rpc = |id| with_id(&rpc("verify", 5_000), 100 + id);
+    let mut new_clients = open_clients(&gateway, 100, waiting_rpc);
     for (id, client) in new_clients.iter_mut().enumerate() {
         let left = killed_at.saturating_duration_since(std::time::Instant::now());
         let got = client.answer_within(left).map(|got| status(&got));
