No client is served a late second copy of the answer to another RPC

Cause: HTTP/1.1 has nothing that ties an answer to its request. A server connection carried the next request as soon as an answer was whole, so a second copy of that answer, some milliseconds late and already on its way, was taken for the answer to the next request (return_to_pool, connection_to, read_server).

Change: a connection rests for 20 ms after each answer, longer while data was seen to come later than 10 ms (late_data.rs); data that comes meanwhile closes it. Where all idle connections to a server rest, an attempt may wait for one, for a tenth of its time at most and once in 100 ms at each server; otherwise another connection is opened.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -617,7 +617,7 @@
         if rpc.state == RpcState::Answered || deadline <= now {
             return self.end_attempt(server, attempt, CallOutcome::NotSent, 0.0, Vec::new());
         }
-        let Some(connection_id) = self.connection_to(server) else {
+        let Some(connection_id) = self.connection_to(server, deadline) else {
             return self.end_attempt(server, attempt, CallOutcome::NoConnection, 0.0, Vec::new());
         };
         self.set_rpc_state(id, RpcState::InFlight);
@@ -681,6 +681,11 @@
         self.net.now += elapsed;
     }
 
+    /// The current time, which may be later than the time of the turn.
+    fn current_time(&self) -> Nanos {
+        self.net.now + self.elapsed_in_turn()
+    }
+
     /// How far the current time is ahead of the time of the turn.
     fn elapsed_in_turn(&self) -> Nanos {
         (self.turn_started_at.elapsed().as_nanos() as Nanos).saturating_sub(self.time_advanced)
--- a/crates/gateway/src/gateway/server_handler.rs
+++ b/crates/gateway/src/gateway/server_handler.rs
@@ -3,25 +3,32 @@
 
 use super::*;
 use crate::guard::Denial;
+use crate::late_data::MIN_REST;
+
+/// Reason code of a connection on which a server sent more than the responses to its requests.
+const UNSOLICITED_DATA: &str = "answer-without-call-out";
+/// An attempt waits for a resting connection for at most this fraction of the time it has.
+const MAX_WAIT_DIVISOR: Nanos = 10;
+/// If attempts would have to wait for connections to a server more often than this, new connections
+/// are opened.
+const MIN_WAIT_INTERVAL: Nanos = 100 * MS;
 
 impl AdmissionHost {
-    /// Takes the most recently used idle connection to a server, or opens a new one.
-    pub(super) fn connection_to(&mut self, server: u32) -> Option<usize> {
+    /// Takes an idle connection to a server for an attempt with this deadline, or opens a new one.
+    pub(super) fn connection_to(&mut self, server: u32, deadline: Nanos) -> Option<usize> {
         let now = self.net.now;
-        loop {
-            let entry = self.servers.by_number.get_mut(&server)?;
-            let Some((id, since)) = entry.idle_connections.pop() else { break };
+        self.servers.by_number.get(&server)?;
+        while let Some((id, since)) =
+            self.take_rested_connection(server).or_else(|| self.take_resting_connection(server, deadline))
+        {
             let idle_for = now - since;
             if idle_for >= self.idle_timeout || !self.servers.reuse_history.allows(now, idle_for) {
                 self.close_server_connection(id, "idle");
                 continue;
             }
-            // Finds connections that the server has closed, and unsolicited data that would be
-            // taken for the next answer; either may have arrived since the last poll. The cost: one
-            // read per attempt.
+            // Either may have arrived since the last poll. The cost: one read per attempt.
             self.net.read(id, false);
-            let unsolicited = (!self.net.input(id).is_empty()).then_some("answer-without-call-out");
-            match unsolicited.or(self.net.connection_end(id).map(ConnectionEnd::reason)) {
+            match self.unusable_because(id) {
                 Some(why) => self.close_server_connection(id, why),
                 None => {
                     self.server_connections
@@ -45,6 +52,54 @@
         Some(id)
     }
 
+    /// Takes the most recently used idle connection to a server whose last response is so old that
+    /// late data behind it would have come. Returns its id and since when it is idle.
+    fn take_rested_connection(&mut self, server: u32) -> Option<(usize, Nanos)> {
+        let now = self.net.now;
+        let rest = self.servers.late_data.rest(now);
+        let idle_connections = &mut self.servers.by_number.get_mut(&server)?.idle_connections;
+        let has_rested = |idle: &(usize, Nanos)| {
+            self.server_connections.get(&idle.0).is_none_or(|connection| now >= connection.rested_at(rest))
+        };
+        let position = idle_connections.iter().rposition(has_rested)?;
+        Some(idle_connections.remove(position))
+    }
+
+    /// Takes the connection to a server whose rest ends first, if an attempt with this deadline may
+    /// wait for that. Opening another connection costs the server more than a short wait costs the
+    /// RPC; but if such waits come in quick succession, the server is used so often that it needs
+    /// more connections.
+    fn take_resting_connection(&mut self, server: u32, deadline: Nanos) -> Option<(usize, Nanos)> {
+        let now = self.net.now;
+        let rest = self.servers.late_data.rest(now);
+        let max_wait = (deadline.saturating_sub(now) / MAX_WAIT_DIVISOR).min(MIN_REST);
+        let entry = self.servers.by_number.get_mut(&server)?;
+        let rested_at = |idle: &(usize, Nanos)| {
+            self.server_connections.get(&idle.0).map_or(now, |connection| connection.rested_at(rest))
+        };
+        let ends = entry.idle_connections.iter().map(rested_at);
+        let (position, end) = ends.enumerate().min_by_key(|(_, end)| *end)?;
+        if end > now + max_wait || now < entry.no_wait_until {
+            return None;
+        }
+        entry.no_wait_until = now + MIN_WAIT_INTERVAL;
+        Some(entry.idle_connections.remove(position))
+    }
+
+    /// Why a connection on which no attempt was written can't be used any more: unsolicited data,
+    /// which would be taken for the next answer, or its end.
+    fn unusable_because(&mut self, id: usize) -> Option<&'static str> {
+        if self.net.input(id).is_empty() {
+            return self.net.connection_end(id).map(ConnectionEnd::reason);
+        }
+        let answered_at = self.server_connections.get(&id).and_then(|connection| connection.answered_at);
+        if let Some(answered_at) = answered_at {
+            let now = self.current_time();
+            self.servers.late_data.record(now, now.saturating_sub(answered_at));
+        }
+        Some(UNSOLICITED_DATA)
+    }
+
     /// Writes the attempt assigned to a connection, if the conditions that held when it was
     /// requested still do. An attempt of which no byte was written has provably not run and may go
     /// to another server; the connection is kept.
@@ -55,12 +110,12 @@
             return;
         };
         let (attempt, server) = (*attempt, *server);
-        // Finds unsolicited data that would be taken for the answer, and a connection that the
-        // server has closed; either may have arrived since the connection was chosen. The cost: one
-        // read per attempt.
+        if let Some(rested_at) = self.still_resting_until(id) {
+            return self.timers.set(rested_at, TimerEvent::WriteAttempt(id));
+        }
+        // Either may have arrived since the connection was chosen. The cost: one read per attempt.
         self.net.read(id, false);
-        let unsolicited = (!self.net.input(id).is_empty()).then_some("answer-without-call-out");
-        if let Some(why) = unsolicited.or(self.net.connection_end(id).map(ConnectionEnd::reason)) {
+        if let Some(why) = self.unusable_because(id) {
             return self.abandon_connection(id, self.unwritten_end(id), why);
         }
         if let Err(denial) = self.may_send(id, &attempt) {
@@ -81,6 +136,13 @@
         }
     }
 
+    /// Until when a connection rests before an attempt may be written on it, if it still does.
+    fn still_resting_until(&self, id: usize) -> Option<Nanos> {
+        let rest = self.servers.late_data.rest(self.net.now);
+        let rested_at = self.server_connections.get(&id)?.rested_at(rest);
+        (self.net.now < rested_at).then_some(rested_at)
+    }
+
     /// How an attempt ended of which nothing was written. If an idle connection was closed, that
     /// says nothing about the server.
     fn unwritten_end(&self, id: usize) -> CallOutcome {
@@ -131,9 +193,7 @@
         let Some(connection) = server_connections.get_mut(&id) else { return };
         let ended = net.connection_end(id);
         let Stage::InFlight(attempt) = connection.stage else {
-            // Nothing was written, so any input or close makes the connection unusable.
-            let unsolicited = (!net.input(id).is_empty()).then_some("answer-without-call-out");
-            if let Some(why) = ended.map(ConnectionEnd::reason).or(unsolicited) {
+            if let Some(why) = self.unusable_because(id) {
                 self.abandon_connection(id, self.unwritten_end(id), why);
             }
             return;
@@ -150,6 +210,7 @@
                 } else {
                     servers::parse_load_report(load, &self.load_columns)
                 };
+                self.record_response(id);
                 if answer.outcome == CallOutcome::Ok {
                     self.forward_answer(id, attempt.rpc, &answer);
                 }
@@ -161,7 +222,7 @@
                 } else {
                     self.close_server_connection(
                         id,
-                        if unsolicited { "answer-without-call-out" } else { "server-closes" },
+                        if unsolicited { UNSOLICITED_DATA } else { "server-closes" },
                     );
                 }
             }
@@ -170,6 +231,15 @@
         }
     }
 
+    /// Records when a response was read. The turn's time won't do, since it may lie before the
+    /// response was sent.
+    fn record_response(&mut self, id: usize) {
+        let now = self.current_time();
+        if let Some(connection) = self.server_connections.get_mut(&id) {
+            connection.answered_at = Some(now);
+        }
+    }
+
     /// Forwards a server's 200 answer to the client, with its body unchanged.
     pub(super) fn forward_answer(&mut self, connection: usize, id: u32, answer: &Response) {
         let Some(rpc) = self.rpcs.get(&id).filter(|rpc| rpc.state != RpcState::Answered) else { return };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod http;
 pub mod invariants;
 pub mod json_stream;
+pub mod late_data;
 pub mod list;
 pub mod list_diff;
 pub mod logs;
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -4,6 +4,7 @@
 use crate::clients::RpcRequest;
 use crate::driver::ConnectionEnd;
 use crate::http::{self, BodyLength, ChunkedDecoder, MAX_BODY_LEN, MAX_HEAD_LEN, MAX_HEADERS};
+use crate::late_data::LateDataHistory;
 use martenramp::host::{CallOutcome, DiscoveredServer, Nanos};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::Write;
@@ -74,6 +75,8 @@
     /// Idle connections and since when each is idle; the most recently used one is last.
     pub idle_connections: Vec<(usize, Nanos)>,
     pub open_connections: usize,
+    /// Until when no attempt waits for one of its connections to have rested.
+    pub no_wait_until: Nanos,
     pub is_listed: bool,
     /// The entry that was last passed to the admission controller.
     pub last_listed: DiscoveredServer,
@@ -88,6 +91,7 @@
             ready: listed.ready,
             idle_connections: Vec::new(),
             open_connections: 0,
+            no_wait_until: 0,
             is_listed: true,
             last_listed: listed.clone(),
         }
@@ -119,6 +123,7 @@
     /// Servers that are no longer listed but still have connections.
     delisted: BTreeSet<u32>,
     pub reuse_history: ReuseHistory,
+    pub late_data: LateDataHistory,
     last_number: u32,
 }
 
@@ -218,6 +223,8 @@
     pub attempts: u64,
     /// How long the connection had been idle before the current attempt, if it was reused.
     pub idle_for: Option<Nanos>,
+    /// When the last response on this connection was read.
+    pub answered_at: Option<Nanos>,
     /// Decoder of a chunked response, the bytes decoded so far, and the offset up to which the
     /// input has been decoded.
     chunks: Option<(ChunkedDecoder, Vec<u8>, usize)>,
@@ -256,10 +263,17 @@
             is_connected: false,
             attempts: 0,
             idle_for: None,
+            answered_at: None,
             chunks: None,
         }
     }
 
+    /// From when on the connection may carry another attempt, if it rests for this long after each
+    /// response.
+    pub fn rested_at(&self, rest: Nanos) -> Nanos {
+        self.answered_at.map_or(0, |answered_at| answered_at + rest)
+    }
+
     /// Returns the attempt that is requested or in flight on this connection.
     pub fn attempt(&self) -> Option<Attempt> {
         match self.stage {
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -5,6 +5,7 @@
     remaining_ms_header, rpc, settings, status,
 };
 use std::process::Command;
+use std::time::{Duration, Instant};
 
 const BIN: &str = env!("CARGO_BIN_EXE_martenramp");
 
@@ -40,7 +41,11 @@
     // waits.
     assert_eq!(status(&client.ask(&rpc("verify", 2000))), 200);
     assert!(remaining_ms_header(&server.next().1) <= 1995);
-    // Both connections are reused.
+    // Both connections are reused, the server's once it has rested after its last answer.
+    let answered = Instant::now();
+    while answered.elapsed() < Duration::from_nanos(gateway::late_data::MIN_REST) {
+        gateway.wait_until_processed();
+    }
     assert_eq!(status(&client.ask(&rpc("read", 2000))), 200);
     assert_eq!(server.next().0, 0);
 }
