A deduplicated RPC that may have run is repeated in its own group only

WIRE, "No repeated effect": "subsequent sends are restricted to servers in the same group as its server (... the same zone, the same cell)".

Cause: server selection took a server of the same cell for one of the group, whatever its zone (in_group), as if cells lay within zones. Also the zone was taken when the attempt ended, so a list change meanwhile moved the group, and the check before the write did not look at the group.

Change: src/repeat_group.rs has the rule in one place; selection asks it, and so does the check before each write, with what the list says at that moment (log reason `outside-group`). The group is the one in which the server was listed when the first attempt was sent.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -9,6 +9,7 @@
 use agreement::config::AgreementConfig;
 use agreement::version::{Fallback, Version};
 use martenramp::host::Settings;
+use martenramp::repeat_group::RepeatScope;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -76,7 +77,7 @@
             Some("free") => RetrySafety::Idempotent,
             Some("guarded") => RetrySafety::Deduplicated {
                 window: (f64::max(window, 0.0) * 1e9) as Nanos,
-                all_servers: value("group") == Some("all"),
+                scope: RepeatScope::from_setting(value("group")),
             },
             _ => RetrySafety::AtMostOnce,
         };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,7 +7,7 @@
 use crate::counter::{self, Call, CounterConnection};
 use crate::driver::{ACCEPT_RETRY_DELAY, ConnectionEnd, EventHandler, Net, Peer, is_resource_exhausted};
 use crate::eviction;
-use crate::guard::{self, RetrySafety, ServerStatus};
+use crate::guard::{self, FirstRun, RetrySafety, ServerStatus};
 use crate::http::{MAX_BODY_LEN, MAX_HEAD_LEN, MessageError};
 use crate::invariants::{Counts, Invariant};
 use crate::list::{self, ListUpdate, Watch};
@@ -19,6 +19,7 @@
 use crate::timers::Timers;
 use martenramp::admission::AdmissionController;
 use martenramp::host::{Arrival, AttemptResult, CallOutcome, Host, Nanos};
+use martenramp::repeat_group::ServerGroup;
 use slog::{Logger, info, warn};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::io;
@@ -130,9 +131,11 @@
     attempts: u16,
     /// An attempt has not ended yet.
     attempt_in_flight: bool,
-    /// How often it may run, and when the first attempt that may have run began.
+    /// How often it may run, and the first attempt that may have run.
     retry_safety: RetrySafety,
-    first_run: Option<Nanos>,
+    first_run: Option<FirstRun>,
+    /// Where the server of the last attempt was listed when the attempt was written.
+    written_to: ServerGroup,
     /// Part of it was written to a server.
     written: bool,
     txn: Box<[u8]>,
--- a/crates/gateway/src/gateway/client_handler.rs
+++ b/crates/gateway/src/gateway/client_handler.rs
@@ -122,6 +122,7 @@
             attempt_in_flight: false,
             retry_safety: self.host.config.methods[usize::from(method)].effect,
             first_run: None,
+            written_to: ServerGroup::default(),
             written: false,
             txn,
         };
--- a/crates/gateway/src/gateway/server_handler.rs
+++ b/crates/gateway/src/gateway/server_handler.rs
@@ -124,12 +124,13 @@
             self.end_attempt(server, attempt, CallOutcome::NotSent, 0.0, Vec::new());
             return self.return_to_pool(id);
         }
+        let group = self.listed_group(server);
         let AdmissionHost { net, server_connections, rpcs, .. } = self;
         let (Some(rpc), Some(connection)) = (rpcs.get_mut(&attempt.rpc), server_connections.get_mut(&id))
         else {
             return;
         };
-        rpc.written = true;
+        (rpc.written, rpc.written_to) = (true, group);
         let wait = attempt.deadline.min(rpc.deadline).saturating_sub(net.now);
         if let Some((message, out)) = net.input_and_output(rpc.client, id) {
             connection.write_attempt(out, attempt, &rpc.message, message, wait);
@@ -165,12 +166,19 @@
             retry_safety: rpc.map_or(RetrySafety::AtMostOnce, |rpc| rpc.retry_safety),
             first_run: rpc.and_then(|rpc| rpc.first_run),
             server: self.server_status(id, connection),
+            server_group: self.listed_group(connection.server),
         };
         let verdict = guard::may_send(&send);
         self.count_send_check(verdict);
         verdict
     }
 
+    /// Where a server is listed at this moment.
+    fn listed_group(&self, server: u32) -> ServerGroup {
+        let server = self.servers.by_number.get(&server);
+        server.map_or_else(ServerGroup::default, |server| ServerGroup::of(&server.last_listed))
+    }
+
     /// The current listed state of the server that a connection leads to.
     fn server_status(&self, id: usize, connection: &ServerConnection) -> ServerStatus {
         let listed =
@@ -331,8 +339,8 @@
         let Some(rpc) = self.rpcs.get_mut(&attempt.rpc) else { return };
         rpc.attempt_in_flight = false;
         if !matches!(outcome, CallOutcome::NoConnection | CallOutcome::NotSent | CallOutcome::Full) {
-            rpc.first_run =
-                Some(rpc.first_run.map_or(attempt.requested_at, |first| first.min(attempt.requested_at)));
+            let run = FirstRun { began_at: attempt.requested_at, group: rpc.written_to };
+            rpc.first_run.get_or_insert(run);
         }
         let closed = rpc.state == RpcState::Answered;
         if closed {
--- a/crates/gateway/src/guard.rs
+++ b/crates/gateway/src/guard.rs
@@ -6,6 +6,7 @@
 use crate::invariants::Invariant;
 use crate::shutdown::Shutdown;
 use martenramp::host::Nanos;
+use martenramp::repeat_group::{RepeatScope, ServerGroup};
 
 /// Allowance for the time that the bytes of an attempt take to arrive: no attempt is written this
 /// close to the end of a window for retries.
@@ -16,24 +17,39 @@
 pub enum RetrySafety {
     /// Any number of times.
     Idempotent,
-    /// Servers recognize a retry by its key, for `window` after the start of the first attempt that
-    /// may have run; with `all_servers` every server does, otherwise only those of a group.
-    Deduplicated { window: Nanos, all_servers: bool },
+    /// The servers of `scope` recognize a retry by its key, for `window` after the start of the
+    /// first attempt that may have run.
+    Deduplicated { window: Nanos, scope: RepeatScope },
     /// At most once.
     #[default]
     AtMostOnce,
 }
 
+/// The first attempt of an RPC that may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FirstRun {
+    pub began_at: Nanos,
+    /// Where its server was listed when it was written.
+    pub group: ServerGroup,
+}
+
 impl RetrySafety {
-    /// The time before which an RPC may be sent again, given when the first attempt that may have
-    /// run began.
-    fn retry_until(self, first_run: Option<Nanos>) -> Nanos {
+    /// The time before which an RPC may be sent again.
+    fn retry_until(self, first_run: Option<FirstRun>) -> Nanos {
         match (self, first_run) {
             (_, None) | (RetrySafety::Idempotent, _) => Nanos::MAX,
-            (RetrySafety::Deduplicated { window, .. }, Some(first)) => first + window,
+            (RetrySafety::Deduplicated { window, .. }, Some(first)) => first.began_at + window,
             (RetrySafety::AtMostOnce, Some(_)) => 0,
         }
     }
+
+    /// Whether a server of this group recognizes an RPC that may have run before.
+    fn is_recognized_by(self, first_run: Option<FirstRun>, group: ServerGroup) -> bool {
+        match (self, first_run) {
+            (RetrySafety::Deduplicated { scope, .. }, Some(first)) => scope.includes(first.group, group),
+            _ => true,
+        }
+    }
 }
 
 /// Why an action is denied.
@@ -42,6 +58,7 @@
     ClientLeft,
     DeadlinePassed,
     RetryWindowClosed,
+    OutsideGroup,
     MayHaveRun,
     ServerUnavailable,
     ServerMoved,
@@ -56,6 +73,7 @@
             Denial::ClientLeft => "client-left",
             Denial::DeadlinePassed => "deadline-over",
             Denial::RetryWindowClosed => "repeat-window-over",
+            Denial::OutsideGroup => "outside-group",
             Denial::MayHaveRun => "may-have-run",
             Denial::ServerUnavailable => "server-drains-or-gone",
             Denial::ServerMoved => "server-moved",
@@ -70,7 +88,7 @@
             Denial::ClientLeft => Invariant::ClientPresent,
             Denial::DeadlinePassed => Invariant::TimeLeft,
             Denial::Overloaded => Invariant::AnswerInTime,
-            Denial::RetryWindowClosed | Denial::MayHaveRun => Invariant::RepeatAllowed,
+            Denial::RetryWindowClosed | Denial::OutsideGroup | Denial::MayHaveRun => Invariant::RepeatAllowed,
             Denial::ServerUnavailable | Denial::ServerMoved => Invariant::ServerListed,
             Denial::ShuttingDown => Invariant::AdmittedInTime,
         }
@@ -97,9 +115,10 @@
     pub answer_by: Nanos,
     pub write_by: Nanos,
     pub retry_safety: RetrySafety,
-    /// When the first attempt that may have run began.
-    pub first_run: Option<Nanos>,
+    pub first_run: Option<FirstRun>,
     pub server: ServerStatus,
+    /// Where the server is listed at this moment.
+    pub server_group: ServerGroup,
 }
 
 /// Whether an attempt may be written. Catches everything that may have changed while its connection
@@ -116,13 +135,19 @@
         _ if arrival >= send.retry_safety.retry_until(send.first_run) => Err(Denial::RetryWindowClosed),
         SendCheck { server: ServerStatus::Unavailable, .. } => Err(Denial::ServerUnavailable),
         SendCheck { server: ServerStatus::Moved, .. } => Err(Denial::ServerMoved),
+        _ if !send.retry_safety.is_recognized_by(send.first_run, send.server_group) => {
+            Err(Denial::OutsideGroup)
+        }
         _ => Ok(()),
     }
 }
 
 /// Whether a client may be told that retrying is harmless.
-pub fn may_reject(now: Nanos, retry_safety: RetrySafety, first_run: Option<Nanos>) -> bool {
-    let all_servers = !matches!(retry_safety, RetrySafety::Deduplicated { all_servers: false, .. });
+pub fn may_reject(now: Nanos, retry_safety: RetrySafety, first_run: Option<FirstRun>) -> bool {
+    let all_servers = match retry_safety {
+        RetrySafety::Deduplicated { scope, .. } => scope == RepeatScope::AllServers,
+        RetrySafety::Idempotent | RetrySafety::AtMostOnce => true,
+    };
     first_run.is_none() || all_servers && now < retry_safety.retry_until(first_run)
 }
 
--- a/crates/gateway/tests/protocol.rs
+++ b/crates/gateway/tests/protocol.rs
@@ -10,6 +10,7 @@
 use gateway::list::Watch;
 use gateway::servers::{self, Attempt, Body, ReuseHistory, ServerConnection, Servers};
 use martenramp::host::{CallOutcome, DiscoveredServer};
+use martenramp::repeat_group::RepeatScope;
 use martenramp::subsetting;
 use standins::scripted::{MS, SEC, WATCH_HEAD, chunk, entry, list, rpc, settings};
 use std::net::SocketAddr;
@@ -36,7 +37,7 @@
     assert_eq!((get("tariffs.0.perSecond"), get("localities")), ("100.0", "a,b"));
     assert_eq!(config.positive_setting("ceilings.connIdle"), Some(15.0));
     let effects: Vec<RetrySafety> = config.methods.iter().map(|method| method.effect).collect();
-    let deduplicated = RetrySafety::Deduplicated { window: 5_000_000_000, all_servers: true };
+    let deduplicated = RetrySafety::Deduplicated { window: 5_000_000_000, scope: RepeatScope::AllServers };
     assert_eq!(effects, [RetrySafety::Idempotent, deduplicated, RetrySafety::AtMostOnce]);
 }
 
--- a/crates/gateway/tests/races.rs
+++ b/crates/gateway/tests/races.rs
@@ -3,8 +3,8 @@
 //! harm. `docs/races.md` lists the windows.
 
 use standins::scripted::{
-    FullBacklog, Peer, Program, Reply, WAIT_TIMEOUT, WATCH_HEAD, answer, chunk, entry, list, raw_reply,
-    refusing_address, rpc, settings, status,
+    Client, FullBacklog, Peer, Program, Reply, WAIT_TIMEOUT, WATCH_HEAD, answer, chunk, entry, list,
+    raw_reply, refusing_address, rpc, settings, status,
 };
 use std::time::{Duration, Instant};
 
@@ -67,21 +67,37 @@
     assert!(server.is_closed(), "the unused connection was left open or written to");
 }
 
+/// A gateway whose client sent an RPC that may have run at a first server, and whose retry waits for its connection to
+/// another one.
+struct PendingRetry {
+    gateway: Program,
+    discovery: Peer,
+    client: Client,
+    late_server: FullBacklog,
+}
+
+impl PendingRetry {
+    fn new(settings: &str, remaining_ms: u64) -> PendingRetry {
+        let (late_server, discovery) = (FullBacklog::default(), discovery_peer());
+        let first = Peer::new(|_, _| (Vec::new(), false));
+        let gateway = start_gateway(&discovery, &[entry("s0", first.address, "ready")], settings);
+        let mut client = gateway.client();
+        client.send(&rpc("submit", remaining_ms));
+        assert_eq!(first.next().0, 0);
+        let next = [entry("s0", first.address, "draining"), entry("s1", late_server.address, "ready")];
+        discovery.write(0, &chunk(&list(4, false, &next)));
+        gateway.wait_until_processed();
+        first.reset(0);
+        assert!(gateway.wait_for_line("\"server\"").contains("\"reset\""));
+        PendingRetry { gateway, discovery, client, late_server }
+    }
+}
+
 #[test]
 fn a_retry_whose_window_ends_while_its_connection_is_pending_is_not_written() {
-    let (late_server, discovery) = (FullBacklog::default(), discovery_peer());
-    let first = Peer::new(|_, _| (Vec::new(), false));
-    let gateway = start_gateway(&discovery, &[entry("s0", first.address, "ready")], &long_timeout_settings());
-    let mut client = gateway.client();
-    client.send(&rpc("submit", 20_000));
-    assert_eq!(first.next().0, 0);
-    let next = [entry("s0", first.address, "draining"), entry("s1", late_server.address, "ready")];
-    discovery.write(0, &chunk(&list(4, false, &next)));
-    gateway.wait_until_processed();
-    // The RPC may have run, and may be repeated for 1 s. The system retries the pending connection
-    // only after 1 s.
-    first.reset(0);
-    assert!(gateway.wait_for_line("\"server\"").contains("\"reset\""));
+    // The RPC may be repeated for 1 s. The system retries the pending connection only after 1 s.
+    let PendingRetry { gateway, mut client, late_server, .. } =
+        PendingRetry::new(&long_timeout_settings(), 20_000);
     let mut server = late_server.open();
     assert!(gateway.wait_for_line("\"not written\"").contains("repeat-window-over"));
     assert_eq!(
@@ -92,6 +108,24 @@
     assert!(server.nothing_received());
 }
 
+/// Guards against an RPC that runs in two zones, since the server of its repeat was listed in another zone meanwhile.
+#[test]
+fn a_retry_whose_server_leaves_the_zone_while_its_connection_is_pending_is_not_written() {
+    let settings = long_timeout_settings()
+        .replace("\"window\":1.0", "\"window\":15.0")
+        .replace("\"group\":\"all\"", "\"group\":\"zone\"");
+    let PendingRetry { gateway, discovery, mut client, late_server, .. } =
+        PendingRetry::new(&settings, 4_000);
+    gateway.wait_until_processed();
+    let moved = entry("s1", late_server.address, "ready").replace("\"zone\":\"a\"", "\"zone\":\"b\"");
+    discovery.write(0, &chunk(&list(5, false, &[moved])));
+    gateway.wait_until_processed();
+    let mut server = late_server.open();
+    assert!(gateway.wait_for_line("\"not written\"").contains("outside-group"));
+    assert_eq!(status(&client.answer().unwrap()), 502, "it may have run");
+    assert!(server.nothing_received());
+}
+
 #[test]
 fn an_rpc_whose_deadline_passes_while_its_connection_is_pending_is_rejected_and_never_written() {
     let (late_server, discovery) = (FullBacklog::default(), discovery_peer());
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -7,6 +7,7 @@
 use crate::attempts::OpenAttempt;
 use crate::host::{Arrival, AttemptResult, CallOutcome, DiscoveredServer, Host, Nanos, Settings};
 use crate::quota::Quota;
+use crate::repeat_group::{RepeatScope, ServerGroup};
 use crate::samples::{MS, SEC, median, nanos, number_setting, push_bounded, recent_success_rate, secs};
 use crate::subsetting::{Endpoint, Subsetter};
 use revisit::BadStreak;
@@ -66,6 +67,15 @@
     Ended,
 }
 
+/// The first attempt of an RPC that may have run.
+#[derive(Clone, Copy)]
+struct FirstRun {
+    sent_at: Nanos,
+    /// Where its server was listed when it was sent, and which servers recognize a repeat.
+    group: ServerGroup,
+    scope: RepeatScope,
+}
+
 /// An RPC that has no final answer yet.
 #[derive(Default)]
 struct Rpc {
@@ -83,7 +93,7 @@
     written: bool,     // bytes of an attempt were sent, or may have been
     claim_serial: u64, // of the counter call that reports its units
     attempts: u64,
-    first_run: Option<(Nanos, u16, u16)>, // the first attempt that may have run: when it was sent, zone and cell
+    first_run: Option<FirstRun>,
 }
 
 impl Rpc {
@@ -93,15 +103,28 @@
         self.settings.get(&format!("classes.{}.{name}", self.method)).is_some_and(|text| text == value)
     }
 
+    /// The servers that recognize a repeat of this RPC. An idempotent one may be repeated anywhere.
+    fn repeat_scope(&self) -> RepeatScope {
+        if self.setting_is("idempotency", "free") {
+            return RepeatScope::AllServers;
+        }
+        let group = self.settings.get(&format!("classes.{}.group", self.method));
+        RepeatScope::from_setting(group.map(String::as_str))
+    }
+
+    /// Whether the RPC may be sent to this server: any, until it may have run.
+    fn may_run_at(&self, server: &DiscoveredServer) -> bool {
+        self.first_run.is_none_or(|first| first.scope.includes(first.group, ServerGroup::of(server)))
+    }
+
     /// The time before which the RPC may run again. There is no limit if it is proven that no attempt ran, or if the method is
     /// idempotent; a deduplicated method allows it within its window, any other never.
     fn repeat_deadline(&self) -> Nanos {
         let ran = self.first_run.filter(|_| !self.setting_is("idempotency", "free"));
         let window = nanos(number_setting(&self.settings, &format!("classes.{}.window", self.method), 0.0));
-        ran.map_or(
-            Nanos::MAX,
-            |ran| if self.setting_is("idempotency", "guarded") { ran.0 + window } else { 0 },
-        )
+        ran.map_or(Nanos::MAX, |ran| {
+            if self.setting_is("idempotency", "guarded") { ran.sent_at + window } else { 0 }
+        })
     }
 }
 
@@ -431,6 +454,8 @@
     }
 
     fn send(&mut self, host: &mut dyn Host, now: Nanos, id: u32, server_id: u32) {
+        let Some(server) = self.servers.get(&server_id) else { return };
+        let group = ServerGroup::of(&server.entry);
         self.set_state(id, RpcState::InFlight);
         let timeout = self.attempt_timeout(now, id);
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
@@ -445,7 +470,8 @@
             let service = self.services.get_mut(&server.entry.service);
             service.into_iter().for_each(|service| service.subsetter.record_sent(server_id));
         }
-        let attempt = OpenAttempt { server: server_id, customer: key, sent_at: now, soft_deadline, refund };
+        let attempt =
+            OpenAttempt { server: server_id, group, customer: key, sent_at: now, soft_deadline, refund };
         self.open_attempts.insert((id, attempt_number), attempt);
         host.send_attempt(id, server_id, timeout, write_before);
         self.expected_wait.0 = 0;
@@ -455,10 +481,9 @@
     /// An attempt ended. If the RPC has not been answered with it, the RPC is retried or gets its final answer now.
     pub fn on_attempt_end(&mut self, host: &mut dyn Host, now: Nanos, result: &AttemptResult) {
         let Some(attempt) = self.open_attempts.remove(&(result.rpc, result.attempt)) else { return };
-        let OpenAttempt { server: server_id, customer: key, sent_at, refund, .. } = attempt;
+        let OpenAttempt { server: server_id, customer: key, sent_at, refund, group, .. } = attempt;
         let unwritten = matches!(result.outcome, CallOutcome::NoConnection | CallOutcome::NotSent);
         let never_ran = unwritten || result.outcome == CallOutcome::Full;
-        let mut zone_and_cell = (u16::MAX, u16::MAX);
         let mut columns = self.settings.get("reporting.columns").map_or("", String::as_str).split(',');
         let busy_requests = columns
             .position(|name| name == "busy_reqs")
@@ -467,7 +492,6 @@
             result.outcome != CallOutcome::Ok || revisit::is_slow(result.duration, self.typical_latency(now));
         let position = if is_bad { self.rng.f64() } else { 0.0 };
         if let Some(server) = self.servers.get_mut(&server_id) {
-            zone_and_cell = (server.entry.zone, server.entry.cell);
             server.open_attempts.retain(|open| (open.0, open.1) != (result.rpc, result.attempt));
             if result.outcome != CallOutcome::NotSent {
                 push_bounded(
@@ -499,8 +523,9 @@
         self.no_server_until.clear();
         if let Some(rpc) = self.rpcs.get_mut(&result.rpc) {
             let (urgent, units, soft_timeout) = (!rpc.patient, rpc.units, secs(rpc.soft_timeout));
-            rpc.first_run =
-                rpc.first_run.or((!never_ran).then_some((sent_at, zone_and_cell.0, zone_and_cell.1)));
+            if !never_ran && rpc.first_run.is_none() {
+                rpc.first_run = Some(FirstRun { sent_at, group, scope: rpc.repeat_scope() });
+            }
             rpc.written |= !unwritten;
             if urgent && matches!(result.outcome, CallOutcome::Ok | CallOutcome::TimedOut) {
                 push_bounded(
@@ -550,8 +575,7 @@
     /// a rejection passes it on as advice when to retry.
     fn finish(&mut self, host: &mut dyn Host, now: Nanos, id: u32, available_in: Nanos) -> Nanos {
         let Some(rpc) = self.rpcs.get(&id) else { return Nanos::MAX };
-        let any_server = rpc.setting_is("group", "all");
-        let may_repeat = any_server || rpc.first_run.is_none() || rpc.setting_is("idempotency", "free");
+        let may_repeat = rpc.first_run.is_none_or(|first| first.scope == RepeatScope::AllServers);
         let harmless = may_repeat && now < rpc.repeat_deadline();
         let key = rpc.customer;
         if !rpc.patient && available_in > 0 {
--- a/src/admission/server_selection.rs
+++ b/src/admission/server_selection.rs
@@ -48,13 +48,6 @@
     ) -> Option<u32> {
         let mut rng = self.rng.fork();
         let rpc = &self.rpcs[&id];
-        let group = rpc
-            .first_run
-            .filter(|_| rpc.setting_is("idempotency", "guarded") && !rpc.setting_is("group", "all"));
-        let same_zone = rpc.setting_is("group", "zone");
-        let in_group = |entry: &DiscoveredServer| {
-            group.is_none_or(|(_, zone, cell)| entry.cell == cell || same_zone && entry.zone == zone)
-        };
         let (soft_timeout, typical) = (secs(rpc.soft_timeout), self.typical_latency(now));
         let min_open = (9.0 / self.gateway_count()).clamp(1.0, 3.0);
         let is_cold = |id: &&u32| self.warm_share(now, &self.servers[*id].entry) < 1.0;
@@ -99,7 +92,7 @@
             let usable = |limit| rarely_used && (is_fast(limit) || self.warm_share(now, &server.entry) < 1.0);
             if full
                 || !max_latency.is_none_or(usable)
-                || !in_group(&server.entry)
+                || !rpc.may_run_at(&server.entry)
                 || !self.has_warmup_budget(now, server, warm_rate)
             {
                 service.subsetter.skip_turn(ready[index]);
--- a/src/attempts.rs
+++ b/src/attempts.rs
@@ -1,11 +1,13 @@
 //! The record of an attempt that is still in flight.
 
 use crate::host::Nanos;
+use crate::repeat_group::ServerGroup;
 
 /// An attempt that has not ended yet.
 pub(crate) struct OpenAttempt {
-    /// The server that it was sent to.
+    /// The server that it was sent to, and where it was listed then.
     pub server: u32,
+    pub group: ServerGroup,
     /// The customer whose RPC it serves.
     pub customer: u64,
     /// When the host was asked to send it.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 mod attempts;
 pub mod host;
 mod quota;
+pub mod repeat_group;
 mod samples;
 pub mod settings;
 pub mod subsetting;
