Zones and cells that have no number of their own are no group for repeats

Callers: an RPC that may run once could run in two zones beyond the 1,024th, or in two cells whose numbers are equal modulo 65,536.

Cause: such zones shared one number, and cells were cut to 16 bits, so that they counted as the same group.

Change: both are UNNUMBERED, which is in no group, so nothing that may have run is repeated among them.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -1,6 +1,7 @@
 //! An entry of discovery's list, which describes one server, deserialized without an intermediate
 //! JSON tree.
 
+use martenramp::repeat_group::UNNUMBERED;
 use serde::Deserialize;
 use serde::de::{Deserializer, IgnoredAny, MapAccess, SeqAccess, Visitor};
 use std::borrow::Cow;
@@ -26,6 +27,7 @@
     pub kind: Rc<str>,
     /// Number of its service, assigned by [`crate::services::Services`].
     pub service: u32,
+    /// [`UNNUMBERED`] if the list gives a number that is too large.
     pub cell: u16,
     pub ready: bool,
     pub gone: bool,
@@ -50,7 +52,7 @@
             zone: strings.intern(fields.zone.as_str().unwrap_or_default()),
             kind: strings.intern(fields.kind.as_str().unwrap_or_default()),
             service: 0,
-            cell: fields.group.as_u64().unwrap_or(0) as u16,
+            cell: u16::try_from(fields.group.as_u64().unwrap_or(0)).unwrap_or(UNNUMBERED),
             ready: status == "ready",
             gone,
             weight: fields.weight.as_f64().filter(|weight| weight.is_finite()).unwrap_or(1.0),
--- a/crates/gateway/src/name_ids.rs
+++ b/crates/gateway/src/name_ids.rs
@@ -3,10 +3,11 @@
 
 use crate::entry::Entry;
 use martenramp::host::{DiscoveredServer, Nanos};
+use martenramp::repeat_group::UNNUMBERED;
 use std::collections::HashMap;
 
 const MS: Nanos = 1_000_000;
-/// At most this many zone names get a number of their own; any others share `u16::MAX`.
+/// At most this many zone names get a number of their own; any others are [`UNNUMBERED`].
 const MAX_ZONES: usize = 1024;
 
 /// Numbers of zones and kinds, by name.
@@ -31,7 +32,7 @@
         }
         let number = self.zones.len() as u16;
         if self.zones.len() >= MAX_ZONES {
-            return u16::MAX;
+            return UNNUMBERED;
         }
         self.zones.insert(name.into(), number);
         number
@@ -45,7 +46,7 @@
             server: 0,
             service: entry.service,
             key,
-            zone: if entry.gone { u16::MAX } else { self.zone_number(&entry.zone) },
+            zone: if entry.gone { UNNUMBERED } else { self.zone_number(&entry.zone) },
             kind: kind.map_or(u8::MAX, |index| index as u8),
             cell: entry.cell,
             ready: entry.ready,
--- a/src/repeat_group.rs
+++ b/src/repeat_group.rs
@@ -4,6 +4,9 @@
 
 use crate::host::DiscoveredServer;
 
+/// The number of a zone or cell that has no number of its own. Several may share it, so it stands for no group.
+pub const UNNUMBERED: u16 = u16::MAX;
+
 /// Where a server is listed: its zone, and its cell, a set of servers that may span zones.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ServerGroup {
@@ -37,10 +40,11 @@
 
     /// Whether a server of group `repeat` recognizes an RPC that a server of group `first` ran.
     pub fn includes(self, first: ServerGroup, repeat: ServerGroup) -> bool {
+        let is_same = |first: u16, repeat: u16| first == repeat && first != UNNUMBERED;
         match self {
             RepeatScope::AllServers => true,
-            RepeatScope::SameZone => first.zone == repeat.zone,
-            RepeatScope::SameCell => first.cell == repeat.cell,
+            RepeatScope::SameZone => is_same(first.zone, repeat.zone),
+            RepeatScope::SameCell => is_same(first.cell, repeat.cell),
         }
     }
 }
--- a/tests/repeat_groups.rs
+++ b/tests/repeat_groups.rs
@@ -5,6 +5,7 @@
 
 use harness::{MS, SEC, Scenario, ready_server, scenario};
 use martenramp::host::{CallOutcome, DiscoveredServer};
+use martenramp::repeat_group::UNNUMBERED;
 
 const SERVERS: u32 = 9;
 /// RPCs in each check, each of a customer of its own, so that quotas play no part.
@@ -119,3 +120,17 @@
         assert!(scenario.host.rejected.is_empty());
     }
 }
+
+/// Guards against an RPC that runs in two zones, or cells, that share a number since neither has one of its own.
+#[test]
+fn an_rpc_is_not_repeated_among_servers_whose_zones_and_cells_have_no_number() {
+    for group in ["zone", "cell"] {
+        let unnumbered =
+            |server: u32| DiscoveredServer { zone: UNNUMBERED, cell: UNNUMBERED, ..ready_server(server, 0) };
+        let mut scenario = scenario_with(group, unnumbered);
+        let rpc = scenario.submit(SUBMIT, 1.0);
+        scenario.end_attempt(rpc, CallOutcome::Reset);
+        scenario.advance(4 * SEC);
+        assert_eq!((scenario.attempt_count(rpc), scenario.host.aborted.as_slice()), (1, &[rpc][..]));
+    }
+}
