A gateway acts on the settings of the version that it says it acts on

Only deployments with versions of settings.

Cause: receive_datagram dropped the scheduled settings at each TwoContents. The state machine gives that receipt also where it drops the content that the process started on and goes on with the scheduled one.

Change: VersionedAgreement owns the state machine and the settings of its contents; each is kept and dropped with its content. There is no second copy. The model checker's gateways act on settings, and a property compares them with what is said.

--- a/crates/agreement/src/state.rs
+++ b/crates/agreement/src/state.rs
@@ -7,6 +7,7 @@
 mod grants;
 #[cfg(test)]
 mod tests;
+mod versioned;
 
 use crate::Nanos;
 use crate::config::AgreementConfig;
@@ -14,6 +15,7 @@
 use crate::message::{LeaseMessage, MessageKind};
 use grants::Grants;
 use std::collections::BTreeMap;
+pub use versioned::VersionedAgreement;
 
 /// A start time that is never reached.
 const NEVER: Nanos = Nanos::MAX;
--- a/crates/agreement/src/state/tests.rs
+++ b/crates/agreement/src/state/tests.rs
@@ -1,12 +1,13 @@
-//! Model check of every execution of three gateways, all of them voters.
+//! Model check of every execution of three gateways, all of them voters. Each gateway acts on settings that stand for their
+//! content, so that what it says and what it acts on can be compared.
 //!
 //! Any message may be lost, delayed, duplicated or reordered, the new version may reach any of the gateways or none, and
 //! gateways may pause or restart with the older or the newer version. Time advances in steps up to a horizon that covers the
 //! whole change of version. To test the check itself, bugs are injected by modifying a gateway's state; each has to be found.
 
-use super::{Agreement, Mode, VoterPhase};
+use super::{Agreement, Mode, Receipt, ScheduledContent, VersionedAgreement, VoterPhase};
 use crate::config::AgreementConfig;
-use crate::lease::ContentId;
+use crate::lease::{ContentId, Lease};
 use crate::message::{LeaseMessage, MessageKind};
 use stateright::{Checker, Model, Property};
 use std::collections::BTreeSet;
@@ -20,6 +21,15 @@
 
 const OLD_VERSION: u64 = 1;
 const NEW_VERSION: u64 = 2;
+/// Replaces the new version after its contents turned out to differ.
+const THIRD_VERSION: u64 = 3;
+
+/// A gateway whose settings are represented by their content.
+type Gateway = VersionedAgreement<ContentId>;
+
+fn offer(gateway: &mut Gateway, now: u64, content: ContentId, start: u64) {
+    let _ = gateway.offer(now, ScheduledContent { content, start }, content);
+}
 
 struct FleetModel {
     lease: u64,
@@ -54,7 +64,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct State {
     now: u64,
-    gateways: Vec<Agreement>,
+    gateways: Vec<Gateway>,
     messages: BTreeSet<LeaseMessage>,
     restarts: usize,
     incarnations: u32,
@@ -91,7 +101,7 @@
         started_at: u64,
         content: ContentId,
         start: u64,
-    ) -> Agreement {
+    ) -> Gateway {
         let mut gateway =
             Agreement::new(self.config(), Some(number as u32), incarnation, started_at, content, start);
         match self.bug {
@@ -99,13 +109,14 @@
             Some(InjectedBug::NoSilence) => gateway.silent_until = started_at,
             _ => {}
         }
-        gateway
+        VersionedAgreement::new(gateway, content)
     }
 
-    fn evaluate(&self, gateway: &mut Agreement, now: u64) {
+    fn evaluate(&self, gateway: &mut Gateway, now: u64) {
         gateway.evaluate(now);
-        if self.bug == Some(InjectedBug::NeverFallsBack) && gateway.last_confirmed > 0 {
-            (gateway.mode, gateway.last_confirmed) = (Mode::Confirmed, now);
+        let state = &mut gateway.state;
+        if self.bug == Some(InjectedBug::NeverFallsBack) && state.last_confirmed > 0 {
+            (state.mode, state.last_confirmed) = (Mode::Confirmed, now);
         }
     }
 
@@ -133,7 +144,7 @@
         for (at, gateway) in state.gateways.iter_mut().enumerate() {
             let local = self.local_time(now, at);
             self.evaluate(gateway, local);
-            discard_past(gateway, local);
+            discard_past(&mut gateway.state, local);
         }
         let slowest_offset = self.clock_offsets.iter().min().copied().unwrap_or(0);
         let slowest_time = now.saturating_add_signed(slowest_offset);
@@ -141,8 +152,8 @@
             message.lease.until > slowest_time
                 || message.lease.from == message.lease.until && message.sent >= slowest_time
         });
-        let acts = |gateway: &Agreement| {
-            gateway.mode() == Mode::Confirmed && gateway.content().version == NEW_VERSION
+        let acts = |gateway: &Gateway| {
+            gateway.state().mode() == Mode::Confirmed && gateway.state().content().version == NEW_VERSION
         };
         if state.new_since.is_none() && state.gateways.iter().any(acts) {
             state.new_since = Some(now);
@@ -160,10 +171,10 @@
         let informed_state = |informed: usize| {
             let gateway = |at: usize| {
                 let mut gateway = self.gateway(at, at as u32, 0, content(OLD_VERSION, 1), 0);
-                gateway.phase = VoterPhase::Granting; // as after a long time in service
+                gateway.state.phase = VoterPhase::Granting; // as after a long time in service
                 if informed & 1 << at != 0 {
                     let now = self.local_time(START - 2 * self.lease, at);
-                    let _ = gateway.offer(now, content(NEW_VERSION, self.new_digests[at]), START);
+                    offer(&mut gateway, now, content(NEW_VERSION, self.new_digests[at]), START);
                 }
                 gateway
             };
@@ -178,7 +189,7 @@
         if state.now < START + self.horizon {
             actions.push(Action::Tick);
         }
-        for (at, gateway) in state.gateways.iter().enumerate() {
+        for (at, gateway) in state.gateways.iter().map(Gateway::state).enumerate() {
             let may_arrive = state.now < START - self.lease + self.late_steps;
             if may_arrive
                 && gateway.content().version == OLD_VERSION
@@ -205,11 +216,11 @@
             Action::Tick => state.now += 1,
             Action::DeliverVersion(at) => {
                 let now = self.local_time(state.now, at);
-                let _ = state.gateways[at].offer(now, content(NEW_VERSION, self.new_digests[at]), START);
+                offer(&mut state.gateways[at], now, content(NEW_VERSION, self.new_digests[at]), START);
             }
             Action::Send(at) => {
                 let now = self.local_time(state.now, at);
-                let messages = self.poll_messages(&mut state.gateways[at], now);
+                let messages = self.poll_messages(&mut state.gateways[at].state, now);
                 // Messages about a content that is only held have an effect only if the contents differ.
                 let differ = self.new_digests.iter().any(|digest| *digest != self.new_digests[0]);
                 state.messages.extend(
@@ -240,6 +251,7 @@
                 let confirmed: BTreeSet<ContentId> = state
                     .gateways
                     .iter()
+                    .map(Gateway::state)
                     .filter(|gateway| gateway.mode() == Mode::Confirmed)
                     .map(Agreement::content)
                     .collect();
@@ -252,19 +264,22 @@
                 let both_confirmed = old && !new.is_empty() && model.config().contradiction_bound() == 0;
                 new.len() <= 1 && !both_confirmed && !(old && late)
             }),
+            Property::always("a gateway acts on what it says", |_, state: &State| {
+                state.gateways.iter().all(|gateway| *gateway.current() == gateway.state().content())
+            }),
             Property::sometimes("all act on the new version", |_, state: &State| {
                 let new = |gateway: &Agreement| {
                     gateway.mode() == Mode::Confirmed && gateway.content().version == NEW_VERSION
                 };
-                state.gateways.iter().all(new)
+                state.gateways.iter().map(Gateway::state).all(new)
             }),
             Property::sometimes(
                 "one gateway is on its fallback while another acts on the new version",
                 |_, state: &State| {
                     let is_in = |mode| move |gateway: &Agreement| gateway.mode() == mode;
                     state.new_since.is_some()
-                        && state.gateways.iter().any(is_in(Mode::Fallback))
-                        && state.gateways.iter().any(is_in(Mode::Confirmed))
+                        && state.gateways.iter().map(Gateway::state).any(is_in(Mode::Fallback))
+                        && state.gateways.iter().map(Gateway::state).any(is_in(Mode::Confirmed))
                 },
             ),
         ]
@@ -299,7 +314,7 @@
     }
 }
 
-/// Checks all executions of a model: whether the bound held, and whether all gateways came to act on the new version in any.
+/// Checks all executions of a model: whether the bound held and each gateway acted on what it says, and whether all gateways came to act on the new version in any.
 fn check(name: &str, model: FleetModel) -> (bool, bool) {
     let started = std::time::Instant::now();
     let checker = model.checker().threads(4).spawn_bfs().join();
@@ -307,7 +322,11 @@
     if let Some(path) = &violation {
         println!("{:#?}", path.clone().into_actions());
     }
-    let bound_held = violation.is_none();
+    let acts_on_other = checker.discovery("a gateway acts on what it says");
+    if let Some(path) = &acts_on_other {
+        println!("{:#?}", path.clone().into_actions());
+    }
+    let bound_held = violation.is_none() && acts_on_other.is_none();
     let all_updated = checker.discovery("all act on the new version").is_some();
     println!("{name}: {} states, {:.1} s", checker.unique_state_count(), started.elapsed().as_secs_f64());
     (bound_held, all_updated)
@@ -350,6 +369,70 @@
     }
 }
 
+/// An event at a gateway that started on the wrong content of a version that has not begun.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum ReplacementEvent {
+    ThirdVersionOffered,
+    /// Another gateway's message names the other content of the version.
+    OtherContentNamed,
+    Evaluated,
+}
+
+/// What a gateway says and what it acts on at the end of these events, once the third version is confirmed. With
+/// `drops_settings`, a bug is injected: the scheduled settings are dropped with every content that is dropped.
+fn replace_version(events: &[ReplacementEvent], drops_settings: bool) -> (ContentId, ContentId) {
+    const THIRD_START: u64 = 4;
+    let config = AgreementConfig { voters: [1].into(), lease_duration: 1, max_clock_error: 0 };
+    let wrong = content(NEW_VERSION, 2);
+    let mut gateway = VersionedAgreement::new(Agreement::new(config, Some(0), 0, 0, wrong, START), wrong);
+    let message = |kind, content, until| LeaseMessage {
+        gateway: 1,
+        incarnation: 1,
+        sent: 0,
+        kind,
+        lease: Lease { content, from: 0, until },
+    };
+    for event in events {
+        match event {
+            ReplacementEvent::ThirdVersionOffered => {
+                offer(&mut gateway, 0, content(THIRD_VERSION, 1), THIRD_START)
+            }
+            ReplacementEvent::OtherContentNamed => {
+                let receipt = gateway.receive(0, &message(MessageKind::Holding, content(NEW_VERSION, 1), 0));
+                if drops_settings && receipt == Receipt::TwoContents {
+                    gateway.scheduled = None;
+                }
+            }
+            ReplacementEvent::Evaluated => _ = gateway.evaluate(0),
+        }
+    }
+    let lease = Lease { content: content(THIRD_VERSION, 1), from: THIRD_START, until: THIRD_START + 1 };
+    let grant = LeaseMessage { sent: THIRD_START, lease, ..message(MessageKind::Grant, wrong, 0) };
+    gateway.receive(THIRD_START, &grant);
+    (gateway.evaluate(THIRD_START).content, *gateway.current())
+}
+
+/// Guards against a gateway that says that it acts on a version whose settings it has dropped.
+#[test]
+fn a_gateway_acts_on_what_it_says_if_a_version_with_two_contents_is_replaced() {
+    use ReplacementEvent::{Evaluated, OtherContentNamed, ThirdVersionOffered};
+    let third = content(THIRD_VERSION, 1);
+    let events = [ThirdVersionOffered, OtherContentNamed, Evaluated];
+    let mut bug_found = false;
+    // All sequences of four events that hold the offer of the third version.
+    for sequence in 0..events.len().pow(4) {
+        let at = |index: u32| events[sequence / events.len().pow(index) % events.len()];
+        let sequence: Vec<ReplacementEvent> = (0..4).map(at).collect();
+        if !sequence.contains(&ThirdVersionOffered) {
+            continue;
+        }
+        assert_eq!(replace_version(&sequence, false), (third, third), "{sequence:?}");
+        let (said, acted_on) = replace_version(&sequence, true);
+        bug_found |= said != acted_on;
+    }
+    assert!(bug_found, "the injected bug is not found");
+}
+
 #[test]
 fn each_injected_bug_is_found() {
     for bug in [InjectedBug::SmallQuorum, InjectedBug::NeverFallsBack, InjectedBug::OverlappingLeases] {
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -63,6 +63,7 @@
 const DEFAULT_CLOCK_ERROR_SECONDS: f64 = 0.25;
 
 /// A method's name and how often it may run.
+#[derive(Clone)]
 pub struct Method {
     pub name: String,
     pub effect: RetrySafety,
--- a/crates/gateway/src/gateway/settings_agreement.rs
+++ b/crates/gateway/src/gateway/settings_agreement.rs
@@ -10,7 +10,7 @@
 use agreement::lists::{ListTracker, ListedServer, RemovalAnnouncement};
 use agreement::message::{LeaseMessage, ListNotice};
 use agreement::rules::objections;
-use agreement::state::{Agreement, Decision, Mode, Offer, Receipt};
+use agreement::state::{Agreement, Decision, Mode, Offer, Receipt, ScheduledContent, VersionedAgreement};
 use agreement::version::Version;
 
 /// A version of the settings, with what the HTTP side needs of it.
@@ -23,10 +23,8 @@
 
 /// The state machine of the agreement, and what the gateway keeps beside it.
 pub(super) struct AgreementHandler {
-    state: Agreement,
-    /// The version held, and the one scheduled for its start time.
-    held: HeldVersion,
-    scheduled: Option<HeldVersion>,
+    /// Owns the version held and the one scheduled for its start time.
+    versions: VersionedAgreement<HeldVersion>,
     /// The version and mode that the admission controller acts on.
     acting: Decision,
     /// Where messages for all other gateways are sent.
@@ -47,6 +45,10 @@
 }
 
 impl AgreementHandler {
+    fn state(&self) -> &Agreement {
+        self.versions.state()
+    }
+
     pub(super) fn source_moved(&mut self) {
         self.lists.change_source();
     }
@@ -78,16 +80,14 @@
         }
         let held = HeldVersion {
             version: config.version,
-            methods: Vec::new(),
-            plans: Vec::new(),
+            methods: host.config.methods.clone(),
+            plans: host.config.plans.clone(),
             services: host.config.services.clone(),
         };
         let acting = Decision { content, mode: Mode::Fallback };
         info!(host.log, "agreeing"; "peers" => %bound_to, "voter" => state.is_voter(), "bound_ms" => state.config().contradiction_bound() / MS);
         self.agreement = Some(AgreementHandler {
-            state,
-            held,
-            scheduled: None,
+            versions: VersionedAgreement::new(state, held),
             acting,
             peers,
             clock_offset,
@@ -106,21 +106,17 @@
     /// Makes the admission controller act on this version and mode from now on.
     fn act_on(&mut self, acting: Decision, why: &'static str) {
         let Some(agreement) = &mut self.agreement else { return };
-        if agreement.held.version.content_id() != acting.content
-            && let Some(new) =
-                agreement.scheduled.take_if(|scheduled| scheduled.version.content_id() == acting.content)
-        {
-            agreement.held = new;
-            self.host.config.methods = std::mem::take(&mut agreement.held.methods);
-            self.host.config.plans = std::mem::take(&mut agreement.held.plans);
-            self.host.config.services = agreement.held.services.clone();
+        let held = agreement.versions.current();
+        if acting.content != agreement.acting.content {
+            self.host.config.methods = held.methods.clone();
+            self.host.config.plans = held.plans.clone();
+            self.host.config.services = held.services.clone();
         }
-        agreement.acting = acting;
-        let version = &agreement.held.version;
         let settings = match acting.mode {
-            Mode::Confirmed => version.settings.clone(),
-            Mode::Fallback => version.fallback_settings(),
+            Mode::Confirmed => held.version.settings.clone(),
+            Mode::Fallback => held.version.fallback_settings(),
         };
+        agreement.acting = acting;
         let now = self.host.net.now;
         info!(self.host.log, "settings"; "why" => why, "version" => acting.content.version, "digest" => short_digest(acting.content),
             "acts_on" => if acting.mode == Mode::Confirmed { "version" } else { "ground" }, "at" => now);
@@ -133,10 +129,10 @@
     pub(super) fn evaluate_agreement(&mut self) {
         let Some(agreement) = &mut self.agreement else { return };
         let now = self.host.net.now.saturating_add_signed(agreement.clock_offset);
-        let messages = agreement.state.poll_messages(now);
+        let messages = agreement.versions.poll_messages(now);
         messages.iter().for_each(|message| self.host.net.send_datagram(agreement.peers, &message.encode()));
-        if agreement.state.is_voter() && now >= agreement.next_list_notice_at {
-            agreement.next_list_notice_at = now + agreement.state.config().renewal_interval();
+        if agreement.state().is_voter() && now >= agreement.next_list_notice_at {
+            agreement.next_list_notice_at = now + agreement.state().config().renewal_interval();
             if let (Some(RemovalAnnouncement { index, removed }), Some(gateway)) =
                 (agreement.lists.announcement(now), agreement.gateway_number)
             {
@@ -145,7 +141,7 @@
                     .send_datagram(agreement.peers, &ListNotice { gateway, index, removed }.encode());
             }
         }
-        let (previous, acting) = (agreement.acting, agreement.state.evaluate(now));
+        let (previous, acting) = (agreement.acting, agreement.versions.evaluate(now));
         if acting != previous {
             let why = match (acting.content == previous.content, acting.mode) {
                 (_, Mode::Fallback) => "not-confirmed",
@@ -155,7 +151,7 @@
             self.act_on(acting, why);
         }
         let Some(agreement) = &mut self.agreement else { return };
-        let next = agreement.state.next_evaluation(now);
+        let next = agreement.state().next_evaluation(now);
         if agreement.evaluation_timer_at <= now || next < agreement.evaluation_timer_at {
             agreement.evaluation_timer_at = next;
             self.host
@@ -172,9 +168,8 @@
         }
         let Some(agreement) = &mut self.agreement else { return };
         let Some(message) = LeaseMessage::decode(bytes) else { return };
-        match agreement.state.receive(now, &message) {
+        match agreement.versions.receive(now, &message) {
             Receipt::TwoContents => {
-                agreement.scheduled = None;
                 let content = message.lease.content;
                 warn!(self.host.log, "settings"; "why" => "two-contents", "version" => content.version, "other" => short_digest(content));
             }
@@ -194,7 +189,7 @@
     /// voter lists as out of service get no new work from this gateway.
     fn receive_list_notice(&mut self, notice: ListNotice) {
         let Some(agreement) = &mut self.agreement else { return };
-        if !agreement.state.config().voters.contains(&notice.gateway) {
+        if !agreement.state().config().voters.contains(&notice.gateway) {
             return;
         }
         let held = agreement.lists.index();
@@ -264,34 +259,28 @@
             (self.host.net.now.saturating_add_signed(agreement.clock_offset), version.content_id());
         let (log, number) = (&self.host.log, content.version);
         // Versions that are not newer than the held ones are judged by the state machine.
-        let newer = [Some(&agreement.held), agreement.scheduled.as_ref()]
-            .into_iter()
-            .flatten()
-            .map(|held| &held.version);
-        let newer = newer.filter(|held| number > held.number);
-        let reasons: Vec<String> = newer
+        let known = [Some(agreement.versions.current()), agreement.versions.scheduled()];
+        let older = known.into_iter().flatten().map(|held| &held.version).filter(|held| number > held.number);
+        let reasons: Vec<String> = older
             .flat_map(|held| objections(held, &version))
             .map(|objection| objection.to_string())
             .collect();
         if !reasons.is_empty() {
             return warn!(log, "settings"; "why" => "not-admissible", "version" => number, "error" => reasons.join("; "));
         }
-        match agreement.state.offer(now, content, version.start) {
+        let offered = ScheduledContent { content, start: version.start };
+        match agreement.versions.offer(now, offered, HeldVersion { version, methods, plans, services }) {
             Ok(Offer::Scheduled) => {
-                let start = agreement.state.scheduled().map_or(0, |scheduled| scheduled.start);
+                let start = agreement.state().scheduled().map_or(0, |scheduled| scheduled.start);
                 info!(log, "settings"; "why" => "waits", "version" => number, "digest" => short_digest(content),
                     "starts_in_ms" => start.saturating_sub(now) / MS);
-                agreement.scheduled = Some(HeldVersion { version, methods, plans, services });
             }
             Ok(Offer::Known) => {
                 info!(log, "settings"; "why" => "held-already", "version" => number, "digest" => short_digest(content))
             }
             Err(refused) => {
-                if agreement.state.scheduled().is_none() {
-                    agreement.scheduled = None;
-                }
                 warn!(log, "settings"; "why" => refused.log_reason(), "version" => number, "digest" => short_digest(content),
-                    "held" => agreement.held.version.number);
+                    "held" => agreement.versions.current().version.number);
             }
         }
         self.evaluate_agreement();
@@ -302,13 +291,13 @@
     pub(super) fn settings_header(&self) -> String {
         let Some(agreement) = &self.agreement else { return String::new() };
         let Decision { content, mode } = agreement.acting;
-        let age = match agreement.state.last_confirmed() {
+        let age = match agreement.state().last_confirmed() {
             0 => "never".to_string(),
             at => (self.host.net.now.saturating_sub(at) / MS).to_string(),
         };
         let acts_on = if mode == Mode::Confirmed { "version" } else { "ground" };
         let scheduled = agreement
-            .state
+            .state()
             .scheduled()
             .map_or(String::new(), |scheduled| format!(", waits={}", scheduled.content.version));
         format!(
