Weights far apart in a list no longer take all memory

Callers: with weights from 1e-9 to 1e9 in one list the process took all memory and served nobody. Cause: an endpoint is repeated in the order that servers are drawn from by its weight, without a limit.

Change: the order has at most 16 entries for each endpoint in the mean; where weights ask for more, all are scaled alike. Servers whose weights lie outside 0.001 to 1,000 are logged in one line for each list (`unusual-weight`).

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -7,8 +7,12 @@
 use std::borrow::Cow;
 use std::fmt;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 
+/// Servers with other weights are logged. Where weights lie that far apart, servers get RPCs only roughly by them, since the
+/// order that they are drawn from has a bounded length.
+pub const USUAL_WEIGHTS: RangeInclusive<f64> = 1e-3..=1e3;
 /// At most this many different names of zones and types are shared among entries; further ones are
 /// allocated per entry.
 const MAX_POOLED_STRINGS: usize = 256;
--- a/crates/gateway/src/gateway/discovery_handler.rs
+++ b/crates/gateway/src/gateway/discovery_handler.rs
@@ -2,6 +2,7 @@
 //! the connection pools.
 
 use super::*;
+use crate::entry::{Entry, USUAL_WEIGHTS};
 use crate::start_times;
 use martenramp::host::DiscoveredServer;
 
@@ -44,6 +45,7 @@
         if let Some(name) = &list.first_without_service {
             warn!(self.host.log, "list"; "why" => "no-service", "index" => list.index, "server" => &**name, "entries" => list.without_service);
         }
+        self.host.log_unusual_weights(&list);
         self.host.pending_lists.push_back(PendingList::Received(list));
         self.apply_pending_lists();
     }
@@ -183,6 +185,16 @@
         self.list_diff.is_some() || !self.pending_lists.is_empty()
     }
 
+    /// Logs servers that get RPCs only roughly by their weights, in one line for the whole list.
+    fn log_unusual_weights(&self, list: &ListUpdate) {
+        let is_unusual = |entry: &&Entry| !entry.gone && !USUAL_WEIGHTS.contains(&entry.weight);
+        let mut unusual = list.entries.iter().filter(is_unusual);
+        if let Some(Entry { name, weight, .. }) = unusual.next() {
+            warn!(self.log, "list"; "why" => "unusual-weight", "index" => list.index, "server" => &**name, "weight" => weight,
+                "others" => unusual.count());
+        }
+    }
+
     /// Logs a list whose application took more than one turn.
     fn log_applied_list(&self, done: &ListDiff) {
         if done.turn_count() > 1 {
--- a/crates/gateway/tests/membership.rs
+++ b/crates/gateway/tests/membership.rs
@@ -643,3 +643,28 @@
     wait_until_ready(&gateway);
     assert!(gateway.client().ask(&rpc("read", 2000)).ends_with("on"));
 }
+
+/// Guards against a list whose weights take the process's memory: it stays small, says which servers' weights are unusual, and
+/// serves.
+#[test]
+fn a_list_with_weights_far_apart_is_logged_and_takes_little_memory() {
+    const SERVERS: usize = 3200;
+    const MOST_MEMORY_KIB: usize = 64 << 10;
+    let server = Peer::new(|_, _| answer(200, "", "ok"));
+    let weighted = |index: usize| {
+        let weight = if index.is_multiple_of(2) { "1e9" } else { "1e-9" };
+        entry(&format!("s{index}"), server.address, "ready")
+            .replace("\"weight\":1.0", &format!("\"weight\":{weight}"))
+    };
+    let entries: Vec<String> = (0..SERVERS).map(weighted).collect();
+    let first = format!("{WATCH_HEAD}{}", chunk(&list(3, true, &entries)));
+    let discovery = Peer::new(move |_, _| raw_reply(&first));
+    let fleet = settings("\"me\":0,").replace("\"balancers\":2", "\"balancers\":900");
+    let gateway = Program::start(BIN, discovery.address, "", &fleet);
+    let line = gateway.wait_for_line("\"unusual-weight\"");
+    assert!(line.contains("\"server\":\"s0\",") && line.contains("\"others\":3199"), "{line}");
+    wait_until_ready(&gateway);
+    let answer = gateway.client().ask(&rpc("read", 2000));
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(peak_memory(&gateway) < MOST_MEMORY_KIB, "{} KiB", peak_memory(&gateway));
+}
--- a/src/subsetting/mod.rs
+++ b/src/subsetting/mod.rs
@@ -32,6 +32,9 @@
 const MIN_WEIGHT: f64 = 0.05;
 /// Cost per endpoint of computing the order and the strides, in units of [`Subsetter::advance`].
 const ORDER_UNITS: usize = 32;
+/// Endpoints are repeated in the order at most this often in the mean. Guards against weights that lie so far apart that the
+/// order would take all memory; heavier endpoints then get less than by their weight.
+const MAX_MEAN_REPEATS: f64 = 16.0;
 
 /// A server of the service, as listed by discovery.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -245,8 +248,10 @@
         // An endpoint whose weight calls for more subsets than there are gateways is repeated in the order, so that it
         // is drawn accordingly more often.
         let is_whole = row.subset_len == ids.len();
+        let wanted = |id: &u32| if is_whole { 1.0 } else { (1.0 / strides[id].own).max(1.0) };
+        let excess = ids.iter().map(wanted).sum::<f64>() / (MAX_MEAN_REPEATS * ids.len() as f64);
         let repeated = |id: &u32| {
-            let times = if is_whole { 1.0 } else { (1.0 / strides[id].own).round().max(1.0) };
+            let times = (wanted(id) / excess.max(1.0)).round().max(1.0);
             std::iter::repeat_n(*id, times as usize)
         };
         let mut order: Vec<u32> = ids[..row.subset_len].iter().flat_map(repeated).collect();
--- a/tests/subsetting.rs
+++ b/tests/subsetting.rs
@@ -180,3 +180,34 @@
         assert!(longest <= 50_000, "{count} x {fleet}: {longest}");
     }
 }
+
+/// Weights that differ by this factor between two halves of a list, or of one endpoint to all others.
+const EXTREME_WEIGHTS: [(f64, f64); 5] =
+    [(1e-9, 1e9), (1.0, 1e9), (1e-9, 1.0), (0.1, 10.0), (1e300, f64::MAX)];
+
+/// Guards against a list whose weights make the order, and with it the process, take all memory.
+#[test]
+fn the_order_is_in_proportion_to_the_endpoints_whatever_their_weights() {
+    const COUNT: usize = 3200;
+    const MOST_ENTRIES_PER_ENDPOINT: usize = 20;
+    for (light, heavy) in EXTREME_WEIGHTS {
+        for heavy_count in [1, COUNT / 2, COUNT - 1] {
+            for fleet in [1, 20, 900] {
+                let mut list = endpoints(COUNT, 3);
+                for (index, endpoint) in list.iter_mut().enumerate() {
+                    endpoint.weight = if index < heavy_count { heavy } else { light };
+                }
+                let mut subsetter = Subsetter::new(Some(0), fleet, 1);
+                subsetter.set_endpoints(list, SUBSET_COUNT);
+                let order = subsetter.order();
+                let listed: BTreeSet<u32> = order.iter().copied().collect();
+                assert_eq!(listed.len(), COUNT, "each endpoint is in the order");
+                assert!(
+                    order.len() <= MOST_ENTRIES_PER_ENDPOINT * COUNT,
+                    "{heavy_count} of weight {heavy}, the others {light}, {fleet} gateways: {} entries",
+                    order.len()
+                );
+            }
+        }
+    }
+}
