A client that left is noticed as gone, also if one read brought its RPC and a flood

Callers: the RPC of a client that had sent more than the buffer holds behind it, and left, went on waiting for up to its deadline, with its slot. It was not sent to a server.

Cause: read_client drops what is behind an RPC when the buffer is full, so that reading goes on, but it did so only for an RPC that an earlier call had read. In the call that read the RPC it did not, and while the system's buffer is full too there is no further event.

Change: drop_excess_input is asked at the end of each read_client, whichever call read the RPC.

The same for a rejected message passed before too and has a test.

--- a/crates/gateway/src/gateway/client_handler.rs
+++ b/crates/gateway/src/gateway/client_handler.rs
@@ -21,14 +21,6 @@
         if client.phase.is_closing() {
             let length = self.host.net.input(id).len();
             self.host.net.consume(id, length);
-        } else if let Some((_, length)) =
-            client.phase.pending_rpc().filter(|_| self.host.net.is_input_full(id))
-        {
-            // Drops excess pipelined input, so that the close of a client that floods is noticed
-            // behind it; otherwise its RPC would be processed for nobody. The cost: a client that
-            // keeps sending before its answer has to reconnect.
-            client.sent_excess = true;
-            self.host.net.truncate_input(id, length);
         } else if client.phase.is_reading()
             && !self.host.net.input(id).is_empty()
             && self.host.net.is_flushed(id)
@@ -68,6 +60,7 @@
                 Err(MessageError(status, why)) => self.host.reject_message(id, status, why),
             }
         }
+        self.host.drop_excess_input(id);
         if let Some(ending) = self.host.net.connection_end(id) {
             self.client_left(id, ending.reason());
         }
@@ -181,6 +174,18 @@
 }
 
 impl AdmissionHost {
+    /// Drops what a client sent behind an RPC that has no answer yet, if the buffer is full, so
+    /// that the close of a client that floods is noticed behind it; otherwise its RPC would be
+    /// processed for nobody. The read that brought the RPC may have filled the buffer as well. The
+    /// cost: a client that keeps sending before its answer has to reconnect.
+    fn drop_excess_input(&mut self, id: usize) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        if let Some((_, length)) = client.phase.pending_rpc().filter(|_| self.net.is_input_full(id)) {
+            client.sent_excess = true;
+            self.net.truncate_input(id, length);
+        }
+    }
+
     /// Gives an RPC its final answer from the gateway itself.
     pub(super) fn answer(&mut self, id: u32, status: u16, retry_after: Nanos, why: &'static str) {
         let Some(rpc) = self.rpcs.get(&id).filter(|rpc| rpc.state != RpcState::Answered) else { return };
--- a/crates/gateway/tests/races.rs
+++ b/crates/gateway/tests/races.rs
@@ -301,6 +301,48 @@
     assert!(server.next().1.starts_with("GET ") && server.nothing_received());
 }
 
+/// More than all buffers between a client and a stopped gateway hold.
+const FLOOD_LEN: usize = 64 << 20;
+
+/// Sends a text and a flood behind it to a gateway that is stopped meanwhile, so that its next read of the connection finds
+/// both.
+fn send_at_once_with_a_flood(gateway: &Program, client: &mut Client, text: &str) {
+    gateway.wait_until_processed(); // the connection is accepted
+    gateway.pause();
+    client.send(text);
+    client.send_what_fits(&"x".repeat(FLOOD_LEN));
+}
+
+/// Guards against a client that left and is taken to be there until its RPC ends: what it sent behind the RPC filled the
+/// buffer in the very read that brought the RPC.
+#[test]
+fn a_client_that_leaves_behind_a_flood_read_together_with_its_rpc_is_detected_as_gone() {
+    let discovery = discovery_peer();
+    let gateway =
+        start_gateway(&discovery, &[entry("s0", refusing_address(), "draining")], &long_timeout_settings());
+    let mut client = gateway.client();
+    send_at_once_with_a_flood(&gateway, &mut client, &rpc("verify", 20_000));
+    drop(client);
+    gateway.signal("-CONT");
+    let line = gateway.wait_for_line("left-before-answer");
+    assert!(line.contains("\"answers\":0"), "the RPC was answered before: {line}");
+}
+
+/// Guards against an answer that is lost by a reset, because the rest of what a client sent behind a rejected message is not
+/// read before the close: it filled the buffer in the very read that brought the message.
+#[test]
+fn a_client_with_an_invalid_message_read_together_with_a_flood_is_closed_without_a_reset() {
+    let discovery = discovery_peer();
+    let gateway = start_gateway(&discovery, &[entry("s0", refusing_address(), "ready")], &settings(""));
+    let mut client = gateway.client();
+    send_at_once_with_a_flood(&gateway, &mut client, "nonsense\r\n\r\n");
+    gateway.signal("-CONT");
+    gateway.wait_for_line("\"bad-head\"");
+    assert!(client.error().is_none(), "the gateway closed the connection with unread bytes");
+    assert_eq!(status(&client.answer().unwrap()), 400);
+    assert!(client.is_closed());
+}
+
 #[test]
 fn a_client_that_sends_more_before_its_response_gets_it_and_is_closed() {
     let server = Peer::new(|_, _| (Vec::new(), false));
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -235,6 +235,21 @@
         self.0.get_ref().write_all(text.as_bytes()).unwrap();
     }
 
+    /// Sends as much of a text as the system takes at once.
+    pub fn send_what_fits(&mut self, text: &str) {
+        let mut stream = self.0.get_ref();
+        stream.set_nonblocking(true).unwrap();
+        let mut rest = text.as_bytes();
+        let error = loop {
+            match stream.write(rest) {
+                Ok(written) => rest = &rest[written..],
+                Err(error) => break error,
+            }
+        };
+        assert_eq!(error.kind(), std::io::ErrorKind::WouldBlock, "the text is shorter than what fits");
+        stream.set_nonblocking(false).unwrap();
+    }
+
     /// Waits for the next complete answer; `None` if the connection ends first.
     pub fn answer(&mut self) -> Option<String> {
         read_message(&mut self.0)
