The rig notes a crowd when an RPC is sent, not when it is planned

Cause: an RPC planned before a crowd of silent connections began and sent during it was held against the gateway as lost if its new connection was closed.

Change: the note is made when the RPC is sent, and stays if it was made before.

--- a/crates/rig/src/load_generator.rs
+++ b/crates/rig/src/load_generator.rs
@@ -378,7 +378,7 @@
             ended_at: now,
             outcome,
             resent_at: None,
-            during_connection_flood: now < self.flooded_until,
+            during_connection_flood: false,
             foreign_answer: false,
         };
         let method = &self.profile.methods[method_index];
@@ -446,6 +446,7 @@
             (request.conn, request.preexisting_conn) = (Some(conn), false);
             self.connections.insert(conn, (gateway, ConnectionUse::Rpc(rpc_index)));
         }
+        self.rpcs[rpc_index].during_connection_flood |= io.clock().now() < self.flooded_until;
         let split_share = self.profile.behaviour.split_write_share;
         let split = split_share > 0.0 && !request.resent && self.rng.random_bool(split_share);
         let first_length = if split { request.bytes.len() / 2 } else { request.bytes.len() };
