--- a/crates/rig/src/load_generator.rs
+++ b/crates/rig/src/load_generator.rs
@@ -500,6 +500,18 @@
         }
     }
 
+    /// Ends an RPC without an answer as lost, unless it was sent so late that its time isn't over yet.
+    fn expire(&mut self, io: &mut Io, rpc_index: usize) {
+        let Some(rpc) = self.rpcs.get(rpc_index).filter(|rpc| rpc.outcome == RpcOutcome::Open) else {
+            return;
+        };
+        let expires_at = rpc.sent_at + self.profile.methods[rpc.method].deadline + DEADLINE_SLACK;
+        if io.now() < expires_at {
+            return io.set_timer(expires_at, rpc_index as u64);
+        }
+        self.abandon(io, rpc_index, RpcOutcome::Lost);
+    }
+
     /// Handles the end of an RPC's connection without an answer. If the connection was open before the request, the
     /// gateway may have closed it while the request was in flight, and the request is resent on a new connection; likewise
     /// during a flood of silent connections. If the connection was never established, the RPC counts as unreached.
@@ -686,7 +698,7 @@
                         }
                     }
                     ABANDON => self.abandon(io, rpc_index, RpcOutcome::Left),
-                    _ => self.abandon(io, rpc_index, RpcOutcome::Lost),
+                    _ => self.expire(io, rpc_index),
                 }
             }
         }
