The rollouts show by RPCs which settings each gateway acts on

Change: after each rollout every gateway gets an RPC whose first attempt may have run; whether it makes a second one shows the content it acts on.

--- a/crates/gateway/tests/agreement.rs
+++ b/crates/gateway/tests/agreement.rs
@@ -2,7 +2,7 @@
 //! gateways' own log records show that no two of them acted on contradicting settings for longer
 //! than the bound, and that all agree once the fault is over.
 
-use rig::rollouts::{Fleet, FleetConfig, unix_now};
+use rig::rollouts::{Fleet, FleetConfig, RolloutFault, run_rollouts, unix_now};
 use standins::discovery::Mode;
 use standins::relay::PathFaults;
 use standins::scripted::{Client, Peer, answer, rpc};
@@ -202,6 +202,19 @@
     assert_contradictions_within_bound(&mut fleet);
 }
 
+/// Guards against gateways that act on other settings than those of the version that they say they act on, such as one that
+/// was restarted on a version with two contents.
+#[test]
+fn gateways_act_on_the_version_that_they_say_after_every_fault() {
+    let mut fleet = fleet();
+    let results = run_rollouts(&mut fleet, RolloutFault::ALL.len()).unwrap();
+    assert_eq!(results.len(), RolloutFault::ALL.len());
+    for result in results {
+        assert!(result.acted_otherwise.is_empty(), "{:?}: {:#?}", result.fault, result.acted_otherwise);
+    }
+    assert_contradictions_within_bound(&mut fleet);
+}
+
 #[test]
 fn a_rollback_needs_a_higher_version_and_lower_versions_are_rejected() {
     let mut fleet = fleet();
--- a/crates/rig/src/rollouts/fleet.rs
+++ b/crates/rig/src/rollouts/fleet.rs
@@ -1,6 +1,7 @@
 //! The fleet of a rollout test: gateway processes, a stand-in discovery service and relays between the gateways.
 
 use super::contradictions::{Interval, STILL_OPEN};
+use super::probe::{PROBE_METHOD, Probes};
 use super::{FleetConfig, Record, unix_now};
 use crate::{MS, Nanos, SEC, Stream, loopback, stream_rng};
 use rand::Rng;
@@ -48,6 +49,11 @@
     starts_ms: u64,
 }
 
+/// Whether a content lets the probe RPCs be repeated: one of any two successive contents does.
+fn is_repeatable(content: u64) -> bool {
+    content % 2 == 1
+}
+
 impl Gateway {
     /// Begins an interval in which the gateway can't act.
     fn mark_inactive(&mut self) {
@@ -73,6 +79,7 @@
     discovery: Handle<Discovery>,
     relays: Handle<Relays>,
     pub(super) gateways: Vec<Gateway>,
+    probes: Option<Probes>,
     started: Nanos,
 }
 
@@ -90,6 +97,7 @@
             discovery,
             relays,
             gateways: Vec::new(),
+            probes: None,
             started: unix_now(),
         };
         let (mut clock_rng, skew) =
@@ -126,18 +134,21 @@
         self.gateways.len()
     }
 
-    /// The configuration text of a gateway. Different `content` numbers give different quotas.
+    /// The configuration text of a gateway. Different `content` numbers give different quotas; see also [`is_repeatable`].
     fn configuration(&self, gateway: usize) -> String {
         let state = &self.gateways[gateway];
         let SettingsFile { version, content, starts_ms } = state.file;
         let quota = 100.0 + content as f64;
+        let probe_idempotency = if is_repeatable(content) { "guarded" } else { "single_shot" };
         json!({"name": format!("n{gateway}"), "listen": loopback::GATEWAYS.to_string(), "discovery": state.discovery.to_string(), "known": state.known_list,
             "seed": format!("{:016x}", self.config.seed.wrapping_add(gateway as u64 * 7919)),
             "peer_listen": loopback::PEERS.to_string(), "peers_all": state.fan_out.to_string(),
             "agreement": {"version": version, "starts_ms": starts_ms, "lease": self.config.lease, "clock": self.config.clock,
                 "clock_off_ms": state.clock_off_ms, "ground": {"quota": 100.0 / quota * 0.5}},
             "settings": {"balancers": self.gateways.len(), "me": gateway,
-                "classes": [{"name": "read", "credit": 1, "onTime": 1.5, "deadline": 3.0, "idempotency": "free"}],
+                "classes": [{"name": "read", "credit": 1, "onTime": 1.5, "deadline": 3.0, "idempotency": "free"},
+                    {"name": PROBE_METHOD, "credit": 1, "onTime": 1.5, "deadline": 3.0, "idempotency": probe_idempotency,
+                        "group": "all", "window": 5.0}],
                 "tariffs": [{"name": "team", "perSecond": quota, "depth": quota, "beyondCosts": 1.0}],
                 "ceilings": {"attemptsCap": 2}}})
         .to_string()
@@ -341,6 +352,37 @@
         self.discovery.with(move |discovery, io| discovery.publish(io, entry));
     }
 
+    /// Starts the servers of the probe RPCs and lists them.
+    pub fn start_probes(&mut self) {
+        let probes = Probes::start();
+        for (number, address) in probes.addresses().into_iter().enumerate() {
+            self.list_server(&format!("probe{number}"), address, "ready");
+        }
+        self.probes = Some(probes);
+    }
+
+    /// Sends a probe RPC to each gateway that runs, and describes those that do not act on the content of their file.
+    pub fn gateways_acting_otherwise(&mut self) -> Result<Vec<String>, String> {
+        let Some(probes) = &mut self.probes else {
+            return Err("the probes have not been started".to_string());
+        };
+        let mut otherwise = Vec::new();
+        for (number, gateway) in self.gateways.iter().enumerate() {
+            let Some(program) = &gateway.program else { continue };
+            let attempts = probes.attempts_of(program.address)?;
+            let expected = if is_repeatable(gateway.file.content) { 2 } else { 1 };
+            if attempts != expected {
+                let (version, content) = (gateway.file.version, gateway.file.content);
+                otherwise.push(format!(
+                    "n{number} made {attempts} attempts at an RPC, version {version} with content {content} asks for {expected}; \
+                     its last record: {:?}",
+                    gateway.records.last()
+                ));
+            }
+        }
+        Ok(otherwise)
+    }
+
     /// Sets the mode of a gateway's discovery agent, and optionally restores the agent to an older version of the list.
     pub fn set_agent_mode(
         &mut self,
