--- a/crates/scale/src/added/fleet.rs
+++ b/crates/scale/src/added/fleet.rs
@@ -16,7 +16,6 @@
 use std::process::Command;
 use std::time::Duration;
 
-const SERVERS: usize = 24;
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 /// Enough that no request queues at a server, so that service time is the same on both routes.
 const CORES: usize = 256;
@@ -78,11 +77,25 @@
     pub scenario: Scenario,
     pub rate: f64,
     pub route: Route,
+    /// The number of servers.
+    pub servers: usize,
+    /// The number of gateways that the gateway is told of, itself included.
+    pub fleet: usize,
     /// Length of the measured part, seconds.
     pub seconds: f64,
     pub seed: u64,
 }
 
+/// The records of one run.
+pub struct RunRecord {
+    /// The RPCs that were scheduled in the measured part.
+    pub rpcs: Vec<ClientRpc>,
+    /// The connections to servers that were opened in the measured part.
+    pub opened_connections: u64,
+    /// The connections to servers that were open at its end.
+    pub open_connections: usize,
+}
+
 struct Fleet {
     clock: Clock,
     servers: Handle<Servers>,
@@ -102,14 +115,15 @@
 }
 
 impl Run<'_> {
-    /// Executes the run and returns the RPCs that were scheduled in the measured part.
-    pub fn execute(&self) -> Result<Vec<ClientRpc>, ScaleError> {
+    /// Executes the run.
+    pub fn execute(&self) -> Result<RunRecord, ScaleError> {
         let fleet = self.set_up().map_err(setup_error)?;
-        fleet.wait_ready(if self.route == Route::Direct { SERVERS } else { 1 })?;
+        fleet.wait_ready(if self.route == Route::Direct { self.servers } else { 1 })?;
         fleet.generator.with(|generator, io| generator.set_running(io, true));
         let start = fleet.clock.now() + WARM_UP;
         let end = start + nanos(self.seconds);
         fleet.sleep_until(start);
+        let opened_before = fleet.connections().0;
         match self.scenario {
             Scenario::Quiet => {}
             Scenario::ListChanges => fleet.change_list_until(end),
@@ -119,22 +133,28 @@
             }
         }
         fleet.sleep_until(end);
+        let (opened, open_connections) = fleet.connections();
         fleet.generator.with(|generator, io| generator.set_running(io, false));
         fleet.sleep_until(end + nanos(DEADLINE_SECONDS).min(SEC));
         let rpcs = fleet.generator.with(|generator, _| std::mem::take(&mut generator.rpcs));
-        Ok(rpcs.into_iter().filter(|rpc| (start..end).contains(&rpc.scheduled_at)).collect())
+        let is_measured = |rpc: &ClientRpc| (start..end).contains(&rpc.scheduled_at);
+        Ok(RunRecord {
+            rpcs: rpcs.into_iter().filter(is_measured).collect(),
+            opened_connections: opened - opened_before,
+            open_connections,
+        })
     }
 
     fn set_up(&self) -> std::io::Result<Fleet> {
         let clock = Clock::start();
         let servers = Handle::start(Servers::new(rig::stream_rng(self.seed, Stream::Servers)), clock)?;
         let discovery = Handle::start(Discovery::default(), clock)?;
-        let width = if self.route == Route::Direct { SERVERS } else { 1 };
+        let width = if self.route == Route::Direct { self.servers } else { 1 };
         let generator =
             LoadGenerator::new(load_profile(self.rate, width), rig::stream_rng(self.seed, Stream::Arrivals));
         let generator = Handle::start(generator, clock)?;
         let mut entries = Vec::new();
-        for number in 0..SERVERS {
+        for number in 0..self.servers {
             let spec = server_spec(number);
             let (name, zone) = (spec.name.clone(), spec.zone.clone());
             let (_, address) = servers.with(move |servers, io| servers.add(io, spec, true))?;
@@ -153,8 +173,10 @@
             Route::Gateway => {
                 let agent =
                     discovery.with(|discovery, io| discovery.add_agent(io, any_port(5), BTreeMap::new()))?;
-                let mut program =
-                    Program::spawn(&mut Command::new(self.program), &configuration(agent, self.seed))?;
+                let mut program = Program::spawn(
+                    &mut Command::new(self.program),
+                    &configuration(agent, self.seed, self.fleet),
+                )?;
                 program.wait_started();
                 let address = program.address;
                 generator.with(move |generator, io| generator.add_gateway(io, address));
@@ -184,6 +206,11 @@
         Ok(())
     }
 
+    /// The number of connections that servers accepted so far, and of those that are open.
+    fn connections(&self) -> (u64, usize) {
+        self.servers.with(|servers, _| (servers.accepted_connections, servers.connection_count()))
+    }
+
     fn publish_status(&self, entry: &Entry, status: &'static str) {
         let entry = Entry { status, ..entry.clone() };
         self.discovery.with(move |discovery, io| discovery.publish(io, entry));
@@ -251,10 +278,10 @@
 
 /// The quota is too large to limit the load and there is no counter, because the run measures forwarding, not
 /// rejection.
-fn configuration(discovery: SocketAddr, seed: u64) -> String {
+fn configuration(discovery: SocketAddr, seed: u64, fleet: usize) -> String {
     json!({"name": "n0", "listen": any_port(3).to_string(), "discovery": discovery.to_string(),
         "seed": format!("{seed:016x}"), "limits": {"sockets": 4096, "memory_mb": 128},
-        "settings": {"balancers": 1, "me": 0, "zone": 0, "localities": ZONES,
+        "settings": {"balancers": fleet, "me": 0, "zone": 0, "localities": ZONES,
             "classes": [{"name": "read", "credit": 1, "onTime": 1.5, "deadline": DEADLINE_SECONDS,
                 "idempotency": "free"}],
             "tariffs": [{"name": "team", "perSecond": 10_000.0, "depth": 20_000.0}],
--- a/crates/scale/src/added/mod.rs
+++ b/crates/scale/src/added/mod.rs
@@ -38,8 +38,19 @@
     /// Seed of all random streams.
     #[arg(long, default_value_t = 37)]
     pub seed: u64,
+    /// The number of servers.
+    #[arg(long, default_value_t = 24)]
+    pub servers: usize,
+    /// The number of gateways that the gateway is told of, itself included.
+    #[arg(long, default_value_t = 1)]
+    pub fleet: usize,
 }
 
+/// The largest number of servers of a run.
+const MAX_SERVERS: usize = 3_200;
+/// The largest fleet that a gateway is told of.
+const MAX_FLEET: usize = 900;
+
 /// The result of one run.
 #[derive(Clone, Debug, Serialize)]
 pub struct AddedRow {
@@ -59,6 +70,10 @@
     pub p99_ms: f64,
     /// 99.9th percentile of latency, milliseconds.
     pub p999_ms: f64,
+    /// Connections to servers that were opened in the measured part.
+    pub opened_connections: u64,
+    /// Connections to servers that were open at its end.
+    pub open_connections: usize,
     /// 99th percentile of the generator's lateness, milliseconds.
     pub late_p99_ms: f64,
     /// The generator was too late, so the latencies are not valid.
@@ -70,6 +85,12 @@
     if !(1.0..=120.0).contains(&args.seconds) {
         return Err(ScaleError::bad_key("seconds", "must be from 1 to 120"));
     }
+    if !(1..=MAX_SERVERS).contains(&args.servers) {
+        return Err(ScaleError::bad_key("servers", format!("must be from 1 to {MAX_SERVERS}")));
+    }
+    if !(1..=MAX_FLEET).contains(&args.fleet) {
+        return Err(ScaleError::bad_key("fleet", format!("must be from 1 to {MAX_FLEET}")));
+    }
     if !args.program.is_file() {
         return Err(ScaleError::bad_key("program", format!("{} is not a file", args.program.display())));
     }
@@ -87,8 +108,10 @@
 }
 
 fn measure(args: &Args, scenario: Scenario, rate: f64, route: Route) -> Result<AddedRow, ScaleError> {
-    let run = Run { program: &args.program, scenario, rate, route, seconds: args.seconds, seed: args.seed };
-    let rpcs = run.execute()?;
+    let Args { servers, fleet, seconds, seed, .. } = *args;
+    let run = Run { program: &args.program, scenario, rate, route, servers, fleet, seconds, seed };
+    let record = run.execute()?;
+    let rpcs = &record.rpcs;
     let mut latencies = Histogram::<u64>::new(SIGNIFICANT_DIGITS).map_err(|why| ScaleError::Measurement {
         what: "creating a histogram".to_string(),
         why: why.to_string(),
@@ -96,7 +119,7 @@
     let answered = rpcs.iter().filter(|rpc| rpc.outcome == RpcOutcome::Ok);
     answered.for_each(|rpc| latencies += rpc.ended_at.saturating_sub(rpc.scheduled_at));
     let quantile_ms = |quantile: f64| latencies.value_at_quantile(quantile) as f64 / 1e6;
-    let late_p99 = rig::load_generator::lateness(&rpcs).1;
+    let late_p99 = rig::load_generator::lateness(rpcs).1;
     Ok(AddedRow {
         scene: scenario.name(),
         rate,
@@ -106,6 +129,8 @@
         p50_ms: quantile_ms(0.5),
         p99_ms: quantile_ms(0.99),
         p999_ms: quantile_ms(0.999),
+        opened_connections: record.opened_connections,
+        open_connections: record.open_connections,
         late_p99_ms: late_p99 as f64 / 1e6,
         void: late_p99 > MAX_LATE_P99,
     })
@@ -113,7 +138,7 @@
 
 fn summary(direct: &AddedRow, through: &AddedRow) -> String {
     format!(
-        "{:<13} {:>5} RPCs/s  added p50 {:.2} p99 {:.2} p99.9 {:.2} ms  ok {} of {}{}",
+        "{:<13} {:>5} RPCs/s  added p50 {:.2} p99 {:.2} p99.9 {:.2} ms  ok {} of {}  connections opened {} open {}{}",
         direct.scene,
         direct.rate,
         through.p50_ms - direct.p50_ms,
@@ -121,6 +146,8 @@
         through.p999_ms - direct.p999_ms,
         through.ok,
         through.rpcs,
+        through.opened_connections,
+        through.open_connections,
         if direct.void || through.void { "  VOID: the generator was late" } else { "" }
     )
 }
--- a/crates/scale/tests/added.rs
+++ b/crates/scale/tests/added.rs
@@ -17,6 +17,13 @@
     }
 }
 
+#[test]
+fn numbers_of_servers_and_gateways_out_of_range_are_rejected_by_key() {
+    assert_eq!(rejection(&["--servers", "0"]), "martenramp-scale: 'servers': must be from 1 to 3200\n");
+    assert_eq!(rejection(&["--servers", "3201"]), "martenramp-scale: 'servers': must be from 1 to 3200\n");
+    assert_eq!(rejection(&["--fleet", "901"]), "martenramp-scale: 'fleet': must be from 1 to 900\n");
+}
+
 #[test]
 fn missing_program_is_rejected_by_key() {
     let message = rejection(&["--program", "no/such/program"]);
