The soak's servers record when a request arrived, not when they read it

Cause: a row's first byte had the time of the turn in which the stand-in read it.

Change: Io::arrived_at takes the arrival from the system (TCP_INFO, precise to some milliseconds), at the latest the turn's begin. No slack and no rule changed. The order of late data on a connection goes by the turns as before.

--- a/crates/standins/src/reactor.rs
+++ b/crates/standins/src/reactor.rs
@@ -3,6 +3,7 @@
 //! [`Handle`] runs closures on the handler there, among its events.
 
 use crate::Nanos;
+use gateway::tcp_info::time_since_last_data;
 use mio::net::{TcpListener, TcpStream, UdpSocket};
 use mio::{Events, Interest, Poll, Registry, Token, Waker};
 use slab::Slab;
@@ -203,6 +204,14 @@
         self.get(conn).map_or(&[], |connection| &connection.input)
     }
 
+    /// When the last bytes of a connection's input arrived, by the system's account and thus with a precision of some
+    /// milliseconds; at the latest when this iteration started. A reactor that lags reads bytes long after that.
+    pub fn arrived_at(&mut self, conn: ConnId) -> Nanos {
+        let now = self.clock.now();
+        let unread_for = self.get(conn).and_then(|connection| time_since_last_data(&connection.stream));
+        unread_for.map_or(self.now, |unread_for| now.saturating_sub(unread_for).min(self.now))
+    }
+
     /// Removes bytes from the front of the input.
     pub fn consume(&mut self, conn: ConnId, bytes: usize) {
         let Some(connection) = self.get(conn) else { return };
--- a/crates/standins/src/servers.rs
+++ b/crates/standins/src/servers.rs
@@ -130,7 +130,7 @@
     pub conn: ConnId,
     /// Id that the load generator gave the RPC; its top 16 bits are the gateway's number.
     pub txn: u64,
-    /// When its first byte arrived, even if the server was silent then.
+    /// When its first byte arrived, even if the server was silent then or its process lagged; see [`Io::arrived_at`].
     pub first_byte_at: Nanos,
     /// When the server processed the complete request.
     pub received_at: Nanos,
@@ -429,9 +429,9 @@
     fn on_data(&mut self, io: &mut Io, conn: ConnId) {
         let Some(number) = self.servers_by_connection.get(&conn).copied() else { return };
         loop {
-            if !io.input(conn).is_empty() {
-                let first_byte_at = *self.first_bytes.entry(conn).or_insert(io.now());
-                self.activity.entry(conn).or_default().request_at = first_byte_at;
+            if !io.input(conn).is_empty() && !self.first_bytes.contains_key(&conn) {
+                self.first_bytes.insert(conn, io.arrived_at(conn));
+                self.activity.entry(conn).or_default().request_at = io.now();
             }
             let server = &mut self.servers[number];
             if server.health == Health::Silent {
--- a/crates/standins/tests/late_data.rs
+++ b/crates/standins/tests/late_data.rs
@@ -9,6 +9,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+mod support;
+use support::server_spec;
+
 /// Stand-in servers whose process lags: each timer is handled this much later.
 struct LaggingServers {
     servers: Servers,
@@ -39,22 +42,8 @@
     let servers = Servers::new(ChaCha8Rng::seed_from_u64(5));
     let lagging = LaggingServers { servers, lag: Duration::from_nanos(lag) };
     let handle = Handle::start(lagging, Clock::start()).unwrap();
-    let spec = ServerSpec {
-        name: "s0".into(),
-        zone: "z0".into(),
-        weight: 1.0,
-        cores: 1,
-        queue_limit: 1,
-        max_connections: 100,
-        median_service: MS,
-        service_sigma: 0.0,
-        cold_share: 1.0,
-        warmup: 0,
-        reports_load: false,
-        body_bytes: 16,
-        late_data: LateData { copy_share: 1.0, max_lateness, ..LateData::default() },
-        address: SocketAddr::from(([127, 0, 0, 1], 0)),
-    };
+    let late_data = LateData { copy_share: 1.0, max_lateness, ..LateData::default() };
+    let spec = ServerSpec { late_data, ..server_spec() };
     let (_, address) = handle.with(|handler, io| handler.servers.add(io, spec, true)).unwrap();
     (handle, address)
 }
