The rig's clients write a request when it counts as sent

Cause: a request counted as sent when it was queued, and was written at the end of the load generator's turn.

Change: the request is written at once. No slack and no rule changed.

--- a/crates/rig/src/load_generator.rs
+++ b/crates/rig/src/load_generator.rs
@@ -453,6 +453,7 @@
         request.fully_written = !split;
         if let Some(conn) = request.conn {
             io.send(conn, &request.bytes[..first_length]);
+            io.flush(conn); // its time runs from now on
         }
         if !request.resent {
             // The deadline counts from the time of sending, not from the scheduled time: a late load generator must not
@@ -483,6 +484,7 @@
         let half = request.bytes.len() / 2;
         if let Some(conn) = request.conn {
             io.send(conn, &request.bytes[half..]);
+            io.flush(conn);
         }
     }
 
