The log says what a long turn of the event loop did

The logs could not tell what the time of a late answer was spent on.

A turn longer than a tenth of the shortest deadline leaves a line with the time of list changes, subsets, RPCs and reloads, one a second at most; the number and the longest are in the last line and in /-/healthy.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use crate::servers::{self, Attempt, Body, Response, Server, ServerConnection, Servers, Stage};
 use crate::shutdown::Shutdown;
 use crate::timers::Timers;
+use crate::turn_log::{TurnLog, TurnPart};
 use martenramp::admission::AdmissionController;
 use martenramp::host::{Arrival, AttemptResult, CallOutcome, Host, Nanos};
 use martenramp::repeat_group::ServerGroup;
@@ -250,6 +251,8 @@
     /// up.
     last_turn: Nanos,
     max_turn: Nanos,
+    /// What the turns spend their time on.
+    turn_log: TurnLog,
     /// Random numbers for delays that must not be in step with those of other gateways; the
     /// admission controller has its own source.
     rng: fastrand::Rng,
@@ -304,6 +307,7 @@
             turn_started_at: Instant::now(),
             time_advanced: 0,
             last_turn: 0,
+            turn_log: TurnLog::default(),
             max_turn: (config.shortest_deadline() / TURN_DIVISOR).max(MIN_TURN),
             watch_id: None,
             watch_answered: false,
@@ -399,7 +403,10 @@
         if !has_free_descriptor() {
             host.evict_idle(); // the file needs one
         }
-        let new = match (self.reread_config)() {
+        let since = Instant::now();
+        let new = (self.reread_config)();
+        host.turn_log.add(TurnPart::Reload, since);
+        let new = match new {
             Ok(new) => new,
             Err(why) => return warn!(host.log, "configuration kept"; "error" => why),
         };
@@ -430,10 +437,13 @@
         // The driver assumes that the last turn began at the time that it reported then.
         host.net.input_delay += std::mem::take(&mut host.time_advanced);
         host.last_turn = host.net.input_delay;
+        host.log_long_turn();
         host.turn_started_at = Instant::now();
         self.evaluate_agreement();
         if self.host.update_scheduled {
+            let since = Instant::now();
             self.continue_list_update();
+            self.host.turn_log.add(TurnPart::ServerList, since);
         }
     }
 
@@ -529,7 +539,11 @@
         match self.host.net.peer(id) {
             Some(Peer::Client) => self.read_client(id),
             Some(Peer::Server) => self.host.read_server(id),
-            Some(Peer::Discovery) => self.read_watch(id),
+            Some(Peer::Discovery) => {
+                let since = Instant::now();
+                self.read_watch(id);
+                self.host.turn_log.add(TurnPart::ServerList, since);
+            }
             Some(Peer::Counter(slot)) => self.host.read_counter(slot, id),
             None => {}
         }
@@ -540,7 +554,11 @@
         let now = self.host.net.now;
         while let Some(event) = self.host.timers.pop_due(now) {
             match event {
-                TimerEvent::Wake(token) => self.controller.on_timer(&mut self.host, now, token),
+                TimerEvent::Wake(token) => {
+                    let since = Instant::now();
+                    self.controller.on_timer(&mut self.host, now, token);
+                    self.host.turn_log.add(TurnPart::Rpcs, since);
+                }
                 TimerEvent::AttemptTimeout(id, rpc, attempt) => self.host.attempt_timed_out(id, rpc, attempt),
                 TimerEvent::ConnectTimeout(id) => self.host.connect_timed_out(id),
                 TimerEvent::WriteAttempt(id) => self.host.connections_to_write.push_back(id),
@@ -561,7 +579,11 @@
                 TimerEvent::Exit => self.exit(),
                 TimerEvent::EvaluateAgreement => self.evaluate_agreement(),
                 TimerEvent::ContinueListUpdate => {} // handled at the start of the turn
-                TimerEvent::SubsetWork => self.do_subset_work(),
+                TimerEvent::SubsetWork => {
+                    let since = Instant::now();
+                    self.do_subset_work();
+                    self.host.turn_log.add(TurnPart::Subsets, since);
+                }
             }
             self.process_pending();
         }
@@ -587,7 +609,9 @@
         let now = self.host.net.now;
         loop {
             if let Some(ended) = self.host.ended_attempts.pop_front() {
+                let since = Instant::now();
                 self.controller.on_attempt_end(&mut self.host, now, &ended);
+                self.host.turn_log.add(TurnPart::Rpcs, since);
             } else if let Some((call, outcome, total)) = self.host.ended_counter_calls.pop_front() {
                 self.controller.on_counter_reply(&mut self.host, now, call.name, outcome, total);
             } else if let Some(id) = self.host.clients_to_read.pop_front() {
--- a/crates/gateway/src/gateway/client_handler.rs
+++ b/crates/gateway/src/gateway/client_handler.rs
@@ -122,7 +122,9 @@
         self.host.rpcs.insert(id, rpc);
         self.host.unanswered_rpcs += 1;
         self.host.timers.set(deadline + OVERDUE_GRACE, TimerEvent::RpcOverdue(id));
+        let since = Instant::now();
         self.controller.on_arrival(&mut self.host, now, &arrival);
+        self.host.turn_log.add(TurnPart::Rpcs, since);
     }
 
     /// Answers an RPC that neither the admission controller nor a timeout has ended. This is not
--- a/crates/gateway/src/gateway/invariant_checks.rs
+++ b/crates/gateway/src/gateway/invariant_checks.rs
@@ -131,6 +131,8 @@
 
     /// The header line that shows the counts to operators.
     pub(super) fn invariants_header(&self) -> String {
-        format!("X-Invariants: {}\n", self.invariant_counts.summary())
+        let (long_turns, longest) = self.turn_log.long_turns();
+        let summary = self.invariant_counts.summary();
+        format!("X-Invariants: {summary}\nX-Long-Turns: count={long_turns}, longest_ms={}\n", longest / MS)
     }
 }
--- a/crates/gateway/src/gateway/rpc_log.rs
+++ b/crates/gateway/src/gateway/rpc_log.rs
@@ -23,6 +23,15 @@
 }
 
 impl AdmissionHost {
+    /// Logs what the previous turn spent its time on, if it took longer than it may while the process keeps up.
+    pub(super) fn log_long_turn(&mut self) {
+        let (now, took) = (self.net.now, self.last_turn);
+        if let Some(parts) = self.turn_log.end_turn(now, took, self.max_turn) {
+            let (count, _) = self.turn_log.long_turns();
+            info!(self.log, "long turn"; "ms" => took / MS, "parts" => parts, "so_far" => count);
+        }
+    }
+
     /// Logs the start of an attempt if it is a retry, and every one during a shutdown.
     pub(super) fn log_attempt(&self, attempt: &Attempt, server: u32) {
         let Some(rpc) = self.rpcs.get(&attempt.rpc) else { return };
--- a/crates/gateway/src/gateway/shutdown_handler.rs
+++ b/crates/gateway/src/gateway/shutdown_handler.rs
@@ -67,7 +67,9 @@
     pub fn log_end(&mut self) {
         self.host.check_process_end();
         let host = &self.host;
-        info!(host.log, "ended"; "unanswered" => host.unanswered_rpcs, "clients" => host.clients.len(),
+        let (long_turns, longest_turn) = host.turn_log.long_turns();
+        info!(host.log, "ended"; "long_turns" => long_turns, "longest_turn_ms" => longest_turn / MS,
+            "unanswered" => host.unanswered_rpcs, "clients" => host.clients.len(),
             "invariants" => host.invariant_counts.summary(), "violations" => host.invariant_counts.violations());
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod start_times;
 pub mod tcp_info;
 pub mod timers;
+pub mod turn_log;
