List changes and server selection no longer look at every cold server

What callers saw: with 3,200 servers of which six in ten are replaced, RPCs got no answer or came too late; with 200 servers all were served.

Cause: each change of the list filtered and copied all cold servers (AdmissionController::apply_change), and each selection did that too, summed the rates of all warm servers, compared all cold ones with the subset and drew from all of them, with the settings parsed anew for each (select_from, warm_rate_per_weight, has_warmup_budget). A turn takes some 340 changes, so it lasted up to 1.3 s of a process with 6% of a core.

Fix: the cold servers are kept in the order of their start, and each leaves once when it is warm; a change adds or removes one. A selection looks at 256 servers of a pool at most, drawn at random where there are more; the rate of warm servers is of a moment ago (0.1 ms for each server). With up to 256 servers the draws are as before.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -19,6 +19,9 @@
 mod revisit;
 mod server_list;
 mod server_selection;
+mod warm_up;
+
+use warm_up::ColdServers;
 
 /// The reserve line as a share of the burst, and the conditions for throttling patient RPCs, all as specified in the design.
 const RESERVE_SHARE: f64 = 0.3;
@@ -186,6 +189,8 @@
     subsetter: Subsetter, // the servers that may get new RPCs, this gateway's subset first
     last_used: Nanos,
     run_ends: VecDeque<Nanos>, // when recent attempts that may have run ended
+    cold: ColdServers,         // those that the whole fleet draws from
+    warm_rate: (Nanos, f64),   // of a warm server, for each unit of weight, and until when it counts
     /// Units of work done on the current subset computation, and when the next one may begin.
     work_done: usize,
     resume_at: Nanos,
--- a/src/admission/server_list.rs
+++ b/src/admission/server_list.rs
@@ -64,11 +64,18 @@
         let added: BTreeSet<u32> = change.added.iter().copied().filter(is_ready).collect();
         let removed: Vec<u32> = change.removed.iter().copied().filter(|id| !is_ready(id)).collect();
         state.subsetter.apply_change(&removed, self.endpoints(added.iter()), SUBSETS_PER_SERVER);
-        let is_cold = |id: &u32| self.warm_share(now, &self.servers[id].entry) < 1.0;
-        let shared = state.subsetter.shared().iter().copied();
-        let new = added.iter().copied().filter(|id| !state.subsetter.is_shared(*id));
-        let shared: Vec<u32> = shared.chain(new).filter(is_cold).collect();
-        state.subsetter.set_shared(shared);
+        let warm_up = self.warm_up();
+        removed.iter().for_each(|id| state.cold.remove(*id));
+        for id in added {
+            let started_at = self.servers[&id].entry.started_at;
+            if warm_up.is_cold(now, started_at) {
+                state.cold.insert(id, started_at);
+                state.subsetter.share(id);
+            } else {
+                state.cold.remove(id);
+                state.subsetter.unshare(id);
+            }
+        }
         self.services.insert(service, state);
     }
 
@@ -138,8 +145,13 @@
         let Some(mut state) = self.services.remove(&service) else { return };
         let endpoints = self.endpoints(self.ready_servers.get(&service).into_iter().flatten());
         state.subsetter.set_endpoints(endpoints, SUBSETS_PER_SERVER);
-        let is_cold = |id: &&u32| self.warm_share(now, &self.servers[*id].entry) < 1.0;
-        state.subsetter.set_shared(state.subsetter.order().iter().filter(is_cold).copied().collect());
+        let warm_up = self.warm_up();
+        let started_at = |id: &u32| self.servers[id].entry.started_at;
+        let is_cold = |id: &&u32| warm_up.is_cold(now, started_at(id));
+        let cold: Vec<u32> = state.subsetter.order().iter().filter(is_cold).copied().collect();
+        state.cold = ColdServers::default();
+        cold.iter().for_each(|id| state.cold.insert(*id, started_at(id)));
+        state.subsetter.set_shared(cold);
         self.services.insert(service, state);
     }
 }
--- a/src/admission/server_selection.rs
+++ b/src/admission/server_selection.rs
@@ -1,8 +1,84 @@
 //! Selects the server for an attempt.
 
 use super::revisit::Usage;
+use super::warm_up::WarmUp;
 use super::*;
 
+/// At most this many servers of a pool are looked at for one RPC, and at most this many cold ones are in a pool: a search among
+/// thousands of servers that can't take it would hold up the event loop. The cost: with more servers, a few usable ones may be
+/// missed; the search is repeated after `RECHECK_INTERVAL`.
+const MAX_DRAWS: usize = 256;
+
+/// What a server is compared with when it is drawn for an RPC.
+struct Conditions {
+    now: Nanos,
+    soft_timeout: f64,
+    typical: Nanos,
+    /// A server may have this many attempts open, however slow it is.
+    min_open: f64,
+    /// While all servers are crowded: the longest latency that counts as fast.
+    max_latency: Option<f64>,
+    rarely_used: bool,
+    warm_up: WarmUp,
+    warm_rate: f64,
+}
+
+impl Conditions {
+    /// Whether a server has room for one more attempt and may get it.
+    fn can_take(&self, server: &Server) -> bool {
+        let now = self.now;
+        let (_, rate) = recent_success_rate(now, &server.results, SAMPLES_KEPT);
+        let max_open = (URGENT_WAIT_SHARE * self.soft_timeout * rate).max(self.min_open);
+        let is_full = server.open_attempts.len() as f64 >= max_open;
+        let last_success = server
+            .results
+            .back()
+            .filter(|result| result.2 && now - result.0 < SAMPLE_LIFETIME && server.open_attempts.is_empty());
+        let is_fast = |limit| last_success.is_some_and(|result| secs(result.1) < limit);
+        let is_cold = || self.warm_up.is_cold(now, server.entry.started_at);
+        let is_usable = |limit| self.rarely_used && (is_fast(limit) || is_cold());
+        !is_full
+            && self.max_latency.is_none_or(is_usable)
+            && self.warm_up.has_budget(now, server, self.warm_rate)
+    }
+}
+
+/// The servers that were drawn for an RPC and can take it.
+#[derive(Default)]
+struct Drawn {
+    candidates: Vec<u32>,
+    /// Those that are failing or hanging.
+    last_resort: Vec<u32>,
+}
+
+/// The first `split` servers of the order, and the cold ones among the others; some of these, if there are many.
+fn own_pool(subsetter: &Subsetter, split: usize, rng: &mut fastrand::Rng) -> Vec<u32> {
+    let (own, others) = subsetter.order().split_at(split);
+    let mut pool = own.to_vec();
+    if !others.is_empty() {
+        let cold = sample(subsetter.shared(), rng);
+        pool.extend(cold.into_iter().filter(|id| !own.contains(id)));
+    }
+    pool
+}
+
+/// The servers after the first `split` of the order, without the cold ones; some of these, if there are many.
+fn other_pool(subsetter: &Subsetter, split: usize, rng: &mut fastrand::Rng) -> Vec<u32> {
+    let others = sample(&subsetter.order()[split..], rng);
+    others.into_iter().filter(|id| !subsetter.is_shared(*id)).collect()
+}
+
+/// All of these servers, or [`MAX_DRAWS`] that are drawn at random.
+fn sample(ids: &[u32], rng: &mut fastrand::Rng) -> Vec<u32> {
+    if ids.len() <= MAX_DRAWS {
+        return ids.to_vec();
+    }
+    let mut drawn: Vec<u32> = (0..MAX_DRAWS).map(|_| ids[rng.usize(..ids.len())]).collect();
+    drawn.sort_unstable();
+    drawn.dedup();
+    drawn
+}
+
 impl AdmissionController {
     /// The number of servers to choose from, in the order of the subsetter: this gateway's subset, or more of them if its
     /// traffic is enough to use that many often.
@@ -48,64 +124,39 @@
     ) -> Option<u32> {
         let mut rng = self.rng.fork();
         let rpc = &self.rpcs[&id];
-        let (soft_timeout, typical) = (secs(rpc.soft_timeout), self.typical_latency(now));
-        let min_open = (9.0 / self.gateway_count()).clamp(1.0, 3.0);
-        let is_cold = |id: &&u32| self.warm_share(now, &self.servers[*id].entry) < 1.0;
-        service.subsetter.set_shared(service.subsetter.shared().iter().filter(is_cold).copied().collect());
+        let warm_up = self.warm_up();
+        AdmissionController::end_warm_ups(service, now, &warm_up);
         let warm_rate = if service.subsetter.shared().is_empty() {
             0.0
         } else {
-            self.warm_rate_per_weight(now, rpc.service)
+            self.warm_rate_per_weight(now, rpc.service, service, &warm_up)
         };
-        let (mut candidates, mut last_resort) = (Vec::new(), Vec::new());
-        let all = service.subsetter.order();
-        let preferred = AdmissionController::candidate_count(now, service).min(all.len());
+        let total = service.subsetter.order().len();
+        let preferred = AdmissionController::candidate_count(now, service).min(total);
         // After two attempts the draw is from all servers, in case the whole subset is down. The cost is more connections.
-        let split = if rpc.attempts >= 2 { all.len() } else { preferred };
-        let cold_others = service.subsetter.shared().iter().filter(|id| !all[..split].contains(id));
-        let mut ready: Vec<u32> = all[..split].iter().chain(cold_others).copied().collect();
-        let rarely_used = all[preferred..].iter().any(|id| !service.subsetter.is_shared(*id));
-        let (own_count, total) = (ready.len(), all.len());
+        let split = if rpc.attempts >= 2 { total } else { preferred };
+        let rarely_used = service.subsetter.has_unshared_after(preferred);
         let usage = Usage::new(rarely_used, AdmissionController::recent_rate(now, service) / total as f64);
         let draws = if rarely_used { 3 } else { 2 };
-        for index in 0..total {
-            if candidates.len() == draws || index >= own_count && !candidates.is_empty() {
-                break;
-            }
-            if index == own_count {
-                let others = &service.subsetter.order()[split..];
-                ready.extend(others.iter().filter(|id| !service.subsetter.is_shared(**id)));
-            }
-            if index == ready.len() {
-                break;
-            }
-            let end = if index < own_count { own_count } else { ready.len() };
-            ready.swap(index, rng.usize(index..end));
-            let server = &self.servers[&ready[index]];
-            let (_, rate) = recent_success_rate(now, &server.results, SAMPLES_KEPT);
-            let full =
-                server.open_attempts.len() as f64 >= (URGENT_WAIT_SHARE * soft_timeout * rate).max(min_open);
-            let last_success = server.results.back().filter(|result| {
-                result.2 && now - result.0 < SAMPLE_LIFETIME && server.open_attempts.is_empty()
-            });
-            let is_fast = |limit| last_success.is_some_and(|result| secs(result.1) < limit);
-            let usable = |limit| rarely_used && (is_fast(limit) || self.warm_share(now, &server.entry) < 1.0);
-            if full
-                || !max_latency.is_none_or(usable)
-                || !rpc.may_run_at(&server.entry)
-                || !self.has_warmup_budget(now, server, warm_rate)
-            {
-                service.subsetter.skip_turn(ready[index]);
-                continue;
-            }
-            let is_unhealthy =
-                server.is_backing_off(now, self.gateway_count()) || server.is_hanging(now, typical);
-            if is_unhealthy {
-                service.subsetter.skip_turn(ready[index]);
-            }
-            if is_unhealthy { &mut last_resort } else { &mut candidates }.push(ready[index]);
+        let conditions = Conditions {
+            now,
+            soft_timeout: secs(rpc.soft_timeout),
+            typical: self.typical_latency(now),
+            min_open: (9.0 / self.gateway_count()).clamp(1.0, 3.0),
+            max_latency,
+            rarely_used,
+            warm_up,
+            warm_rate,
+        };
+        let own = own_pool(&service.subsetter, split, &mut rng);
+        let mut drawn = self.draw(&mut service.subsetter, rpc, &conditions, own, draws, &mut rng);
+        if drawn.candidates.is_empty() {
+            let others = other_pool(&service.subsetter, split, &mut rng);
+            let more = self.draw(&mut service.subsetter, rpc, &conditions, others, 1, &mut rng);
+            drawn.candidates = more.candidates;
+            drawn.last_resort.extend(more.last_resort);
         }
-        let candidates = if candidates.is_empty() { last_resort } else { candidates };
+        let candidates = if drawn.candidates.is_empty() { drawn.last_resort } else { drawn.candidates };
         let candidates = candidates.iter().take(draws).map(|id| (*id, self.expected_cost(now, *id, usage)));
         let candidates: Vec<(u32, f64)> = candidates.collect();
         let selected = if rarely_used {
@@ -117,6 +168,40 @@
         selected
     }
 
+    /// Draws servers from a pool until `wanted` of them are healthy and can take the RPC.
+    fn draw(
+        &self,
+        subsetter: &mut Subsetter,
+        rpc: &Rpc,
+        conditions: &Conditions,
+        mut pool: Vec<u32>,
+        wanted: usize,
+        rng: &mut fastrand::Rng,
+    ) -> Drawn {
+        let mut drawn = Drawn::default();
+        for index in 0..pool.len().min(MAX_DRAWS) {
+            if drawn.candidates.len() == wanted {
+                break;
+            }
+            let drawn_index = rng.usize(index..pool.len());
+            pool.swap(index, drawn_index);
+            let (id, server) = (pool[index], &self.servers[&pool[index]]);
+            if !conditions.can_take(server) || !rpc.may_run_at(&server.entry) {
+                subsetter.skip_turn(id);
+                continue;
+            }
+            let is_unhealthy = server.is_backing_off(conditions.now, self.gateway_count())
+                || server.is_hanging(conditions.now, conditions.typical);
+            if is_unhealthy {
+                subsetter.skip_turn(id);
+                drawn.last_resort.push(id);
+            } else {
+                drawn.candidates.push(id);
+            }
+        }
+        drawn
+    }
+
     /// If the server is revisited after a long idle time, its estimate starts anew with the result of this attempt.
     fn forget_old_results(&mut self, now: Nanos, id: u32, usage: Usage) {
         if self.is_revisit_due(now, &self.servers[&id], usage) {
@@ -159,52 +244,4 @@
             if usage.rarely { open / weight + 1.0 + 2.0 * failures as f64 } else { (open + 1.0) / weight };
         queue * (sum / count) * distance
     }
-
-    /// Whether a server that may still be cold can take one more attempt now, so that the fleet does not overload a server that
-    /// has just started.
-    ///
-    /// Until the server is warm, all gateways together send it 3/4 of the configured multiple of its cold capacity, less an
-    /// allowance for random variation. Each gateway keeps a gap between its attempts. The first gap is a random fraction of
-    /// it, so that any number of gateways may restart at once. A gateway also opens no more attempts than the server has
-    /// answered. The cost: a server that warms up sooner is underused.
-    pub(super) fn has_warmup_budget(&self, now: Nanos, server: &Server, warm_rate: f64) -> bool {
-        let warm_share = self.warm_share(now, &server.entry);
-        if warm_share >= 1.0
-            || server.open_attempts.len() > server.results.iter().filter(|result| result.2).count()
-        {
-            return warm_share >= 1.0;
-        }
-        let period = self.setting("rules.fall", 1.0);
-        let limit = 0.75
-            * self.setting("rules.fallMultiple", 1.0)
-            * warm_share
-            * warm_rate
-            * server.entry.weight
-            * period;
-        let budget = (limit - 2.0 * limit.min(self.gateway_count() / 4.0).sqrt()).max(3.0);
-        secs(now.saturating_sub(server.cold_gap.0))
-            >= server.cold_gap.1 * self.gateway_count() * period / budget
-    }
-
-    /// The rate a second at which a warm server of the service answers all gateways together, for each unit of weight.
-    pub(super) fn warm_rate_per_weight(&self, now: Nanos, service: u32) -> f64 {
-        let ready = self.ready_servers.get(&service).into_iter().flatten().map(|id| &self.servers[id]);
-        let is_warm = |peer: &&Server| self.warm_share(now, &peer.entry) >= 1.0;
-        let rate_and_weight =
-            |peer: &Server| (recent_success_rate(now, &peer.results, SAMPLES_KEPT).1, peer.entry.weight);
-        let sum = |a: (f64, f64), b: (f64, f64)| (a.0 + b.0, a.1 + b.1);
-        let (rate, weight) = ready.filter(is_warm).map(rate_and_weight).fold((0.0, 0.0), sum);
-        rate * self.gateway_count() / weight.max(0.05)
-    }
-
-    /// The share of its full capacity that a server is guaranteed to have by now. It grows linearly after the start.
-    pub(super) fn warm_share(&self, now: Nanos, server: &DiscoveredServer) -> f64 {
-        if server.started_at == 0 {
-            return 1.0;
-        }
-        let warm_up_time = self.setting("rules.warmWithin", 30.0).max(1e-3);
-        let age = secs(now.saturating_sub(server.started_at));
-        let initial = self.setting("rules.coldFrom", 0.1);
-        (initial + (1.0 - initial) * age / warm_up_time).min(1.0)
-    }
 }
--- a/src/subsetting/mod.rs
+++ b/src/subsetting/mod.rs
@@ -149,15 +149,12 @@
         if removed.is_empty() {
             return;
         }
-        let mut position = 0;
-        let mut subset_len = self.subset_len;
-        self.order.retain(|id| {
-            let keep = !removed.contains(id);
-            subset_len -= usize::from(!keep && position < self.subset_len);
-            position += 1;
-            keep
-        });
-        self.subset_len = subset_len;
+        self.subset_len -= self.order[..self.subset_len].iter().filter(|id| removed.contains(id)).count();
+        // Most changes are of one endpoint, for which no set has to be searched.
+        match removed.first() {
+            Some(only) if removed.len() == 1 => self.order.retain(|id| id != only),
+            _ => self.order.retain(|id| !removed.contains(id)),
+        }
         self.scheduler.remove(removed);
     }
 
@@ -290,10 +287,25 @@
         self.scheduler.set_shared(ids);
     }
 
+    /// Adds an endpoint to those that the whole fleet draws from; see [`Subsetter::set_shared`].
+    pub fn share(&mut self, id: u32) {
+        self.scheduler.share(id);
+    }
+
+    /// Removes an endpoint from those that the whole fleet draws from.
+    pub fn unshare(&mut self, id: u32) {
+        self.scheduler.unshare(id);
+    }
+
     pub fn shared(&self) -> &[u32] {
         self.scheduler.shared()
     }
 
+    /// Whether the order holds endpoints after the first `count` that the whole fleet does not draw from.
+    pub fn has_unshared_after(&self, count: usize) -> bool {
+        self.order[count..].iter().any(|id| !self.is_shared(*id))
+    }
+
     /// Whether the whole fleet currently draws from this endpoint.
     pub fn is_shared(&self, id: u32) -> bool {
         self.scheduler.is_shared(id)
--- a/src/subsetting/stride.rs
+++ b/src/subsetting/stride.rs
@@ -2,7 +2,7 @@
 //! no endpoint's next RPC can be predicted. An endpoint that is new, or that could not take an RPC when drawn, is set
 //! to the median virtual time: so the whole fleet never owes RPCs to one endpoint at once.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// A candidate whose load is above this multiple of the least loaded candidate's is skipped.
@@ -34,7 +34,7 @@
     median: f64,
     /// Endpoints that the whole fleet draws from for now, in whichever subset they are: in the given order, and as a set.
     shared: Vec<u32>,
-    shared_set: BTreeSet<u32>,
+    shared_set: HashSet<u32>,
 }
 
 impl StrideScheduler {
@@ -64,8 +64,18 @@
             self.strides.remove(id);
             self.virtual_times.remove(id);
         }
-        self.shared.retain(|id| !removed.contains(id));
-        self.shared_set.retain(|id| !removed.contains(id));
+        for id in removed {
+            self.remove_shared(*id);
+        }
+    }
+
+    /// Removes an endpoint from the shared ones; whether it was one.
+    fn remove_shared(&mut self, id: u32) -> bool {
+        if !self.shared_set.remove(&id) {
+            return false;
+        }
+        self.shared.retain(|other| *other != id);
+        true
     }
 
     /// Picks among candidates given as (endpoint, current load): the one with the lowest virtual time, unless its load
@@ -100,24 +110,50 @@
         if ids == self.shared {
             return;
         }
-        let shared_set: BTreeSet<u32> = ids.iter().copied().collect();
-        for id in &ids {
-            if let Some(stride) = self.strides.get(id).filter(|_| !self.shared_set.contains(id)) {
-                let draw = xxh3_64_with_seed(&id.to_le_bytes(), self.salt) as f64 / u64::MAX as f64;
-                self.virtual_times.insert(*id, self.median + FIRST_RPC_DELAY * draw * stride.shared);
-            }
+        let shared_set: HashSet<u32> = ids.iter().copied().collect();
+        for id in ids.iter().filter(|id| !self.shared_set.contains(id)).copied().collect::<Vec<u32>>() {
+            self.delay_first_rpc(id);
         }
-        for id in self.shared.iter().filter(|id| !shared_set.contains(id)) {
-            let (Some(virtual_time), Some(stride)) = (self.virtual_times.get_mut(id), self.strides.get(id))
-            else {
-                continue;
-            };
-            let lead = (*virtual_time - self.median).max(0.0);
-            *virtual_time -= lead * (1.0 - stride.own / stride.shared);
+        for id in self.shared.iter().filter(|id| !shared_set.contains(id)).copied().collect::<Vec<u32>>() {
+            self.scale_lead(id);
         }
         (self.shared, self.shared_set) = (ids, shared_set);
     }
 
+    /// Adds an endpoint to those that the whole fleet draws from.
+    pub(super) fn share(&mut self, id: u32) {
+        if self.shared_set.contains(&id) {
+            return;
+        }
+        self.delay_first_rpc(id);
+        self.shared.push(id);
+        self.shared_set.insert(id);
+    }
+
+    /// Removes an endpoint from those that the whole fleet draws from.
+    pub(super) fn unshare(&mut self, id: u32) {
+        if self.remove_shared(id) {
+            self.scale_lead(id);
+        }
+    }
+
+    /// Lets an endpoint start a random part of a stride after the median.
+    fn delay_first_rpc(&mut self, id: u32) {
+        let Some(stride) = self.strides.get(&id) else { return };
+        let draw = xxh3_64_with_seed(&id.to_le_bytes(), self.salt) as f64 / u64::MAX as f64;
+        self.virtual_times.insert(id, self.median + FIRST_RPC_DELAY * draw * stride.shared);
+    }
+
+    /// Scales the lead of an endpoint over the median from its shared stride to its own.
+    fn scale_lead(&mut self, id: u32) {
+        let (Some(virtual_time), Some(stride)) = (self.virtual_times.get_mut(&id), self.strides.get(&id))
+        else {
+            return;
+        };
+        let lead = (*virtual_time - self.median).max(0.0);
+        *virtual_time -= lead * (1.0 - stride.own / stride.shared);
+    }
+
     pub(super) fn shared(&self) -> &[u32] {
         &self.shared
     }
