An RPC no longer looks at every server of a subset that holds thousands

What callers saw: with few gateways and 3,200 servers, where a gateway's subset holds them all, each RPC cost ten times as much as with 200 servers; part of the loss of RPCs in the incident.

Cause: the median of the virtual times was taken over the whole subset for each RPC (StrideScheduler::record_sent), the order was searched through a set for each change (remove_from_order), and cold servers were compared with all others (own_pool).

--- a/src/admission/server_selection.rs
+++ b/src/admission/server_selection.rs
@@ -57,7 +57,8 @@
     let mut pool = own.to_vec();
     if !others.is_empty() {
         let cold = sample(subsetter.shared(), rng);
-        pool.extend(cold.into_iter().filter(|id| !own.contains(id)));
+        // Among so many, those that are in both parts make no difference.
+        pool.extend(cold.into_iter().filter(|id| split > MAX_DRAWS || !own.contains(id)));
     }
     pool
 }
--- a/src/subsetting/mod.rs
+++ b/src/subsetting/mod.rs
@@ -149,15 +149,20 @@
         if removed.is_empty() {
             return;
         }
-        self.subset_len -= self.order[..self.subset_len].iter().filter(|id| removed.contains(id)).count();
         // Most changes are of one endpoint, for which no set has to be searched.
         match removed.first() {
-            Some(only) if removed.len() == 1 => self.order.retain(|id| id != only),
-            _ => self.order.retain(|id| !removed.contains(id)),
+            Some(only) if removed.len() == 1 => self.retain_in_order(|id| id != only),
+            _ => self.retain_in_order(|id| !removed.contains(id)),
         }
         self.scheduler.remove(removed);
     }
 
+    fn retain_in_order(&mut self, keep: impl Fn(&u32) -> bool) {
+        let kept_in_subset = self.order[..self.subset_len].iter().filter(|id| keep(id)).count();
+        self.order.retain(|id| keep(id));
+        self.subset_len = kept_in_subset;
+    }
+
     /// Whether the subset matches the current list.
     pub fn is_up_to_date(&self) -> bool {
         self.table.is_done() && self.assignment.is_none()
--- a/src/subsetting/stride.rs
+++ b/src/subsetting/stride.rs
@@ -14,6 +14,9 @@
 /// the delay.
 const FIRST_RPC_DELAY: f64 = 0.5;
 
+/// The median virtual time is taken over at most this many endpoints, evenly spaced in the subset.
+const MAX_MEDIAN_SAMPLES: usize = 256;
+
 /// The virtual time that one RPC to an endpoint takes: the number of gateways that draw from it over its weight, scaled.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Stride {
@@ -168,8 +171,10 @@
         let virtual_time =
             self.virtual_time(id) + if self.shared_set.contains(&id) { stride.shared } else { stride.own };
         self.virtual_times.insert(id, virtual_time);
-        let mut all: Vec<f64> = subset.iter().map(|id| self.virtual_time(*id)).collect();
-        all.sort_unstable_by(f64::total_cmp);
-        self.median = all.get(all.len() / 2).copied().unwrap_or(0.0);
+        let spacing = subset.len().div_ceil(MAX_MEDIAN_SAMPLES).max(1);
+        let sampled = subset.iter().step_by(spacing);
+        let mut virtual_times: Vec<f64> = sampled.map(|id| self.virtual_time(*id)).collect();
+        virtual_times.sort_unstable_by(f64::total_cmp);
+        self.median = virtual_times.get(virtual_times.len() / 2).copied().unwrap_or(0.0);
     }
 }
--- a/tests/many_servers.rs
+++ b/tests/many_servers.rs
@@ -102,3 +102,9 @@
 fn replacing_thousands_of_servers_costs_a_large_fleet_little_more() {
     check_cost_hardly_grows(900);
 }
+
+/// Guards against RPCs that look at every server of a subset, which holds all servers where there are few gateways.
+#[test]
+fn replacing_thousands_of_servers_costs_a_small_fleet_little_more() {
+    check_cost_hardly_grows(4);
+}
