The first list is applied in steps, like every other one

What callers saw: RPCs that came while a gateway started with thousands of servers were answered late or not at all, since the front notices a restart only seconds later.

Cause: without a list apply_pending_lists allowed itself unlimited work and computed the subsets to the end, in one turn after clients could connect (43 ms at 3,200 servers, 0.7 s at 6% of a core; 2 ms at 200); the list in the configuration was converted after that point, too.

Fix: the first list takes the same bounded steps as a change, with reads, answers and timers between them; the configuration is read completely before the process listens. RPCs that come before the list are held and answered within their time, as before. /-/ready says 200 once the subsets are computed too, so that a gateway does not open connections to servers that it will not use.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -3,6 +3,7 @@
 
 use crate::counter;
 use crate::guard::RetrySafety;
+use crate::list::{self, ListUpdate};
 use crate::services::Services;
 use crate::shutdown::longest_deadline;
 use agreement::Nanos;
@@ -27,8 +28,8 @@
     pub descriptor_limit: usize,
     /// Limit on the memory that the process may take, in bytes.
     pub memory_limit: usize,
-    /// The last list of servers that this gateway held, in discovery's format.
-    pub initial_list: Option<Value>,
+    /// The last list of servers that this gateway held.
+    pub initial_list: Option<ListUpdate>,
     /// Flattened to path=value pairs for the admission controller; names and units are unchanged.
     pub settings: Settings,
     pub methods: Vec<Method>,
@@ -133,7 +134,7 @@
             document["limits"]["sockets"].as_u64().map_or(DEFAULT_DESCRIPTOR_LIMIT, |most| most as usize);
         let memory_limit = document["limits"]["memory_mb"].as_u64().unwrap_or(DEFAULT_MEMORY_MB) as usize;
         let memory_limit = memory_limit.saturating_mul(1 << 20);
-        let initial_list = Some(document["known"].clone()).filter(Value::is_object);
+        let initial_list = list::parse(&document["known"], &services).filter(|list| !list.entries.is_empty());
         let agreement = match &document["agreement"] {
             Value::Null => None,
             section => Some(parse_agreement(section, &document, &settings, &address)?),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -205,6 +205,8 @@
     /// Clients whose input buffer may hold another message.
     clients_to_read: VecDeque<usize>,
     has_list: bool,
+    /// There was a list, and the subsets were computed, so that the gateway does not use more servers than it will.
+    was_ready: bool,
     /// Set from SIGTERM on.
     shutdown: Option<Shutdown>,
     /// The longest deadline in the configuration file when it was last reloaded.
@@ -323,6 +325,7 @@
             ended_counter_calls: VecDeque::new(),
             clients_to_read: VecDeque::new(),
             has_list: false,
+            was_ready: false,
             shutdown: None,
             file_deadline: None,
             exit_requested: false,
@@ -352,16 +355,10 @@
     fn start(&mut self, now: Nanos) {
         (self.host.net.now, self.host.turn_started_at) = (now, Instant::now());
         self.start_agreement();
-        let stored = self
-            .host
-            .config
-            .initial_list
-            .take()
-            .and_then(|stored| list::parse(&stored, &self.host.config.services));
-        if let Some(list) = stored.filter(|list| !list.entries.is_empty()) {
+        if let Some(list) = self.host.config.initial_list.take() {
             self.receive_list(list);
         }
-        if self.host.has_list {
+        if self.host.has_list || self.host.is_updating_list() {
             self.host.watch.last_received = now;
             self.host.schedule_watch()
         } else {
--- a/crates/gateway/src/gateway/client_handler.rs
+++ b/crates/gateway/src/gateway/client_handler.rs
@@ -49,7 +49,7 @@
                 }
                 Ok(Parsed::Rpc(message)) => self.admit(id, message),
                 Ok(Parsed::Ready(length)) => {
-                    let ready = self.host.has_list && !self.host.is_shutting_down();
+                    let ready = self.host.was_ready && !self.host.is_shutting_down();
                     let settings_header = self.settings_header();
                     self.host.answer_directly(id, if ready { 200 } else { 503 }, length, &settings_header);
                 }
--- a/crates/gateway/src/gateway/discovery_handler.rs
+++ b/crates/gateway/src/gateway/discovery_handler.rs
@@ -75,13 +75,12 @@
         }
     }
 
-    /// Applies pending lists, as far as the work limit of one turn allows. The first list is
-    /// applied at once: without a list nothing can be sent to any server.
+    /// Applies pending lists, as far as the work limit of one turn allows.
     fn apply_pending_lists(&mut self) {
         if self.host.update_scheduled {
             return;
         }
-        let mut work = if self.host.has_list { WORK_PER_TURN } else { usize::MAX };
+        let mut work = WORK_PER_TURN;
         loop {
             if self.host.list_diff.is_none() && !self.start_next_update() {
                 return;
@@ -93,6 +92,7 @@
             self.apply_batch(batch);
             if let Some(done) = done {
                 self.host.has_list = true;
+                self.update_readiness();
                 self.host.log_applied_list(&done);
             }
         }
@@ -139,11 +139,7 @@
             stale.into_iter().for_each(|id| host.close_server_connection(id, "server-moved"));
             list.push(DiscoveredServer { server, started_at, ..listed });
         }
-        if host.has_list {
-            self.controller.on_server_list_deferred(host.net.now, &list);
-        } else {
-            self.controller.on_server_list(host.net.now, false, &list);
-        }
+        self.controller.on_server_list_deferred(host.net.now, &list);
         host.servers.remove_unused();
         self.schedule_subset_work();
     }
@@ -155,9 +151,14 @@
         self.schedule_subset_work();
     }
 
+    /// Notes when the first list is applied and the subsets are computed.
+    fn update_readiness(&mut self) {
+        self.host.was_ready |= self.host.has_list && self.controller.subset_work_due().is_none();
+    }
+
     /// Sets a timer for the next work on subsets.
     fn schedule_subset_work(&mut self) {
-        let Some(due) = self.controller.subset_work_due() else { return };
+        let Some(due) = self.controller.subset_work_due() else { return self.update_readiness() };
         // Timers are checked once per turn, so work that is due now is done in the next turn.
         let at = due.max(self.host.net.now + 1);
         if self.host.subset_timer_at.is_none_or(|scheduled| at < scheduled) {
--- a/crates/rig/src/fleet/steps.rs
+++ b/crates/rig/src/fleet/steps.rs
@@ -3,15 +3,12 @@
 use super::script::{Step, TimedStep};
 use super::{Fleet, draw_customers};
 use crate::{Nanos, SEC, nanos};
-use rustix::process::{PidfdFlags, Signal, kill_process, pidfd_open, pidfd_send_signal};
+use rustix::process::{Signal, kill_process};
 use standins::discovery::Mode;
-use standins::process::Program;
+use standins::process::{Program, throttle};
 use standins::servers::Health;
-use std::os::fd::OwnedFd;
 use std::time::{Duration, Instant};
 
-/// Period of throttling: a throttled process runs for its share of each period and is stopped for the rest.
-const THROTTLE_PERIOD: Duration = Duration::from_millis(10);
 /// How long a server drains before it leaves.
 const LEAVE_DRAIN: Nanos = SEC;
 /// Version of the settings with the larger fleet size, and the number of leases between its distribution and its start.
@@ -146,27 +143,12 @@
         Ok(())
     }
 
-    /// Lets processes run only for a share of each [`THROTTLE_PERIOD`], controlled from a separate thread.
+    /// Lets processes run only for a share of a core.
     fn throttle(&mut self, gateways: &[usize], duration: Nanos, core_share: f64) {
         let programs = gateways.iter().filter_map(|gateway| self.gateways[*gateway].program.as_ref());
-        // Processes are addressed by pidfd, because the pid of a process that has exited may have been reused.
-        let open_pidfd = |program: &Program| pidfd_open(program.pid()?, PidfdFlags::empty()).ok();
-        let processes: Vec<OwnedFd> = programs.filter_map(open_pidfd).collect();
-        let run_time = THROTTLE_PERIOD.mul_f64(core_share.clamp(0.0, 1.0));
+        let processes = programs.filter_map(Program::pidfd).collect();
         let end = Instant::now() + Duration::from_nanos(duration);
-        let signal_all = move |signal| {
-            for process in &processes {
-                let _ = pidfd_send_signal(process, signal);
-            }
-        };
-        std::thread::spawn(move || {
-            while Instant::now() < end {
-                signal_all(Signal::STOP);
-                std::thread::sleep(THROTTLE_PERIOD - run_time);
-                signal_all(Signal::CONT);
-                std::thread::sleep(run_time);
-            }
-        });
+        throttle(processes, core_share, move || Instant::now() < end);
     }
 
     /// Kills the processes that received SIGTERM at least `min_age` ago and are still running, and records each as a crash.
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -2,10 +2,11 @@
 //! reads its log lines. The process is killed when its [`Program`] is dropped, even if a test panics.
 
 use crate::scripted::{Client, WAIT_TIMEOUT, status};
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, PidfdFlags, Signal, kill_process, pidfd_open, pidfd_send_signal};
 use std::fs::{File, OpenOptions};
 use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -121,6 +122,11 @@
         Pid::from_raw(self.child.id() as i32)
     }
 
+    /// A descriptor of the process that stays valid after its exit.
+    pub fn pidfd(&self) -> Option<OwnedFd> {
+        pidfd_open(self.pid()?, PidfdFlags::empty()).ok()
+    }
+
     /// Sends a signal to the process, which must not have been waited for.
     pub fn send_signal(&self, signal: Signal) -> std::io::Result<()> {
         let pid = self.pid().ok_or(std::io::ErrorKind::InvalidInput)?;
@@ -197,6 +203,28 @@
     }
 }
 
+/// Period of throttling: a throttled process runs for its share of each period and is stopped for the rest.
+const THROTTLE_PERIOD: Duration = Duration::from_millis(10);
+
+/// Lets processes run only for a share of each [`THROTTLE_PERIOD`], from a thread of its own, for as long as `is_wanted` says
+/// so. Processes are addressed by pidfd, because the pid of one that has exited may have been reused.
+pub fn throttle(processes: Vec<OwnedFd>, core_share: f64, is_wanted: impl Fn() -> bool + Send + 'static) {
+    let run_time = THROTTLE_PERIOD.mul_f64(core_share.clamp(0.0, 1.0));
+    let signal_all = move |signal| {
+        for process in &processes {
+            let _ = pidfd_send_signal(process, signal);
+        }
+    };
+    std::thread::spawn(move || {
+        while is_wanted() {
+            signal_all(Signal::STOP);
+            std::thread::sleep(THROTTLE_PERIOD - run_time);
+            signal_all(Signal::CONT);
+            std::thread::sleep(run_time);
+        }
+    });
+}
+
 /// Program that is blocked within a turn of its event loop.
 pub struct HeldTurn<'a> {
     program: &'a Program,
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -222,12 +222,17 @@
 /// Connection of a client.
 pub struct Client(BufReader<TcpStream>);
 
+impl From<TcpStream> for Client {
+    fn from(stream: TcpStream) -> Client {
+        stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+        Client(BufReader::new(stream))
+    }
+}
+
 impl Client {
     /// Connects to an address.
     pub fn new(address: SocketAddr) -> Client {
-        let stream = TcpStream::connect(address).unwrap();
-        stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
-        Client(BufReader::new(stream))
+        Client::from(TcpStream::connect(address).unwrap())
     }
 
     /// Sends a text.
