The log says when a gateway is ready; the first list leaves no line of its own

The first list leaves none, as before; the line 'ready' has the time since the process began to listen.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -207,6 +207,8 @@
     has_list: bool,
     /// There was a list, and the subsets were computed, so that the gateway does not use more servers than it will.
     was_ready: bool,
+    /// When the process began to listen.
+    process_started_at: Nanos,
     /// Set from SIGTERM on.
     shutdown: Option<Shutdown>,
     /// The longest deadline in the configuration file when it was last reloaded.
@@ -326,6 +328,7 @@
             clients_to_read: VecDeque::new(),
             has_list: false,
             was_ready: false,
+            process_started_at: 0,
             shutdown: None,
             file_deadline: None,
             exit_requested: false,
@@ -354,6 +357,7 @@
     /// starting at the same time.
     fn start(&mut self, now: Nanos) {
         (self.host.net.now, self.host.turn_started_at) = (now, Instant::now());
+        self.host.process_started_at = now;
         self.start_agreement();
         if let Some(list) = self.host.config.initial_list.take() {
             self.receive_list(list);
--- a/crates/gateway/src/gateway/discovery_handler.rs
+++ b/crates/gateway/src/gateway/discovery_handler.rs
@@ -91,9 +91,11 @@
             let done = diff.is_done().then(|| self.host.list_diff.take()).flatten();
             self.apply_batch(batch);
             if let Some(done) = done {
-                self.host.has_list = true;
+                let is_first = !std::mem::replace(&mut self.host.has_list, true);
                 self.update_readiness();
-                self.host.log_applied_list(&done);
+                if !is_first {
+                    self.host.log_applied_list(&done);
+                }
             }
         }
         self.host.list_diff.iter_mut().for_each(ListDiff::defer_to_next_turn);
@@ -153,7 +155,11 @@
 
     /// Notes when the first list is applied and the subsets are computed.
     fn update_readiness(&mut self) {
-        self.host.was_ready |= self.host.has_list && self.controller.subset_work_due().is_none();
+        if !self.host.was_ready && self.host.has_list && self.controller.subset_work_due().is_none() {
+            self.host.was_ready = true;
+            info!(self.host.log, "ready"; "servers" => self.host.servers.by_number.len(),
+                "ms" => (self.host.current_time() - self.host.process_started_at) / MS);
+        }
     }
 
     /// Sets a timer for the next work on subsets.
