An id that may have run for a client that left is not taken again

Cause: an id was forgotten as soon as the last attempt of its RPC ended (remove_rpc), though that attempt may have run for a client that never got the answer.

The protocol asks for a fresh id on every request, a client's retry included, so true clients are not affected. A request that the gateway has not read is never remembered, so one that crossed a close may come again.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use crate::servers::{self, Attempt, Body, Response, Server, ServerConnection, Servers, Stage};
 use crate::shutdown::Shutdown;
 use crate::timers::Timers;
+use crate::transaction_ids::TransactionIds;
 use crate::turn_log::{TurnLog, TurnPart};
 use martenramp::admission::AdmissionController;
 use martenramp::host::{Arrival, AttemptResult, CallOutcome, Host, Nanos};
@@ -69,6 +70,8 @@
 const CLIENT_MEMORY_DIVISOR: usize = 3;
 const SERVER_MEMORY_DIVISOR: usize = 3;
 const LIST_MEMORY_DIVISOR: usize = 4;
+/// Divisor of the share of the memory that may be taken by ids of ended RPCs.
+const REMEMBERED_IDS_DIVISOR: usize = 64;
 /// A turn may last this fraction of the shortest deadline, but at least `MIN_TURN`, while the
 /// process keeps up.
 const TURN_DIVISOR: Nanos = 10;
@@ -139,9 +142,18 @@
     written_to: ServerGroup,
     /// Part of it was written to a server.
     written: bool,
+    /// Its client got the answer of a server.
+    served: bool,
     txn: Box<[u8]>,
 }
 
+impl Rpc {
+    /// Whether it may have run and must not run a second time.
+    fn must_not_rerun(&self) -> bool {
+        self.first_run.is_some() && self.retry_safety != RetrySafety::Idempotent
+    }
+}
+
 /// Reads the configuration again from its source.
 pub type ConfigReader = Box<dyn Fn() -> Result<Config, String>>;
 
@@ -164,8 +176,8 @@
     clients: BTreeMap<usize, Client>,
     rpcs: HashMap<u32, Rpc>,
     last_rpc_id: u32,
-    /// Transaction ids, as given by clients, of the RPCs in `rpcs`.
-    active_txns: HashSet<Box<[u8]>>,
+    /// Transaction ids, as given by clients, of the RPCs in `rpcs`, and of some that have ended.
+    transaction_ids: TransactionIds,
     unanswered_rpcs: usize,
     servers: Servers,
     server_connections: BTreeMap<usize, ServerConnection>,
@@ -294,7 +306,7 @@
             clients: BTreeMap::new(),
             rpcs: HashMap::new(),
             last_rpc_id: 0,
-            active_txns: HashSet::new(),
+            transaction_ids: TransactionIds::new(config.memory_limit / REMEMBERED_IDS_DIVISOR),
             unanswered_rpcs: 0,
             servers: Servers::default(),
             server_connections: BTreeMap::new(),
@@ -753,8 +765,11 @@
     }
 
     fn remove_rpc(&mut self, id: u32) {
-        if let Some(rpc) = self.rpcs.remove(&id) {
-            self.active_txns.remove(&rpc.txn);
+        let Some(rpc) = self.rpcs.remove(&id) else { return };
+        if rpc.must_not_rerun() && !rpc.served {
+            self.transaction_ids.remember(&rpc.txn, self.net.now);
+        } else {
+            self.transaction_ids.close(&rpc.txn);
         }
     }
 
--- a/crates/gateway/src/gateway/client_handler.rs
+++ b/crates/gateway/src/gateway/client_handler.rs
@@ -85,9 +85,10 @@
         if !self.host.may_admit(&txn, requested_deadline) {
             return self.host.answer_directly(client, 503, message_length, "");
         }
-        if !self.host.active_txns.insert(txn.clone()) {
-            // Two RPCs with the same transaction id could get each other's answer. Clients are not
-            // affected: they use a new id for each RPC.
+        if !self.host.transaction_ids.open(&txn, now) {
+            // Two RPCs with the same transaction id could get each other's answer, and one whose
+            // client left may run a second time. Clients are not affected: they use a new id for
+            // each RPC.
             return self.host.reject_message(client, 409, "duplicate-id");
         }
         let (id, method) = (self.host.next_rpc_id(), message.method);
@@ -117,6 +118,7 @@
             first_run: None,
             written_to: ServerGroup::default(),
             written: false,
+            served: false,
             txn,
         };
         self.host.rpcs.insert(id, rpc);
@@ -211,8 +213,11 @@
     /// Called when the answer to an RPC is in the client's output buffer; it is owed until it is
     /// fully written.
     pub(super) fn answer_queued(&mut self, id: u32, client: usize, close: bool) {
-        let rpc = self.rpcs.get(&id).map(|rpc| (rpc.txn.clone(), rpc.deadline));
-        let (txn, deadline) = rpc.unzip();
+        let answer = self.rpcs.get(&id).map(|rpc| UnsentAnswer {
+            txn: rpc.txn.clone(),
+            deadline: Some(rpc.deadline),
+            must_not_rerun: rpc.must_not_rerun() || rpc.served && rpc.retry_safety != RetrySafety::Idempotent,
+        });
         self.set_rpc_state(id, RpcState::Answered);
         let (now, shutting_down) = (self.net.now, self.is_shutting_down());
         let Some(state) = self.clients.get_mut(&client) else { return };
@@ -222,13 +227,7 @@
             true => "sends-on-before-its-answer",
             false => "last-answer",
         });
-        state.set_phase(
-            Phase::WritingAnswer {
-                answer: UnsentAnswer { txn: txn.unwrap_or_default(), deadline },
-                close_reason,
-            },
-            now,
-        );
+        state.set_phase(Phase::WritingAnswer { answer: answer.unwrap_or_default(), close_reason }, now);
         self.served_clients += usize::from(state.served == 0);
         state.served += 1;
         state.consume(length);
--- a/crates/gateway/src/gateway/invariant_checks.rs
+++ b/crates/gateway/src/gateway/invariant_checks.rs
@@ -90,7 +90,11 @@
         let Some(client) = self.clients.get(&id) else { return };
         if let Some(answer) = client.phase.unsent_answer() {
             self.log_unwritten(&answer.txn, cause.reason(), self.net.unsent_bytes(id));
+            if answer.must_not_rerun {
+                self.transaction_ids.remember(&answer.txn, self.net.now);
+            }
         }
+        let Some(client) = self.clients.get(&id) else { return };
         let owes_answer = client.phase.pending_rpc().is_some() || client.phase.unsent_answer().is_some();
         let excused = matches!(cause, CloseCause::ClientClosed(_) | CloseCause::WriteTimeout);
         let txn = self.txn_on(client);
--- a/crates/gateway/src/gateway/server_handler.rs
+++ b/crates/gateway/src/gateway/server_handler.rs
@@ -260,6 +260,9 @@
             clients::write_response_head(out, 200, body.len(), &input[answer.header_lines.clone()], 0, close);
             out.extend_from_slice(body);
         }
+        if let Some(rpc) = self.rpcs.get_mut(&id) {
+            rpc.served = true;
+        }
         self.log_answer(id, 200, "served");
         self.answer_queued(id, client, close);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,4 +26,5 @@
 pub mod start_times;
 pub mod tcp_info;
 pub mod timers;
+pub mod transaction_ids;
 pub mod turn_log;
--- a/crates/gateway/src/phase.rs
+++ b/crates/gateway/src/phase.rs
@@ -12,6 +12,8 @@
     pub txn: Box<[u8]>,
     /// When the answer is due; `None` if it does not answer an RPC.
     pub deadline: Option<Nanos>,
+    /// Its RPC may have run and must not run again, so that its id is remembered if the answer is lost.
+    pub must_not_rerun: bool,
 }
 
 /// The phase of a client's connection.
