The test of cut answers uses a fresh id for every request

It sent one id again and again on a class that may run once, also after an answer that said it may have run. The protocol asks for a fresh id on every request, and such an id is now answered 409. No assertion changed: the same 2 x 2 x (length + 1) cuts, each with its verdict.

--- a/crates/gateway/tests/partial_messages.rs
+++ b/crates/gateway/tests/partial_messages.rs
@@ -11,7 +11,7 @@
 use martenramp::host::CallOutcome;
 use standins::scripted::{
     Peer, Program, SEC, WATCH_HEAD, answer, chunk, entry, list, raw_reply, refusing_address, rpc, settings,
-    status,
+    status, with_id,
 };
 use std::net::SocketAddr;
 
@@ -248,11 +248,12 @@
     let gateway = start_gateway(&server);
     let (with_length, without_length) =
         ("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", "HTTP/1.1 200 OK\r\n\r\nwhole");
+    let mut ids = 1..; // an id is fresh on every request
     for (text, marks_end) in [(with_length, true), (without_length, false)] {
         for cut in 0..=text.len() {
             for resets in [false, true] {
                 let mut client = gateway.client();
-                client.send(&rpc("verify", 5000));
+                client.send(&with_id(&rpc("verify", 5000), ids.next().unwrap()));
                 let connection = server.next().0;
                 server.write(connection, &text[..cut]);
                 if resets {
