Updates of the list that arrive together are spread over turns; new settings too

Each update counts as 24 compared entries, so a turn takes 40 of them; update_settings_deferred leaves the subsets for later turns, as a change of the list does.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,7 +11,7 @@
 use crate::http::{MAX_BODY_LEN, MAX_HEAD_LEN, MessageError};
 use crate::invariants::{Counts, Invariant};
 use crate::list::{self, ListUpdate, Watch};
-use crate::list_diff::{Batch, ListDiff, ServerChange, WORK_PER_TURN};
+use crate::list_diff::{Batch, ListDiff, ServerChange, WORK_PER_TURN, WORK_PER_UPDATE};
 use crate::name_ids::NameIds;
 use crate::phase::{CloseCause, Phase, UnsentAnswer};
 use crate::servers::{self, Attempt, Body, Response, Server, ServerConnection, Servers, Stage};
--- a/crates/gateway/src/gateway/discovery_handler.rs
+++ b/crates/gateway/src/gateway/discovery_handler.rs
@@ -82,8 +82,14 @@
         }
         let mut work = WORK_PER_TURN;
         loop {
-            if self.host.list_diff.is_none() && !self.start_next_update() {
-                return;
+            if self.host.list_diff.is_none() {
+                if work < WORK_PER_UPDATE && !self.host.pending_lists.is_empty() {
+                    break; // the next update is left for the next turn
+                }
+                work -= WORK_PER_UPDATE.min(work);
+                if !self.start_next_update() {
+                    return;
+                }
             }
             let AdmissionHost { list_diff, servers, name_ids, .. } = &mut self.host;
             let Some(diff) = list_diff else { return };
@@ -163,7 +169,7 @@
     }
 
     /// Sets a timer for the next work on subsets.
-    fn schedule_subset_work(&mut self) {
+    pub(super) fn schedule_subset_work(&mut self) {
         let Some(due) = self.controller.subset_work_due() else { return self.update_readiness() };
         // Timers are checked once per turn, so work that is due now is done in the next turn.
         let at = due.max(self.host.net.now + 1);
--- a/crates/gateway/src/gateway/settings_agreement.rs
+++ b/crates/gateway/src/gateway/settings_agreement.rs
@@ -121,7 +121,8 @@
         info!(self.host.log, "settings"; "why" => why, "version" => acting.content.version, "digest" => short_digest(acting.content),
             "acts_on" => if acting.mode == Mode::Confirmed { "version" } else { "ground" }, "at" => now);
         self.host.config.apply_settings(settings.clone());
-        self.controller.update_settings(now, settings);
+        self.controller.update_settings_deferred(now, settings);
+        self.schedule_subset_work();
     }
 
     /// Evaluates which settings may be acted on, before anything else is decided, and sends due
--- a/crates/gateway/src/list_diff.rs
+++ b/crates/gateway/src/list_diff.rs
@@ -14,6 +14,8 @@
 pub const WORK_PER_TURN: usize = 1024;
 /// Work of handing on one changed server, in units of one compared entry.
 const WORK_PER_CHANGE: usize = 2;
+/// Work of taking up one update, in units of one compared entry, however little it changes.
+pub const WORK_PER_UPDATE: usize = 24;
 /// Held servers that are scanned for one unit of work.
 const SCANNED_PER_WORK: usize = 8;
 /// Divisor of the share of each batch that is reserved for available servers, so that a list which
--- a/crates/gateway/tests/races.rs
+++ b/crates/gateway/tests/races.rs
@@ -4,7 +4,7 @@
 
 use standins::scripted::{
     Client, FullBacklog, Peer, Program, Reply, WAIT_TIMEOUT, WATCH_HEAD, answer, chunk, entry, list,
-    raw_reply, refusing_address, rpc, settings, status,
+    raw_reply, refusing_address, rpc, settings, status, with_id,
 };
 use std::time::{Duration, Instant};
 
@@ -169,9 +169,9 @@
     let server = Peer::new(reply_with("HTTP/1.1 200 OK\r\n\r\nhalf of it"));
     let discovery = discovery_peer();
     let gateway = start_gateway(&discovery, &[entry("s0", server.address, "ready")], &settings(""));
-    for (method, expected) in [("verify", 502), ("submit", 502)] {
+    for (id, (method, expected)) in (1..).zip([("verify", 502), ("submit", 502)]) {
         let mut client = gateway.client();
-        client.send(&rpc(method, 2000));
+        client.send(&with_id(&rpc(method, 2000), id));
         // `submit` may be retried once; both attempts are reset.
         for _ in 0..if method == "submit" { 2 } else { 1 } {
             server.reset(server.next().0);
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -2,7 +2,7 @@
 
 use standins::scripted::{
     self as fake, Peer, Program, WATCH_HEAD, answer, chunk, entry, list, raw_reply, refusing_address,
-    remaining_ms_header, rpc, settings, status,
+    remaining_ms_header, rpc, settings, status, with_id,
 };
 use std::process::Command;
 use std::time::{Duration, Instant};
@@ -138,8 +138,9 @@
     drop(client);
     assert!(gateway.wait_for_line("\"left-before-answer\"").contains("\"client\""));
     server.write(0, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold");
-    for _ in 0..5 {
-        assert!(gateway.client().ask(&rpc("read", 2000)).ends_with('x'), "never the answer to another RPC");
+    for id in 1..=5 {
+        let got = gateway.client().ask(&with_id(&rpc("read", 2000), id));
+        assert!(got.ends_with('x'), "never the answer to another RPC");
     }
 }
 
--- a/crates/rig/src/soak/draw.rs
+++ b/crates/rig/src/soak/draw.rs
@@ -86,8 +86,21 @@
     }
 }
 
-/// The stream of the random numbers for groups and late data.
+/// The stream of the random numbers for groups and late data, and that for what many servers bring.
 const GROUPS_AND_LATE_DATA_STREAM: u64 = 1;
+const MANY_SERVERS_STREAM: u64 = 2;
+/// From this number of servers on, most of them are replaced, gateways have a small share of a core, and more RPCs are sent.
+const MANY_SERVERS: usize = 800;
+/// Six in ten servers are replaced within 7 s.
+const REPLACED_SHARE: f64 = 0.6;
+const REPLACEMENT_SECONDS: f64 = 7.0;
+/// The size of the fleet that gateways are told of in half of these runs, so that each uses a part of the servers only.
+const LARGE_FLEET: usize = 900;
+/// The share of the gateways with a small share of a core, and that share.
+const STARVED_SHARE: f64 = 0.4;
+const STARVED_CORE: std::ops::Range<f64> = 0.05..0.2;
+/// RPCs a second for each gateway in these runs.
+const MANY_SERVERS_RPC_RATE: std::ops::Range<f64> = 30.0..60.0;
 /// The largest number of cells, in the fleet or in each zone.
 const MAX_CELLS: usize = 4;
 /// Which servers recognize a repeat.
@@ -136,6 +149,9 @@
     let mut scenario = Scenario::from_toml(&text)?;
     draw_groups_and_late_data(&mut scenario, seed);
     crowd_some_runs(&mut scenario, size, without, &mut rng);
+    if size.servers >= MANY_SERVERS {
+        draw_many_servers(&mut scenario, size, without, seed);
+    }
     for _ in 0..size.faults {
         let kind = draw_kind(&mut rng);
         let drawn = draw_faults(kind, size, &mut rng);
@@ -167,6 +183,25 @@
     }
 }
 
+/// Draws what many servers bring. The draws have a stream of their own, so that the same seed with fewer servers differs in
+/// nothing else.
+fn draw_many_servers(scenario: &mut Scenario, size: Size, without: &[FaultKind], seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(MANY_SERVERS_STREAM);
+    scenario.told_gateways = rng.random_bool(0.5).then_some(LARGE_FLEET);
+    scenario.load.rate = scenario.load.rate.max(rng.random_range(MANY_SERVERS_RPC_RATE));
+    let seconds = REPLACEMENT_SECONDS.min(size.seconds * 0.6);
+    let at = rng.random_range(0.0..(size.seconds - seconds).max(1.0));
+    let (drain, core) = (rng.random_range(2.5..3.5), rng.random_range(STARVED_CORE));
+    if !without.contains(&FaultKind::Replace) {
+        scenario.faults.push(Fault::Replace { at, share: REPLACED_SHARE, seconds, drain });
+    }
+    if !without.contains(&FaultKind::Throttle) {
+        let seconds = size.seconds;
+        scenario.faults.push(Fault::Throttle { at: 0.0, share: STARVED_SHARE, seconds, core });
+    }
+}
+
 /// Makes a share of the runs crowded, so that gateways have to close connections to make room while answers are in flight.
 fn crowd_some_runs(scenario: &mut Scenario, size: Size, without: &[FaultKind], rng: &mut ChaCha8Rng) {
     let crowded = rng.random_bool(CROWDED_RUN_SHARE);
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -254,12 +254,26 @@
 
     /// Applies new settings. RPCs that have already arrived keep their own; a customer's quota changes with its next RPC.
     pub fn update_settings(&mut self, now: Nanos, settings: Settings) {
+        let services = self.replace_settings(settings);
+        services.into_iter().for_each(|service| self.rebuild_subset(now, service));
+    }
+
+    /// Like [`AdmissionController::update_settings`]; the subsets are computed later, in `work_on_subsets`.
+    pub fn update_settings_deferred(&mut self, now: Nanos, settings: Settings) {
+        let services = self.replace_settings(settings);
+        for service in services {
+            self.replace_endpoints(service);
+            self.share_cold_servers(now, service);
+        }
+    }
+
+    /// Replaces the settings and the size of the fleet; returns the services in use.
+    fn replace_settings(&mut self, settings: Settings) -> Vec<u32> {
         self.settings = Arc::new(settings);
         self.no_server_until.clear();
         let gateways = self.gateway_count() as usize;
         self.services.values_mut().for_each(|service| service.subsetter.set_fleet_size(gateways));
-        let services: Vec<u32> = self.services.keys().copied().collect();
-        services.into_iter().for_each(|service| self.rebuild_subset(now, service));
+        self.services.keys().copied().collect()
     }
 
     // ---- Settings are read where they are needed. A missing or unreadable value takes the default.
--- a/src/admission/server_list.rs
+++ b/src/admission/server_list.rs
@@ -142,9 +142,24 @@
 
     /// Computes this gateway's subset of the ready servers of a service, if the service is in use.
     pub(super) fn rebuild_subset(&mut self, now: Nanos, service: u32) {
+        self.replace_endpoints(service);
+        if let Some(state) = self.services.get_mut(&service) {
+            state.subsetter.finish();
+        }
+        self.share_cold_servers(now, service);
+    }
+
+    /// Passes all ready servers of a service to its subsetter, if the service is in use, without computing the subset.
+    pub(super) fn replace_endpoints(&mut self, service: u32) {
         let Some(mut state) = self.services.remove(&service) else { return };
         let endpoints = self.endpoints(self.ready_servers.get(&service).into_iter().flatten());
-        state.subsetter.set_endpoints(endpoints, SUBSETS_PER_SERVER);
+        state.subsetter.replace_endpoints(endpoints, SUBSETS_PER_SERVER);
+        self.services.insert(service, state);
+    }
+
+    /// Lets the whole fleet draw from exactly the cold servers of a service.
+    pub(super) fn share_cold_servers(&mut self, now: Nanos, service: u32) {
+        let Some(mut state) = self.services.remove(&service) else { return };
         let warm_up = self.warm_up();
         let started_at = |id: &u32| self.servers[id].entry.started_at;
         let is_cold = |id: &&u32| warm_up.is_cold(now, started_at(id));
--- a/src/subsetting/mod.rs
+++ b/src/subsetting/mod.rs
@@ -113,11 +113,16 @@
     /// Replaces the whole list and computes the subset to the end. Every endpoint of mean weight is to be in `subset_count`
     /// subsets, or in more where gateways would have too few endpoints.
     pub fn set_endpoints(&mut self, endpoints: Vec<Endpoint>, subset_count: f64) {
+        self.replace_endpoints(endpoints, subset_count);
+        self.finish();
+    }
+
+    /// Replaces the whole list; [`Subsetter::advance`] computes the subset.
+    pub fn replace_endpoints(&mut self, endpoints: Vec<Endpoint>, subset_count: f64) {
         let listed: BTreeSet<u32> = endpoints.iter().map(|endpoint| endpoint.id).collect();
         let removed = self.table.endpoints().map(|endpoint| endpoint.id).filter(|id| !listed.contains(id));
         let removed: Vec<u32> = removed.collect();
         self.apply_change(&removed, endpoints, subset_count);
-        self.finish();
     }
 
     /// Applies a change of the list: the endpoints that were removed, and those that were added or modified. Removed
--- a/tests/many_servers.rs
+++ b/tests/many_servers.rs
@@ -108,3 +108,20 @@
 fn replacing_thousands_of_servers_costs_a_small_fleet_little_more() {
     check_cost_hardly_grows(4);
 }
+
+/// Guards against a turn in which new settings compute all subsets to the end.
+#[test]
+fn new_settings_leave_the_subsets_of_thousands_of_servers_for_later_turns() {
+    let settings = |gateways: u32| format!("balancers={gateways} me=3 zone=0");
+    let mut scenario = scenario(&settings(300)).with_servers(MANY_SERVERS);
+    let now = scenario.host.now;
+    scenario.controller.update_settings_deferred(now, harness::settings(&settings(900)));
+    let mut steps = 0;
+    while let Some(due) = scenario.controller.subset_work_due() {
+        scenario.controller.work_on_subsets(due.max(now), SUBSET_WORK);
+        steps += 1;
+    }
+    assert!(steps > 10, "computed in {steps} steps");
+    let rpc = scenario.submit(0, 1.0);
+    assert_eq!(scenario.attempt_count(rpc), 1);
+}
