One connection has 17 messages a turn, so that a flood of small ones delays nobody

Cause: after each answer the next message of the buffer was read in the same turn (after_client_write, process_pending), and a full buffer holds 2,500 of them, each of which moves the rest of the buffer.

Fix: after 16 further messages a connection waits for the next turn.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -24,6 +24,9 @@
 pub const UNAVAILABLE_RESPONSE: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 
+/// How many messages behind the first one are read from one buffer in a turn: a full buffer of small ones would delay all
+/// other clients.
+const MAX_READS_PER_TURN: usize = 16;
 /// How many reads of one buffer are recorded with their times; bytes of later reads count as read
 /// with the last of them.
 const MAX_READ_TIMES: usize = 64;
@@ -91,6 +94,9 @@
     pub over_limit: bool,
     /// Number of responses on this connection.
     pub served: u64,
+    /// The last turn in which a further message of the buffer was read, and how many were read in it.
+    pub last_read_turn: u64,
+    pub reads_in_turn: usize,
 }
 
 impl Client {
@@ -127,6 +133,15 @@
         }
     }
 
+    /// Counts one more message to read in this turn; false if the connection has had its share.
+    pub fn may_read_again(&mut self, turn: u64) -> bool {
+        if self.last_read_turn != turn {
+            (self.last_read_turn, self.reads_in_turn) = (turn, 0);
+        }
+        self.reads_in_turn += 1;
+        self.reads_in_turn <= MAX_READS_PER_TURN
+    }
+
     /// Removes this many bytes from the front of the recorded reads.
     pub fn consume(&mut self, bytes: usize) {
         self.read_times.iter_mut().for_each(|read| read.0 = read.0.saturating_sub(bytes));
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -103,6 +103,8 @@
     ContinueListUpdate,
     /// There is work on the subsets of the admission controller.
     SubsetWork,
+    /// Clients have messages left from an earlier turn.
+    ReadClients,
 }
 
 /// The state of an RPC: with the admission controller, at a server, or answered. An answered RPC
@@ -214,8 +216,9 @@
     ended_attempts: VecDeque<AttemptResult>,
     /// Ended calls to the counter that are not yet reported to the admission controller.
     ended_counter_calls: VecDeque<(Call, CallOutcome, f64)>,
-    /// Clients whose input buffer may hold another message.
+    /// Clients whose input buffer may hold another message, and those whose next one waits for the next turn.
     clients_to_read: VecDeque<usize>,
+    clients_of_next_turn: Vec<usize>,
     has_list: bool,
     /// There was a list, and the subsets were computed, so that the gateway does not use more servers than it will.
     was_ready: bool,
@@ -262,6 +265,8 @@
     /// When this turn began, and how far [`AdmissionHost::advance_time`] has advanced its time
     /// since.
     turn_started_at: Instant,
+    /// The number of the turn.
+    turn: u64,
     time_advanced: Nanos,
     /// Duration of the previous turn, and the longest that a turn may take while the process keeps
     /// up.
@@ -338,6 +343,8 @@
             ended_attempts: VecDeque::new(),
             ended_counter_calls: VecDeque::new(),
             clients_to_read: VecDeque::new(),
+            clients_of_next_turn: Vec::new(),
+            turn: 0,
             has_list: false,
             was_ready: false,
             process_started_at: 0,
@@ -452,6 +459,7 @@
         host.last_turn = host.net.input_delay;
         host.log_long_turn();
         host.turn_started_at = Instant::now();
+        host.turn += 1;
         self.evaluate_agreement();
         if self.host.update_scheduled {
             let since = Instant::now();
@@ -591,6 +599,10 @@
                 TimerEvent::StopReading => self.host.half_close_clients(true),
                 TimerEvent::Exit => self.exit(),
                 TimerEvent::EvaluateAgreement => self.evaluate_agreement(),
+                TimerEvent::ReadClients => {
+                    let clients = std::mem::take(&mut self.host.clients_of_next_turn);
+                    self.host.clients_to_read.extend(clients);
+                }
                 TimerEvent::ContinueListUpdate => {} // handled at the start of the turn
                 TimerEvent::SubsetWork => {
                     let since = Instant::now();
--- a/crates/gateway/src/gateway/client_handler.rs
+++ b/crates/gateway/src/gateway/client_handler.rs
@@ -256,8 +256,20 @@
         }
         let can_read = self.clients.get(&id).is_some_and(|client| client.phase.pending_rpc().is_none());
         if can_read && !self.net.input(id).is_empty() {
-            self.clients_to_read.push_back(id);
+            self.read_further_message(id);
+        }
+    }
+
+    /// Reads the next message of a buffer in this turn, or in the next one if the connection has had its share.
+    fn read_further_message(&mut self, id: usize) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        if client.may_read_again(self.turn) {
+            return self.clients_to_read.push_back(id);
+        }
+        if self.clients_of_next_turn.is_empty() {
+            self.timers.set(self.net.now + 1, TimerEvent::ReadClients);
         }
+        self.clients_of_next_turn.push(id);
     }
 
     /// Answers a message that did not reach the admission controller; `lines` are additional header
--- a/crates/gateway/tests/hostile_clients.rs
+++ b/crates/gateway/tests/hostile_clients.rs
@@ -1,6 +1,7 @@
 //! Clients that write slowly, stop half way, send heads of very many fields, or flood one connection: the process stays
 //! within its memory limit, and other clients are answered in their time.
 
+use standins::process::throttle;
 use standins::scripted::{Client, Peer, Program, answer, entry, rpc, status, with_id};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -18,6 +19,8 @@
 /// How long a flood lasts, and the time that other clients give their RPCs.
 const FLOOD_TIME: Duration = Duration::from_secs(5);
 const CLIENT_TIME_MS: u64 = 1_000;
+/// The share of a core that a flooded gateway has.
+const FLOODED_CORE_SHARE: f64 = 0.1;
 /// An answer counts up to this long after its client's time (the operators' standing test).
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
 
@@ -148,7 +151,12 @@
 fn check_flood(request: impl Fn(u64) -> String) {
     let deployment = deployment();
     let gateway = &deployment.gateway;
+    let is_flooded = Arc::new(AtomicBool::new(true));
+    let is_wanted = is_flooded.clone();
+    let processes = gateway.pidfd().into_iter().collect();
+    throttle(processes, FLOODED_CORE_SHARE, move || is_wanted.load(Ordering::Relaxed));
     check_others_are_answered(gateway, || flood(gateway.address, request));
+    is_flooded.store(false, Ordering::Relaxed);
     check_memory(gateway);
 }
 
