The rig's servers have ports of their own, below those that the system assigns

Cause: a server that is down listens again on its port later; the system had given that port to one of the thousands that replaced others meanwhile.

--- a/crates/gateway/tests/soak.rs
+++ b/crates/gateway/tests/soak.rs
@@ -70,3 +70,14 @@
     let library = test_binary.parent().unwrap().join("libmartenramp_faults.so");
     check_no_violations(2, Some(SystemCallFaults { library, rate: 0.01 }));
 }
+
+/// A seed with as many servers as change most of them, and gateways with a small share of a core.
+const MANY_SERVERS_SEED: u64 = 30_001;
+
+/// Guards against RPCs that are lost only with many times the usual number of servers.
+#[test]
+fn no_violations_while_most_of_many_servers_are_replaced() {
+    let size = Size { gateways: 4, servers: 800, seconds: 8.0, faults: 6 };
+    let run = run_without_violations(MANY_SERVERS_SEED, size, None);
+    assert!(run.sent > 500 && run.counts.checked > 0, "{}", run.summary());
+}
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -24,7 +24,7 @@
 use standins::relay::Relays;
 use standins::servers::{Row, Servers};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 use std::time::Duration;
 
@@ -128,7 +128,7 @@
     links_by_fault: BTreeMap<usize, Vec<usize>>,
     seed_rng: ChaCha8Rng,
     counter_address: SocketAddr,
-    servers_address: SocketAddr,
+    servers_address: IpAddr,
     crashed: Vec<String>,
     killed: Vec<(usize, Nanos)>,
     list_changes: Vec<ListChange>,
--- a/crates/rig/src/fleet/servers.rs
+++ b/crates/rig/src/fleet/servers.rs
@@ -1,6 +1,7 @@
 //! The stand-in servers and their entries in discovery's list.
 
 use super::{Fleet, ListChange};
+use crate::loopback;
 use crate::measure::ServerHistory;
 use crate::scenario::ServerGroup;
 use crate::{Nanos, nanos};
@@ -26,7 +27,7 @@
             reports_load: group.reports,
             body_bytes: group.body_bytes,
             late_data: group.late_data(),
-            address: self.servers_address,
+            address: loopback::server_address(self.servers_address, number),
         };
         let (name, zone, weight) = (spec.name.clone(), spec.zone.clone(), spec.weight);
         let cell = self.scenario.cell_of(number);
