--- a/review/kit-2/src/common.rs
+++ b/review/kit-2/src/common.rs
@@ -561,3 +561,37 @@
 pub fn flag() -> Arc<AtomicBool> {
     Arc::default()
 }
+
+unsafe extern "C" {
+    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+    fn connect(socket: i32, address: *const u8, length: u32) -> i32;
+}
+
+/// Connects like a client behind a network with small packets and with a small receive buffer.
+pub fn connect_narrow(to: SocketAddr, packet: i32, receive_buffer: i32) -> std::io::Result<TcpStream> {
+    use std::os::fd::FromRawFd;
+    const INET: i32 = 2;
+    let (kind, sol_socket, so_rcvbuf, tcp, tcp_maxseg) = (1, 1, 8, 6, 2); // as Linux numbers them
+    let SocketAddr::V4(to) = to else { return Err(std::io::ErrorKind::Unsupported.into()) };
+    // `sockaddr_in`: family, port, address, zeros.
+    let mut address = [0_u8; 16];
+    address[..2].copy_from_slice(&(INET as u16).to_ne_bytes());
+    address[2..4].copy_from_slice(&to.port().to_be_bytes());
+    address[4..8].copy_from_slice(&to.ip().octets());
+    // SAFETY: the descriptor is owned by the stream made of it, and the pointers lead to values of
+    // the given lengths.
+    unsafe {
+        let descriptor = socket(INET, kind, 0);
+        if descriptor < 0 {
+            return Err(std::io::Error::last_os_error());
+        }
+        let stream = TcpStream::from_raw_fd(descriptor);
+        setsockopt(descriptor, sol_socket, so_rcvbuf, &receive_buffer, 4);
+        setsockopt(descriptor, tcp, tcp_maxseg, &packet, 4);
+        if connect(descriptor, address.as_ptr(), 16) < 0 {
+            return Err(std::io::Error::last_os_error());
+        }
+        Ok(stream)
+    }
+}
--- a/review/kit-2/src/main.rs
+++ b/review/kit-2/src/main.rs
@@ -1,11 +1,15 @@
 mod common;
 mod crowd;
+mod door;
 mod memory;
+mod slow_reader;
 
 fn main() {
     match std::env::args().nth(1).as_deref() {
         Some("crowd") => crowd::main(),
         Some("memory") => memory::main(),
+        Some("door") => door::main(),
+        Some("slow-reader") => slow_reader::main(),
         _ => common::no_run("no such case"),
     }
 }
