--- a/review/kit-2/src/common.rs
+++ b/review/kit-2/src/common.rs
@@ -571,18 +571,13 @@
 /// Connects like a client behind a network with small packets and with a small receive buffer.
 pub fn connect_narrow(to: SocketAddr, packet: i32, receive_buffer: i32) -> std::io::Result<TcpStream> {
     use std::os::fd::FromRawFd;
-    const INET: i32 = 2;
     let (kind, sol_socket, so_rcvbuf, tcp, tcp_maxseg) = (1, 1, 8, 6, 2); // as Linux numbers them
     let SocketAddr::V4(to) = to else { return Err(std::io::ErrorKind::Unsupported.into()) };
-    // `sockaddr_in`: family, port, address, zeros.
-    let mut address = [0_u8; 16];
-    address[..2].copy_from_slice(&(INET as u16).to_ne_bytes());
-    address[2..4].copy_from_slice(&to.port().to_be_bytes());
-    address[4..8].copy_from_slice(&to.ip().octets());
+    let address = socket_address(to);
     // SAFETY: the descriptor is owned by the stream made of it, and the pointers lead to values of
     // the given lengths.
     unsafe {
-        let descriptor = socket(INET, kind, 0);
+        let descriptor = socket(2, kind, 0);
         if descriptor < 0 {
             return Err(std::io::Error::last_os_error());
         }
@@ -595,3 +590,50 @@
         Ok(stream)
     }
 }
+
+unsafe extern "C" {
+    fn bind(socket: i32, address: *const u8, length: u32) -> i32;
+    #[link_name = "listen"]
+    fn system_listen(socket: i32, backlog: i32) -> i32;
+}
+
+fn socket_address(to: std::net::SocketAddrV4) -> [u8; 16] {
+    // `sockaddr_in`: family, port, address, zeros.
+    let mut address = [0_u8; 16];
+    address[..2].copy_from_slice(&2_u16.to_ne_bytes());
+    address[2..4].copy_from_slice(&to.port().to_be_bytes());
+    address[4..8].copy_from_slice(&to.ip().octets());
+    address
+}
+
+/// Listens like a server behind a network with small packets and with small receive buffers.
+pub fn listen_narrow(packet: i32, receive_buffer: i32) -> (TcpListener, SocketAddr) {
+    use std::os::fd::FromRawFd;
+    let (kind, sol_socket, so_rcvbuf, tcp, tcp_maxseg) = (1, 1, 8, 6, 2); // as Linux numbers them
+    let address = socket_address(std::net::SocketAddrV4::new(std::net::Ipv4Addr::LOCALHOST, 0));
+    // SAFETY: the descriptor is owned by the listener made of it, and the pointers lead to values
+    // of the given lengths.
+    let listener = unsafe {
+        let descriptor = socket(2, kind, 0);
+        if descriptor < 0 {
+            no_run("no socket");
+        }
+        let listener = TcpListener::from_raw_fd(descriptor);
+        setsockopt(descriptor, sol_socket, so_rcvbuf, &receive_buffer, 4);
+        setsockopt(descriptor, tcp, tcp_maxseg, &packet, 4);
+        if bind(descriptor, address.as_ptr(), 16) < 0 || system_listen(descriptor, 128) < 0 {
+            no_run("can't listen");
+        }
+        listener
+    };
+    let address = listener.local_addr().unwrap_or_else(|e| no_run(&format!("no port: {e}")));
+    (listener, address)
+}
+
+/// Closes a connection with a reset.
+pub fn reset(stream: &TcpStream) {
+    use std::os::fd::AsRawFd;
+    let linger: [i32; 2] = [1, 0]; // on, for no time
+    // SAFETY: the descriptor is open, and the pointer leads to a value of the given length.
+    unsafe { setsockopt(stream.as_raw_fd(), 1, 13, linger.as_ptr(), 8) };
+}
--- a/review/kit-2/src/main.rs
+++ b/review/kit-2/src/main.rs
@@ -1,6 +1,7 @@
 mod common;
 mod crowd;
 mod door;
+mod late_repeat;
 mod memory;
 mod slow_reader;
 
@@ -8,6 +9,7 @@
     match std::env::args().nth(1).as_deref() {
         Some("crowd") => crowd::main(),
         Some("memory") => memory::main(),
+        Some("late-repeat") => late_repeat::main(),
         Some("door") => door::main(),
         Some("slow-reader") => slow_reader::main(),
         _ => common::no_run("no such case"),
