--- a/review/kit-2/src/common.rs
+++ b/review/kit-2/src/common.rs
@@ -565,30 +565,6 @@
 unsafe extern "C" {
     fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
     fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
-    fn connect(socket: i32, address: *const u8, length: u32) -> i32;
-}
-
-/// Connects like a client behind a network with small packets and with a small receive buffer.
-pub fn connect_narrow(to: SocketAddr, packet: i32, receive_buffer: i32) -> std::io::Result<TcpStream> {
-    use std::os::fd::FromRawFd;
-    let (kind, sol_socket, so_rcvbuf, tcp, tcp_maxseg) = (1, 1, 8, 6, 2); // as Linux numbers them
-    let SocketAddr::V4(to) = to else { return Err(std::io::ErrorKind::Unsupported.into()) };
-    let address = socket_address(to);
-    // SAFETY: the descriptor is owned by the stream made of it, and the pointers lead to values of
-    // the given lengths.
-    unsafe {
-        let descriptor = socket(2, kind, 0);
-        if descriptor < 0 {
-            return Err(std::io::Error::last_os_error());
-        }
-        let stream = TcpStream::from_raw_fd(descriptor);
-        setsockopt(descriptor, sol_socket, so_rcvbuf, &receive_buffer, 4);
-        setsockopt(descriptor, tcp, tcp_maxseg, &packet, 4);
-        if connect(descriptor, address.as_ptr(), 16) < 0 {
-            return Err(std::io::Error::last_os_error());
-        }
-        Ok(stream)
-    }
 }
 
 unsafe extern "C" {
