--- a/review/kit-2/src/common.rs
+++ b/review/kit-2/src/common.rs
@@ -547,8 +547,7 @@
         return Outcome::Ended(format!("write: {e}"));
     }
     let _ = stream.set_read_timeout(Some(patience));
-    let Ok(clone) = stream.try_clone() else { return Outcome::Ended("clone".to_string()) };
-    match read_message(&mut BufReader::new(clone)) {
+    match read_message(&mut BufReader::new(stream)) {
         Ok(Some(answer)) => Outcome::Status(answer.status(), answer.body),
         Ok(None) => Outcome::Ended("closed".to_string()),
         Err(e) if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {
