--- a/review/kit-2/src/late_repeat.rs
+++ b/review/6/main.rs
@@ -1,7 +1,10 @@
 //! Long deduplicated requests whose connections are reset after they ran, and servers that take
 //! seconds to read: a repeat may be whole only after the window in which repeats are recognized.
 
-use crate::common::*;
+#[path = "../kit-2/common.rs"]
+mod common;
+
+use common::*;
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -42,7 +45,7 @@
     }
 }
 
-pub fn main() {
+fn main() {
     let place = Place::from_env();
     let record = place.record();
     let keys: Arc<Keys> = Arc::default();
--- a/review/kit-2/src/crowd.rs
+++ b/review/7/main.rs
@@ -1,7 +1,10 @@
 //! A planned restart while bad clients crowd the gateway: they never finish a request, some of
 //! them with heads that never end, and come again as soon as they are turned away.
 
-use crate::common::*;
+#[path = "../kit-2/common.rs"]
+mod common;
+
+use common::*;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -32,7 +35,7 @@
     outcome: Option<(f64, Outcome)>,
 }
 
-pub fn main() {
+fn main() {
     let place = Place::from_env();
     let record = place.record();
     let runs: Runs = Arc::default();
--- a/review/kit-2/src/names.rs
+++ b/review/8/main.rs
@@ -2,7 +2,10 @@
 //! name and with little time left: the platform kills the gateway once it takes more memory than
 //! its limit.
 
-use crate::common::*;
+#[path = "../kit-2/common.rs"]
+mod common;
+
+use common::*;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -20,7 +23,7 @@
 const REMAINING_MS: u64 = 2500;
 const WORK: f64 = 0.05;
 
-pub fn main() {
+fn main() {
     let place = Place::from_env();
     let record = place.record();
     let runs: Runs = Arc::default();
--- a/review/kit-2/src/memory.rs
+++ b/review/9/main.rs
@@ -1,7 +1,10 @@
 //! Clients that stop in the middle of long requests, beside usual clients: the platform kills the
 //! gateway once it takes more memory than its limit.
 
-use crate::common::*;
+#[path = "../kit-2/common.rs"]
+mod common;
+
+use common::*;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
@@ -23,7 +26,7 @@
 const CHUNKS: usize = 65;
 const LAST_CHUNK_AFTER: f64 = 0.3;
 
-pub fn main() {
+fn main() {
     let place = Place::from_env();
     let record = place.record();
     let runs: Runs = Arc::default();
