A stopping gateway closes its listener in steps, so that a crowd can't hold it

Cause: Driver::stop_listening took and rejected one waiting connection after another until none waited, and reject_connection read each until its client paused. Clients that come again at once, or send at full speed, keep both going. Evidence: the stack of the stuck process is run, stop_listening, reject_connection; the log has no line from then on.

Change: each turn accepts what fits, rejects 16 connections at most and reads 64 KiB at most from each; the listener is closed once none waits or 128 were rejected, as many as the system keeps waiting. The process is finished only after that. New log line "listener closed".

The other loops that a peer feeds were looked through by reading (table in the postmortem).

--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -34,6 +34,12 @@
 /// How much is read and discarded from a connection that is about to close, in total and per turn.
 const DISCARD_LIMIT: usize = 4 << 20;
 const DISCARD_LIMIT_PER_TURN: usize = 64 << 10;
+/// The most connections that the system keeps waiting for the listener.
+const LISTEN_BACKLOG: usize = 128;
+/// How many waiting connections a turn rejects while the listener closes, and how much it reads
+/// from each of them.
+const REJECTIONS_PER_TURN: usize = 16;
+const REJECTION_READ_LIMIT: usize = 64 << 10;
 /// Delay before accepting again after running out of descriptors.
 pub const ACCEPT_RETRY_DELAY: Nanos = 10_000_000;
 /// Interval at which log lines that standard error did not take are tried again.
@@ -484,6 +490,8 @@
     fn stop(&mut self);
     fn reload(&mut self);
     fn is_listening(&self) -> bool;
+    /// The listener was closed, after this many waiting connections had been rejected.
+    fn listener_closed(&mut self, _rejected: usize) {}
     fn is_finished(&self) -> bool;
     /// Whether there is room for another client.
     fn can_accept(&mut self) -> bool;
@@ -527,6 +535,8 @@
     pub clock: Clock,
     /// Since when clients can connect and their messages may wait in the system.
     listening_since: Nanos,
+    /// Waiting connections that were rejected since the listener began to close.
+    rejected: usize,
 }
 
 impl Driver {
@@ -562,7 +572,16 @@
         let listener = Some(listener);
         let listening_since = net.now;
         Ok((
-            Driver { poll, listener, signals, reload_signal, stop_signal, clock, listening_since },
+            Driver {
+                poll,
+                listener,
+                signals,
+                reload_signal,
+                stop_signal,
+                clock,
+                listening_since,
+                rejected: 0,
+            },
             net,
             listen,
         ))
@@ -580,7 +599,9 @@
             let next_timer = gateway.next_timer();
             let timer_wait = next_timer.map(|at| Duration::from_nanos(at.saturating_sub(now)));
             let net = gateway.net();
-            let no_wait = (!net.to_resume.is_empty() || net.has_more_datagrams).then_some(Duration::ZERO);
+            let has_work = !net.to_resume.is_empty() || net.has_more_datagrams;
+            let is_closing_listener = self.listener.is_some() && !gateway.is_listening();
+            let no_wait = (has_work || is_closing_listener).then_some(Duration::ZERO);
             let wait = timer_wait
                 .into_iter()
                 .chain((!logs.is_empty()).then_some(LOG_RETRY_INTERVAL))
@@ -643,7 +664,7 @@
             if gateway.is_listening() {
                 // The listener stays open.
             } else if self.listener.is_some() {
-                self.stop_listening(gateway);
+                self.continue_closing(gateway);
                 self.flush(gateway);
             }
             logs.write_pending();
@@ -652,15 +673,28 @@
         Ok(())
     }
 
-    /// Closes the listener without resetting clients that have already connected: they are accepted
-    /// as far as there is room, and the others get a rejection at once for what they sent.
-    fn stop_listening(&mut self, gateway: &mut impl EventHandler) {
-        while !self.accept(gateway) {
-            let Some(listener) = &self.listener else { return };
-            let Ok((mut stream, _)) = listener.accept() else { break };
-            reject_connection(&mut stream, gateway.unavailable_response());
+    /// Takes one step of closing the listener without resetting clients that have already
+    /// connected: they are accepted as far as there is room, and some of the others are rejected.
+    /// The rest waits for the next turn, so that clients that keep coming hold up nothing else. Ends
+    /// when none waits any more, or when as many were rejected as can have waited at first. The
+    /// cost: a connection that was opened later than those is closed unread.
+    fn continue_closing(&mut self, gateway: &mut impl EventHandler) {
+        let mut none_left = self.accept(gateway);
+        for _ in 0..REJECTIONS_PER_TURN {
+            if none_left || self.rejected >= LISTEN_BACKLOG {
+                self.listener = None;
+                return gateway.listener_closed(self.rejected);
+            }
+            none_left = !self.reject_next(gateway.unavailable_response());
         }
-        self.listener = None;
+    }
+
+    /// Rejects the connection that has waited longest; false if there is none.
+    fn reject_next(&mut self, response: &[u8]) -> bool {
+        let Some(Ok((mut stream, _))) = self.listener.as_ref().map(TcpListener::accept) else { return false };
+        self.rejected += 1;
+        reject_connection(&mut stream, response);
+        true
     }
 
     /// Whether a signal was received and not handled yet.
@@ -751,18 +785,19 @@
     }
 }
 
-/// Answers what has arrived on a connection, if anything, and closes it. All input is read first,
-/// since unread bytes would make the close a reset.
+/// Answers what has arrived on a connection, if anything, and closes it. Input is read first, since
+/// unread bytes would make the close a reset. Trade-off: a client that sends more than
+/// [`REJECTION_READ_LIMIT`] may miss the response.
 fn reject_connection(stream: &mut TcpStream, response: &[u8]) {
     let mut buffer = [0; READ_SIZE];
-    let mut received = false;
-    while let Ok(length) = stream.read(&mut buffer) {
-        received |= length > 0;
-        if length == 0 {
-            break;
+    let mut received = 0;
+    while received < REJECTION_READ_LIMIT {
+        match stream.read(&mut buffer) {
+            Ok(length) if length > 0 => received += length,
+            _ => break,
         }
     }
-    if received {
+    if received > 0 {
         let _ = stream.set_nodelay(true);
         let _ = stream.write(response);
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -231,6 +231,8 @@
     /// The process exits after this turn.
     exit_requested: bool,
     is_listening: bool,
+    /// No connection can arrive any more.
+    listener_is_closed: bool,
     accept_again: bool,
     /// When accepting is retried, if it is scheduled.
     accept_retry_at: Option<Nanos>,
@@ -352,6 +354,7 @@
             file_deadline: None,
             exit_requested: false,
             is_listening: true,
+            listener_is_closed: false,
             accept_again: false,
             accept_retry_at: None,
             last_full_at: None,
@@ -476,8 +479,13 @@
         self.host.is_listening
     }
 
+    fn listener_closed(&mut self, rejected: usize) {
+        info!(self.host.log, "listener closed"; "rejected" => rejected, "clients" => self.host.clients.len());
+        self.host.listener_is_closed = true;
+    }
+
     fn is_finished(&self) -> bool {
-        self.host.exit_requested || !self.host.is_listening && self.host.clients.is_empty()
+        self.host.exit_requested || self.host.listener_is_closed && self.host.clients.is_empty()
     }
 
     fn can_accept(&mut self) -> bool {
--- a/crates/gateway/tests/shutdown.rs
+++ b/crates/gateway/tests/shutdown.rs
@@ -6,10 +6,12 @@
     Client, FullBacklog, Peer, Program, answer, entry, list, raw_reply, remaining_ms_header, rpc, settings,
     status, with_id,
 };
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 mod support;
-use support::{discovery_peer, long_timeout_settings, start_gateway};
+use support::{BIN, discovery_peer, long_timeout_settings, start_gateway};
 
 /// The time between SIGTERM and SIGKILL is this grace period plus the longest deadline of the settings, where a
 /// deadline counts as at most [`MAX_DEADLINE`].
@@ -297,7 +299,7 @@
     let settings =
         settings.replacen('{', "{\"extra\":{\"hasCounter\":true,\"countWait\":60.0,\"largest\":8},", 1);
     let discovery = discovery_peer();
-    let gateway = Program::start(support::BIN, discovery.address, &more, &settings);
+    let gateway = Program::start(BIN, discovery.address, &more, &settings);
     let mut client = gateway.client();
     client.send(&rpc("verify", 20_000).replace("spread=1", "spread=2"));
     counter.next();
@@ -377,3 +379,69 @@
     let wait_ms = remaining_ms_header(&server.next().1);
     assert!((2700..=2900).contains(&wait_ms), "{wait_ms} ms sent to the server");
 }
+
+/// Descriptors of a gateway that a crowd fills, and the clients of that crowd.
+const CROWDED_DESCRIPTORS: usize = 64;
+const HALF_REQUESTS: usize = 80;
+const ENDLESS_HEADS: usize = 12;
+
+/// Sends the start of a request and stays until the gateway answers or closes; then the same again, until `end`.
+fn send_half_requests(address: SocketAddr, end: Instant) {
+    while Instant::now() < end {
+        let Ok(mut stream) = TcpStream::connect(address) else {
+            std::thread::sleep(ms(10)); // the listener is closed: the pace of further attempts
+            continue;
+        };
+        let _ = stream.set_read_timeout(Some(ms(500)));
+        let _ = stream.write_all(b"GET /api/0000000000000001 HTTP/1.1\r\nHost: service.int");
+        while Instant::now() < end && stream.read(&mut [0; 512]).is_err_and(|e| is_time_out(&e)) {}
+    }
+}
+
+/// Sends a head without an end at full speed until the gateway closes; then the same again, until `end`.
+fn send_endless_heads(address: SocketAddr, end: Instant) {
+    let noise = vec![b'a'; 1 << 20];
+    while Instant::now() < end {
+        let Ok(mut stream) = TcpStream::connect(address) else {
+            std::thread::sleep(ms(10)); // as above
+            continue;
+        };
+        let _ = stream.set_write_timeout(Some(ms(200)));
+        let _ = stream.write_all(b"GET /api/0000000000000001 HTTP/1.1\r\nX-Pad: ");
+        while Instant::now() < end && stream.write(&noise).map_or_else(|e| is_time_out(&e), |_| true) {}
+    }
+}
+
+fn is_time_out(e: &std::io::Error) -> bool {
+    matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut)
+}
+
+/// Starts a crowd of clients that never finish a request and come again as soon as they are turned away.
+fn start_crowd(address: SocketAddr, end: Instant) -> Vec<std::thread::JoinHandle<()>> {
+    let half = (0..HALF_REQUESTS).map(|_| std::thread::spawn(move || send_half_requests(address, end)));
+    let endless = (0..ENDLESS_HEADS).map(|_| std::thread::spawn(move || send_endless_heads(address, end)));
+    half.collect::<Vec<_>>().into_iter().chain(endless.collect::<Vec<_>>()).collect()
+}
+
+/// Guards against a stopping gateway that does nothing but turn a crowd away until it is killed.
+#[test]
+fn crowd_that_comes_again_as_soon_as_it_is_turned_away_does_not_hold_up_a_stopping_process() {
+    let (server, discovery) = (silent_server(), discovery_peer());
+    let known = list(3, true, &[entry("s0", server.address, "ready")]);
+    let fields = format!("\"limits\":{{\"sockets\":{CROWDED_DESCRIPTORS}}},\"known\":{known},");
+    let gateway = Program::start(BIN, discovery.address, &fields, &deadlines_of(ms(2500)));
+    let mut client = gateway.client();
+    client.send(&rpc("verify", 20_000));
+    server.next();
+    let end = Instant::now() + ms(6000); // longer than the process may live after SIGTERM
+    let crowd = start_crowd(gateway.address, end);
+    gateway.wait_for_line("\"slow-message\""); // the slots have been full for a while
+    let mut stopping = StoppingGateway::send_sigterm(gateway, ms(2500));
+    stopping.wait_until(ms(800)); // later than the listener closes
+    server.write(0, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate");
+    let got = stopping.answer(&mut client);
+    let exits = stopping.exits_by_itself();
+    crowd.into_iter().for_each(|client| client.join().unwrap());
+    assert!(got.is_some_and(|got| got.ends_with("late")), "the answer of the server is passed on");
+    assert!(exits, "the process exits by itself before it is killed");
+}
