--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -106,7 +106,8 @@
     is_connected: bool,
     input: Vec<u8>,
     input_limit: usize,
-    /// Capacity of its buffers, as last included in [`Net::client_buffer_bytes`].
+    /// Capacity of its buffers, as last included in [`Net::client_buffer_bytes`] or
+    /// [`Net::upstream_buffer_bytes`].
     accounted_bytes: usize,
     /// Reading stopped because the buffer is full; there may be more to read.
     paused: bool,
@@ -136,6 +137,8 @@
     has_more_datagrams: bool,
     /// Total capacity of the buffers of client connections, in bytes.
     pub client_buffer_bytes: usize,
+    /// Total capacity of the buffers of all other connections, in bytes.
+    pub upstream_buffer_bytes: usize,
     /// Time of the current turn.
     pub now: Nanos,
     /// How long the input of this turn may have waited unread.
@@ -347,7 +350,7 @@
     pub fn close(&mut self, id: usize) {
         if self.get(id).is_some() {
             let mut conn = self.conns.remove(id & ((1 << SLOT_BITS) - 1));
-            self.client_buffer_bytes -= conn.accounted_bytes;
+            *self.buffer_bytes(conn.peer) -= conn.accounted_bytes;
             let _ = self.registry.deregister(&mut conn.stream);
         }
     }
@@ -419,13 +422,21 @@
         }
     }
 
-    /// Keeps `client_buffer_bytes` up to date; called whenever a buffer's capacity may have
-    /// changed.
+    /// The total capacity of the buffers of connections to peers of this kind.
+    fn buffer_bytes(&mut self, peer: Peer) -> &mut usize {
+        match peer {
+            Peer::Client => &mut self.client_buffer_bytes,
+            Peer::Server | Peer::Discovery | Peer::Counter(_) => &mut self.upstream_buffer_bytes,
+        }
+    }
+
+    /// Keeps the total capacities up to date; called whenever a buffer's capacity may have changed.
     fn update_accounting(&mut self, id: usize) {
-        let Some(conn) = self.get_mut(id).filter(|conn| conn.peer == Peer::Client) else { return };
+        let Some(conn) = self.get_mut(id) else { return };
         let capacity = conn.input.capacity() + conn.output.capacity();
-        let previous = std::mem::replace(&mut conn.accounted_bytes, capacity);
-        self.client_buffer_bytes = self.client_buffer_bytes + capacity - previous;
+        let (peer, previous) = (conn.peer, std::mem::replace(&mut conn.accounted_bytes, capacity));
+        let total = self.buffer_bytes(peer);
+        *total = *total + capacity - previous;
     }
 
     fn write(&mut self, id: usize) {
@@ -566,6 +577,7 @@
             datagrams: None,
             has_more_datagrams: false,
             client_buffer_bytes: 0,
+            upstream_buffer_bytes: 0,
             now: clock.now(),
             input_delay: 0,
         };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -34,6 +34,7 @@
 mod counter_handler;
 mod discovery_handler;
 mod invariant_checks;
+mod memory_account;
 mod rpc_log;
 mod server_handler;
 mod settings_agreement;
@@ -276,6 +277,8 @@
     max_turn: Nanos,
     /// What the turns spend their time on.
     turn_log: TurnLog,
+    /// What the process held at the last sweep.
+    memory_account: memory_account::MemoryAccount,
     /// Random numbers for delays that must not be in step with those of other gateways; the
     /// admission controller has its own source.
     rng: fastrand::Rng,
@@ -331,6 +334,7 @@
             time_advanced: 0,
             last_turn: 0,
             turn_log: TurnLog::default(),
+            memory_account: memory_account::MemoryAccount::default(),
             max_turn: (config.shortest_deadline() / TURN_DIVISOR).max(MIN_TURN),
             watch_id: None,
             watch_answered: false,
@@ -597,7 +601,10 @@
                     }
                 }
                 TimerEvent::RpcOverdue(id) => self.answer_overdue(id),
-                TimerEvent::Sweep => self.host.sweep(),
+                TimerEvent::Sweep => {
+                    self.host.sweep();
+                    self.count_memory();
+                }
                 TimerEvent::OpenWatch => self.host.connect_watch(),
                 TimerEvent::RetryAccept => self.host.accept_again |= self.host.is_accept_due(),
                 TimerEvent::StopListening => {
--- a/crates/gateway/src/gateway/shutdown_handler.rs
+++ b/crates/gateway/src/gateway/shutdown_handler.rs
@@ -66,10 +66,11 @@
     /// Writes the last line of the log.
     pub fn log_end(&mut self) {
         self.host.check_process_end();
+        self.count_memory();
         let host = &self.host;
         let (long_turns, longest_turn) = host.turn_log.long_turns();
         info!(host.log, "ended"; "long_turns" => long_turns, "longest_turn_ms" => longest_turn / MS,
-            "unanswered" => host.unanswered_rpcs, "clients" => host.clients.len(),
+            "held" => %host.memory_account, "unanswered" => host.unanswered_rpcs, "clients" => host.clients.len(),
             "invariants" => host.invariant_counts.summary(), "violations" => host.invariant_counts.violations());
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod eviction;
 pub mod gateway;
 pub mod guard;
+pub mod heap;
 pub mod http;
 pub mod invariants;
 pub mod json_stream;
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -274,6 +274,11 @@
         self.answered_at.map_or(0, |answered_at| answered_at + rest)
     }
 
+    /// Memory held by the decoded part of a chunked response, in bytes.
+    pub fn decoded_bytes(&self) -> usize {
+        self.chunks.as_ref().map_or(0, |(_, decoded, _)| decoded.capacity())
+    }
+
     /// Returns the attempt that is requested or in flight on this connection.
     pub fn attempt(&self) -> Option<Attempt> {
         match self.stage {
--- a/crates/gateway/src/timers.rs
+++ b/crates/gateway/src/timers.rs
@@ -25,6 +25,15 @@
         self.heap.push(Reverse((at, self.last_sequence, event)));
     }
 
+    /// The number of timers, including stale ones.
+    pub fn len(&self) -> usize {
+        self.heap.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.heap.is_empty()
+    }
+
     /// The time of the first timer.
     pub fn next_due(&self) -> Option<Nanos> {
         self.heap.peek().map(|Reverse((at, ..))| *at)
