No byte of a repeat is written after its window, and the system drops what it holds

Cause: guard::may_send asks for the window before the first byte, and bytes that the socket did not take were written whenever the server read on; a server counts an attempt from its last byte. Evidence: the case's record has the repeat whole 1.70 s after the first run, with a window of 1.5 s, and the log no event at 1.5 s.

Change: guard::write_until; Net::write_output writes nothing from then on; a timer ends the attempt if bytes wait here or if the system holds unacknowledged ones, with a reset, since an ordinary close would deliver them.

--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -118,6 +118,8 @@
     output: Vec<u8>,
     /// How much of `output` has been written.
     written: usize,
+    /// No output is written from this time on.
+    write_until: Nanos,
     /// Listed in [`Net::dirty`].
     is_dirty: bool,
 }
@@ -180,6 +182,7 @@
             end: None,
             output: Vec::new(),
             written: 0,
+            write_until: Nanos::MAX,
             is_dirty: false,
         });
         Ok(id)
@@ -321,6 +324,29 @@
         self.get(id).map_or(0, |conn| conn.output.len() - conn.written)
     }
 
+    /// From this time on no output of a connection is written, however much is waiting.
+    pub fn set_write_until(&mut self, id: usize, until: Nanos) {
+        if let Some(conn) = self.get_mut(id) {
+            conn.write_until = until;
+        }
+    }
+
+    /// Whether some of a connection's output has not arrived at the peer's system, as far as this
+    /// system can tell: it waits here, or was not acknowledged.
+    pub fn has_output_on_the_way(&self, id: usize) -> bool {
+        let Some(conn) = self.get(id) else { return false };
+        conn.written < conn.output.len()
+            || tcp_info::unacknowledged_bytes(&conn.stream).is_some_and(|n| n > 0)
+    }
+
+    /// Lets the close of a connection be a reset, so that what the system has taken and not sent is
+    /// dropped; an ordinary close would still deliver it.
+    pub fn reset_on_close(&mut self, id: usize) {
+        if let Some(conn) = self.get(id) {
+            let _ = rustix::net::sockopt::set_socket_linger(&conn.stream, Some(Duration::ZERO));
+        }
+    }
+
     /// Returns how a connection ended, if it has.
     pub fn connection_end(&self, id: usize) -> Option<ConnectionEnd> {
         self.get(id).and_then(|conn| conn.end)
@@ -446,9 +472,9 @@
     }
 
     fn write_output(&mut self, id: usize) {
-        let Some(conn) = self.get_mut(id).filter(|conn| conn.is_connected && conn.end.is_none()) else {
-            return;
-        };
+        let now = self.now;
+        let may_write = |conn: &&mut Conn| conn.is_connected && conn.end.is_none() && now < conn.write_until;
+        let Some(conn) = self.get_mut(id).filter(may_write) else { return };
         while conn.written < conn.output.len() {
             match conn.stream.write(&conn.output[conn.written..]) {
                 Ok(0) => return conn.end = Some(ConnectionEnd::Failed("network-error")),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -89,6 +89,8 @@
     Wake(u32),
     AttemptTimeout(usize, u32, u16),
     ConnectTimeout(usize),
+    /// The time to write an attempt on this connection is over.
+    EndWriting(usize, u32, u16),
     /// A deferred attempt is to be written on this connection.
     WriteAttempt(usize),
     CounterTimeout(usize, u64),
@@ -407,7 +409,7 @@
     fn next_timer(&mut self) -> Option<Nanos> {
         let AdmissionHost { timers, server_connections, rpcs, counter_connections, .. } = &mut self.host;
         timers.discard_stale(|event| match event {
-            TimerEvent::AttemptTimeout(id, rpc, attempt) => {
+            TimerEvent::AttemptTimeout(id, rpc, attempt) | TimerEvent::EndWriting(id, rpc, attempt) => {
                 !server_connections.get(id).is_some_and(|connection| connection.carries(*rpc, *attempt))
             }
             TimerEvent::ConnectTimeout(id) => {
@@ -596,6 +598,7 @@
                     self.host.turn_log.add(TurnPart::Rpcs, since);
                 }
                 TimerEvent::AttemptTimeout(id, rpc, attempt) => self.host.attempt_timed_out(id, rpc, attempt),
+                TimerEvent::EndWriting(id, rpc, attempt) => self.host.end_writing(id, rpc, attempt),
                 TimerEvent::ConnectTimeout(id) => self.host.connect_timed_out(id),
                 TimerEvent::WriteAttempt(id) => self.host.connections_to_write.push_back(id),
                 TimerEvent::CounterTimeout(slot, serial) => {
--- a/crates/gateway/src/gateway/server_handler.rs
+++ b/crates/gateway/src/gateway/server_handler.rs
@@ -2,7 +2,6 @@
 //! reads its answer.
 
 use super::*;
-use crate::guard::Denial;
 use crate::late_data::MIN_REST;
 
 /// Reason code of a connection on which a server sent more than the responses to its requests.
@@ -118,7 +117,12 @@
         if let Some(why) = self.unusable_because(id) {
             return self.abandon_connection(id, self.unwritten_end(id), why);
         }
-        if let Err(denial) = self.may_send(id, &attempt) {
+        let Some(send) = self.send_check(id, &attempt) else {
+            return self.abandon_connection(id, CallOutcome::NotSent, "server-moved");
+        };
+        let verdict = guard::may_send(&send);
+        self.count_send_check(verdict);
+        if let Err(denial) = verdict {
             info!(self.log, "not written"; "why" => denial.reason(), "rpc" => attempt.rpc, "attempt" => attempt.number,
                 "ms" => (self.net.now - attempt.requested_at) / MS);
             self.end_attempt(server, attempt, CallOutcome::NotSent, 0.0, Vec::new());
@@ -135,6 +139,32 @@
         if let Some((message, out)) = net.input_and_output(rpc.client, id) {
             connection.write_attempt(out, attempt, &rpc.message, message, wait);
         }
+        self.limit_writing(id, &attempt, guard::write_until(&send));
+    }
+
+    /// Writes no byte of an attempt from this time on, and ends it then if it is not whole.
+    fn limit_writing(&mut self, id: usize, attempt: &Attempt, until: Nanos) {
+        self.net.set_write_until(id, until);
+        if until < Nanos::MAX {
+            self.timers.set(until, TimerEvent::EndWriting(id, attempt.rpc, attempt.number));
+        }
+    }
+
+    /// The time to write an attempt is over. If bytes of it wait here, the server can't get it whole
+    /// any more: it has not run. If the system has taken all of it and still has some, the reset
+    /// drops those; whether the last one has arrived and only its acknowledgement is missing can't
+    /// be known, so it may have run.
+    pub(super) fn end_writing(&mut self, id: usize, rpc: u32, number: u16) {
+        let is_in_flight = self.server_connections.get(&id).is_some_and(|connection| {
+            matches!(connection.stage, Stage::InFlight(_)) && connection.carries(rpc, number)
+        });
+        if !is_in_flight || !self.net.has_output_on_the_way(id) {
+            return;
+        }
+        let outcome = if self.may_have_run(id) { CallOutcome::Reset } else { CallOutcome::NoConnection };
+        self.invariant_counts.record_withheld(Invariant::RepeatAllowed);
+        self.net.reset_on_close(id);
+        self.abandon_connection(id, outcome, "repeat-window-over");
     }
 
     /// Until when a connection rests before an attempt may be written on it, if it still does.
@@ -152,13 +182,13 @@
         if was_reused { CallOutcome::NotSent } else { CallOutcome::NoConnection }
     }
 
-    /// Asks the guard whether an attempt may be written on this connection.
-    fn may_send(&mut self, id: usize, attempt: &Attempt) -> Result<(), Denial> {
-        let Some(connection) = self.server_connections.get(&id) else { return Err(Denial::ServerMoved) };
+    /// What the guard has to know of an attempt that is about to be written on this connection.
+    fn send_check(&self, id: usize, attempt: &Attempt) -> Option<guard::SendCheck> {
+        let connection = self.server_connections.get(&id)?;
         let is_active =
             |rpc: &&Rpc| rpc.state != RpcState::Answered && self.clients.contains_key(&rpc.client);
         let rpc = self.rpcs.get(&attempt.rpc).filter(is_active);
-        let send = guard::SendCheck {
+        Some(guard::SendCheck {
             now: self.net.now,
             client_present: rpc.is_some(),
             answer_by: attempt.deadline,
@@ -167,10 +197,7 @@
             first_run: rpc.and_then(|rpc| rpc.first_run),
             server: self.server_status(id, connection),
             server_group: self.listed_group(connection.server),
-        };
-        let verdict = guard::may_send(&send);
-        self.count_send_check(verdict);
-        verdict
+        })
     }
 
     /// Where a server is listed at this moment.
--- a/crates/gateway/src/guard.rs
+++ b/crates/gateway/src/guard.rs
@@ -142,6 +142,13 @@
     }
 }
 
+/// Until when the bytes of an attempt that may be written now may go on being written. Servers count
+/// an attempt from its last byte, so the conditions that end with time hold until then.
+pub fn write_until(send: &SendCheck) -> Nanos {
+    let retry_until = send.retry_safety.retry_until(send.first_run).min(send.write_by);
+    if retry_until == Nanos::MAX { Nanos::MAX } else { retry_until.saturating_sub(TRANSIT_MARGIN) }
+}
+
 /// Whether a client may be told that retrying is harmless.
 pub fn may_reject(now: Nanos, retry_safety: RetrySafety, first_run: Option<FirstRun>) -> bool {
     let all_servers = match retry_safety {
--- a/crates/gateway/src/tcp_info.rs
+++ b/crates/gateway/src/tcp_info.rs
@@ -1,4 +1,4 @@
-//! Socket information that Linux keeps about a TCP connection (`TCP_INFO`).
+//! Socket information that Linux keeps about a TCP connection (`TCP_INFO`, `SIOCOUTQ`).
 
 use martenramp::host::Nanos;
 use std::mem::{MaybeUninit, size_of};
@@ -33,3 +33,14 @@
     let valid_info = info.filter(|info| matches!(info.tcpi_state, ESTABLISHED | CLOSE_WAIT));
     valid_info.map(|info| Nanos::from(info.tcpi_last_data_recv) * MS)
 }
+
+/// Returns how many bytes the system has taken that the peer's system has not acknowledged, if the
+/// system can tell.
+pub fn unacknowledged_bytes(stream: &impl AsFd) -> Option<usize> {
+    let mut bytes: libc::c_int = 0;
+    let descriptor = stream.as_fd().as_raw_fd();
+    // SAFETY: the descriptor is open for as long as `stream` is borrowed, and for a TCP socket the
+    // request (SIOCOUTQ, of the same number) writes one integer to `bytes`.
+    let result = unsafe { libc::ioctl(descriptor, libc::TIOCOUTQ, &raw mut bytes) };
+    usize::try_from(bytes).ok().filter(|_| result == 0)
+}
