An attempt that is given up can no longer arrive whole later and run again

What callers would see: a deduplicated request runs twice, if its first attempt is given up while its server reads nothing, its repeat runs, and the first server reads on after the window.

Cause: abandon_connection closed the connection in the ordinary way, and the system goes on delivering what it has taken.

Change: if an attempt ends in flight with bytes on the way (waiting here, or unacknowledged), its connection is closed with a reset. How the attempt counts is unchanged.

Test: retry_window::bytes_of_an_attempt_that_was_given_up_are_dropped; failed before (20,000 bytes arrived, the last 1.78 s after the repeat ran, window 1 s), passes in 2 of 2 runs.

--- a/crates/gateway/src/gateway/server_handler.rs
+++ b/crates/gateway/src/gateway/server_handler.rs
@@ -163,7 +163,6 @@
         }
         let outcome = if self.may_have_run(id) { CallOutcome::Reset } else { CallOutcome::NoConnection };
         self.invariant_counts.record_withheld(Invariant::RepeatAllowed);
-        self.net.reset_on_close(id);
         self.abandon_connection(id, outcome, "repeat-window-over");
     }
 
@@ -332,9 +331,14 @@
         self.abandon_connection(id, outcome, why);
     }
 
-    /// Ends the attempt on a connection with this outcome, and closes the connection.
+    /// Ends the attempt on a connection with this outcome, and closes the connection. If bytes of the
+    /// attempt are on the way, they are dropped: otherwise the system would go on delivering them,
+    /// and the server could have the attempt whole long after another one has run.
     pub(super) fn abandon_connection(&mut self, id: usize, outcome: CallOutcome, why: &'static str) {
         let Some(connection) = self.server_connections.get(&id) else { return };
+        if matches!(connection.stage, Stage::InFlight(_)) && self.net.has_output_on_the_way(id) {
+            self.net.reset_on_close(id);
+        }
         if let Some(attempt) = connection.attempt() {
             self.end_attempt(connection.server, attempt, outcome, 0.0, Vec::new());
         }
--- a/crates/gateway/tests/retry_window.rs
+++ b/crates/gateway/tests/retry_window.rs
@@ -23,8 +23,10 @@
 /// The window of `support::long_timeout_settings`, and the slack of the operators' time limits.
 const WINDOW: Duration = Duration::from_millis(1000);
 const SLACK: Duration = Duration::from_millis(50);
-/// How long a server pauses before it reads on: for longer than the window.
+/// How long a server pauses before it reads on: for longer than the window after the first attempt, and after a repeat that
+/// began when the first attempt was given up.
 const PAUSE: Duration = Duration::from_millis(1500);
+const LONG_PAUSE: Duration = Duration::from_millis(2500);
 
 /// What a server has of an attempt once nothing more comes.
 struct Arrival {
@@ -184,3 +186,32 @@
 fn bytes_of_a_repeat_that_wait_in_the_system_are_dropped_after_the_window() {
     check_repeat_read_late(SHORT_BODY);
 }
+
+/// Guards against a first attempt that is given up, and whose bytes the system goes on delivering: it runs again, long after
+/// the repeat.
+#[test]
+fn bytes_of_an_attempt_that_was_given_up_are_dropped() {
+    let plan = &[Reading::After(LONG_PAUSE), Reading::After(Duration::ZERO)];
+    let servers = NarrowServers::start(SHORT_BODY, plan);
+    let discovery = discovery_peer();
+    let settings = standins::scripted::settings("\"membershipMode\":\"push\",")
+        .replace("\"window\":5.0", "\"window\":1.0");
+    let gateway = start_gateway(&discovery, &servers.entries(), &settings);
+    let mut client = gateway.client();
+    // Answers are quick, so that there is time for a repeat when the first attempt is given up.
+    for id in 100..110 {
+        assert_eq!(status(&client.ask(&with_id(&rpc("read", 3000), id))), 200);
+    }
+    client.send(&long_rpc(SHORT_BODY));
+    let repeat = servers.next();
+    let ran_at = repeat.whole_at.expect("the repeat is whole");
+    let first = servers.next();
+    assert_eq!((repeat.attempt, first.attempt), (1, 0));
+    let whole_after = first.whole_at.map(|at| at - ran_at);
+    assert!(
+        whole_after.is_none_or(|after| after <= WINDOW + SLACK),
+        "{} bytes of the first attempt arrived, the last {whole_after:?} after the repeat ran",
+        first.body_bytes
+    );
+    assert_eq!(status(&client.answer().expect("an answer")), 200);
+}
