The decoded part of a chunked answer takes no more than its share allows

Cause: the decoded part of an answer grew by doubling, to 128 KiB for answers of 65,000 bytes, beside the 81 KiB of the input. The share of connections to servers allows for two longest messages each. Evidence: X-Held shows 8.4 MB of decoded answers for 65 connections.

Change: it grows by 8 KiB at least.

Test: protocol::decoded_part_of_a_chunked_... failed before (102,400 bytes of 82,944), passes.

--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -16,6 +16,9 @@
 pub const DEFAULT_IDLE_TIMEOUT: Nanos = 5_000_000_000;
 pub const DEFAULT_CONNECT_TIMEOUT: Nanos = 250_000_000;
 
+/// By how much the buffer of a decoded response grows at least, in bytes.
+const DECODED_GROWTH: usize = 8 << 10;
+
 /// Number of reused connections whose outcome is remembered, and how long a limit derived from them
 /// holds.
 const REUSE_SAMPLES: usize = 64;
@@ -379,7 +382,7 @@
                 let (chunks, decoded, decoded_to) =
                     self.chunks.get_or_insert_with(|| (ChunkedDecoder::default(), Vec::new(), start));
                 *decoded_to += chunks
-                    .feed(&input[*decoded_to..], |data| decoded.extend_from_slice(data))
+                    .feed(&input[*decoded_to..], |data| append_decoded(decoded, data))
                     .map_err(|error| error.1)?;
                 if decoded.len() > MAX_BODY_LEN {
                     return Err("body-too-large");
@@ -411,6 +414,15 @@
     }
 }
 
+/// Appends decoded bytes. The buffer grows by steps instead of doubling, so that it never takes more
+/// than one step beyond the longest body.
+fn append_decoded(decoded: &mut Vec<u8>, data: &[u8]) {
+    if decoded.capacity() < decoded.len() + data.len() {
+        decoded.reserve_exact(data.len().max(DECODED_GROWTH));
+    }
+    decoded.extend_from_slice(data);
+}
+
 /// Returns the values of a load report in the order of `columns`, or nothing if any of them can't
 /// be read.
 pub fn parse_load_report(text: &[u8], columns: &[String]) -> Vec<f64> {
--- a/crates/gateway/tests/protocol.rs
+++ b/crates/gateway/tests/protocol.rs
@@ -6,7 +6,7 @@
 use gateway::counter::{Call, CounterConnection, REPLY_TIMEOUT};
 use gateway::driver::ConnectionEnd;
 use gateway::guard::RetrySafety;
-use gateway::http::{ChunkedDecoder, MessageError};
+use gateway::http::{ChunkedDecoder, MAX_BODY_LEN, MAX_HEAD_LEN, MessageError};
 use gateway::list::Watch;
 use gateway::servers::{self, Attempt, Body, ReuseHistory, ServerConnection, Servers};
 use martenramp::host::{CallOutcome, DiscoveredServer};
@@ -571,3 +571,21 @@
         assert!(message.starts_with(why) && !message.contains('\n'), "{to}: {message}");
     }
 }
+
+/// Guards against memory that no share counts: the decoded part of a response takes no more than the longest message does.
+#[test]
+fn decoded_part_of_a_chunked_response_takes_no_more_than_the_longest_message() {
+    const LONGEST_MESSAGE: usize = MAX_HEAD_LEN + MAX_BODY_LEN + 1024;
+    for chunk_len in [100, 1000, 65_000] {
+        let chunks = 65_000 / chunk_len;
+        let chunk = format!("{chunk_len:x}\r\n{}\r\n", "b".repeat(chunk_len));
+        let text =
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_string() + &chunk.repeat(chunks);
+        let mut connection = ServerConnection::new(1, 0);
+        for end in (0..text.len()).step_by(1460).chain([text.len()]) {
+            assert_eq!(connection.parse_response(&text.as_bytes()[..end], None), Ok(None));
+        }
+        let taken = connection.decoded_bytes();
+        assert!((65_000..=LONGEST_MESSAGE).contains(&taken), "{taken} bytes, in chunks of {chunk_len}");
+    }
+}
