Timers of answered RPCs are not kept until their distant deadlines

What callers would see: a gateway that is killed for memory under small requests that state up to an hour, which is allowed.

Cause: each RPC and attempt sets a timer for its deadline, and stale timers were removed only from the front of the heap. Evidence: X-Held shows 24,800 timers after 20,000 RPCs that stated an hour, with none open.

Change: once the number of timers has doubled, all stale ones are removed.

Test: memory::timers_of_answered_rpcs_with_distant_deadlines_are_not_kept, failed before (24,800 timers, 4,096 allowed), passes.

--- a/crates/gateway/src/timers.rs
+++ b/crates/gateway/src/timers.rs
@@ -1,21 +1,26 @@
 //! A timer queue: a binary heap ordered by time. Timers can't be removed from its middle. A stale
 //! timer is discarded when it reaches the front, and the receiver ignores one that is handed out
-//! nevertheless.
+//! nevertheless. Stale timers are also removed from the middle once they may be more than half of all.
 
 use martenramp::host::Nanos;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
+/// Up to this many timers none is removed from the middle, as there is nothing to gain.
+const MIN_COMPACTED: usize = 1024;
+
 /// Timers of type `T`, returned in order of their time, then in the order in which they were set.
 #[derive(Debug)]
 pub struct Timers<T> {
     heap: BinaryHeap<Reverse<(Nanos, u64, T)>>,
     last_sequence: u64,
+    /// Above this many timers, stale ones are removed from the middle.
+    compact_above: usize,
 }
 
 impl<T: Ord> Default for Timers<T> {
     fn default() -> Self {
-        Timers { heap: BinaryHeap::new(), last_sequence: 0 }
+        Timers { heap: BinaryHeap::new(), last_sequence: 0, compact_above: MIN_COMPACTED }
     }
 }
 
@@ -39,8 +44,14 @@
         self.heap.peek().map(|Reverse((at, ..))| *at)
     }
 
-    /// Removes timers from the front for as long as they are stale.
+    /// Removes timers from the front for as long as they are stale, and all stale ones once the number
+    /// of timers has doubled since the last time: otherwise timers far in the future would pile up.
     pub fn discard_stale(&mut self, stale: impl Fn(&T) -> bool) {
+        if self.heap.len() > self.compact_above {
+            self.heap.retain(|Reverse((.., event))| !stale(event));
+            self.heap.shrink_to(2 * self.heap.len().max(MIN_COMPACTED));
+            self.compact_above = 2 * self.heap.len().max(MIN_COMPACTED);
+        }
         while self.heap.peek().is_some_and(|Reverse((.., event))| stale(event)) {
             self.heap.pop();
         }
--- a/crates/gateway/tests/memory.rs
+++ b/crates/gateway/tests/memory.rs
@@ -268,3 +268,17 @@
     let limit = (MEMORY_LIMIT_MB << 10) / 3 + LONGEST_MESSAGE_KIB + rejections;
     assert!(peak.parse::<u64>().unwrap() <= limit, "{peak} KiB of {limit}: {last}");
 }
+
+/// Guards against timers that stay until the deadlines of RPCs that were answered long before.
+#[test]
+fn timers_of_answered_rpcs_with_distant_deadlines_are_not_kept() {
+    const AN_HOUR_MS: u64 = 3_600_000;
+    const MOST_TIMERS: u64 = 4096; // the RPCs of this flood that are open at a time need a few
+    let (server, discovery) = (Peer::new(|_, _| answer(200, "", "ok")), discovery_peer());
+    let gateway = start_limited_gateway(&server, &discovery);
+    flood_with_names(gateway.address, 1, AN_HOUR_MS);
+    wait_until_held(&gateway, "rpcs", 0);
+    let healthy = gateway.client().ask("GET /-/healthy HTTP/1.1\r\n\r\n");
+    let timers = held(&healthy, "timers");
+    assert!(timers <= MOST_TIMERS, "{timers} timers after {FLOOD_REQUESTS} RPCs");
+}
