A half request on a spare place is answered 503 before it gives way

What callers would see: a request that comes in pieces is cut without an answer where descriptors are short, also without any stranger.

Cause: the connection was closed while its client went on writing.

Change: it gets 503 and is closed after it, like any other message that is turned away.

Test: hostile_clients::request_in_pieces_... fails without the change, passes in 3 of 3; requests_on_new_connections_... passes (slowest 0.27 s).

--- a/crates/gateway/src/gateway/connection_limits.rs
+++ b/crates/gateway/src/gateway/connection_limits.rs
@@ -2,7 +2,7 @@
 //! descriptors run out. The order of eviction is in [`eviction`].
 
 use super::*;
-use crate::eviction::EvictFor;
+use crate::eviction::{EvictFor, IdleState};
 
 /// For this long after a new client found all slots taken, others are assumed to be waiting for
 /// one.
@@ -89,14 +89,25 @@
         let candidates = eviction::eviction_order(idle(), now, purpose);
         self.is_slot_due_soon = idle().any(|(_, idle)| idle.gives_way_soon());
         let mut tried = candidates.into_iter().take(MAX_EVICTION_TRIES);
-        let evicted =
-            tried.any(|id| self.has_no_pending_input(id) && self.close_client(id, CloseCause::Evicted));
+        let evicted = tried.any(|id| self.has_no_pending_input(id) && self.give_way(id));
         if evicted {
             self.no_eviction_until[purpose as usize] = 0;
         }
         evicted
     }
 
+    /// Closes a connection that gives way; true if its descriptor is free. One over the limit that is
+    /// within a message is answered first: its client may be a slow one, whose request would be lost
+    /// by a close.
+    fn give_way(&mut self, id: usize) -> bool {
+        let is_over_limit = |client: &Client| matches!(client.idle_state(), Some(IdleState::OverLimit(_)));
+        if self.clients.get(&id).is_some_and(is_over_limit) {
+            self.reject_message(id, 503, "too-many-clients");
+            return false;
+        }
+        self.close_client(id, CloseCause::Evicted)
+    }
+
     /// Whether a connection has no unread input that is still to be served. Input after this side
     /// shut down sending is not.
     fn has_no_pending_input(&mut self, id: usize) -> bool {
--- a/crates/gateway/tests/hostile_clients.rs
+++ b/crates/gateway/tests/hostile_clients.rs
@@ -292,3 +292,21 @@
     assert!(late.is_empty(), "ended after {allowed:?}: {late:?}");
     assert!(count(&[200]) > 0);
 }
+
+/// Guards against the request of a slow client that is cut without an answer while half requests hold all places.
+#[test]
+fn request_in_pieces_on_a_new_connection_gets_an_answer_while_half_requests_hold_all_places() {
+    let deployment = deployment_with(FEW_DESCRIPTORS);
+    let address = deployment.gateway.address;
+    let connect_with_half_request = || {
+        let mut client = TcpStream::connect(address).unwrap();
+        let _ = client.write_all(b"GET /api/0000000000000001 HTTP/1.1\r\nHost: service.int");
+        client
+    };
+    let _before: Vec<TcpStream> = (0..HALF_REQUESTS - 20).map(|_| connect_with_half_request()).collect();
+    let mut client = Client::new(address);
+    client.try_send(&with_id(&rpc("verify", CLIENT_TIME_MS), 1)[..100]);
+    let _behind: Vec<TcpStream> = (0..20).map(|_| connect_with_half_request()).collect();
+    let answer = client.answer_within(Duration::from_millis(CLIENT_TIME_MS) + ANSWER_SLACK);
+    assert_eq!(answer.as_deref().map(status), Some(503), "an answer, and no close without one");
+}
