--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -92,8 +92,6 @@
     pub sent_excess: bool,
     /// Accepted beyond the clients' share of descriptors, only to reject its requests.
     pub over_limit: bool,
-    /// When the connection was accepted.
-    pub accepted_at: Nanos,
     /// Number of responses on this connection.
     pub served: u64,
     /// The last turn in which a further message of the buffer was read, and how many were read in it.
@@ -112,7 +110,6 @@
     /// Returns what the connection is doing if no response is owed on it.
     pub fn idle_state(&self) -> Option<IdleState> {
         match self.phase {
-            Phase::Reading if self.partial && self.over_limit => Some(IdleState::OverLimit(self.accepted_at)),
             Phase::Reading if self.partial => Some(IdleState::MidMessage(self.state_since)),
             Phase::Reading if self.served == 0 => Some(IdleState::Silent(self.state_since)),
             Phase::Reading => Some(IdleState::KeepAlive(self.state_since)),
--- a/crates/gateway/src/eviction.rs
+++ b/crates/gateway/src/eviction.rs
@@ -7,10 +7,6 @@
 /// How long a new connection may stay silent before it can be evicted: a client sends as soon as it
 /// is connected.
 const SILENT_LIMIT: Nanos = 10 * MS;
-/// How long a connection that was accepted over the limit may take to complete its message. It would
-/// get 503 then unless a slot is free, and others wait for its place. Counted from when it was
-/// accepted, so that clients that come again at once are not turned away at full speed.
-const OVER_LIMIT_MESSAGE_LIMIT: Nanos = 10 * MS;
 /// How long a client may take to close after this side has shut down sending.
 const HALF_CLOSED_LIMIT: Nanos = 10 * MS;
 /// How long a keep-alive connection may be idle between messages.
@@ -32,8 +28,6 @@
     KeepAlive(Nanos),
     /// Part of a message was received.
     MidMessage(Nanos),
-    /// Accepted over the limit at this time, and part of a message was received.
-    OverLimit(Nanos),
 }
 
 /// What a descriptor is needed for.
@@ -51,18 +45,12 @@
     fn evictable_at(self, purpose: EvictFor) -> (usize, Nanos) {
         match (self, purpose) {
             (IdleState::Silent(since), _) => (0, since + SILENT_LIMIT),
-            (IdleState::OverLimit(since), _) => (0, since + OVER_LIMIT_MESSAGE_LIMIT),
             (IdleState::HalfClosed(since), _) => (1, since + HALF_CLOSED_LIMIT),
             (IdleState::KeepAlive(since), EvictFor::NewConnection) => (2, since + KEEP_ALIVE_LIMIT),
             (IdleState::KeepAlive(since), EvictFor::Required) => (2, since),
             (IdleState::MidMessage(since), _) => (3, since + MID_MESSAGE_LIMIT),
         }
     }
-
-    /// Whether the connection can be evicted within a moment, if nothing more is received on it.
-    pub fn gives_way_soon(self) -> bool {
-        matches!(self, IdleState::Silent(_) | IdleState::OverLimit(_))
-    }
 }
 
 /// The connections that may be evicted now, in order. Frees descriptors held by clients that send
@@ -79,10 +67,10 @@
     due.into_iter().map(|candidate| candidate.1).collect()
 }
 
-/// When the next connection that gives way soon can be evicted.
-pub fn next_early_eviction(idle: impl Iterator<Item = IdleState>) -> Option<Nanos> {
-    let early = idle.filter(|idle| idle.gives_way_soon());
-    early.map(|idle| idle.evictable_at(EvictFor::NewConnection).1).min()
+/// When the next silent connection can be evicted.
+pub fn next_silent_eviction(idle: impl Iterator<Item = IdleState>) -> Option<Nanos> {
+    let silent = idle.filter(|idle| matches!(idle, IdleState::Silent(_)));
+    silent.map(|idle| idle.evictable_at(EvictFor::NewConnection).1).min()
 }
 
 /// Whether connections that were served before hold more than their share of the slots.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -242,9 +242,10 @@
     accept_retry_at: Option<Nanos>,
     /// When a new client last found all slots taken.
     last_full_at: Option<Nanos>,
-    /// Whether the last scan of all clients found a connection that can be evicted soon; until when eviction is not retried, by purpose; and how many connections were
+    /// Whether the last scan of all clients found a new connection that has sent nothing and can be
+    /// evicted soon; until when eviction is not retried, by purpose; and how many connections were
     /// served.
-    is_slot_due_soon: bool,
+    has_silent_client: bool,
     no_eviction_until: [Nanos; 2],
     served_clients: usize,
     /// Since when more connections wait to be accepted than there are slots.
@@ -364,7 +365,7 @@
             accept_again: false,
             accept_retry_at: None,
             last_full_at: None,
-            is_slot_due_soon: false,
+            has_silent_client: false,
             no_eviction_until: [0; 2],
             served_clients: 0,
             accept_behind_since: None,
@@ -507,8 +508,7 @@
     fn accepted(&mut self, id: usize) {
         let spare = self.host.clients.len() >= self.host.max_clients;
         let since = self.host.silent_since(id);
-        let accepted_at = self.host.net.now;
-        let client = Client { state_since: since, over_limit: spare, accepted_at, ..Client::default() };
+        let client = Client { state_since: since, over_limit: spare, ..Client::default() };
         self.host.clients.insert(id, client);
         // Data that the client sent right after connecting may have waited as long as the
         // connection did. That time is known now, and no longer in the turn that would read the
--- a/crates/gateway/src/gateway/connection_limits.rs
+++ b/crates/gateway/src/gateway/connection_limits.rs
@@ -24,7 +24,7 @@
         self.last_full_at = Some(self.net.now);
         // If a slot becomes free in a moment, it is better for the new client to wait than to be
         // rejected now.
-        !self.is_slot_due_soon && taken < self.max_clients + self.max_over_limit
+        !self.has_silent_client && taken < self.max_clients + self.max_over_limit
     }
 
     /// Since when a connection that is accepted now counts as silent. If accepting was behind, that
@@ -44,8 +44,8 @@
         let now = self.net.now;
         self.accept_behind_since.get_or_insert(now);
         let latest = now + ACCEPT_RETRY_DELAY;
-        let early = eviction::next_early_eviction(self.clients.values().filter_map(Client::idle_state));
-        let at = early.map_or(latest, |at| at.clamp(now + MIN_ACCEPT_DELAY, latest));
+        let silent = eviction::next_silent_eviction(self.clients.values().filter_map(Client::idle_state));
+        let at = silent.map_or(latest, |at| at.clamp(now + MIN_ACCEPT_DELAY, latest));
         if self.accept_retry_at.is_none_or(|scheduled| at < scheduled) {
             self.accept_retry_at = Some(at);
             self.timers.set(at, TimerEvent::RetryAccept);
@@ -87,27 +87,16 @@
         *retry_at = now + MIN_ACCEPT_DELAY;
         let idle = || self.clients.iter().filter_map(|(id, client)| Some((*id, client.idle_state()?)));
         let candidates = eviction::eviction_order(idle(), now, purpose);
-        self.is_slot_due_soon = idle().any(|(_, idle)| idle.gives_way_soon());
+        self.has_silent_client = idle().any(|(_, idle)| matches!(idle, IdleState::Silent(_)));
         let mut tried = candidates.into_iter().take(MAX_EVICTION_TRIES);
-        let evicted = tried.any(|id| self.has_no_pending_input(id) && self.give_way(id));
+        let evicted =
+            tried.any(|id| self.has_no_pending_input(id) && self.close_client(id, CloseCause::Evicted));
         if evicted {
             self.no_eviction_until[purpose as usize] = 0;
         }
         evicted
     }
 
-    /// Closes a connection that gives way; true if its descriptor is free. One over the limit that is
-    /// within a message is answered first: its client may be a slow one, whose request would be lost
-    /// by a close.
-    fn give_way(&mut self, id: usize) -> bool {
-        let is_over_limit = |client: &Client| matches!(client.idle_state(), Some(IdleState::OverLimit(_)));
-        if self.clients.get(&id).is_some_and(is_over_limit) {
-            self.reject_message(id, 503, "too-many-clients");
-            return false;
-        }
-        self.close_client(id, CloseCause::Evicted)
-    }
-
     /// Whether a connection has no unread input that is still to be served. Input after this side
     /// shut down sending is not.
     fn has_no_pending_input(&mut self, id: usize) -> bool {
