A starved gateway takes RPCs with the whole turn in view again; counts only when asked

Change: a connection is processed at once only if clients' buffers exceed their share, else after all are accepted, as before; counts are made when /-/healthy asks, at most four a second.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -280,7 +280,7 @@
     max_turn: Nanos,
     /// What the turns spend their time on.
     turn_log: TurnLog,
-    /// What the process held at the last sweep.
+    /// What the process held when it was last counted.
     memory_account: memory_account::MemoryAccount,
     /// Random numbers for delays that must not be in step with those of other gateways; the
     /// admission controller has its own source.
@@ -512,10 +512,15 @@
         self.host.clients.insert(id, client);
         // Data that the client sent right after connecting may have waited as long as the
         // connection did. That time is known now, and no longer in the turn that would read the
-        // data. What was read is processed before the next connection is accepted: otherwise the
-        // buffers of all that wait would be filled before the limit on them is checked.
+        // data.
         self.host.net.read(id, false);
-        self.read_client(id);
+        // It is processed once all that wait are accepted, when it shows how much time the turn has
+        // left for RPCs; but not if that would let clients' buffers exceed their share.
+        if self.host.net.client_buffer_bytes > self.host.max_client_memory {
+            self.read_client(id);
+        } else {
+            self.host.clients_to_read.push_back(id);
+        }
     }
 
     fn retry_accept_later(&mut self) {
@@ -608,10 +613,7 @@
                     }
                 }
                 TimerEvent::RpcOverdue(id) => self.answer_overdue(id),
-                TimerEvent::Sweep => {
-                    self.host.sweep();
-                    self.count_memory();
-                }
+                TimerEvent::Sweep => self.host.sweep(),
                 TimerEvent::OpenWatch => self.host.connect_watch(),
                 TimerEvent::RetryAccept => self.host.accept_again |= self.host.is_accept_due(),
                 TimerEvent::StopListening => {
--- a/crates/gateway/src/gateway/client_handler.rs
+++ b/crates/gateway/src/gateway/client_handler.rs
@@ -54,8 +54,8 @@
                     self.host.answer_directly(id, if ready { 200 } else { 503 }, length, &settings_header);
                 }
                 Ok(Parsed::Healthy(length)) => {
-                    let host = &self.host;
-                    let headers = self.settings_header() + &host.invariants_header() + &host.memory_header();
+                    let memory_header = self.memory_header();
+                    let headers = self.settings_header() + &self.host.invariants_header() + &memory_header;
                     self.host.answer_directly(id, 200, length, &headers);
                 }
                 Err(MessageError(status, why)) => self.host.reject_message(id, status, why),
--- a/crates/gateway/src/gateway/memory_account.rs
+++ b/crates/gateway/src/gateway/memory_account.rs
@@ -1,15 +1,19 @@
 //! Counts what the process holds, by kind, so that operators can see what takes its memory: in
-//! `/-/healthy`, as of the last sweep, and in the last line of the log.
+//! `/-/healthy`, and in the last line of the log.
 
 use super::*;
 use crate::heap::{HeapUse, heap_use};
 use std::fmt;
 
 const KIB: usize = 1 << 10;
+/// For this long a count is shown again. Counting looks at all connections and at the whole heap, which
+/// is much for a process with a small part of a core, so it is done only when somebody asks.
+const COUNT_LIFETIME: Nanos = 250 * MS;
 
 /// What the process held when it was last counted. Sizes are in bytes.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct MemoryAccount {
+    counted_at: Nanos,
     customers: usize,
     /// RPCs that were rejected since the start because no further customer could be remembered.
     refused_customers: u64,
@@ -47,6 +51,7 @@
     pub(super) fn count_memory(&mut self) {
         let host = &mut self.host;
         host.memory_account = MemoryAccount {
+            counted_at: host.net.now,
             customers: self.controller.customer_count(),
             refused_customers: self.controller.refused_customer_count(),
             remembered_ids: host.transaction_ids.remembered_count(),
@@ -61,9 +66,12 @@
     }
 }
 
-impl AdmissionHost {
-    /// The header line that shows the last count to operators.
-    pub(super) fn memory_header(&self) -> String {
-        format!("X-Held: {}\n", self.memory_account)
+impl Gateway {
+    /// The header line that shows what the process holds to operators.
+    pub(super) fn memory_header(&mut self) -> String {
+        if self.host.net.now >= self.host.memory_account.counted_at + COUNT_LIFETIME {
+            self.count_memory();
+        }
+        format!("X-Held: {}\n", self.host.memory_account)
     }
 }
